Daemon: Serve the whole path as separate processes

Change: stand-ins for the platform's store, instance list and workers; wagtaild with entry interface, partitions (a worker group and a task shard under one owner), shard log, claims of idempotency keys, gossip and forwarding over nghttp2; wagtailctl; a demo that checks each outcome.

Worker leases run from the report that a heartbeat echoes, so that a delayed heartbeat can't extend them past what its sender counts on.

--- /dev/null
+++ b/source/configuration/ConfigurationValue.cpp
@@ -0,0 +1,20 @@
+#include "configuration/ConfigurationValue.h"
+
+namespace Wagtail
+{
+
+std::string writeConfigurationValue(const Json &value, const std::string &mark)
+{
+    return writeJson({{"mark", mark}, {"value", value}});
+}
+
+Result<Json> readConfigurationValue(const std::string &text, const std::string &subject)
+{
+    const Result<Json> document = parseJson(text, subject);
+    if (errorOf(document) != nullptr) {
+        return document;
+    }
+    return memberOr(std::get<Json>(document), "value", Json());
+}
+
+}
--- /dev/null
+++ b/source/daemon/main.cpp
@@ -0,0 +1,75 @@
+#include "daemon/Daemon.h"
+#include "logging/Log.h"
+
+#include <cstdio>
+#include <curl/curl.h>
+#include <fstream>
+#include <popt.h>
+#include <sstream>
+
+namespace
+{
+
+constexpr int ExitUsage = 2;
+constexpr int ExitSettings = 3;
+constexpr int ExitAddress = 4;
+
+// Prints every fault with its remedy.
+void printErrors(const std::vector<Wagtail::Error> &errors)
+{
+    for (const Wagtail::Error &error : errors) {
+        std::fprintf(stderr, "%s\n    remedy: %s\n", error.detail.c_str(), error.remedy.c_str());
+    }
+}
+
+int serve(const Wagtail::Settings &settings)
+{
+    Wagtail::startLog(settings.instanceName, settings.logLevel);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    auto daemon = Wagtail::Daemon::create(settings);
+    if (const Wagtail::Error *error = Wagtail::errorOf(daemon)) {
+        printErrors({*error});
+        return ExitAddress;
+    }
+    return std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
+}
+
+}
+
+int main(int count, const char **arguments)
+{
+    char *settingsPath = nullptr;
+    int checkOnly = 0;
+    const poptOption options[] = {
+        {"settings", 's', POPT_ARG_STRING, &settingsPath, 0, "The settings file (TOML)", "FILE"},
+        {"check-settings", 'c', POPT_ARG_NONE, &checkOnly, 0, "Check the settings and exit", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("wagtaild", count, arguments, options, 0);
+    const int parsed = poptGetNextOpt(context);
+    const bool usable = parsed == -1 && settingsPath != nullptr && poptPeekArg(context) == nullptr;
+    if (!usable) {
+        std::fprintf(stderr, "wagtaild: give --settings FILE; see wagtaild --help\n");
+        poptFreeContext(context);
+        return ExitUsage;
+    }
+    const std::string path = settingsPath;
+    poptFreeContext(context);
+    std::ifstream file(path);
+    if (!file) {
+        std::fprintf(stderr, "%s can't be read\n    remedy: give the path of a readable file\n", path.c_str());
+        return ExitSettings;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto settings = Wagtail::parseSettings(text.str(), path);
+    if (const auto *errors = std::get_if<std::vector<Wagtail::Error>>(&settings)) {
+        printErrors(*errors);
+        return ExitSettings;
+    }
+    if (checkOnly != 0) {
+        std::printf("%s is valid\n", path.c_str());
+        return 0;
+    }
+    return serve(std::get<Wagtail::Settings>(settings));
+}
--- /dev/null
+++ b/source/entry/EntryApi.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "entry/ConfigurationService.h"
+#include "http/HttpServer.h"
+#include "metrics/Metrics.h"
+#include "routing/RequestRouter.h"
+#include "routing/TaskRouter.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Wagtail
+{
+
+// The HTTP interface for callers and operators, as docs/API.md states it. Used on the control thread.
+class EntryApi
+{
+public:
+    struct Context
+    {
+        const Clock &clock;
+        Scheduler &scheduler;
+        RequestRouter &requests;
+        TaskRouter &tasks;
+        ConfigurationService &configuration;
+        PartitionManager &partitions;
+        PeerDirectory &peers;
+        PeerCaller &caller;
+        ProfileCatalog &profiles;
+        VersionedEntries &entries;
+        Timeline &timeline;
+        Metrics &metrics;
+        const Settings &settings;
+        std::string instance;
+        // Returns why this instance is not ready, or an empty text.
+        std::function<std::string()> unreadiness;
+    };
+
+    explicit EntryApi(Context context);
+
+    void handle(HttpRequest request, HttpServer::Responder respond);
+
+    // Returns this instance's part of the status page.
+    [[nodiscard]] Json ownStatus();
+
+    // Returns this instance's events that match a filter in its JSON form.
+    [[nodiscard]] Json ownEvents(const Json &filter);
+
+private:
+    using Respond = HttpServer::Responder;
+
+    void handleRequest(HttpRequest request, const Respond &respond);
+    void handleTasks(const HttpRequest &request, const Respond &respond, const std::string &requiredClass);
+    void submitTask(const HttpRequest &request, const Respond &respond, const std::string &requiredClass);
+    void waitForTask(const std::string &task, Instant until, const Respond &respond);
+    void handleProfiles(const HttpRequest &request, const Respond &respond);
+    void putProfile(const HttpRequest &request, const std::string &name, const Respond &respond);
+    void listProfiles(const Respond &respond);
+    void showProfile(const std::string &name, const Respond &respond);
+    void handleWorkers(const HttpRequest &request, const Respond &respond);
+    void setWorkerState(const std::string &worker, const std::string &verb, const Respond &respond);
+    void listWorkers(const Respond &respond);
+    void explainWorker(const std::string &worker, const Respond &respond);
+    void handleTimeline(const HttpRequest &request, const Respond &respond);
+    void handleStatus(const Respond &respond);
+    // Asks all peers with a message and passes on each answer and the names of those that did not answer.
+    void askAll(const std::string &kind, const Json &question, std::function<void(std::vector<Json>, Json)> handler);
+    [[nodiscard]] static std::vector<std::string> segments(const std::string &path);
+    [[nodiscard]] static Result<ChangeCondition> conditionOf(const HttpRequest &request);
+    [[nodiscard]] std::function<void(Result<StoreRevision>)> changeAnswer(const Respond &respond, int status) const;
+
+    Context m_context;
+};
+
+}
--- /dev/null
+++ b/source/http/CurlHttpClient.cpp
@@ -0,0 +1,319 @@
+#include "http/CurlHttpClient.h"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/steady_timer.hpp>
+#include <cassert>
+#include <curl/curl.h>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <vector>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// One transfer: the call, its handler and the answer as it arrives.
+struct Transfer
+{
+    HttpCall call;
+    HttpClient::Handler handler;
+    HttpAnswer answer;
+    curl_slist *headers = nullptr;
+    CURL *handle = nullptr;
+};
+
+// A socket that libcurl opened, and the events that it waits for.
+struct SocketWatch
+{
+    explicit SocketWatch(asio::io_context &context, int socket)
+        : descriptor(context, socket)
+    {
+    }
+
+    asio::posix::stream_descriptor descriptor;
+    int wanted = CURL_POLL_NONE;
+    bool readWaiting = false;
+    bool writeWaiting = false;
+};
+
+std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
+{
+    static_cast<Transfer *>(target)->answer.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t appendHeader(char *data, std::size_t size, std::size_t count, void *target)
+{
+    const std::string_view line(data, size * count);
+    HttpAnswer &answer = static_cast<Transfer *>(target)->answer;
+    const std::size_t colon = line.find(':');
+    if (line.starts_with("HTTP/")) {
+        answer.headers.clear();
+    } else if (colon != std::string_view::npos) {
+        std::string_view value = line.substr(colon + 1);
+        while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+            value.remove_prefix(1);
+        }
+        while (!value.empty() && (value.back() == '\r' || value.back() == '\n' || value.back() == ' ')) {
+            value.remove_suffix(1);
+        }
+        answer.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return size * count;
+}
+
+}
+
+class CurlHttpClient::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(asio::io_context &context, long connectionsPerHost)
+        : m_context(context)
+        , m_timer(context)
+        , m_multi(curl_multi_init())
+    {
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, connectionsPerHost);
+        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MaximumIdleConnections);
+    }
+
+    Implementation(const Implementation &) = delete;
+    Implementation &operator=(const Implementation &) = delete;
+
+    ~Implementation()
+    {
+        for (const auto &[handle, transfer] : m_transfers) {
+            curl_multi_remove_handle(m_multi, handle);
+            curl_slist_free_all(transfer->headers);
+            curl_easy_cleanup(handle);
+        }
+        for (CURL *handle : m_idleHandles) {
+            curl_easy_cleanup(handle);
+        }
+        curl_multi_cleanup(m_multi);
+    }
+
+    void send(HttpCall call, Handler handler)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->handler = std::move(handler);
+        transfer->handle = takeHandle();
+        configure(*transfer);
+        CURL *const handle = transfer->handle;
+        m_transfers.emplace(handle, std::move(transfer));
+        curl_multi_add_handle(m_multi, handle);
+    }
+
+private:
+    static constexpr long MaximumIdleConnections = 4096;
+    static constexpr std::size_t MaximumIdleHandles = 256;
+
+    CURL *takeHandle()
+    {
+        if (m_idleHandles.empty()) {
+            return curl_easy_init();
+        }
+        CURL *const handle = m_idleHandles.back();
+        m_idleHandles.pop_back();
+        return handle;
+    }
+
+    void configure(Transfer &transfer)
+    {
+        CURL *const handle = transfer.handle;
+        const HttpCall &call = transfer.call;
+        for (const HttpHeader &header : call.headers) {
+            transfer.headers = curl_slist_append(transfer.headers, (header.name + ": " + header.value).c_str());
+        }
+        transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+        curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, call.timeoutMilliseconds);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &Implementation::openSocket);
+        curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Implementation::closeSocket);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
+        // Libcurl silently sends a call again when a reused connection dies before the first byte of the answer.
+        // A call that must not be received twice therefore gets a connection of its own.
+        const long fresh = call.reuse == ConnectionReuse::Forbidden ? 1L : 0L;
+        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, fresh);
+        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, fresh);
+        if (call.method == "GET") {
+            curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
+            return;
+        }
+        curl_easy_setopt(handle, CURLOPT_POST, 1L);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+    }
+
+    static curl_socket_t openSocket(void *self, curlsocktype, curl_sockaddr *address)
+    {
+        auto *client = static_cast<Implementation *>(self);
+        const int flags = SOCK_NONBLOCK | SOCK_CLOEXEC;
+        const int socket = ::socket(address->family, address->socktype | flags, address->protocol);
+        if (socket < 0) {
+            return CURL_SOCKET_BAD;
+        }
+        client->m_sockets.emplace(socket, std::make_shared<SocketWatch>(client->m_context, socket));
+        return socket;
+    }
+
+    static int closeSocket(void *self, curl_socket_t socket)
+    {
+        auto *client = static_cast<Implementation *>(self);
+        const auto found = client->m_sockets.find(socket);
+        assert(found != client->m_sockets.end());
+        found->second->wanted = CURL_POLL_NONE;
+        asio::error_code ignored;
+        found->second->descriptor.close(ignored);
+        client->m_sockets.erase(found);
+        return 0;
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int wanted, void *self, void *)
+    {
+        auto *client = static_cast<Implementation *>(self);
+        const auto found = client->m_sockets.find(socket);
+        if (found == client->m_sockets.end()) {
+            return 0;
+        }
+        found->second->wanted = wanted == CURL_POLL_REMOVE ? CURL_POLL_NONE : wanted;
+        client->wait(found->second);
+        return 0;
+    }
+
+    void wait(const std::shared_ptr<SocketWatch> &watch)
+    {
+        if ((watch->wanted & CURL_POLL_IN) != 0 && !watch->readWaiting) {
+            watch->readWaiting = true;
+            waitFor(watch, asio::posix::stream_descriptor::wait_read, CURL_CSELECT_IN, &SocketWatch::readWaiting);
+        }
+        if ((watch->wanted & CURL_POLL_OUT) != 0 && !watch->writeWaiting) {
+            watch->writeWaiting = true;
+            waitFor(watch, asio::posix::stream_descriptor::wait_write, CURL_CSELECT_OUT, &SocketWatch::writeWaiting);
+        }
+    }
+
+    void waitFor(const std::shared_ptr<SocketWatch> &watch, asio::posix::stream_descriptor::wait_type event, int action,
+        bool SocketWatch::*waiting)
+    {
+        const auto onReady = [weak = weak_from_this(), watch, action, waiting](const asio::error_code &error) {
+            const auto self = weak.lock();
+            (*watch).*waiting = false;
+            if (!self || error) {
+                return;
+            }
+            const int interest = action == CURL_CSELECT_IN ? CURL_POLL_IN : CURL_POLL_OUT;
+            if ((watch->wanted & interest) == 0) {
+                return;
+            }
+            self->act(watch->descriptor.native_handle(), action);
+            if (watch->descriptor.is_open()) {
+                self->wait(watch);
+            }
+        };
+        watch->descriptor.async_wait(event, onReady);
+    }
+
+    static int onTimer(CURLM *, long milliseconds, void *self)
+    {
+        auto *client = static_cast<Implementation *>(self);
+        if (milliseconds < 0) {
+            client->m_timer.cancel();
+            return 0;
+        }
+        client->m_timer.expires_after(std::chrono::milliseconds(milliseconds));
+        client->m_timer.async_wait([weak = client->weak_from_this()](const asio::error_code &error) {
+            const auto live = weak.lock();
+            if (live && !error) {
+                live->act(CURL_SOCKET_TIMEOUT, 0);
+            }
+        });
+        return 0;
+    }
+
+    void act(curl_socket_t socket, int action)
+    {
+        int running = 0;
+        curl_multi_socket_action(m_multi, socket, action, &running);
+        collectFinished();
+    }
+
+    void collectFinished()
+    {
+        int left = 0;
+        while (const CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
+            if (message->msg == CURLMSG_DONE) {
+                finish(message->easy_handle, message->data.result);
+            }
+        }
+    }
+
+    void finish(CURL *handle, CURLcode code)
+    {
+        const auto found = m_transfers.find(handle);
+        assert(found != m_transfers.end());
+        const std::unique_ptr<Transfer> transfer = std::move(found->second);
+        m_transfers.erase(found);
+        long sentBytes = 0;
+        long status = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
+        curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+        curl_multi_remove_handle(m_multi, handle);
+        curl_slist_free_all(transfer->headers);
+        curl_easy_reset(handle);
+        returnHandle(handle);
+        if (code == CURLE_OK) {
+            transfer->answer.delivery = Delivery::Answered;
+            transfer->answer.status = static_cast<int>(status);
+        } else {
+            transfer->answer.delivery = sentBytes == 0 ? Delivery::NotSent : Delivery::Lost;
+            transfer->answer.failure = curl_easy_strerror(code);
+        }
+        transfer->handler(std::move(transfer->answer));
+    }
+
+    void returnHandle(CURL *handle)
+    {
+        if (m_idleHandles.size() >= MaximumIdleHandles) {
+            curl_easy_cleanup(handle);
+            return;
+        }
+        m_idleHandles.push_back(handle);
+    }
+
+    asio::io_context &m_context;
+    asio::steady_timer m_timer;
+    CURLM *m_multi;
+    std::unordered_map<int, std::shared_ptr<SocketWatch>> m_sockets;
+    std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
+    std::vector<CURL *> m_idleHandles;
+};
+
+CurlHttpClient::CurlHttpClient(asio::io_context &context, long connectionsPerHost)
+    : m_implementation(std::make_shared<Implementation>(context, connectionsPerHost))
+{
+}
+
+CurlHttpClient::~CurlHttpClient() = default;
+
+void CurlHttpClient::send(HttpCall call, Handler handler)
+{
+    m_implementation->send(std::move(call), std::move(handler));
+}
+
+}
--- /dev/null
+++ b/source/http/HttpMessages.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Wagtail
+{
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HttpHeader &) const = default;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// A request as a server received it. The path carries no query.
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::string query;
+    HttpHeaders headers;
+    std::string body;
+
+    // Returns the value of a header, compared without regard to case, or nothing.
+    [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
+
+    // Returns the decoded value of a query parameter, or nothing.
+    [[nodiscard]] std::optional<std::string> parameter(std::string_view name) const;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+// How far a call got. NotSent means that no byte of it left; Lost means that it may have been received.
+enum class Delivery {
+    NotSent,
+    Lost,
+    Answered,
+};
+
+// Whether a call may use a connection that served an earlier call.
+enum class ConnectionReuse {
+    Allowed,
+    Forbidden,
+};
+
+// A request to send. The timeout covers the whole exchange and is given in milliseconds.
+struct HttpCall
+{
+    std::string method;
+    std::string url;
+    HttpHeaders headers;
+    std::string body;
+    long timeoutMilliseconds = 2000;
+    ConnectionReuse reuse = ConnectionReuse::Allowed;
+};
+
+struct HttpAnswer
+{
+    Delivery delivery = Delivery::NotSent;
+    int status = 0;
+    HttpHeaders headers;
+    std::string body;
+    std::string failure;
+
+    // Returns the value of a header, compared without regard to case, or nothing.
+    [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
+};
+
+// Returns the value of the named header, compared without regard to case, or nothing.
+[[nodiscard]] std::optional<std::string> findHeader(const HttpHeaders &headers, std::string_view name);
+
+// Returns the text with every %XX sequence decoded; malformed sequences stay as they are.
+[[nodiscard]] std::string percentDecode(std::string_view text);
+
+// Returns the text with all but unreserved characters percent-encoded.
+[[nodiscard]] std::string percentEncode(std::string_view text);
+
+}
--- /dev/null
+++ b/source/membership/PeerDirectory.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "peers/PeerMessages.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Wagtail
+{
+
+// The newest gossip of each other instance, and when it was heard.
+class PeerDirectory
+{
+public:
+    explicit PeerDirectory(const Clock &clock);
+
+    void hear(const Gossip &gossip);
+
+    // Returns the peers that were heard of lately.
+    [[nodiscard]] std::vector<const Gossip *> heard() const;
+
+    [[nodiscard]] bool isHeard(const std::string &instance) const;
+
+    // Returns the newest offer for a partition among the peers heard of lately, with the peer's address.
+    [[nodiscard]] std::optional<std::pair<std::string, PartitionOffer>> offerOf(const std::string &partition) const;
+
+    // Takes an expected use off an offer until the next gossip brings the truth.
+    void charge(const std::string &partition, std::int64_t slots);
+
+private:
+    struct Peer
+    {
+        Gossip gossip;
+        Instant heardAt;
+    };
+
+    const Clock &m_clock;
+    std::map<std::string, Peer> m_peers;
+};
+
+}
--- /dev/null
+++ b/source/placement/PlacementPolicy.cpp
@@ -0,0 +1,12 @@
+#include "placement/PlacementPolicy.h"
+
+namespace Wagtail
+{
+
+bool PlacementPolicy::isAllowed(const Fleet &fleet, const FleetWorker &worker, const PlacementQuery &query)
+{
+    return worker.admission == WorkerAdmission::Open && fleet.hasRoom(worker, query.demand)
+        && !query.excluded.contains(worker.description.name);
+}
+
+}
--- /dev/null
+++ b/source/profiles/ProfileCatalog.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "configuration/VersionedEntries.h"
+#include "profiles/Profile.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Wagtail
+{
+
+// The profiles in force, with the revision of each.
+class ProfileCatalog
+{
+public:
+    struct Item
+    {
+        std::shared_ptr<const Profile> profile;
+        StoreRevision revision = 0;
+    };
+
+    // Reads the entry with the given key again, if it is one of a profile.
+    void update(const VersionedEntries &entries, const std::string &key);
+
+    // Returns the profile, or null when there is none of this name.
+    [[nodiscard]] std::shared_ptr<const Profile> find(const std::string &name) const;
+
+    [[nodiscard]] const std::map<std::string, Item> &items() const;
+
+private:
+    std::map<std::string, Item> m_items;
+};
+
+}
