--- a/source/base/Error.h
+++ b/source/base/Error.h
@@ -36,15 +36,13 @@
 };
 
 // Either a value or the error that prevented it.
-template<typename Value>
-using Result = std::variant<Value, Error>;
+template<typename Value> using Result = std::variant<Value, Error>;
 
 // The result of an operation that yields nothing but success.
 using Status = Result<std::monostate>;
 
 // Returns the error inside a result, or null when it holds a value.
-template<typename Value>
-[[nodiscard]] const Error *errorOf(const Result<Value> &result)
+template<typename Value> [[nodiscard]] const Error *errorOf(const Result<Value> &result)
 {
     return std::get_if<Error>(&result);
 }
--- a/source/base/JsonReader.h
+++ b/source/base/JsonReader.h
@@ -15,8 +15,7 @@
 [[nodiscard]] Result<Json> parseJson(std::string_view text, std::string_view subject);
 
 // Returns the named member, or the fallback when it is missing or of another type.
-template<typename Value>
-[[nodiscard]] Value memberOr(const Json &object, const char *name, Value fallback)
+template<typename Value> [[nodiscard]] Value memberOr(const Json &object, const char *name, Value fallback)
 {
     if (!object.is_object()) {
         return fallback;
--- a/source/base/MemberReader.cpp
+++ b/source/base/MemberReader.cpp
@@ -6,8 +6,7 @@
 {
 
 MemberReader::MemberReader(const Json &document, std::string subject)
-    : m_document(document)
-    , m_subject(std::move(subject))
+    : m_document(document), m_subject(std::move(subject))
 {
     if (!m_document.is_object()) {
         fault("it is not an object", "send an object of named members");
@@ -35,7 +34,8 @@
     if (member == nullptr) {
         return fallback;
     }
-    const std::string remedy = "set " + name + " to a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    const std::string remedy
+        = "set " + name + " to a whole number from " + std::to_string(least) + " to " + std::to_string(most);
     if (!member->is_number_integer()) {
         fault(name + " is not a whole number", remedy);
         return fallback;
--- a/source/base/Resources.h
+++ b/source/base/Resources.h
@@ -25,14 +25,14 @@
 
     Resources operator+(const Resources &other) const
     {
-        return {milliCores + other.milliCores, memoryMegabytes + other.memoryMegabytes,
-            accelerators + other.accelerators};
+        return {
+            milliCores + other.milliCores, memoryMegabytes + other.memoryMegabytes, accelerators + other.accelerators};
     }
 
     Resources operator-(const Resources &other) const
     {
-        return {milliCores - other.milliCores, memoryMegabytes - other.memoryMegabytes,
-            accelerators - other.accelerators};
+        return {
+            milliCores - other.milliCores, memoryMegabytes - other.memoryMegabytes, accelerators - other.accelerators};
     }
 
     // Returns the larger amount in each dimension.
--- a/source/cli/Commands.cpp
+++ b/source/cli/Commands.cpp
@@ -37,9 +37,7 @@
 
 }
 
-Commands::Commands(CommandLine line, SendCall send)
-    : m_line(std::move(line))
-    , m_send(std::move(send))
+Commands::Commands(CommandLine line, SendCall send) : m_line(std::move(line)), m_send(std::move(send))
 {
 }
 
@@ -89,7 +87,8 @@
     request.url = "http://" + m_line.server + target;
     request.headers = std::move(headers);
     request.body = std::move(body);
-    request.timeoutMilliseconds = CallTimeout + static_cast<long>(m_line.waitMilliseconds + m_line.deadlineMilliseconds);
+    request.timeoutMilliseconds
+        = CallTimeout + static_cast<long>(m_line.waitMilliseconds + m_line.deadlineMilliseconds);
     return m_send(std::move(request));
 }
 
@@ -106,9 +105,9 @@
         return answer.delivery == Delivery::NotSent ? ExitCode::Unreachable : ExitCode::Unknown;
     }
     const Json document = documentOf(answer);
-    m_output.errors += "wagtailctl: " + memberOr(document, "detail", answer.body) + "\n    remedy: "
-        + memberOr(document, "remedy", std::string("see the instance's log")) + "\n    outcome: "
-        + memberOr(document, "outcome", std::string("unknown")) + "\n";
+    m_output.errors += "wagtailctl: " + memberOr(document, "detail", answer.body)
+        + "\n    remedy: " + memberOr(document, "remedy", std::string("see the instance's log"))
+        + "\n    outcome: " + memberOr(document, "outcome", std::string("unknown")) + "\n";
     if (answer.status == StatusConflict) {
         return ExitCode::Conflict;
     }
@@ -182,8 +181,8 @@
     if (const Error *error = errorOf(body)) {
         return usage(error->detail);
     }
-    const Json document {{"profile", profile}, {"payload", std::get<std::string>(body)},
-        {"deadline_ms", m_line.deadlineMilliseconds}};
+    const Json document {
+        {"profile", profile}, {"payload", std::get<std::string>(body)}, {"deadline_ms", m_line.deadlineMilliseconds}};
     return show(call("POST", path, writeJson(document), keyHeader()));
 }
 
@@ -195,7 +194,8 @@
         return submit("/v1/tasks", word(2));
     }
     if (verb == "list") {
-        return showRows(call("GET", "/v1/tasks"), "tasks", {"task", "profile", "class", "phase", "attempt", "worker", "reason"});
+        return showRows(
+            call("GET", "/v1/tasks"), "tasks", {"task", "profile", "class", "phase", "attempt", "worker", "reason"});
     }
     if (word(2).empty()) {
         return usage("name a task");
@@ -221,7 +221,8 @@
         return submit("/v1/watchers", word(2));
     }
     if (word(1) == "list") {
-        return showRows(call("GET", "/v1/watchers"), "tasks", {"task", "profile", "phase", "attempt", "worker", "reason"});
+        return showRows(
+            call("GET", "/v1/watchers"), "tasks", {"task", "profile", "phase", "attempt", "worker", "reason"});
     }
     return usage("'watcher " + word(1) + "' is no command");
 }
@@ -292,7 +293,8 @@
 {
     const Json wanted = describe(std::get<Profile>(parseProfile(name, document)));
     const HttpAnswer present = call("GET", "/v1/profiles/" + name);
-    if (present.delivery != Delivery::Answered || (present.status >= FirstErrorStatus && present.status != StatusNotFound)) {
+    if (present.delivery != Delivery::Answered
+        || (present.status >= FirstErrorStatus && present.status != StatusNotFound)) {
         return fail(present);
     }
     const Json before = present.status == StatusNotFound ? Json::object() : documentOf(present);
@@ -301,7 +303,8 @@
         const Json old = memberOr(before, member.c_str(), Json());
         if (old != value) {
             changed = true;
-            m_output.text += name + "." + member + ": " + (old.is_null() ? "(none)" : writeJson(old)) + " -> " + writeJson(value) + "\n";
+            m_output.text += name + "." + member + ": " + (old.is_null() ? "(none)" : writeJson(old)) + " -> "
+                + writeJson(value) + "\n";
         }
     }
     if (m_line.dryRun || !changed) {
@@ -320,7 +323,8 @@
     if (answer.delivery != Delivery::Answered || answer.status >= FirstErrorStatus) {
         return fail(answer);
     }
-    m_output.text += name + ": revision " + std::to_string(memberOr(documentOf(answer), "revision", std::uint64_t {0})) + "\n";
+    m_output.text
+        += name + ": revision " + std::to_string(memberOr(documentOf(answer), "revision", std::uint64_t {0})) + "\n";
     return ExitCode::Done;
 }
 
--- a/source/cli/Commands.h
+++ b/source/cli/Commands.h
@@ -55,8 +55,8 @@
     ExitCode show(const HttpAnswer &answer);
     ExitCode showRows(const HttpAnswer &answer, const std::string &member, const std::vector<std::string> &columns);
     ExitCode fail(const HttpAnswer &answer);
-    [[nodiscard]] HttpAnswer call(const std::string &method, const std::string &target, std::string body = {},
-        HttpHeaders headers = {}) const;
+    [[nodiscard]] HttpAnswer call(
+        const std::string &method, const std::string &target, std::string body = {}, HttpHeaders headers = {}) const;
     [[nodiscard]] Result<std::string> payload() const;
     [[nodiscard]] std::string word(std::size_t position) const;
     [[nodiscard]] HttpHeaders keyHeader() const;
--- a/source/configuration/ClusterFeed.cpp
+++ b/source/configuration/ClusterFeed.cpp
@@ -12,10 +12,7 @@
 }
 
 ClusterFeed::ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix)
-    : m_store(store)
-    , m_scheduler(scheduler)
-    , m_entries(entries)
-    , m_prefix(std::move(prefix))
+    : m_store(store), m_scheduler(scheduler), m_entries(entries), m_prefix(std::move(prefix))
 {
 }
 
@@ -54,20 +51,21 @@
 
 void ClusterFeed::watch()
 {
-    m_store.watch(m_prefix, m_entries.revision(), WatchWait, [this, alive = m_alive](const Result<StoreEvents> &result) {
-        if (!*alive) {
-            return;
-        }
-        if (const Error *error = errorOf(result)) {
-            m_following = false;
-            const bool compacted = error->kind == ErrorKind::NotFound;
-            retry([this, compacted] { compacted ? list() : watch(); });
-            return;
-        }
-        m_following = true;
-        m_entries.applyEvents(std::get<StoreEvents>(result));
-        watch();
-    });
+    m_store.watch(
+        m_prefix, m_entries.revision(), WatchWait, [this, alive = m_alive](const Result<StoreEvents> &result) {
+            if (!*alive) {
+                return;
+            }
+            if (const Error *error = errorOf(result)) {
+                m_following = false;
+                const bool compacted = error->kind == ErrorKind::NotFound;
+                retry([this, compacted] { compacted ? list() : watch(); });
+                return;
+            }
+            m_following = true;
+            m_entries.applyEvents(std::get<StoreEvents>(result));
+            watch();
+        });
 }
 
 void ClusterFeed::retry(std::function<void()> action)
--- a/source/configuration/ConfigurationValue.cpp
+++ b/source/configuration/ConfigurationValue.cpp
@@ -11,8 +11,8 @@
 Result<Json> readConfigurationValue(const std::string &text, const std::string &subject)
 {
     const Result<Json> document = parseJson(text, subject);
-    if (errorOf(document) != nullptr) {
-        return document;
+    if (const Error *error = errorOf(document)) {
+        return *error;
     }
     return memberOr(std::get<Json>(document), "value", Json());
 }
--- a/source/configuration/VersionedEntries.cpp
+++ b/source/configuration/VersionedEntries.cpp
@@ -6,8 +6,7 @@
 namespace Wagtail
 {
 
-VersionedEntries::VersionedEntries(Listener listener)
-    : m_listener(std::move(listener))
+VersionedEntries::VersionedEntries(Listener listener) : m_listener(std::move(listener))
 {
 }
 
--- a/source/daemon/AsioScheduler.cpp
+++ b/source/daemon/AsioScheduler.cpp
@@ -7,8 +7,7 @@
 namespace Wagtail
 {
 
-AsioScheduler::AsioScheduler(asio::io_context &context)
-    : m_context(context)
+AsioScheduler::AsioScheduler(asio::io_context &context) : m_context(context)
 {
 }
 
--- a/source/daemon/Daemon.cpp
+++ b/source/daemon/Daemon.cpp
@@ -52,8 +52,7 @@
 class ContextThread
 {
 public:
-    ContextThread()
-        : m_guard(asio::make_work_guard(m_context))
+    ContextThread() : m_guard(asio::make_work_guard(m_context))
     {
     }
 
@@ -96,8 +95,8 @@
         , m_peerCaller(m_peer.context())
         , m_timeline(m_clock, m_instance, static_cast<std::size_t>(settings.timelineEvents))
         , m_peers(m_clock)
-        , m_storeClient({m_controlClient, m_peerCaller, m_peers, m_clock, m_scheduler, m_metrics,
-              settings.storeAddress, settings.dataCentre})
+        , m_storeClient({m_controlClient, m_peerCaller, m_peers, m_clock, m_scheduler, m_metrics, settings.storeAddress,
+              settings.dataCentre})
         , m_store(m_storeClient, settings.storeAddress, Milliseconds(settings.storeTimeout))
         , m_entries([this](const std::string &key) { onEntryChanged(key); })
         , m_feed(m_store, m_scheduler, m_entries, ClusterKeys::Root)
@@ -113,11 +112,13 @@
         , m_tasks({m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_profiles, m_timeline, m_settings})
         , m_configuration(m_store, m_scheduler, m_entries, m_timeline)
         , m_entry({m_clock, m_scheduler, m_requests, m_tasks, m_configuration, m_partitions, m_peers, m_peerCaller,
-              m_profiles, m_entries, m_timeline, m_metrics, m_settings, m_instance, [this] { return unreadiness(); }})
+              m_profiles, m_entries, m_timeline, m_metrics, m_settings, m_instance,
+              [this] {
+                  return unreadiness();
+              }})
         , m_gossip({m_clock, m_scheduler, m_peerCaller, m_peers, m_partitions, m_entries, m_feed, m_storeClient,
               m_timeline, m_settings, m_instance, m_peerAddress})
-        , m_peerService(
-              {m_clock, m_requests, m_tasks, m_entry, m_gossip, m_storeClient, m_timeline, m_metrics})
+        , m_peerService({m_clock, m_requests, m_tasks, m_entry, m_gossip, m_storeClient, m_timeline, m_metrics})
         , m_signals(m_control, SIGTERM, SIGINT)
     {
         m_timeline.onEvent([](const TimelineEvent &event) { log(LogLevel::Info, event.kind, describe(event)); });
@@ -137,8 +138,8 @@
         m_peerServer = std::move(std::get<std::unique_ptr<PeerServer>>(peerServer));
         HttpServerOptions options {
             m_settings.listenAddress, m_settings.httpPort, static_cast<std::uint64_t>(m_settings.bodyBytes)};
-        auto httpServer = HttpServer::create(m_traffic.context(), std::move(options),
-            [this](HttpRequest request, HttpServer::Responder respond) {
+        auto httpServer = HttpServer::create(
+            m_traffic.context(), std::move(options), [this](HttpRequest request, HttpServer::Responder respond) {
                 asio::post(m_control, [this, request = std::move(request), respond = std::move(respond)]() mutable {
                     m_entry.handle(std::move(request), std::move(respond));
                 });
@@ -362,8 +363,7 @@
     return std::unique_ptr<Daemon>(new Daemon(std::move(implementation)));
 }
 
-Daemon::Daemon(std::unique_ptr<Implementation> implementation)
-    : m_implementation(std::move(implementation))
+Daemon::Daemon(std::unique_ptr<Implementation> implementation) : m_implementation(std::move(implementation))
 {
 }
 
--- a/source/daemon/GossipService.cpp
+++ b/source/daemon/GossipService.cpp
@@ -14,8 +14,7 @@
 
 }
 
-GossipService::GossipService(Context context)
-    : m_context(std::move(context))
+GossipService::GossipService(Context context) : m_context(std::move(context))
 {
 }
 
@@ -64,16 +63,15 @@
 
 void GossipService::send(const std::string &address)
 {
-    m_context.caller.call(
-        address, {"gossip", encodeMessage(own())}, CallTimeout, [this](Result<std::string> answer) {
-            m_context.scheduler.post([this, answer = std::move(answer)] {
-                const auto *bytes = std::get_if<std::string>(&answer);
-                const auto gossip = bytes == nullptr ? std::nullopt : decodeMessage<Gossip>(*bytes);
-                if (gossip) {
-                    hear(*gossip);
-                }
-            });
+    m_context.caller.call(address, {"gossip", encodeMessage(own())}, CallTimeout, [this](Result<std::string> answer) {
+        m_context.scheduler.post([this, answer = std::move(answer)] {
+            const auto *bytes = std::get_if<std::string>(&answer);
+            const auto gossip = bytes == nullptr ? std::nullopt : decodeMessage<Gossip>(*bytes);
+            if (gossip) {
+                hear(*gossip);
+            }
         });
+    });
 }
 
 std::string GossipService::exchange(const Gossip &gossip)
@@ -111,12 +109,13 @@
             StoreListing listing;
             listing.revision = memberOr(document, "revision", StoreRevision {0});
             for (const Json &entry : memberOr(document, "entries", Json::array())) {
-                listing.entries.push_back({memberOr(entry, "key", std::string()), memberOr(entry, "value", std::string()),
-                    memberOr(entry, "revision", StoreRevision {0}), memberOr(entry, "lease", LeaseIdentifier {0})});
+                listing.entries.push_back(
+                    {memberOr(entry, "key", std::string()), memberOr(entry, "value", std::string()),
+                        memberOr(entry, "revision", StoreRevision {0}), memberOr(entry, "lease", LeaseIdentifier {0})});
             }
             if (m_context.entries.applyListing(listing)) {
-                m_context.timeline.record({.kind = "configuration.from-peer",
-                    .detail = "revision " + std::to_string(listing.revision)});
+                m_context.timeline.record(
+                    {.kind = "configuration.from-peer", .detail = "revision " + std::to_string(listing.revision)});
             }
         });
     });
--- a/source/daemon/PeerService.cpp
+++ b/source/daemon/PeerService.cpp
@@ -14,8 +14,7 @@
 
 }
 
-PeerService::PeerService(Context context)
-    : m_context(context)
+PeerService::PeerService(Context context) : m_context(context)
 {
 }
 
--- a/source/daemon/StoreClient.cpp
+++ b/source/daemon/StoreClient.cpp
@@ -16,8 +16,7 @@
 
 }
 
-StoreClient::StoreClient(Context context)
-    : m_context(std::move(context))
+StoreClient::StoreClient(Context context) : m_context(std::move(context))
 {
 }
 
--- a/source/entry/ConfigurationService.cpp
+++ b/source/entry/ConfigurationService.cpp
@@ -22,10 +22,7 @@
 
 ConfigurationService::ConfigurationService(
     Store &store, Scheduler &scheduler, VersionedEntries &entries, Timeline &timeline)
-    : m_store(store)
-    , m_scheduler(scheduler)
-    , m_entries(entries)
-    , m_timeline(timeline)
+    : m_store(store), m_scheduler(scheduler), m_entries(entries), m_timeline(timeline)
 {
 }
 
@@ -61,22 +58,23 @@
         return;
     }
     m_scheduler.after(SettleDelay, [this, key, value, before, triesLeft, handler = std::move(handler)] {
-        m_store.read(key, [this, key, value, before, triesLeft, handler](const Result<std::optional<StoreEntry>> &result) {
-            const auto *entry = std::get_if<std::optional<StoreEntry>>(&result);
-            if (entry == nullptr) {
-                settle(key, value, before, triesLeft - 1, handler);
-                return;
-            }
-            const StoreRevision present = *entry ? (*entry)->revision : MustNotExist;
-            if (*entry && (*entry)->value == value) {
-                m_entries.applyOwnWrite(**entry);
-                handler(present);
-            } else if (present == before) {
-                handler(unsettled());
-            } else {
-                conflict(key, handler);
-            }
-        });
+        m_store.read(
+            key, [this, key, value, before, triesLeft, handler](const Result<std::optional<StoreEntry>> &result) {
+                const auto *entry = std::get_if<std::optional<StoreEntry>>(&result);
+                if (entry == nullptr) {
+                    settle(key, value, before, triesLeft - 1, handler);
+                    return;
+                }
+                const StoreRevision present = *entry ? (*entry)->revision : MustNotExist;
+                if (*entry && (*entry)->value == value) {
+                    m_entries.applyOwnWrite(**entry);
+                    handler(present);
+                } else if (present == before) {
+                    handler(unsettled());
+                } else {
+                    conflict(key, handler);
+                }
+            });
     });
 }
 
--- a/source/entry/EntryApi.cpp
+++ b/source/entry/EntryApi.cpp
@@ -61,8 +61,7 @@
 
 }
 
-EntryApi::EntryApi(Context context)
-    : m_context(std::move(context))
+EntryApi::EntryApi(Context context) : m_context(std::move(context))
 {
 }
 
@@ -175,7 +174,9 @@
         });
         return;
     }
-    const auto answer = [respond](const Result<Json> &result) { respondWith(respond, result, 200); };
+    const auto answer = [respond](const Result<Json> &result) {
+        respondWith(respond, result, 200);
+    };
     const bool hasVerb = parts.size() == 4;
     if (hasVerb && parts[3] == "cancel" && request.method == "POST") {
         m_context.tasks.cancel(parts[2], answer);
@@ -377,7 +378,7 @@
     askAll("status", Json::object(), [this, worker, respond](std::vector<Json> answers, const Json &) {
         answers.push_back(ownStatus());
         for (const Json &answer : answers) {
-            for (Json item : memberOr(answer, "workers", Json::array())) {
+            for (const Json &item : memberOr(answer, "workers", Json::array())) {
                 if (memberOr(item, "name", std::string()) == worker) {
                     respond(json(200, item));
                     return;
--- a/source/entry/Problem.cpp
+++ b/source/entry/Problem.cpp
@@ -54,13 +54,14 @@
     constexpr int StatusUnavailable = 503;
     HttpResponse response;
     response.status = statusOf(error.kind);
-    response.headers = {{"Content-Type", "application/problem+json"}, {"Wagtail-Outcome", std::string(nameOf(outcome))}};
+    response.headers
+        = {{"Content-Type", "application/problem+json"}, {"Wagtail-Outcome", std::string(nameOf(outcome))}};
     if (response.status == StatusTooMany || response.status == StatusUnavailable) {
         response.headers.push_back({"Retry-After", retryAfter()});
     }
     response.body = writeJson({{"type", "urn:wagtailbank:" + std::string(nameOf(error.kind))},
-        {"title", nameOf(error.kind)}, {"status", response.status}, {"detail", error.detail},
-        {"remedy", error.remedy}, {"outcome", nameOf(outcome)}});
+        {"title", nameOf(error.kind)}, {"status", response.status}, {"detail", error.detail}, {"remedy", error.remedy},
+        {"outcome", nameOf(outcome)}});
     return response;
 }
 
--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -27,8 +27,7 @@
 // A socket that libcurl opened, and the events that it waits for.
 struct SocketWatch
 {
-    explicit SocketWatch(asio::io_context &context, int socket)
-        : descriptor(context, socket)
+    explicit SocketWatch(asio::io_context &context, int socket) : descriptor(context, socket)
     {
     }
 
@@ -70,9 +69,7 @@
 {
 public:
     Implementation(asio::io_context &context, long connectionsPerHost)
-        : m_context(context)
-        , m_timer(context)
-        , m_multi(curl_multi_init())
+        : m_context(context), m_timer(context), m_multi(curl_multi_init())
     {
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
--- a/source/http/HttpServer.cpp
+++ b/source/http/HttpServer.cpp
@@ -49,7 +49,8 @@
     HttpResponse response;
     response.status = 413;
     response.headers.push_back({"Content-Type", "application/problem+json"});
-    response.body = R"({"type":"urn:wagtailbank:too-large","status":413,"outcome":"not-run","detail":"the body is over )"
+    response.body
+        = R"({"type":"urn:wagtailbank:too-large","status":413,"outcome":"not-run","detail":"the body is over )"
         + std::to_string(limit) + R"( bytes","remedy":"send a smaller body, or raise limits.body_bytes"})";
     return response;
 }
@@ -79,7 +80,8 @@
             .handle_request_timeout(HandlerTimeout)
             .max_pipelined_requests(MaximumPipelined)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t {}.max_body_size(limit * HardLimitFactor))
-            .acceptor_options_setter([](auto &acceptor) { acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+            .acceptor_options_setter(
+                [](auto &acceptor) { acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
             .socket_options_setter([](auto &socket) { socket.set_option(asio::ip::tcp::no_delay(true)); })
             .request_handler([handler = std::move(handler), limit](const restinio::request_handle_t &handle) {
                 if (handle->body().size() > limit) {
--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -217,7 +217,8 @@
         return;
     }
     if (entry->phase == TaskPhase::Moving) {
-        handler(Error {ErrorKind::Unavailable, "the task is moving to " + entry->movedTo, "send the call again shortly"});
+        handler(
+            Error {ErrorKind::Unavailable, "the task is moving to " + entry->movedTo, "send the call again shortly"});
         return;
     }
     if (m_log.stalledFor() > StallRefusal || m_standing != Standing::Held) {
@@ -334,8 +335,8 @@
     if (!m_handOver) {
         return;
     }
-    const bool starting = std::ranges::any_of(
-        m_attempts, [](const auto &item) { return item.second.state == AttemptState::Starting; });
+    const bool starting
+        = std::ranges::any_of(m_attempts, [](const auto &item) { return item.second.state == AttemptState::Starting; });
     if ((m_log.isIdle() && !starting) || m_context.clock.now() >= m_handOver->deadline) {
         const auto handler = std::move(m_handOver->handler);
         m_handOver.reset();
@@ -349,11 +350,11 @@
     if (known == m_workers.end()) {
         return;
     }
-    const std::string earlier = std::exchange(m_incarnations[worker], report.incarnation);
-    const bool begunAnew = !earlier.empty() && earlier != report.incarnation;
+    m_incarnations[worker] = report.incarnation;
     if (first) {
         m_fleet.resetForeignSlots(worker, report.busySlots - m_fleet.find(worker)->slotsInUse);
-        m_context.timeline.record({.kind = "worker.fenced", .worker = worker, .detail = std::to_string(m_tenure.token)});
+        m_context.timeline.record(
+            {.kind = "worker.fenced", .worker = worker, .detail = std::to_string(m_tenure.token)});
     } else {
         m_fleet.limitForeignSlots(worker, report.busySlots);
     }
@@ -363,7 +364,7 @@
     for (const TaskReport &task : report.tasks) {
         reconcile(worker, task);
     }
-    reconcileMissing(worker, report, begunAnew);
+    reconcileMissing(worker, report);
     const auto quarantine = m_quarantinedUntil.find(worker);
     const bool quarantined = quarantine != m_quarantinedUntil.end() && quarantine->second > m_context.clock.now();
     const bool leaving = report.leaving || known->second.leaving;
@@ -377,8 +378,7 @@
     if (admission == WorkerAdmission::Leaving) {
         for (const auto &[task, attempt] : m_attempts) {
             const TaskEntry *entry = m_table.find(task);
-            const bool mayRepeat
-                = entry != nullptr && entry->specification.repeatability == Repeatability::Idempotent;
+            const bool mayRepeat = entry != nullptr && entry->specification.repeatability == Repeatability::Idempotent;
             if (mayRepeat && entry->worker == worker) {
                 evict(task, "its worker is leaving");
             }
@@ -413,7 +413,7 @@
     }
 }
 
-void PartitionKeeper::reconcileMissing(const std::string &worker, const WorkerReport &report, bool begunAnew)
+void PartitionKeeper::reconcileMissing(const std::string &worker, const WorkerReport &report)
 {
     std::set<std::string> reported;
     for (const TaskReport &task : report.tasks) {
@@ -424,10 +424,13 @@
         if (entry == nullptr || entry->worker != worker || reported.contains(task) || m_pending.contains(task)) {
             continue;
         }
-        if (attempt.state == AttemptState::Unverified && entry->incarnation == report.incarnation) {
+        const bool remembers = entry->incarnation == report.incarnation;
+        if (attempt.state == AttemptState::Unverified && remembers) {
             // The worker is fenced and remembers everything since the assignment: the start never arrived.
             attempt.state = AttemptState::Ready;
-        } else if (attempt.state == AttemptState::Unverified || (attempt.state == AttemptState::Running && begunAnew)) {
+        } else if (attempt.state == AttemptState::Ready && !remembers) {
+            releaseAttempt(*entry, ReleaseReason::NotStarted, "", "its worker began anew before the start");
+        } else if (attempt.state != AttemptState::Starting && !remembers) {
             releaseAttempt(*entry, ReleaseReason::Lost, "", "its worker began anew");
         }
     }
@@ -453,11 +456,7 @@
     case WorkerTaskState::Lapsed:
         releaseAttempt(entry, ReleaseReason::Lost, report.checkpoint, "its lease ran out on " + entry.worker);
         break;
-    case WorkerTaskState::Absent: {
-        const bool never = entry.incarnation == m_incarnations[entry.worker];
-        releaseAttempt(entry, never ? ReleaseReason::NotStarted : ReleaseReason::Lost, "", "it is not on " + entry.worker);
-        break;
-    }
+    case WorkerTaskState::Absent:
     case WorkerTaskState::Running:
         break;
     }
@@ -624,7 +623,7 @@
     }
     attempt.state = AttemptState::Starting;
     const std::uint64_t number = entry.attempt;
-    TaskStart start {{task, number}, entry.specification.profile, entry.specification.resources,
+    TaskStart start {{task, number}, entry.incarnation, entry.specification.profile, entry.specification.resources,
         entry.specification.payload, entry.checkpoint};
     trace("task.starting", entry, "");
     m_context.control.start(m_workers.at(entry.worker).address, m_tenure.token, std::move(start),
@@ -657,7 +656,8 @@
         trace("task.started", entry, "");
         return;
     }
-    // Even a refusal may overtake an earlier copy of the start, so the attempt is stopped by name before it is given up.
+    // Even a refusal may overtake an earlier copy of the start, so the attempt is stopped by name before it is given
+    // up.
     attempt->state = AttemptState::StartUncertain;
     attempt->nextTry = m_context.clock.now() + StartRetry;
     if (error->kind == ErrorKind::Overloaded) {
@@ -693,6 +693,14 @@
         return;
     }
     const auto &answer = std::get<StopAnswer>(result);
+    if (answer.state == WorkerTaskState::Absent) {
+        // Only a worker that remembers everything since the assignment can say that the attempt never started.
+        const TaskEntry &entry = *m_table.find(task);
+        const bool never = !answer.incarnation.empty() && answer.incarnation == entry.incarnation;
+        releaseAttempt(
+            entry, never ? ReleaseReason::NotStarted : ReleaseReason::Lost, "", "it is not on " + entry.worker);
+        return;
+    }
     TaskReport report;
     report.attempt = {task, number};
     report.state = answer.state;
@@ -713,8 +721,8 @@
     const auto rank = [](const TaskEntry *entry) {
         constexpr std::int64_t PriorityMilliseconds = 1000;
         const bool isWatcher = entry->specification.profileClass == ProfileClass::Watcher;
-        return std::pair(isWatcher ? 0 : 1,
-            entry->specification.deadline - PriorityMilliseconds * entry->specification.priority);
+        return std::pair(
+            isWatcher ? 0 : 1, entry->specification.deadline - PriorityMilliseconds * entry->specification.priority);
     };
     std::ranges::sort(waiting, {}, rank);
     return waiting;
@@ -830,8 +838,9 @@
     if (entry->phase == TaskPhase::Assigned) {
         const auto attempt = m_attempts.find(task);
         const bool unverified = attempt != m_attempts.end() && attempt->second.state == AttemptState::Unverified;
-        return unverified ? "assigned to " + entry->worker + ", which its new owner has not reached yet"
-                          : "assigned to " + entry->worker + ", which had the best score of room, spread and interference";
+        return unverified
+            ? "assigned to " + entry->worker + ", which its new owner has not reached yet"
+            : "assigned to " + entry->worker + ", which had the best score of room, spread and interference";
     }
     if (entry->phase != TaskPhase::Waiting) {
         return std::string(nameOf(entry->phase)) + (entry->result.empty() ? "" : ": " + entry->result);
--- a/source/jobs/PartitionKeeper.h
+++ b/source/jobs/PartitionKeeper.h
@@ -74,8 +74,7 @@
 class PartitionKeeper final : private WorkerMonitor::Listener
 {
 public:
-    template<typename Value>
-    using Handler = std::function<void(Result<Value>)>;
+    template<typename Value> using Handler = std::function<void(Result<Value>)>;
     // Called once when another instance has taken the partition over.
     using DeposedHandler = std::function<void()>;
 
@@ -166,9 +165,10 @@
     void commit(const std::string &subject, std::vector<ShardRecord> records, std::function<void(const Status &)> done);
     void applyDurable(const std::vector<ShardRecord> &records);
     void reconcile(const std::string &worker, const TaskReport &report);
-    void reconcileMissing(const std::string &worker, const WorkerReport &report, bool begunAnew);
+    void reconcileMissing(const std::string &worker, const WorkerReport &report);
     void recordEnd(const TaskEntry &entry, const TaskReport &report);
-    void releaseAttempt(const TaskEntry &entry, ReleaseReason reason, const std::string &checkpoint, const std::string &why);
+    void releaseAttempt(
+        const TaskEntry &entry, ReleaseReason reason, const std::string &checkpoint, const std::string &why);
     void finishTask(const TaskEntry &entry, TaskPhase phase, const std::string &result);
     void driveAttempts();
     void driveAttempt(const TaskEntry &entry, Attempt &attempt);
--- a/source/jobs/ShardLog.cpp
+++ b/source/jobs/ShardLog.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t CommitsPerSnapshot = 128;
 constexpr std::size_t KeptFinalTasks = 4096;
 constexpr std::int64_t KeptFinalMilliseconds = 48LL * 3600 * 1000;
-constexpr std::size_t LargestValue = 900U * 1024U;
+constexpr std::size_t LargestValue = 900'000;
 
 Error deposedError()
 {
@@ -49,8 +49,7 @@
 }
 
 // Wraps a continuation so that it is skipped when the log is gone by then.
-template<typename Function>
-auto ShardLog::guarded(Function function)
+template<typename Function> auto ShardLog::guarded(Function function)
 {
     return [alive = m_alive, function = std::move(function)](auto &&...arguments) {
         if (*alive) {
@@ -111,16 +110,16 @@
 
 void ShardLog::readLog(StoreRevision snapshotRevision, TaskTable table, std::uint64_t through)
 {
-    const auto onListing = [this, snapshotRevision, table = std::move(table), through](
-                               const Result<StoreListing> &result) {
-        const auto *listing = std::get_if<StoreListing>(&result);
-        if (listing == nullptr) {
-            recoverAgain();
-            return;
-        }
-        m_snapshotRevision = snapshotRevision;
-        replay(*listing, table, through);
-    };
+    const auto onListing
+        = [this, snapshotRevision, table = std::move(table), through](const Result<StoreListing> &result) {
+              const auto *listing = std::get_if<StoreListing>(&result);
+              if (listing == nullptr) {
+                  recoverAgain();
+                  return;
+              }
+              m_snapshotRevision = snapshotRevision;
+              replay(*listing, table, through);
+          };
     m_store.list(ClusterKeys::logPrefix(m_partition), guarded(onListing));
 }
 
@@ -152,6 +151,12 @@
         }
         ++expected;
     }
+    if (table.token() > m_writer.token) {
+        // This instance was slow: a later owner has begun already, and must not be fenced by an earlier one.
+        depose();
+        return;
+    }
+    table.apply(m_writer);
     m_snapshotThrough = through;
     m_nextSequence = expected;
     fence(std::move(table));
@@ -196,7 +201,8 @@
     for (const ShardRecord &record : records) {
         documents.push_back(describe(record));
     }
-    const std::string mark = m_writer.instance + "/" + std::to_string(m_writer.token) + "/" + std::to_string(++m_batchNumber);
+    const std::string mark
+        = m_writer.instance + "/" + std::to_string(m_writer.token) + "/" + std::to_string(++m_batchNumber);
     return writeJson({{"sequence", m_nextSequence}, {"mark", mark}, {"records", std::move(documents)}});
 }
 
@@ -236,7 +242,8 @@
 void ShardLog::writeBatch()
 {
     StoreWrite write = slotWrite(m_current.value);
-    m_store.write(std::move(write), guarded([this, key = write.key](const Result<StoreRevision> &result) {
+    const std::string key = write.key;
+    m_store.write(std::move(write), guarded([this, key](const Result<StoreRevision> &result) {
         const Error *error = errorOf(result);
         if (error == nullptr) {
             m_slotRevisions[key] = std::get<StoreRevision>(result);
--- a/source/jobs/ShardLog.h
+++ b/source/jobs/ShardLog.h
@@ -74,8 +74,7 @@
     void depose();
     [[nodiscard]] std::string encode(const std::vector<ShardRecord> &records);
     void retry(std::function<void()> action);
-    template<typename Function>
-    auto guarded(Function function);
+    template<typename Function> auto guarded(Function function);
 
     Store &m_store;
     Scheduler &m_scheduler;
--- a/source/jobs/ShardRecords.cpp
+++ b/source/jobs/ShardRecords.cpp
@@ -63,8 +63,8 @@
 
     Json operator()(const TaskFinished &record) const
     {
-        return {{"kind", "finished"}, {"task", record.task}, {"phase", nameOf(record.phase)},
-            {"result", record.result}, {"at", record.finishedAt}};
+        return {{"kind", "finished"}, {"task", record.task}, {"phase", nameOf(record.phase)}, {"result", record.result},
+            {"at", record.finishedAt}};
     }
 
     Json operator()(const TaskCancelRequested &record) const
@@ -196,9 +196,9 @@
     const std::string kind = memberOr(document, "kind", std::string());
     const std::string task = memberOr(document, "task", std::string());
     if (kind == "accepted") {
-        return ShardRecord(TaskAccepted {parseTaskSpecification(document),
-            memberOr(document, "last_attempt", std::uint64_t {0}), memberOr(document, "checkpoint", std::string()),
-            memberOr(document, "moves", std::uint64_t {0})});
+        return ShardRecord(
+            TaskAccepted {parseTaskSpecification(document), memberOr(document, "last_attempt", std::uint64_t {0}),
+                memberOr(document, "checkpoint", std::string()), memberOr(document, "moves", std::uint64_t {0})});
     }
     if (kind == "assigned") {
         return ShardRecord(TaskAssigned {parseTaskAttempt(document), memberOr(document, "worker", std::string()),
@@ -230,8 +230,8 @@
         return ShardRecord(parseSettled(document));
     }
     if (kind == "taken-over") {
-        return ShardRecord(TakenOver {memberOr(document, "instance", std::string()),
-            memberOr(document, "token", FencingToken {0})});
+        return ShardRecord(
+            TakenOver {memberOr(document, "instance", std::string()), memberOr(document, "token", FencingToken {0})});
     }
     return Error {ErrorKind::Internal, "the shard log holds a record of the unknown kind '" + kind + "'",
         "run a release that knows it"};
--- a/source/jobs/TaskTable.cpp
+++ b/source/jobs/TaskTable.cpp
@@ -47,8 +47,9 @@
         {
             return table.settle(settled);
         }
-        bool operator()(const TakenOver &) const
+        bool operator()(const TakenOver &takenOver) const
         {
+            table.m_token = std::max(table.m_token, takenOver.token);
             return true;
         }
     };
@@ -212,9 +213,8 @@
 
 void TaskTable::forgetTasks(std::int64_t endedBefore, std::size_t most)
 {
-    std::erase_if(m_tasks, [endedBefore](const auto &item) {
-        return isFinal(item.second.phase) && item.second.finishedAt < endedBefore;
-    });
+    std::erase_if(m_tasks,
+        [endedBefore](const auto &item) { return isFinal(item.second.phase) && item.second.finishedAt < endedBefore; });
     std::vector<std::pair<std::int64_t, std::string>> finished;
     for (const auto &[name, entry] : m_tasks) {
         if (isFinal(entry.phase)) {
@@ -231,6 +231,11 @@
     }
 }
 
+FencingToken TaskTable::token() const
+{
+    return m_token;
+}
+
 Json TaskTable::snapshot() const
 {
     Json tasks = Json::array();
@@ -260,12 +265,13 @@
         }
         claims.push_back(std::move(item));
     }
-    return {{"tasks", std::move(tasks)}, {"claims", std::move(claims)}};
+    return {{"token", m_token}, {"tasks", std::move(tasks)}, {"claims", std::move(claims)}};
 }
 
 TaskTable TaskTable::parse(const Json &document)
 {
     TaskTable table;
+    table.m_token = memberOr(document, "token", FencingToken {0});
     for (const Json &item : memberOr(document, "tasks", Json::array())) {
         TaskEntry entry;
         entry.specification = parseTaskSpecification(item);
--- a/source/jobs/TaskTable.h
+++ b/source/jobs/TaskTable.h
@@ -60,6 +60,9 @@
     // Forgets the claims made before the given wall time.
     void forgetClaims(std::int64_t claimedBefore);
 
+    // Returns the highest token that has taken the log over.
+    [[nodiscard]] FencingToken token() const;
+
     [[nodiscard]] Json snapshot() const;
     [[nodiscard]] static TaskTable parse(const Json &document);
 
@@ -74,6 +77,7 @@
     bool claim(const KeyClaimed &record);
     bool settle(const KeySettled &record);
 
+    FencingToken m_token = 0;
     std::map<std::string, TaskEntry> m_tasks;
     std::map<std::string, ClaimEntry> m_claims;
 };
--- a/source/membership/InstanceLease.cpp
+++ b/source/membership/InstanceLease.cpp
@@ -12,11 +12,7 @@
 
 InstanceLease::InstanceLease(
     Store &store, Scheduler &scheduler, const Clock &clock, InstanceLeaseLimits limits, std::string key)
-    : m_store(store)
-    , m_scheduler(scheduler)
-    , m_clock(clock)
-    , m_limits(limits)
-    , m_key(std::move(key))
+    : m_store(store), m_scheduler(scheduler), m_clock(clock), m_limits(limits), m_key(std::move(key))
 {
 }
 
--- a/source/membership/PeerDirectory.cpp
+++ b/source/membership/PeerDirectory.cpp
@@ -11,8 +11,7 @@
 
 }
 
-PeerDirectory::PeerDirectory(const Clock &clock)
-    : m_clock(clock)
+PeerDirectory::PeerDirectory(const Clock &clock) : m_clock(clock)
 {
 }
 
--- a/source/ownership/PartitionManager.cpp
+++ b/source/ownership/PartitionManager.cpp
@@ -25,8 +25,7 @@
 }
 
 PartitionManager::PartitionManager(ManagerContext context)
-    : m_context(std::move(context))
-    , m_startedAt(m_context.clock.now())
+    : m_context(std::move(context)), m_startedAt(m_context.clock.now())
 {
     for (const DataCentreSettings &dataCentre : m_context.settings.dataCentres) {
         if (dataCentre.name == m_context.settings.dataCentre) {
@@ -95,9 +94,8 @@
             m_context.timeline.record({.kind = "instance.vanished", .detail = instance});
         }
     }
-    std::erase_if(m_vanished, [&](const auto &item) {
-        return present.contains(item.first) || now - item.second > VanishedMemory;
-    });
+    std::erase_if(m_vanished,
+        [&](const auto &item) { return present.contains(item.first) || now - item.second > VanishedMemory; });
     m_seen = std::move(present);
 }
 
@@ -180,8 +178,8 @@
     const std::string value = writeJson({{"instance", m_context.instance}});
     const LeaseIdentifier lease = m_context.lease.lease();
     // A lost answer needs no care here: if the write took effect, the feed shows this instance as the owner.
-    m_context.store.write({key, value, MustNotExist, lease},
-        [this, name, key, value, lease](const Result<StoreRevision> &result) {
+    m_context.store.write(
+        {key, value, MustNotExist, lease}, [this, name, key, value, lease](const Result<StoreRevision> &result) {
             m_acquiring.erase(name);
             if (const auto *revision = std::get_if<StoreRevision>(&result)) {
                 m_context.entries.applyOwnWrite({key, value, *revision, lease});
--- a/source/peers/Http2Connection.cpp
+++ b/source/peers/Http2Connection.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::size_t ReadBufferBytes = 64U * 1024U;
+constexpr std::size_t ReadBufferBytes = 65'536;
 constexpr std::size_t MaximumBodyBytes = 32U << 20U;
 constexpr std::uint32_t MaximumStreams = 4096;
 constexpr std::int32_t WindowBytes = 4 << 20;
@@ -132,10 +132,7 @@
 };
 
 Http2Connection::Http2Connection(asio::ip::tcp::socket socket, Role role, PeerHandler handler)
-    : m_socket(std::move(socket))
-    , m_role(role)
-    , m_handler(std::move(handler))
-    , m_readBuffer(ReadBufferBytes)
+    : m_socket(std::move(socket)), m_role(role), m_handler(std::move(handler)), m_readBuffer(ReadBufferBytes)
 {
     nghttp2_session_callbacks *callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
@@ -322,8 +319,8 @@
     m_writing = true;
     m_bytesSent += bytes.size();
     const auto owned = std::make_shared<std::string>(std::move(bytes));
-    asio::async_write(m_socket, asio::buffer(*owned),
-        [self = shared_from_this(), owned](const asio::error_code &error, std::size_t) {
+    asio::async_write(
+        m_socket, asio::buffer(*owned), [self = shared_from_this(), owned](const asio::error_code &error, std::size_t) {
             self->m_writing = false;
             if (error) {
                 self->close();
--- a/source/peers/Http2PeerCaller.cpp
+++ b/source/peers/Http2PeerCaller.cpp
@@ -26,16 +26,14 @@
 
 }
 
-Http2PeerCaller::Http2PeerCaller(asio::io_context &context)
-    : m_context(context)
+Http2PeerCaller::Http2PeerCaller(asio::io_context &context) : m_context(context)
 {
 }
 
 void Http2PeerCaller::call(const std::string &address, PeerMessage message, Milliseconds timeout, Handler handler)
 {
     WaitingCall call {std::move(message), std::chrono::steady_clock::now() + timeout, std::move(handler)};
-    asio::post(m_context,
-        [this, address, call = std::move(call)]() mutable { callHere(address, std::move(call)); });
+    asio::post(m_context, [this, address, call = std::move(call)]() mutable { callHere(address, std::move(call)); });
 }
 
 void Http2PeerCaller::callHere(const std::string &address, WaitingCall call)
@@ -93,8 +91,8 @@
     waiting.swap(peer.waiting);
     if (error) {
         for (const WaitingCall &call : waiting) {
-            call.handler(Error {
-                ErrorKind::Unavailable, "can't connect to " + address + ": " + error.message(), "retry another daemon"});
+            call.handler(Error {ErrorKind::Unavailable, "can't connect to " + address + ": " + error.message(),
+                "retry another daemon"});
         }
         return;
     }
--- a/source/peers/Http2PeerCaller.h
+++ b/source/peers/Http2PeerCaller.h
@@ -36,8 +36,8 @@
 
     void callHere(const std::string &address, WaitingCall call);
     void connect(const std::string &address);
-    void finishConnect(const std::string &address, std::shared_ptr<asio::ip::tcp::socket> socket,
-        std::uint64_t attempt, const asio::error_code &error);
+    void finishConnect(const std::string &address, std::shared_ptr<asio::ip::tcp::socket> socket, std::uint64_t attempt,
+        const asio::error_code &error);
 
     asio::io_context &m_context;
     std::map<std::string, Peer> m_peers;
--- a/source/peers/PeerMessages.h
+++ b/source/peers/PeerMessages.h
@@ -98,8 +98,7 @@
     MSGPACK_DEFINE_ARRAY(status, body)
 };
 
-template<typename Message>
-[[nodiscard]] std::string encodeMessage(const Message &message)
+template<typename Message> [[nodiscard]] std::string encodeMessage(const Message &message)
 {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, message);
@@ -107,8 +106,7 @@
 }
 
 // Returns the message, or nothing when the bytes are no such message.
-template<typename Message>
-[[nodiscard]] std::optional<Message> decodeMessage(const std::string &bytes)
+template<typename Message> [[nodiscard]] std::optional<Message> decodeMessage(const std::string &bytes)
 {
     try {
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
--- a/source/peers/PeerServer.cpp
+++ b/source/peers/PeerServer.cpp
@@ -20,8 +20,7 @@
 }
 
 PeerServer::PeerServer(asio::ip::tcp::acceptor acceptor, PeerHandler handler)
-    : m_acceptor(std::move(acceptor))
-    , m_handler(std::move(handler))
+    : m_acceptor(std::move(acceptor)), m_handler(std::move(handler))
 {
 }
 
--- a/source/placement/ScoringPlacement.cpp
+++ b/source/placement/ScoringPlacement.cpp
@@ -20,8 +20,7 @@
 
 }
 
-ScoringPlacement::ScoringPlacement(InterferencePrediction predict)
-    : m_predict(std::move(predict))
+ScoringPlacement::ScoringPlacement(InterferencePrediction predict) : m_predict(std::move(predict))
 {
 }
 
--- a/source/profiles/Profile.cpp
+++ b/source/profiles/Profile.cpp
@@ -42,7 +42,8 @@
 {
     const bool wellFormed = !name.empty() && name.size() <= LongestName && std::ranges::all_of(name, isNameCharacter);
     if (!wellFormed) {
-        return Error {ErrorKind::InvalidInput, std::string(subject) + " name '" + std::string(name) + "' is not allowed",
+        return Error {ErrorKind::InvalidInput,
+            std::string(subject) + " name '" + std::string(name) + "' is not allowed",
             "use 1 to 63 lower-case letters, digits and hyphens"};
     }
     return std::monostate();
@@ -59,8 +60,8 @@
     profile.name = name;
     const std::string className = reader.choice("class", {"urgent", "batch", "watcher"}, "");
     profile.profileClass = className == "batch" ? ProfileClass::Batch
-        : className == "watcher"               ? ProfileClass::Watcher
-                                               : ProfileClass::Urgent;
+        : className == "watcher"                ? ProfileClass::Watcher
+                                                : ProfileClass::Urgent;
     const bool urgent = profile.profileClass == ProfileClass::Urgent;
     profile.priority = static_cast<int>(reader.integer("priority", 0, 100, 50));
     profile.deadlineMilliseconds
--- a/source/requests/RequestDispatcher.cpp
+++ b/source/requests/RequestDispatcher.cpp
@@ -25,8 +25,7 @@
 
 }
 
-RequestDispatcher::RequestDispatcher(Context context)
-    : m_context(context)
+RequestDispatcher::RequestDispatcher(Context context) : m_context(context)
 {
 }
 
@@ -129,8 +128,10 @@
     }
     learn(*call, result);
     if (result.outcome != Outcome::Done) {
-        m_context.timeline.record({.kind = "request.attempt-failed", .request = call->request.identity,
-            .worker = call->worker, .detail = result.error.detail});
+        m_context.timeline.record({.kind = "request.attempt-failed",
+            .request = call->request.identity,
+            .worker = call->worker,
+            .detail = result.error.detail});
     }
     if (mayRetry(*call, result)) {
         call->refusedBy.insert(call->worker);
@@ -150,7 +151,8 @@
     const Profile &profile = *call.request.profile;
     const bool serverError = result.outcome == Outcome::Done && result.status >= FirstServerError;
     const bool idempotent = profile.repeatability == Repeatability::Idempotent;
-    const bool worthwhile = result.outcome == Outcome::NotRun || (idempotent && (result.outcome == Outcome::Unknown || serverError));
+    const bool worthwhile
+        = result.outcome == Outcome::NotRun || (idempotent && (result.outcome == Outcome::Unknown || serverError));
     if (!worthwhile || call.attempt >= static_cast<std::uint64_t>(profile.maximumAttempts) || isHopeless(call)) {
         return false;
     }
@@ -166,8 +168,7 @@
         const double seconds = std::chrono::duration<double>(now - call.sentAt).count();
         double &expected = m_profiles[call.request.profile->name].expectedSeconds;
         expected += LearningRate * (seconds - expected);
-        m_context.metrics.observe(
-            "wagtail_worker_seconds", "profile=\"" + call.request.profile->name + "\"", seconds);
+        m_context.metrics.observe("wagtail_worker_seconds", "profile=\"" + call.request.profile->name + "\"", seconds);
         return;
     }
     if (++health.failures < FailuresToAvoid) {
@@ -177,7 +178,8 @@
     health.avoidUntil = now + health.avoidance;
     // One failure after the pause is enough to avoid it again.
     health.failures = FailuresToAvoid - 1;
-    m_context.timeline.record({.kind = "worker.avoided", .worker = call.worker,
+    m_context.timeline.record({.kind = "worker.avoided",
+        .worker = call.worker,
         .detail = std::to_string(health.avoidance.count()) + " ms after repeated failures"});
 }
 
@@ -185,8 +187,9 @@
 {
     ProfileState &state = m_profiles[call->request.profile->name];
     if (state.queue.size() >= static_cast<std::size_t>(call->request.profile->queueLimit)) {
-        finish(*call, notRun(ErrorKind::Overloaded, "the queue of profile " + call->request.profile->name + " is full",
-            "send the request again after the time in Retry-After"));
+        finish(*call,
+            notRun(ErrorKind::Overloaded, "the queue of profile " + call->request.profile->name + " is full",
+                "send the request again after the time in Retry-After"));
         return;
     }
     state.queue.emplace(call->request.deadline, call);
--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds SettleWait {300};
 constexpr std::int64_t NearMilliseconds = 10;
 constexpr std::int64_t FarMilliseconds = 130;
-constexpr std::size_t LargestRecordedBody = 64U * 1024U;
+constexpr std::size_t LargestRecordedBody = 65'536;
 constexpr std::int64_t LargestClockSkew = 60'000;
 
 RequestResult notRun(Error error)
@@ -24,7 +24,8 @@
 RequestResult unknown(std::string detail)
 {
     return {Outcome::Unknown, 0, {}, {},
-        {ErrorKind::Unavailable, std::move(detail), "ask for the outcome with the same key before sending anything new"}};
+        {ErrorKind::Unavailable, std::move(detail),
+            "ask for the outcome with the same key before sending anything new"}};
 }
 
 // Returns the wall time inside a UUID version 7, or nothing when the text is no such identifier.
@@ -58,8 +59,7 @@
 
 }
 
-RequestRouter::RequestRouter(Context context)
-    : m_context(context)
+RequestRouter::RequestRouter(Context context) : m_context(context)
 {
 }
 
@@ -143,7 +143,8 @@
     for (const Gossip *gossip : m_context.peers.heard()) {
         const bool sameRegion = gossip->region == m_context.settings.region;
         const int distance = gossip->dataCentre == m_context.settings.dataCentre ? 0 : sameRegion ? 1 : 2;
-        const bool allowed = profile.regions.empty() || std::ranges::find(profile.regions, gossip->region) != profile.regions.end();
+        const bool allowed
+            = profile.regions.empty() || std::ranges::find(profile.regions, gossip->region) != profile.regions.end();
         const bool inTime = left > (distance == 2 ? FarMilliseconds : NearMilliseconds);
         if (gossip->leaving || !allowed || !inTime || distance > bestDistance) {
             continue;
@@ -185,8 +186,7 @@
         });
 }
 
-void RequestRouter::forward(
-    RoutedRequest request, const std::string &address, const std::string &kind, Handler handler)
+void RequestRouter::forward(RoutedRequest request, const std::string &address, const std::string &kind, Handler handler)
 {
     const std::int64_t left = remaining(request);
     if (left <= 0) {
@@ -194,7 +194,8 @@
         return;
     }
     m_context.metrics.count("wagtail_forwarded_requests_total", "kind=\"" + kind + "\"");
-    m_context.timeline.record({.kind = "request.forwarded", .request = request.identity, .detail = kind + " " + address});
+    m_context.timeline.record(
+        {.kind = "request.forwarded", .request = request.identity, .detail = kind + " " + address});
     const ForwardedRequest message = toMessage(request, left, m_context.timeline.logicalTime());
     m_context.caller.call(address, {kind, encodeMessage(message)}, Milliseconds(left),
         [this, handler = std::move(handler)](Result<std::string> answer) {
@@ -262,8 +263,8 @@
         [this, request = std::move(request), uncertain, handler = std::move(handler)](RequestResult result) mutable {
             const ErrorKind kind = result.error.kind;
             const bool lost = result.outcome == Outcome::Unknown && kind == ErrorKind::Internal;
-            const bool misdirected = result.outcome == Outcome::NotRun
-                && (kind == ErrorKind::NotOwner || kind == ErrorKind::Unavailable);
+            const bool misdirected
+                = result.outcome == Outcome::NotRun && (kind == ErrorKind::NotOwner || kind == ErrorKind::Unavailable);
             if (lost || misdirected) {
                 retryHome(std::move(request), uncertain || lost, std::move(result), std::move(handler));
                 return;
@@ -283,8 +284,8 @@
         handler(uncertain ? unknown("the keeper of the key could not be asked again") : std::move(failure));
         return;
     }
-    m_context.scheduler.after(HomeRetryDelay,
-        [this, request = std::move(request), uncertain, handler = std::move(handler)]() mutable {
+    m_context.scheduler.after(
+        HomeRetryDelay, [this, request = std::move(request), uncertain, handler = std::move(handler)]() mutable {
             sendHome(std::move(request), uncertain, std::move(handler));
         });
 }
@@ -320,18 +321,17 @@
         const auto waiting = m_running.find(key);
         if (waiting != m_running.end() && !waiting->second.claimed) {
             // The claim is not durable yet; nothing was handed over, and now nothing will be.
-            answerWaiters(key, notRun({ErrorKind::StoreUnavailable, "the key could not be made durable in time",
-                "send the request again with the same key"}));
+            answerWaiters(key,
+                notRun({ErrorKind::StoreUnavailable, "the key could not be made durable in time",
+                    "send the request again with the same key"}));
         }
     });
     keeper.claim({key, digest, m_context.clock.wallMilliseconds()},
-        [this, partition, request = std::move(request)](const Result<ClaimDecision> &result) mutable {
-            onClaimed(partition, std::move(request), result);
-        });
+        [this, partition, request = std::move(request)](
+            const Result<ClaimDecision> &result) mutable { onClaimed(partition, std::move(request), result); });
 }
 
-void RequestRouter::onClaimed(
-    const std::string &partition, RoutedRequest request, const Result<ClaimDecision> &result)
+void RequestRouter::onClaimed(const std::string &partition, RoutedRequest request, const Result<ClaimDecision> &result)
 {
     const std::string key = request.key;
     if (const Error *error = errorOf(result)) {
--- a/source/routing/TaskRouter.cpp
+++ b/source/routing/TaskRouter.cpp
@@ -61,8 +61,7 @@
     return document;
 }
 
-TaskRouter::TaskRouter(Context context)
-    : m_context(context)
+TaskRouter::TaskRouter(Context context) : m_context(context)
 {
 }
 
@@ -78,10 +77,12 @@
     std::vector<Candidate> candidates;
     const auto consider = [&](const PartitionOffer &offer, int distance, const std::string &region) {
         const Resources room {offer.freeMilliCores, offer.freeMemoryMegabytes, offer.freeAccelerators};
-        const bool allowed = profile.regions.empty() || std::ranges::find(profile.regions, region) != profile.regions.end();
+        const bool allowed
+            = profile.regions.empty() || std::ranges::find(profile.regions, region) != profile.regions.end();
         if (offer.ready && allowed) {
             const bool fits = profile.resources.fitsInto(room);
-            candidates.push_back({offer.partition, distance + (fits ? 0 : 10), offer.waitingTasks, offer.freeMilliCores});
+            candidates.push_back(
+                {offer.partition, distance + (fits ? 0 : 10), offer.waitingTasks, offer.freeMilliCores});
         }
     };
     for (const PartitionOffer &offer : m_context.partitions.offers()) {
@@ -111,7 +112,8 @@
             "create it with wagtailctl profile apply, or name another"});
         return;
     }
-    const bool classFits = submission.requiredClass.empty() || submission.requiredClass == nameOf(profile->profileClass);
+    const bool classFits
+        = submission.requiredClass.empty() || submission.requiredClass == nameOf(profile->profileClass);
     if (profile->profileClass == ProfileClass::Urgent || !classFits) {
         handler(Error {ErrorKind::InvalidInput,
             "profile " + profile->name + " is of class " + std::string(nameOf(profile->profileClass)),
@@ -187,7 +189,8 @@
                 handler(std::move(result));
                 return;
             }
-            sendFollowing(memberOr(*document, "moved_to", std::string()), std::move(command), moves + 1, std::move(handler));
+            sendFollowing(
+                memberOr(*document, "moved_to", std::string()), std::move(command), moves + 1, std::move(handler));
         });
 }
 
@@ -319,8 +322,7 @@
                     const auto reply = errorOf(answer) != nullptr
                         ? std::nullopt
                         : decodeMessage<DocumentMessage>(std::get<std::string>(answer));
-                    const Result<Json> document
-                        = reply ? parseJson(reply->document, "a list") : Result<Json>(Error());
+                    const Result<Json> document = reply ? parseJson(reply->document, "a list") : Result<Json>(Error());
                     if (errorOf(document) != nullptr) {
                         gathering->unasked.push_back(instance);
                     }
--- a/source/settings/Settings.cpp
+++ b/source/settings/Settings.cpp
@@ -18,22 +18,18 @@
 class SectionReader
 {
 public:
-    SectionReader(const Json &document, std::string fileName)
-        : m_document(document)
-        , m_fileName(std::move(fileName))
+    SectionReader(const Json &document, std::string fileName) : m_document(document), m_fileName(std::move(fileName))
     {
     }
 
-    template<typename Read>
-    void section(const std::string &name, Read read)
+    template<typename Read> void section(const std::string &name, Read read)
     {
         m_known.insert(name);
         const auto found = m_document.find(name);
         this->read("[" + name + "]", found == m_document.end() ? Json::object() : *found, read);
     }
 
-    template<typename Read>
-    void sections(const std::string &name, Read read)
+    template<typename Read> void sections(const std::string &name, Read read)
     {
         m_known.insert(name);
         const auto found = m_document.find(name);
@@ -64,8 +60,7 @@
     }
 
 private:
-    template<typename Read>
-    void read(const std::string &title, const Json &section, Read read)
+    template<typename Read> void read(const std::string &title, const Json &section, Read read)
     {
         MemberReader reader(section, m_fileName + ", " + title);
         read(reader);
--- a/source/store/HttpStore.cpp
+++ b/source/store/HttpStore.cpp
@@ -69,8 +69,7 @@
 }
 
 // Reads a JSON answer with the given parse function.
-template<typename Value, typename Parse>
-Result<Value> readAnswer(const HttpAnswer &answer, Parse parse)
+template<typename Value, typename Parse> Result<Value> readAnswer(const HttpAnswer &answer, Parse parse)
 {
     if (!succeeded(answer)) {
         return failureOf(answer);
@@ -85,9 +84,7 @@
 }
 
 HttpStore::HttpStore(HttpClient &client, std::string baseAddress, Milliseconds timeout)
-    : m_client(client)
-    , m_baseAddress(std::move(baseAddress))
-    , m_timeout(timeout)
+    : m_client(client), m_baseAddress(std::move(baseAddress)), m_timeout(timeout)
 {
 }
 
@@ -147,8 +144,8 @@
 
 void HttpStore::eraseRange(const std::string &first, const std::string &end, Handler<std::monostate> handler)
 {
-    acknowledge(call("DELETE", "/v1/keys?first=" + percentEncode(first) + "&end=" + percentEncode(end)),
-        std::move(handler));
+    acknowledge(
+        call("DELETE", "/v1/keys?first=" + percentEncode(first) + "&end=" + percentEncode(end)), std::move(handler));
 }
 
 void HttpStore::grantLease(Milliseconds duration, Handler<LeaseIdentifier> handler)
@@ -170,8 +167,7 @@
     acknowledge(call("DELETE", "/v1/leases/" + std::to_string(lease)), std::move(handler));
 }
 
-void HttpStore::watch(
-    const std::string &prefix, StoreRevision after, Milliseconds wait, Handler<StoreEvents> handler)
+void HttpStore::watch(const std::string &prefix, StoreRevision after, Milliseconds wait, Handler<StoreEvents> handler)
 {
     HttpCall request = call("GET",
         "/v1/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(after)
--- a/source/store/Store.h
+++ b/source/store/Store.h
@@ -14,8 +14,7 @@
 class Store
 {
 public:
-    template<typename Value>
-    using Handler = std::function<void(Result<Value>)>;
+    template<typename Value> using Handler = std::function<void(Result<Value>)>;
 
     Store() = default;
     Store(const Store &) = delete;
@@ -32,7 +31,8 @@
     virtual void write(StoreWrite write, Handler<StoreRevision> handler) = 0;
 
     // Erases one key. Fails with Conflict when the expected revision is not the present one.
-    virtual void erase(const std::string &key, std::optional<StoreRevision> expected, Handler<std::monostate> handler) = 0;
+    virtual void erase(const std::string &key, std::optional<StoreRevision> expected, Handler<std::monostate> handler)
+        = 0;
 
     // Erases the keys from the first, included, to the end, not included.
     virtual void eraseRange(const std::string &first, const std::string &end, Handler<std::monostate> handler) = 0;
@@ -46,8 +46,8 @@
     virtual void revokeLease(LeaseIdentifier lease, Handler<std::monostate> handler) = 0;
 
     // Waits for changes after a revision. Fails with NotFound when the store no longer has them: list again.
-    virtual void watch(
-        const std::string &prefix, StoreRevision after, Milliseconds wait, Handler<StoreEvents> handler) = 0;
+    virtual void watch(const std::string &prefix, StoreRevision after, Milliseconds wait, Handler<StoreEvents> handler)
+        = 0;
 };
 
 }
--- a/source/timeline/Timeline.cpp
+++ b/source/timeline/Timeline.cpp
@@ -16,9 +16,7 @@
 }
 
 Timeline::Timeline(const Clock &clock, std::string instance, std::size_t capacity)
-    : m_clock(clock)
-    , m_instance(std::move(instance))
-    , m_capacity(capacity)
+    : m_clock(clock), m_instance(std::move(instance)), m_capacity(capacity)
 {
 }
 
@@ -56,8 +54,8 @@
 {
     std::vector<TimelineEvent> selected;
     for (const auto *ring : {&m_events, &m_requestEvents}) {
-        std::ranges::copy_if(
-            *ring, std::back_inserter(selected), [&filter](const TimelineEvent &event) { return filter.matches(event); });
+        std::ranges::copy_if(*ring, std::back_inserter(selected),
+            [&filter](const TimelineEvent &event) { return filter.matches(event); });
     }
     sortByCause(selected);
     if (selected.size() > filter.most) {
--- a/source/workers/HttpRequestSender.cpp
+++ b/source/workers/HttpRequestSender.cpp
@@ -41,8 +41,7 @@
 }
 
 HttpRequestSender::HttpRequestSender(asio::io_context &context, HttpClient &client)
-    : m_context(context)
-    , m_client(client)
+    : m_context(context), m_client(client)
 {
 }
 
@@ -61,9 +60,9 @@
         call.body = std::move(attempt.body);
         call.timeoutMilliseconds = static_cast<long>(attempt.timeoutMilliseconds);
         call.reuse = attempt.idempotent ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
-        m_client.send(std::move(call),
-            [attempt = std::move(attempt), handler = std::move(handler)](
-                HttpAnswer answer) { handler(interpret(attempt, std::move(answer))); });
+        m_client.send(std::move(call), [attempt = std::move(attempt), handler = std::move(handler)](HttpAnswer answer) {
+            handler(interpret(attempt, std::move(answer)));
+        });
     });
 }
 
--- a/source/workers/HttpWorkerControl.cpp
+++ b/source/workers/HttpWorkerControl.cpp
@@ -54,9 +54,7 @@
 
 }
 
-HttpWorkerControl::HttpWorkerControl(HttpClient &client, Milliseconds timeout)
-    : m_client(client)
-    , m_timeout(timeout)
+HttpWorkerControl::HttpWorkerControl(HttpClient &client, Milliseconds timeout) : m_client(client), m_timeout(timeout)
 {
 }
 
@@ -82,8 +80,8 @@
 {
     Json document = describe(start);
     document["token"] = token;
-    m_client.send(call(address, "/v1/tasks", writeJson(document)),
-        translate<std::monostate>(std::move(handler), acknowledge));
+    m_client.send(
+        call(address, "/v1/tasks", writeJson(document)), translate<std::monostate>(std::move(handler), acknowledge));
 }
 
 void HttpWorkerControl::stop(
@@ -93,13 +91,15 @@
     document["token"] = token;
     const auto parse = [](const Json &answer) {
         return StopAnswer {workerTaskStateFromName(memberOr(answer, "state", std::string())),
-            memberOr(answer, "checkpoint", std::string()), memberOr(answer, "result", std::string())};
+            memberOr(answer, "incarnation", std::string()), memberOr(answer, "checkpoint", std::string()),
+            memberOr(answer, "result", std::string())};
     };
-    m_client.send(call(address, "/v1/tasks/stop", writeJson(document)), translate<StopAnswer>(std::move(handler), parse));
+    m_client.send(
+        call(address, "/v1/tasks/stop", writeJson(document)), translate<StopAnswer>(std::move(handler), parse));
 }
 
-void HttpWorkerControl::throttle(const std::string &address, FencingToken token, TaskAttempt attempt, int percent,
-    Handler<std::monostate> handler)
+void HttpWorkerControl::throttle(
+    const std::string &address, FencingToken token, TaskAttempt attempt, int percent, Handler<std::monostate> handler)
 {
     Json document = describe(attempt);
     document["token"] = token;
--- a/source/workers/HttpWorkerControl.h
+++ b/source/workers/HttpWorkerControl.h
@@ -13,8 +13,8 @@
     HttpWorkerControl(HttpClient &client, Milliseconds timeout);
 
     void heartbeat(const std::string &address, Heartbeat heartbeat, Handler<WorkerReport> handler) override;
-    void start(const std::string &address, FencingToken token, TaskStart start,
-        Handler<std::monostate> handler) override;
+    void start(
+        const std::string &address, FencingToken token, TaskStart start, Handler<std::monostate> handler) override;
     void stop(
         const std::string &address, FencingToken token, TaskAttempt attempt, Handler<StopAnswer> handler) override;
     void throttle(const std::string &address, FencingToken token, TaskAttempt attempt, int percent,
--- a/source/workers/WorkerCodec.cpp
+++ b/source/workers/WorkerCodec.cpp
@@ -73,6 +73,7 @@
 Json describe(const TaskStart &start)
 {
     Json document = describe(start.attempt);
+    document["incarnation"] = start.incarnation;
     document["profile"] = start.profile;
     document["resources"] = describe(start.resources);
     document["payload"] = start.payload;
@@ -82,9 +83,9 @@
 
 TaskStart parseTaskStart(const Json &document)
 {
-    return {parseTaskAttempt(document), memberOr(document, "profile", std::string()),
-        parseResources(memberOr(document, "resources", Json::object())), memberOr(document, "payload", std::string()),
-        memberOr(document, "checkpoint", std::string())};
+    return {parseTaskAttempt(document), memberOr(document, "incarnation", std::string()),
+        memberOr(document, "profile", std::string()), parseResources(memberOr(document, "resources", Json::object())),
+        memberOr(document, "payload", std::string()), memberOr(document, "checkpoint", std::string())};
 }
 
 Json describe(const WorkerReport &report)
@@ -104,8 +105,9 @@
         }
         tasks.push_back(std::move(item));
     }
-    return {{"sequence", report.sequence}, {"incarnation", report.incarnation}, {"capacity", describe(report.capacity)}, {"slots", report.slots}, {"connections", report.connections},
-        {"busy_slots", report.busySlots}, {"state", report.leaving ? "leaving" : "live"}, {"tasks", std::move(tasks)}};
+    return {{"sequence", report.sequence}, {"incarnation", report.incarnation}, {"capacity", describe(report.capacity)},
+        {"slots", report.slots}, {"connections", report.connections}, {"busy_slots", report.busySlots},
+        {"state", report.leaving ? "leaving" : "live"}, {"tasks", std::move(tasks)}};
 }
 
 WorkerReport parseWorkerReport(const Json &document)
@@ -119,9 +121,8 @@
     report.busySlots = memberOr(document, "busy_slots", std::int64_t {0});
     report.leaving = memberOr(document, "state", std::string("live")) != "live";
     for (const Json &item : memberOr(document, "tasks", Json::array())) {
-        report.tasks.push_back({parseTaskAttempt(item),
-            workerTaskStateFromName(memberOr(item, "state", std::string())), memberOr(item, "profile", std::string()),
-            parseResources(memberOr(item, "declared", Json::object())),
+        report.tasks.push_back({parseTaskAttempt(item), workerTaskStateFromName(memberOr(item, "state", std::string())),
+            memberOr(item, "profile", std::string()), parseResources(memberOr(item, "declared", Json::object())),
             parseResources(memberOr(item, "observed", Json::object())), memberOr(item, "checkpoint", std::string()),
             memberOr(item, "result", std::string())});
     }
--- a/source/workers/WorkerControl.h
+++ b/source/workers/WorkerControl.h
@@ -14,8 +14,7 @@
 class WorkerControl
 {
 public:
-    template<typename Value>
-    using Handler = std::function<void(Result<Value>)>;
+    template<typename Value> using Handler = std::function<void(Result<Value>)>;
 
     WorkerControl() = default;
     WorkerControl(const WorkerControl &) = delete;
@@ -25,16 +24,17 @@
     virtual void heartbeat(const std::string &address, Heartbeat heartbeat, Handler<WorkerReport> handler) = 0;
 
     // Starts an attempt; the same attempt sent twice starts once.
-    virtual void start(
-        const std::string &address, FencingToken token, TaskStart start, Handler<std::monostate> handler) = 0;
+    virtual void start(const std::string &address, FencingToken token, TaskStart start, Handler<std::monostate> handler)
+        = 0;
 
     // Stops an attempt, with a checkpoint where the task can give one.
-    virtual void stop(
-        const std::string &address, FencingToken token, TaskAttempt attempt, Handler<StopAnswer> handler) = 0;
+    virtual void stop(const std::string &address, FencingToken token, TaskAttempt attempt, Handler<StopAnswer> handler)
+        = 0;
 
     // Limits an attempt to a percentage of its speed.
     virtual void throttle(const std::string &address, FencingToken token, TaskAttempt attempt, int percent,
-        Handler<std::monostate> handler) = 0;
+        Handler<std::monostate> handler)
+        = 0;
 };
 
 }
--- a/source/workers/WorkerMessages.h
+++ b/source/workers/WorkerMessages.h
@@ -41,6 +41,8 @@
 struct TaskStart
 {
     TaskAttempt attempt;
+    // The incarnation of the worker to which the attempt is assigned; any other refuses the start.
+    std::string incarnation;
     std::string profile;
     Resources resources;
     std::string payload;
@@ -101,6 +103,7 @@
 struct StopAnswer
 {
     WorkerTaskState state = WorkerTaskState::Stopped;
+    std::string incarnation;
     std::string checkpoint;
     std::string result;
 };
--- a/source/workers/WorkerMonitor.cpp
+++ b/source/workers/WorkerMonitor.cpp
@@ -3,8 +3,8 @@
 namespace Wagtail
 {
 
-WorkerMonitor::WorkerMonitor(WorkerControl &control, const Clock &clock, Listener &listener,
-    WorkerMonitorLimits limits, std::string owner, FencingToken token)
+WorkerMonitor::WorkerMonitor(WorkerControl &control, const Clock &clock, Listener &listener, WorkerMonitorLimits limits,
+    std::string owner, FencingToken token)
     : m_control(control)
     , m_clock(clock)
     , m_listener(listener)
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -5,8 +5,7 @@
 namespace Wagtail
 {
 
-StandinStore::StandinStore(const Clock &clock)
-    : m_clock(clock)
+StandinStore::StandinStore(const Clock &clock) : m_clock(clock)
 {
 }
 
@@ -136,7 +135,9 @@
         revokeLease(lease);
     }
     std::vector<Watch> over;
-    const auto isOver = [now](const Watch &watch) { return watch.expiry <= now; };
+    const auto isOver = [now](const Watch &watch) {
+        return watch.expiry <= now;
+    };
     std::copy_if(m_watches.begin(), m_watches.end(), std::back_inserter(over), isOver);
     std::erase_if(m_watches, isOver);
     for (const Watch &watch : over) {
@@ -165,7 +166,9 @@
 void StandinStore::notifyWatches(const std::string &key)
 {
     std::vector<Watch> concerned;
-    const auto matches = [&key](const Watch &watch) { return key.starts_with(watch.prefix); };
+    const auto matches = [&key](const Watch &watch) {
+        return key.starts_with(watch.prefix);
+    };
     std::copy_if(m_watches.begin(), m_watches.end(), std::back_inserter(concerned), matches);
     std::erase_if(m_watches, matches);
     for (const Watch &watch : concerned) {
@@ -177,7 +180,9 @@
 {
     StoreEvents events;
     events.revision = m_revision;
-    const auto isOlder = [](StoreRevision revision, const StoreEvent &event) { return revision < event.entry.revision; };
+    const auto isOlder = [](StoreRevision revision, const StoreEvent &event) {
+        return revision < event.entry.revision;
+    };
     auto event = std::upper_bound(m_history.begin(), m_history.end(), after, isOlder);
     for (; event != m_history.end(); ++event) {
         if (event->entry.key.starts_with(prefix)) {
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -38,6 +38,20 @@
 {
 }
 
+void StandinWorker::die()
+{
+    for (auto &[attempt, task] : m_tasks) {
+        if (task.state == WorkerTaskState::Running) {
+            end(task, WorkerTaskState::Lapsed);
+        }
+    }
+}
+
+const std::vector<std::string> &StandinWorker::breaches() const
+{
+    return m_breaches;
+}
+
 const WorkerDescription &StandinWorker::description() const
 {
     return m_description;
@@ -123,6 +137,10 @@
         return;
     }
     TaskStart start = parseTaskStart(document);
+    if (start.incarnation != m_incarnation) {
+        respond(refusal(StatusConflict, "the worker began anew since the assignment"));
+        return;
+    }
     if (m_tasks.contains(start.attempt)) {
         respond(answer(200, {{"state", nameOf(m_tasks.at(start.attempt).state)}}));
         return;
@@ -180,14 +198,16 @@
     m_stopped[attempt.task] = std::max(m_stopped[attempt.task], attempt.attempt);
     const auto found = m_tasks.find(attempt);
     if (found == m_tasks.end()) {
-        respond(answer(200, {{"state", "absent"}}));
+        respond(answer(200, {{"state", "absent"}, {"incarnation", m_incarnation}}));
         return;
     }
     Task &task = found->second;
     if (task.state == WorkerTaskState::Running) {
         end(task, WorkerTaskState::Stopped);
     }
-    respond(answer(200, {{"state", nameOf(task.state)}, {"checkpoint", task.checkpoint}, {"result", "ok"}}));
+    respond(answer(200,
+        {{"state", nameOf(task.state)}, {"incarnation", m_incarnation}, {"checkpoint", task.checkpoint},
+            {"result", "ok"}}));
 }
 
 void StandinWorker::handleThrottle(const Json &document, const Respond &respond)
@@ -202,7 +222,8 @@
 
 void StandinWorker::updateProgress(Task &task) const
 {
-    const Instant now = m_clock.now();
+    // A task does not run on past its lease, even when nobody was there to end it.
+    const Instant now = std::max(task.progressFrom, std::min(m_clock.now(), m_leaseExpiry));
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - task.progressFrom);
     task.remaining = std::max(Milliseconds(0), task.remaining - elapsed * task.percent / 100);
     task.progressFrom = now;
@@ -212,7 +233,7 @@
 {
     updateProgress(task);
     task.state = state;
-    task.endedAt = m_clock.now();
+    task.endedAt = std::min(m_clock.now(), m_leaseExpiry);
     const Result<Json> payload = parseJson(task.start.payload, "the payload");
     const Json work = errorOf(payload) != nullptr ? Json::object() : std::get<Json>(payload);
     const std::int64_t total = memberOr(work, "run_ms", std::int64_t {100});
@@ -236,13 +257,11 @@
         if (task.state != WorkerTaskState::Running) {
             continue;
         }
-        if (now >= m_leaseExpiry) {
-            end(task, WorkerTaskState::Lapsed);
-            continue;
-        }
         updateProgress(task);
         if (task.remaining.count() == 0 && (!task.endless || task.fails)) {
             end(task, task.fails ? WorkerTaskState::Failed : WorkerTaskState::Done);
+        } else if (now >= m_leaseExpiry) {
+            end(task, WorkerTaskState::Lapsed);
         }
     }
 }
@@ -329,8 +348,8 @@
 
 WorkerReport StandinWorker::report() const
 {
-    WorkerReport report {m_sequence, m_incarnation, m_description.capacity, m_description.slots, m_description.connections, m_busySlots,
-        m_faults.leaving, {}};
+    WorkerReport report {m_sequence, m_incarnation, m_description.capacity, m_description.slots,
+        m_description.connections, m_busySlots, m_faults.leaving, {}};
     for (const auto &[attempt, task] : m_tasks) {
         const std::string result = task.state == WorkerTaskState::Done ? "ok" : "";
         report.tasks.push_back({attempt, task.state, task.start.profile, task.start.resources, task.start.resources,
@@ -349,9 +368,8 @@
     Json running = Json::array();
     for (const auto &[attempt, task] : m_tasks) {
         if (task.state == WorkerTaskState::Running) {
-            running.push_back(
-                {{"task", attempt.task}, {"attempt", attempt.attempt}, {"started", ticks(task.startedAt)},
-                    {"resumed_from", task.start.checkpoint}});
+            running.push_back({{"task", attempt.task}, {"attempt", attempt.attempt}, {"started", ticks(task.startedAt)},
+                {"resumed_from", task.start.checkpoint}});
         }
     }
     return {{"worker", m_description.name}, {"ended", m_ended}, {"running", running}, {"requests", m_requests},
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -27,7 +27,14 @@
     // Ends tasks whose lease ran out and tasks that finished. Call it often.
     void advance();
 
+    // Ends everything, as when the worker's machine fails.
+    void die();
+
     [[nodiscard]] const WorkerDescription &description() const;
+    [[nodiscard]] const std::vector<std::string> &breaches() const;
+
+    // Returns every run of a task on this worker, and the counts of requests.
+    [[nodiscard]] Json history() const;
 
 private:
     struct Faults
@@ -72,7 +79,6 @@
     [[nodiscard]] Resources used() const;
     [[nodiscard]] WorkerReport report() const;
     void breach(const std::string &what);
-    [[nodiscard]] Json history() const;
 
     const Clock &m_clock;
     Schedule m_schedule;
--- a/standins/StoreProgram.cpp
+++ b/standins/StoreProgram.cpp
@@ -36,8 +36,7 @@
     return answer(status, {{"detail", error.detail}});
 }
 
-template<typename Value>
-HttpResponse answer(const Result<Value> &result, const Json &document)
+template<typename Value> HttpResponse answer(const Result<Value> &result, const Json &document)
 {
     const Error *error = errorOf(result);
     return error != nullptr ? answer(*error) : answer(200, document);
@@ -46,11 +45,7 @@
 }
 
 StoreProgram::StoreProgram(asio::io_context &context, const Clock &clock)
-    : m_context(context)
-    , m_clock(clock)
-    , m_store(clock)
-    , m_timer(context)
-    , m_lastTick(clock.now())
+    : m_context(context), m_clock(clock), m_store(clock), m_timer(context), m_lastTick(clock.now())
 {
     tick();
 }
@@ -114,7 +109,9 @@
     HttpServer::Responder reply = respond;
     if (m_faults.loseAnswers > 0 && request.method != "GET") {
         --m_faults.loseAnswers;
-        reply = [respond](const HttpResponse &) { respond(answer(504, {{"detail", "the answer was lost"}})); };
+        reply = [respond](const HttpResponse &) {
+            respond(answer(504, {{"detail", "the answer was lost"}}));
+        };
     }
     if (request.path.starts_with("/v1/keys")) {
         serveKeys(request, reply);
--- a/standins/workers_main.cpp
+++ b/standins/workers_main.cpp
@@ -56,11 +56,11 @@
         description.connections = 64;
         workers.push_back(std::make_unique<Wagtail::StandinWorker>(clock, schedule, std::move(description)));
         Wagtail::StandinWorker *worker = workers.back().get();
-        auto server = Wagtail::HttpServer::create(context,
-            {"127.0.0.1", static_cast<std::uint16_t>(first + i), BodyLimit},
-            [worker](const Wagtail::HttpRequest &request, const Wagtail::HttpServer::Responder &respond) {
-                worker->handle(request, respond);
-            });
+        auto server
+            = Wagtail::HttpServer::create(context, {"127.0.0.1", static_cast<std::uint16_t>(first + i), BodyLimit},
+                [worker](const Wagtail::HttpRequest &request, const Wagtail::HttpServer::Responder &respond) {
+                    worker->handle(request, respond);
+                });
         if (const Wagtail::Error *error = Wagtail::errorOf(server)) {
             std::fprintf(stderr, "%s; %s\n", error->detail.c_str(), error->remedy.c_str());
             return 1;
