Routing: Look elsewhere while a request waits

In the leaving scenario a start that a worker refused was sent again at once to the same worker, with two log records each time. Ruled out: lost wake-ups of the queue; the queue was never looked at again because no fleet was left to free room. Change: a waiting request looks elsewhere again every 250 ms; a refusing worker gets nothing before its next report.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -99,7 +99,8 @@
     def publish_workers(self):
         call(self.store, "PUT", "/v1/instances", list(self.workers.values()))
 
-    def start_daemon(self, name, data_centre, http_port=None):
+    def start_daemon(self, name, data_centre, http_port=None, publish=True):
+        """Starts a daemon; unless it is published, the balancer does not send callers to it yet."""
         if http_port is None:
             http_port = self.next_port
             self.next_port += 2
@@ -114,7 +115,8 @@
         path = os.path.join(self.folder, name + ".toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
-        self.daemons[name] = http_port
+        if publish:
+            self.daemons[name] = http_port
         self.start(name, "wagtaild", ["--settings", path])
         return http_port
 
--- a/source/base/Error.cpp
+++ b/source/base/Error.cpp
@@ -9,11 +9,12 @@
 namespace
 {
 
-constexpr std::array<std::pair<ErrorKind, std::string_view>, 13> Names {{
+constexpr std::array<std::pair<ErrorKind, std::string_view>, 14> Names {{
     {ErrorKind::InvalidInput, "invalid-input"},
     {ErrorKind::NotFound, "not-found"},
     {ErrorKind::Conflict, "conflict"},
     {ErrorKind::Overloaded, "overloaded"},
+    {ErrorKind::NoRoom, "no-room"},
     {ErrorKind::DeadlineExceeded, "deadline-exceeded"},
     {ErrorKind::Unavailable, "unavailable"},
     {ErrorKind::StoreUnavailable, "store-unavailable"},
--- a/source/base/Error.h
+++ b/source/base/Error.h
@@ -14,6 +14,8 @@
     NotFound,
     Conflict,
     Overloaded,
+    // No worker has room at the moment.
+    NoRoom,
     DeadlineExceeded,
     Unavailable,
     StoreUnavailable,
--- a/source/entry/Problem.cpp
+++ b/source/entry/Problem.cpp
@@ -36,6 +36,7 @@
         return 429;
     case ErrorKind::DeadlineExceeded:
         return 504;
+    case ErrorKind::NoRoom:
     case ErrorKind::Unavailable:
     case ErrorKind::StoreUnavailable:
     case ErrorKind::NotOwner:
--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -663,6 +663,8 @@
     if (error->kind == ErrorKind::Overloaded) {
         attempt->stopWanted = true;
         attempt->nextTry = m_context.clock.now();
+        // What this side believes of the worker is out of date; its next report says why it refused.
+        onWorkerSilent(entry.worker);
     }
     trace("task.start-unconfirmed", entry, error->detail);
 }
--- a/source/requests/RequestDispatcher.cpp
+++ b/source/requests/RequestDispatcher.cpp
@@ -17,6 +17,11 @@
     return {Outcome::NotRun, 0, {}, {}, {kind, std::move(detail), std::move(remedy)}};
 }
 
+RequestResult noRoom()
+{
+    return notRun(ErrorKind::NoRoom, "no owned worker has room", "send the request again shortly");
+}
+
 RequestResult deadlinePassed()
 {
     return notRun(ErrorKind::DeadlineExceeded, "the deadline would pass before the request could be answered",
@@ -39,7 +44,7 @@
     return call.request.identity + "#" + std::to_string(call.attempt);
 }
 
-void RequestDispatcher::submit(UrgentRequest request, Queueing queueing, Handler handler)
+void RequestDispatcher::submit(UrgentRequest request, Handler handler)
 {
     auto call = std::make_shared<Call>();
     call->request = std::move(request);
@@ -53,8 +58,8 @@
     if (trySend(call)) {
         return;
     }
-    if (queueing == Queueing::Forbidden) {
-        finish(*call, notRun(ErrorKind::Overloaded, "no owned worker has room", "send the request again shortly"));
+    if (call->request.queueUntil <= call->since) {
+        finish(*call, noRoom());
         return;
     }
     enqueue(call);
@@ -218,9 +223,31 @@
     }
 }
 
+void RequestDispatcher::endWaits()
+{
+    const Instant now = m_context.clock.now();
+    std::vector<std::shared_ptr<Call>> over;
+    for (auto &[name, state] : m_profiles) {
+        std::erase_if(state.queue, [&over, now](const auto &item) {
+            const bool ends = item.second->request.queueUntil <= now;
+            if (ends) {
+                over.push_back(item.second);
+            }
+            return ends;
+        });
+    }
+    m_queued -= over.size();
+    for (const std::shared_ptr<Call> &call : over) {
+        finish(*call, isHopeless(*call) ? deadlinePassed() : noRoom());
+    }
+}
+
 void RequestDispatcher::tick()
 {
     drain();
+    if (m_queued > 0) {
+        endWaits();
+    }
 }
 
 void RequestDispatcher::finish(const Call &call, RequestResult result)
--- a/source/requests/RequestDispatcher.h
+++ b/source/requests/RequestDispatcher.h
@@ -35,6 +35,8 @@
     std::string identity;
     std::shared_ptr<const Profile> profile;
     Instant deadline;
+    // How long the request may wait for room here; its sender then looks elsewhere again.
+    Instant queueUntil;
     std::string body;
 };
 
@@ -56,16 +58,11 @@
         Metrics &metrics;
     };
 
-    // Whether a request that finds no room may wait for it.
-    enum class Queueing {
-        Allowed,
-        Forbidden,
-    };
-
     explicit RequestDispatcher(Context context);
 
-    // Runs the request. Without queueing it fails at once, as not run, when no owned worker has room.
-    void submit(UrgentRequest request, Queueing queueing, Handler handler);
+    // Runs the request. It fails as not run with NoRoom when no owned worker has room until it must stop
+    // waiting, and with Overloaded when too many others wait.
+    void submit(UrgentRequest request, Handler handler);
 
     // Sheds queued requests whose time is up and sends those for which there is room.
     void tick();
@@ -105,6 +102,7 @@
     [[nodiscard]] bool mayRetry(const Call &call, const RequestResult &result);
     void enqueue(const std::shared_ptr<Call> &call);
     void drain();
+    void endWaits();
     void finish(const Call &call, RequestResult result);
     void learn(const Call &call, const RequestResult &result);
     [[nodiscard]] bool isHopeless(const Call &call) const;
--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr int MaximumHops = 2;
+constexpr Milliseconds AgainDelay {20};
+constexpr Milliseconds QueueSlice {250};
 constexpr Milliseconds HomeRetryDelay {150};
 constexpr Milliseconds SettleWait {300};
 constexpr std::int64_t NearMilliseconds = 10;
@@ -41,6 +43,11 @@
     return std::stoll(key.substr(0, 8) + key.substr(9, 4), nullptr, 16);
 }
 
+bool isNoRoom(const RequestResult &result)
+{
+    return result.outcome == Outcome::NotRun && result.error.kind == ErrorKind::NoRoom;
+}
+
 ForwardedRequest toMessage(const RoutedRequest &request, std::int64_t remaining, std::uint64_t logicalTime)
 {
     return {request.identity, request.profile, request.key, remaining, request.hops + 1, logicalTime, request.body};
@@ -116,19 +123,16 @@
 // Runs the request on an owned worker if one has room, otherwise passes it on or lets it wait.
 void RequestRouter::dispatch(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler)
 {
-    UrgentRequest urgent {request.identity, profile, request.deadline, request.body};
-    if (request.hops >= MaximumHops || m_context.partitions.standing() == Standing::CutOff) {
-        m_context.dispatcher.submit(std::move(urgent), RequestDispatcher::Queueing::Allowed, std::move(handler));
-        return;
-    }
-    m_context.dispatcher.submit(std::move(urgent), RequestDispatcher::Queueing::Forbidden,
+    const bool stays = request.hops >= MaximumHops || m_context.partitions.standing() == Standing::CutOff;
+    const Instant queueUntil = stays ? request.deadline : m_context.clock.now();
+    UrgentRequest urgent {request.identity, profile, request.deadline, queueUntil, request.body};
+    m_context.dispatcher.submit(std::move(urgent),
         [this, request = std::move(request), profile, handler = std::move(handler)](RequestResult result) mutable {
-            const bool noRoom = result.outcome == Outcome::NotRun && result.error.kind == ErrorKind::Overloaded;
-            if (!noRoom) {
-                handler(std::move(result));
+            if (isNoRoom(result)) {
+                forwardOrQueue(std::move(request), std::move(profile), std::move(handler));
                 return;
             }
-            forwardOrQueue(std::move(request), std::move(profile), std::move(handler));
+            handler(std::move(result));
         });
 }
 
@@ -166,8 +170,7 @@
 {
     const auto offer = chooseOffer(request, *profile);
     if (!offer) {
-        UrgentRequest urgent {request.identity, profile, request.deadline, std::move(request.body)};
-        m_context.dispatcher.submit(std::move(urgent), RequestDispatcher::Queueing::Allowed, std::move(handler));
+        queue(std::move(request), std::move(profile), std::move(handler));
         return;
     }
     m_context.peers.charge(offer->first, 1);
@@ -176,13 +179,36 @@
         [this, request = std::move(request), profile, handler = std::move(handler)](RequestResult result) mutable {
             const bool idempotent = profile->repeatability == Repeatability::Idempotent;
             const bool repeat = result.outcome == Outcome::NotRun || (result.outcome == Outcome::Unknown && idempotent);
-            if (!repeat || remaining(request) <= 0) {
+            if (!repeat || remaining(request) <= AgainDelay.count()) {
                 handler(std::move(result));
                 return;
             }
-            // The other daemon did not run it, or it may run again: the rest of the time is spent here.
-            UrgentRequest urgent {request.identity + "-2", profile, request.deadline, std::move(request.body)};
-            m_context.dispatcher.submit(std::move(urgent), RequestDispatcher::Queueing::Allowed, std::move(handler));
+            // The other daemon did not run it, or it may run again: there is still time to look elsewhere.
+            dispatchAgain(std::move(request), std::move(profile), std::move(handler));
+        });
+}
+
+// Lets the request wait for a while where it is, then looks elsewhere again.
+void RequestRouter::queue(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler)
+{
+    const Instant queueUntil = std::min(request.deadline, m_context.clock.now() + QueueSlice);
+    UrgentRequest urgent {request.identity, profile, request.deadline, queueUntil, request.body};
+    m_context.dispatcher.submit(std::move(urgent),
+        [this, request = std::move(request), profile, handler = std::move(handler)](RequestResult result) mutable {
+            if (isNoRoom(result) && remaining(request) > AgainDelay.count()) {
+                dispatchAgain(std::move(request), std::move(profile), std::move(handler));
+                return;
+            }
+            handler(std::move(result));
+        });
+}
+
+void RequestRouter::dispatchAgain(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler)
+{
+    request.identity += "+";
+    m_context.scheduler.after(
+        AgainDelay, [this, request = std::move(request), profile, handler = std::move(handler)]() mutable {
+            dispatch(std::move(request), std::move(profile), std::move(handler));
         });
 }
 
--- a/source/routing/RequestRouter.h
+++ b/source/routing/RequestRouter.h
@@ -69,6 +69,8 @@
 
     void dispatch(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler);
     void forward(RoutedRequest request, const std::string &address, const std::string &kind, Handler handler);
+    void queue(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler);
+    void dispatchAgain(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler);
     void forwardOrQueue(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler);
     void sendHome(RoutedRequest request, bool uncertain, Handler handler);
     void retryHome(RoutedRequest request, bool uncertain, RequestResult failure, Handler handler);
--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -37,3 +37,13 @@
 wagtail_slice(cli wagtail-http wagtail-profiles wagtail-settings PkgConfig::POPT)
 add_executable(wagtailctl ${CMAKE_SOURCE_DIR}/source/cli/main.cpp)
 target_link_libraries(wagtailctl PRIVATE wagtail-cli)
+
+# History tests: real processes under failures; one at a time, since each is a whole deployment.
+set(history_port 18000)
+foreach(scenario calm kills store workers rolling leaving)
+    math(EXPR history_port "${history_port} + 200")
+    add_test(NAME history.${scenario}
+        COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_history.py ${scenario} --seed 7 --seconds 12
+            --port ${history_port})
+    set_tests_properties(history.${scenario} PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
+endforeach()
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -41,6 +41,7 @@
     {
         bool failAll = false;
         bool leaving = false;
+        Instant leavingSince;
         bool frozen = false;
         std::int64_t answerDelay = 0;
         // Every n-th request answer carries another request's identity, or loses its last byte; zero switches it off.
@@ -96,6 +97,7 @@
     std::int64_t m_answers = 0;
     std::int64_t m_starts = 0;
     std::map<std::string, std::int64_t> m_onceRequests;
+    std::map<std::string, std::int64_t> m_onceBodies;
     std::int64_t m_requests = 0;
     std::int64_t m_lastRequestAt = 0;
     std::vector<std::string> m_breaches;
