Http: Move curl's timer only when it must fire earlier

Change: a zero time-out becomes one posted turn for all that were added; a deadline that only moves away leaves the timer as it is.

The listening socket is now closed on its own thread and the process ends without taking its threads' leftovers apart.

--- a/source/daemon/Daemon.cpp
+++ b/source/daemon/Daemon.cpp
@@ -304,7 +304,7 @@
         const bool quiet = m_handedOver && m_requests.openCount() == 0;
         if (quiet || late) {
             m_requests.close();
-            m_httpServer->close();
+            asio::post(m_traffic.context(), [this] { m_httpServer->close(); });
             m_lease.revoke([] {});
             m_scheduler.after(RemoveDelay, [this] { m_control.stop(); });
             return;
--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "logging/Log.h"
 
 #include <cstdio>
+#include <cstdlib>
 #include <curl/curl.h>
 #include <fstream>
 #include <popt.h>
@@ -31,7 +32,10 @@
         printErrors({*error});
         return ExitAddress;
     }
-    return std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
+    const int status = std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
+    // Late answers may still refer to each other across the stopped threads. Nothing is left to be saved, so the
+    // process ends here without taking them apart.
+    std::_Exit(status);
 }
 
 }
--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "http/CurlHttpClient.h"
 
 #include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cassert>
 #include <curl/curl.h>
@@ -229,18 +230,56 @@
     static int onTimer(CURLM *, long milliseconds, void *self)
     {
         auto *client = static_cast<Implementation *>(self);
-        if (milliseconds < 0) {
-            client->m_timer.cancel();
-            return 0;
+        client->m_deadline.reset();
+        if (milliseconds == 0) {
+            client->actSoon();
+        } else if (milliseconds > 0) {
+            client->m_deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(milliseconds);
+            client->arm();
         }
-        client->m_timer.expires_after(std::chrono::milliseconds(milliseconds));
-        client->m_timer.async_wait([weak = client->weak_from_this()](const asio::error_code &error) {
+        return 0;
+    }
+
+    // Every added transfer asks for attention at once; one turn serves all that were added meanwhile.
+    void actSoon()
+    {
+        if (m_turnPosted) {
+            return;
+        }
+        m_turnPosted = true;
+        asio::post(m_context, [weak = weak_from_this()] {
             const auto live = weak.lock();
-            if (live && !error) {
+            if (live) {
+                live->m_turnPosted = false;
                 live->act(CURL_SOCKET_TIMEOUT, 0);
             }
         });
-        return 0;
+    }
+
+    // Moving a timer costs a system call, and most deadlines only move away: the timer is left to fire early then.
+    void arm()
+    {
+        if (!m_deadline || (m_armedFor && *m_armedFor <= *m_deadline)) {
+            return;
+        }
+        m_armedFor = m_deadline;
+        m_timer.expires_at(*m_deadline);
+        m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const auto live = weak.lock();
+            if (live && !error) {
+                live->onArmedTime();
+            }
+        });
+    }
+
+    void onArmedTime()
+    {
+        m_armedFor.reset();
+        if (m_deadline && *m_deadline <= std::chrono::steady_clock::now()) {
+            m_deadline.reset();
+            act(CURL_SOCKET_TIMEOUT, 0);
+        }
+        arm();
     }
 
     void act(curl_socket_t socket, int action)
@@ -295,6 +334,9 @@
 
     asio::io_context &m_context;
     asio::steady_timer m_timer;
+    std::optional<std::chrono::steady_clock::time_point> m_deadline;
+    std::optional<std::chrono::steady_clock::time_point> m_armedFor;
+    bool m_turnPosted = false;
     CURLM *m_multi;
     std::unordered_map<int, std::shared_ptr<SocketWatch>> m_sockets;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -176,7 +176,9 @@
     m_context.peers.charge(offer->first, 1);
     const RoutedRequest copy = request;
     forward(copy, offer->second, "request",
-        [this, request = std::move(request), profile, handler = std::move(handler)](RequestResult result) mutable {
+        [this, partition = offer->first, request = std::move(request), profile, handler = std::move(handler)](
+            RequestResult result) mutable {
+            m_context.peers.charge(partition, -1);
             const bool idempotent = profile->repeatability == Repeatability::Idempotent;
             const bool repeat = result.outcome == Outcome::NotRun || (result.outcome == Outcome::Unknown && idempotent);
             if (!repeat || remaining(request) <= AgainDelay.count()) {
--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -47,3 +47,6 @@
             --port ${history_port})
     set_tests_properties(history.${scenario} PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
 endforeach()
+
+add_executable(wagtail-load ${CMAKE_SOURCE_DIR}/bench/load_main.cpp ${CMAKE_SOURCE_DIR}/bench/LoadGenerator.cpp)
+target_link_libraries(wagtail-load PRIVATE wagtail-standins)
