Requests: Never call a request not run whose earlier attempt was handed over

Cause: a new RapidCheck property of the dispatcher (18 tests, 72 shrinks: seven checks submitted, one answered with a lost answer) was told "not run" after its first attempt had run: the retry found no room before the deadline, and the last attempt's outcome hid the first's. Mended in the dispatcher and, for forwarded requests, in the router.

Workers: Leave an unchanged task list out of the report

Each heartbeat carried and parsed 28 tasks, and each tick walked all tasks and attempts. Change: a report names the version of its task list and leaves out a list that the owner has dealt with; ticks walk only waiting tasks and unsettled attempts. Found by the keeper's model on the way: with the list left out, an attempt assigned to a worker that had begun anew was never looked at again (11 tests, 4 shrinks); unsettled attempts are compared with unchanged lists too.

--- a/source/configuration/VersionedEntries.cpp
+++ b/source/configuration/VersionedEntries.cpp
@@ -50,7 +50,7 @@
 
 void VersionedEntries::applyEvents(const StoreEvents &events)
 {
-    std::vector<std::string> changed;
+    std::set<std::string> changed;
     for (const StoreEvent &event : events.events) {
         if (event.entry.revision <= m_revision) {
             continue;
@@ -58,14 +58,14 @@
         m_revision = event.entry.revision;
         if (!event.erased) {
             if (put(event.entry)) {
-                changed.push_back(event.entry.key);
+                changed.insert(event.entry.key);
             }
             continue;
         }
         const auto found = m_entries.find(event.entry.key);
         if (found != m_entries.end() && found->second.revision < event.entry.revision) {
             m_entries.erase(found);
-            changed.push_back(event.entry.key);
+            changed.insert(event.entry.key);
         }
     }
     m_revision = std::max(m_revision, events.revision);
--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -79,6 +79,7 @@
     for (const auto &[name, entry] : m_table.tasks()) {
         if (entry.phase == TaskPhase::Assigned) {
             m_attempts[name] = Attempt();
+            m_unsettled.insert(name);
         }
     }
     m_ready = true;
@@ -237,6 +238,7 @@
                 return;
             }
             applyDurable({TaskCancelRequested {task}});
+            m_unsettled.insert(task);
             const TaskEntry *present = m_table.find(task);
             trace("task.cancel-requested", *present, "");
             handler(*present);
@@ -314,6 +316,7 @@
     if (found != m_attempts.end() && !found->second.stopWanted) {
         found->second.stopWanted = true;
         found->second.stopReason = why;
+        m_unsettled.insert(task);
     }
 }
 
@@ -344,11 +347,11 @@
     }
 }
 
-void PartitionKeeper::onWorkerReport(const std::string &worker, const WorkerReport &report, bool first)
+ReportUse PartitionKeeper::onWorkerReport(const std::string &worker, const WorkerReport &report, bool first)
 {
     const auto known = m_workers.find(worker);
     if (known == m_workers.end()) {
-        return;
+        return ReportUse::Partial;
     }
     m_incarnations[worker] = report.incarnation;
     if (first) {
@@ -359,10 +362,13 @@
         m_fleet.limitForeignSlots(worker, report.busySlots);
     }
     if (!m_ready) {
-        return;
+        return ReportUse::Partial;
     }
-    for (const TaskReport &task : report.tasks) {
-        reconcile(worker, task);
+    ReportUse use = ReportUse::Whole;
+    if (!report.unchanged) {
+        for (const TaskReport &task : report.tasks) {
+            use = reconcile(worker, task) == ReportUse::Whole ? use : ReportUse::Partial;
+        }
     }
     reconcileMissing(worker, report);
     const auto quarantine = m_quarantinedUntil.find(worker);
@@ -376,17 +382,24 @@
         m_context.timeline.record({.kind = "worker." + std::string(nameOf(admission)), .worker = worker});
     }
     if (admission == WorkerAdmission::Leaving) {
-        for (const auto &[task, attempt] : m_attempts) {
-            const TaskEntry *entry = m_table.find(task);
-            const bool mayRepeat = entry != nullptr && entry->specification.repeatability == Repeatability::Idempotent;
-            if (mayRepeat && entry->worker == worker) {
-                evict(task, "its worker is leaving");
-            }
+        evictAllFrom(worker);
+    }
+    return use;
+}
+
+void PartitionKeeper::evictAllFrom(const std::string &worker)
+{
+    for (const auto &[task, attempt] : m_attempts) {
+        const TaskEntry *entry = m_table.find(task);
+        const bool mayRepeat = entry != nullptr && entry->specification.repeatability == Repeatability::Idempotent;
+        if (mayRepeat && entry->worker == worker) {
+            evict(task, "its worker is leaving");
         }
     }
 }
 
-void PartitionKeeper::reconcile(const std::string &worker, const TaskReport &report)
+// Returns whether nothing is left to be done about the task.
+ReportUse PartitionKeeper::reconcile(const std::string &worker, const TaskReport &report)
 {
     const TaskEntry *entry = m_table.find(report.attempt.task);
     const bool present = entry != nullptr && entry->phase == TaskPhase::Assigned && entry->worker == worker
@@ -400,17 +413,18 @@
             m_context.control.stop(
                 m_workers.at(worker).address, m_tenure.token, report.attempt, [](const Result<StopAnswer> &) {});
         }
-        return;
+        return ReportUse::Partial;
     }
     Attempt &attempt = m_attempts[report.attempt.task];
     if (report.state != WorkerTaskState::Running) {
         recordEnd(*entry, report);
-        return;
+        return ReportUse::Partial;
     }
     if (attempt.state == AttemptState::Unverified || attempt.state == AttemptState::StartUncertain) {
         attempt.state = AttemptState::Running;
         m_fleet.recordRunning(worker, holderOf(report.attempt.task), demandOf(entry->specification));
     }
+    return attempt.state == AttemptState::Running ? ReportUse::Whole : ReportUse::Partial;
 }
 
 void PartitionKeeper::reconcileMissing(const std::string &worker, const WorkerReport &report)
@@ -419,9 +433,18 @@
     for (const TaskReport &task : report.tasks) {
         reported.insert(task.attempt.task);
     }
-    for (auto &[task, attempt] : m_attempts) {
+    // An unchanged list holds just the attempts that run, so only the unsettled ones can be missing from it.
+    std::vector<std::string> candidates;
+    for (const auto &[task, attempt] : m_attempts) {
+        const bool listed = report.unchanged ? attempt.state == AttemptState::Running : reported.contains(task);
+        if (!listed && (!report.unchanged || m_unsettled.contains(task))) {
+            candidates.push_back(task);
+        }
+    }
+    for (const std::string &task : candidates) {
+        Attempt &attempt = m_attempts[task];
         const TaskEntry *entry = m_table.find(task);
-        if (entry == nullptr || entry->worker != worker || reported.contains(task) || m_pending.contains(task)) {
+        if (entry == nullptr || entry->worker != worker || m_pending.contains(task)) {
             continue;
         }
         const bool remembers = entry->incarnation == report.incarnation;
@@ -562,10 +585,18 @@
 
 void PartitionKeeper::driveAttempts()
 {
-    for (auto &[task, attempt] : m_attempts) {
+    for (const std::string &task : std::set(m_unsettled)) {
         const TaskEntry *entry = m_table.find(task);
-        if (entry != nullptr && entry->phase == TaskPhase::Assigned && !m_pending.contains(task)) {
-            driveAttempt(*entry, attempt);
+        const auto attempt = m_attempts.find(task);
+        if (entry == nullptr || attempt == m_attempts.end() || entry->phase != TaskPhase::Assigned) {
+            m_unsettled.erase(task);
+            continue;
+        }
+        const bool stopWanted = attempt->second.stopWanted || entry->cancelRequested;
+        if (attempt->second.state == AttemptState::Running && !stopWanted) {
+            m_unsettled.erase(task);
+        } else if (!m_pending.contains(task)) {
+            driveAttempt(*entry, attempt->second);
         }
     }
     for (const TaskEntry *entry : waitingTasks()) {
@@ -714,9 +745,10 @@
 std::vector<const TaskEntry *> PartitionKeeper::waitingTasks() const
 {
     std::vector<const TaskEntry *> waiting;
-    for (const auto &[name, entry] : m_table.tasks()) {
-        if (entry.phase == TaskPhase::Waiting) {
-            waiting.push_back(&entry);
+    for (const std::string &name : m_table.unassigned()) {
+        const TaskEntry *entry = m_table.find(name);
+        if (entry->phase == TaskPhase::Waiting) {
+            waiting.push_back(entry);
         }
     }
     // Watchers first, then by the time that is left, brought forward by priority.
@@ -772,6 +804,7 @@
             return;
         }
         m_attempts[task].state = AttemptState::Ready;
+        m_unsettled.insert(task);
         driveAttempt(*m_table.find(task), m_attempts[task]);
     });
     return true;
--- a/source/jobs/PartitionKeeper.h
+++ b/source/jobs/PartitionKeeper.h
@@ -156,7 +156,7 @@
         Instant deadline;
     };
 
-    void onWorkerReport(const std::string &worker, const WorkerReport &report, bool first) override;
+    ReportUse onWorkerReport(const std::string &worker, const WorkerReport &report, bool first) override;
     void onWorkerSilent(const std::string &worker) override;
     void onWorkerLost(const std::string &worker) override;
     void onWorkerFencedAway(const std::string &worker) override;
@@ -164,7 +164,8 @@
     void onRecovered(Result<TaskTable> result);
     void commit(const std::string &subject, std::vector<ShardRecord> records, std::function<void(const Status &)> done);
     void applyDurable(const std::vector<ShardRecord> &records);
-    void reconcile(const std::string &worker, const TaskReport &report);
+    ReportUse reconcile(const std::string &worker, const TaskReport &report);
+    void evictAllFrom(const std::string &worker);
     void reconcileMissing(const std::string &worker, const WorkerReport &report);
     void recordEnd(const TaskEntry &entry, const TaskReport &report);
     void releaseAttempt(
@@ -193,6 +194,8 @@
     WorkerMonitor m_monitor;
     TaskTable m_table;
     std::map<std::string, Attempt> m_attempts;
+    // The tasks whose attempts need attention at the next tick.
+    std::set<std::string> m_unsettled;
     std::map<std::string, Instant> m_notBefore;
     // Tasks and keys with a record on its way to the store; nothing else is decided about them meanwhile.
     std::set<std::string> m_pending;
--- a/source/jobs/TaskTable.cpp
+++ b/source/jobs/TaskTable.cpp
@@ -66,7 +66,9 @@
     entry.attempt = record.lastAttempt;
     entry.checkpoint = record.checkpoint;
     entry.moves = record.moves;
-    m_tasks[record.specification.task] = std::move(entry);
+    TaskEntry &placed = m_tasks[record.specification.task];
+    placed = std::move(entry);
+    setPhase(placed, TaskPhase::Waiting);
     return true;
 }
 
@@ -83,7 +85,7 @@
         || record.attempt.attempt != found->second.attempt + 1) {
         return false;
     }
-    found->second.phase = TaskPhase::Assigned;
+    setPhase(found->second, TaskPhase::Assigned);
     found->second.attempt = record.attempt.attempt;
     found->second.worker = record.worker;
     found->second.incarnation = record.incarnation;
@@ -98,7 +100,7 @@
         return false;
     }
     TaskEntry &entry = found->second;
-    entry.phase = TaskPhase::Waiting;
+    setPhase(entry, TaskPhase::Waiting);
     entry.reason = record.detail;
     if (!record.checkpoint.empty()) {
         entry.checkpoint = record.checkpoint;
@@ -120,7 +122,7 @@
         return false;
     }
     TaskEntry &entry = found->second;
-    entry.phase = record.phase;
+    setPhase(entry, record.phase);
     entry.result = record.result;
     entry.finishedAt = record.finishedAt;
     entry.specification.payload.clear();
@@ -143,7 +145,7 @@
     if (found == m_tasks.end() || found->second.phase != TaskPhase::Waiting) {
         return false;
     }
-    found->second.phase = TaskPhase::Moving;
+    setPhase(found->second, TaskPhase::Moving);
     found->second.movedTo = record.target;
     ++found->second.moves;
     return true;
@@ -155,7 +157,7 @@
     if (found == m_tasks.end() || found->second.phase != TaskPhase::Moving) {
         return false;
     }
-    found->second.phase = record.accepted ? TaskPhase::Moved : TaskPhase::Waiting;
+    setPhase(found->second, record.accepted ? TaskPhase::Moved : TaskPhase::Waiting);
     if (record.accepted) {
         found->second.specification.payload.clear();
     } else {
@@ -184,6 +186,21 @@
     return true;
 }
 
+void TaskTable::setPhase(TaskEntry &entry, TaskPhase phase)
+{
+    entry.phase = phase;
+    if (phase == TaskPhase::Waiting || phase == TaskPhase::Moving) {
+        m_unassigned.insert(entry.specification.task);
+    } else {
+        m_unassigned.erase(entry.specification.task);
+    }
+}
+
+const std::set<std::string> &TaskTable::unassigned() const
+{
+    return m_unassigned;
+}
+
 const TaskEntry *TaskTable::find(const std::string &task) const
 {
     const auto found = m_tasks.find(task);
@@ -289,7 +306,9 @@
         entry.reason = memberOr(item, "reason", std::string());
         entry.movedTo = memberOr(item, "moved_to", std::string());
         entry.finishedAt = memberOr(item, "finished_at", std::int64_t {0});
-        table.m_tasks.emplace(entry.specification.task, std::move(entry));
+        const TaskPhase phase = entry.phase;
+        const std::string name = entry.specification.task;
+        table.setPhase(table.m_tasks.emplace(name, std::move(entry)).first->second, phase);
     }
     for (const Json &item : memberOr(document, "claims", Json::array())) {
         const Result<ShardRecord> claimed = parseShardRecord(item);
--- a/source/jobs/TaskTable.h
+++ b/source/jobs/TaskTable.h
@@ -48,6 +48,9 @@
 
     [[nodiscard]] const TaskEntry *find(const std::string &task) const;
     [[nodiscard]] const std::map<std::string, TaskEntry> &tasks() const;
+
+    // Returns the names of the tasks that wait for an assignment or are moving.
+    [[nodiscard]] const std::set<std::string> &unassigned() const;
     [[nodiscard]] const ClaimEntry *findClaim(const std::string &key) const;
     [[nodiscard]] std::size_t claimCount() const;
 
@@ -78,7 +81,10 @@
     bool settle(const KeySettled &record);
 
     FencingToken m_token = 0;
+    void setPhase(TaskEntry &entry, TaskPhase phase);
+
     std::map<std::string, TaskEntry> m_tasks;
+    std::set<std::string> m_unassigned;
     std::map<std::string, ClaimEntry> m_claims;
 };
 
--- a/source/ownership/PartitionManager.cpp
+++ b/source/ownership/PartitionManager.cpp
@@ -339,9 +339,7 @@
             offer.freeMemoryMegabytes = std::max(offer.freeMemoryMegabytes, room.memoryMegabytes);
             offer.freeAccelerators = std::max(offer.freeAccelerators, room.accelerators);
         }
-        for (const auto &[task, entry] : keeper->table().tasks()) {
-            offer.waitingTasks += entry.phase == TaskPhase::Waiting ? 1 : 0;
-        }
+        offer.waitingTasks = static_cast<std::int64_t>(keeper->table().unassigned().size());
         result.push_back(std::move(offer));
     }
     return result;
--- a/source/requests/RequestDispatcher.cpp
+++ b/source/requests/RequestDispatcher.cpp
@@ -132,6 +132,7 @@
         fleet->release(holderOf(*call));
     }
     learn(*call, result);
+    call->mayHaveRun = call->mayHaveRun || result.outcome != Outcome::NotRun;
     if (result.outcome != Outcome::Done) {
         m_context.timeline.record({.kind = "request.attempt-failed",
             .request = call->request.identity,
@@ -252,6 +253,9 @@
 
 void RequestDispatcher::finish(const Call &call, RequestResult result)
 {
+    if (result.outcome == Outcome::NotRun && call.mayHaveRun) {
+        result.outcome = Outcome::Unknown;
+    }
     const std::string outcome(nameOf(result.outcome));
     const std::string &profile = call.request.profile->name;
     const double seconds = std::chrono::duration<double>(m_context.clock.now() - call.since).count();
--- a/source/requests/RequestDispatcher.h
+++ b/source/requests/RequestDispatcher.h
@@ -80,6 +80,8 @@
         Instant sentAt;
         std::string worker;
         std::set<std::string> refusedBy;
+        // An earlier attempt was handed over, so the request can't be called not run any more.
+        bool mayHaveRun = false;
     };
 
     struct ProfileState
--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -48,6 +48,15 @@
     return result.outcome == Outcome::NotRun && result.error.kind == ErrorKind::NoRoom;
 }
 
+// A request of which an earlier attempt may have run is not called not run, whatever became of the last attempt.
+RequestResult withHistory(const RoutedRequest &request, RequestResult result)
+{
+    if (result.outcome == Outcome::NotRun && request.mayHaveRun) {
+        result.outcome = Outcome::Unknown;
+    }
+    return result;
+}
+
 ForwardedRequest toMessage(const RoutedRequest &request, std::int64_t remaining, std::uint64_t logicalTime)
 {
     return {request.identity, request.profile, request.key, remaining, request.hops + 1, logicalTime, request.body};
@@ -132,7 +141,7 @@
                 forwardOrQueue(std::move(request), std::move(profile), std::move(handler));
                 return;
             }
-            handler(std::move(result));
+            handler(withHistory(request, std::move(result)));
         });
 }
 
@@ -181,8 +190,9 @@
             m_context.peers.charge(partition, -1);
             const bool idempotent = profile->repeatability == Repeatability::Idempotent;
             const bool repeat = result.outcome == Outcome::NotRun || (result.outcome == Outcome::Unknown && idempotent);
+            request.mayHaveRun = request.mayHaveRun || result.outcome != Outcome::NotRun;
             if (!repeat || remaining(request) <= AgainDelay.count()) {
-                handler(std::move(result));
+                handler(withHistory(request, std::move(result)));
                 return;
             }
             // The other daemon did not run it, or it may run again: there is still time to look elsewhere.
@@ -201,7 +211,7 @@
                 dispatchAgain(std::move(request), std::move(profile), std::move(handler));
                 return;
             }
-            handler(std::move(result));
+            handler(withHistory(request, std::move(result)));
         });
 }
 
--- a/source/routing/RequestRouter.h
+++ b/source/routing/RequestRouter.h
@@ -22,6 +22,8 @@
     Instant deadline;
     int hops = 0;
     std::string body;
+    // An earlier attempt was handed over, so the request can't be called not run any more.
+    bool mayHaveRun = false;
 };
 
 // Decides where an urgent request runs: here, at another daemon of the data centre, further away, or, when it may run
--- a/source/routing/TaskRouter.cpp
+++ b/source/routing/TaskRouter.cpp
@@ -384,10 +384,8 @@
     const std::int64_t now = m_context.clock.wallMilliseconds();
     std::size_t moves = 0;
     std::vector<TaskEntry> entries;
-    for (const auto &[name, entry] : keeper.table().tasks()) {
-        if (entry.phase == TaskPhase::Waiting || entry.phase == TaskPhase::Moving) {
-            entries.push_back(entry);
-        }
+    for (const std::string &name : keeper.table().unassigned()) {
+        entries.push_back(*keeper.table().find(name));
     }
     for (const TaskEntry &entry : entries) {
         if (entry.phase == TaskPhase::Moving) {
--- a/source/workers/WorkerCodec.cpp
+++ b/source/workers/WorkerCodec.cpp
@@ -49,7 +49,7 @@
 Json describe(const Heartbeat &heartbeat)
 {
     Json document {{"owner", heartbeat.owner}, {"token", heartbeat.token}, {"lease_ms", heartbeat.leaseMilliseconds},
-        {"echo", heartbeat.echo}};
+        {"echo", heartbeat.echo}, {"known_tasks", heartbeat.knownTasks}};
     if (!heartbeat.settled.empty()) {
         Json settled = Json::array();
         for (const TaskAttempt &attempt : heartbeat.settled) {
@@ -63,7 +63,8 @@
 Heartbeat parseHeartbeat(const Json &document)
 {
     Heartbeat heartbeat {memberOr(document, "owner", std::string()), memberOr(document, "token", FencingToken {0}),
-        memberOr(document, "lease_ms", std::int64_t {0}), memberOr(document, "echo", std::uint64_t {0}), {}};
+        memberOr(document, "lease_ms", std::int64_t {0}), memberOr(document, "echo", std::uint64_t {0}),
+        memberOr(document, "known_tasks", std::string()), {}};
     for (const Json &attempt : memberOr(document, "settled", Json::array())) {
         heartbeat.settled.push_back(parseTaskAttempt(attempt));
     }
@@ -107,7 +108,8 @@
     }
     return {{"sequence", report.sequence}, {"incarnation", report.incarnation}, {"capacity", describe(report.capacity)},
         {"slots", report.slots}, {"connections", report.connections}, {"busy_slots", report.busySlots},
-        {"state", report.leaving ? "leaving" : "live"}, {"tasks", std::move(tasks)}};
+        {"state", report.leaving ? "leaving" : "live"}, {"tasks_version", report.tasksVersion},
+        {"unchanged", report.unchanged}, {"tasks", std::move(tasks)}};
 }
 
 WorkerReport parseWorkerReport(const Json &document)
@@ -120,6 +122,8 @@
     report.connections = memberOr(document, "connections", std::int64_t {0});
     report.busySlots = memberOr(document, "busy_slots", std::int64_t {0});
     report.leaving = memberOr(document, "state", std::string("live")) != "live";
+    report.tasksVersion = memberOr(document, "tasks_version", std::string());
+    report.unchanged = memberOr(document, "unchanged", false);
     for (const Json &item : memberOr(document, "tasks", Json::array())) {
         report.tasks.push_back({parseTaskAttempt(item), workerTaskStateFromName(memberOr(item, "state", std::string())),
             memberOr(item, "profile", std::string()), parseResources(memberOr(item, "declared", Json::object())),
--- a/source/workers/WorkerMessages.h
+++ b/source/workers/WorkerMessages.h
@@ -83,6 +83,8 @@
     FencingToken token = 0;
     std::int64_t leaseMilliseconds = 0;
     std::uint64_t echo = 0;
+    // The version of the task list that the owner has dealt with; the worker leaves an unchanged list out.
+    std::string knownTasks;
     std::vector<TaskAttempt> settled;
 };
 
@@ -97,6 +99,9 @@
     std::int64_t connections = 0;
     std::int64_t busySlots = 0;
     bool leaving = false;
+    std::string tasksVersion;
+    // The task list is the one that the heartbeat named, and is left out.
+    bool unchanged = false;
     std::vector<TaskReport> tasks;
 };
 
--- a/source/workers/WorkerMonitor.cpp
+++ b/source/workers/WorkerMonitor.cpp
@@ -64,6 +64,7 @@
     heartbeat.leaseMilliseconds = m_limits.taskLease.count();
     // A worker that was given up starts afresh: its tasks run elsewhere, so its lease there must not be renewed.
     heartbeat.echo = contact.lost ? 0 : contact.sequence;
+    heartbeat.knownTasks = contact.lost ? std::string() : contact.knownTasks;
     heartbeat.settled = contact.settled;
     const std::size_t settledCount = contact.settled.size();
     m_control.heartbeat(contact.address, std::move(heartbeat),
@@ -100,10 +101,15 @@
     contact.lost = false;
     contact.leasesEnd = now + m_limits.taskLease + m_limits.margin;
     if (first) {
+        contact.knownTasks.clear();
         // The lease begins only with the heartbeat that echoes this report.
         contact.nextHeartbeat = now;
     }
-    m_listener.onWorkerReport(worker, report, first);
+    const ReportUse use = m_listener.onWorkerReport(worker, report, first);
+    const auto present = m_contacts.find(worker);
+    if (present != m_contacts.end()) {
+        present->second.knownTasks = use == ReportUse::Whole ? report.tasksVersion : std::string();
+    }
 }
 
 void WorkerMonitor::settle(const std::string &worker, TaskAttempt attempt)
--- a/source/workers/WorkerMonitor.h
+++ b/source/workers/WorkerMonitor.h
@@ -21,6 +21,12 @@
     Milliseconds margin {250};
 };
 
+// Whether a listener has dealt with everything in a report, so that it need not be sent again.
+enum class ReportUse {
+    Whole,
+    Partial,
+};
+
 // Fences the workers of one partition, renews the leases of their tasks, and tells when a worker's leases
 // have surely run out. Used on the control thread.
 class WorkerMonitor
@@ -36,7 +42,7 @@
         virtual ~Listener() = default;
 
         // The worker answered. On the first answer under this token no earlier owner can give it work any more.
-        virtual void onWorkerReport(const std::string &worker, const WorkerReport &report, bool first) = 0;
+        virtual ReportUse onWorkerReport(const std::string &worker, const WorkerReport &report, bool first) = 0;
 
         // The worker did not answer a heartbeat.
         virtual void onWorkerSilent(const std::string &worker) = 0;
@@ -78,6 +84,7 @@
         Instant leasesEnd;
         std::uint64_t sequence = 0;
         std::uint64_t reports = 0;
+        std::string knownTasks;
         bool waiting = false;
         bool lost = false;
         std::vector<TaskAttempt> settled;
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -126,9 +126,10 @@
         const auto found = m_tasks.find(attempt);
         if (found != m_tasks.end() && found->second.state != WorkerTaskState::Running) {
             m_tasks.erase(found);
+            ++m_tasksVersion;
         }
     }
-    respond(answer(200, describe(report())));
+    respond(answer(200, describe(report(heartbeat.knownTasks))));
 }
 
 void StandinWorker::handleStart(const Json &document, const Respond &respond)
@@ -193,6 +194,7 @@
     const TaskAttempt attempt = start.attempt;
     task.start = std::move(start);
     m_tasks.emplace(attempt, std::move(task));
+    ++m_tasksVersion;
 }
 
 void StandinWorker::handleStop(const Json &document, const Respond &respond)
@@ -235,6 +237,7 @@
 
 void StandinWorker::end(Task &task, WorkerTaskState state)
 {
+    ++m_tasksVersion;
     updateProgress(task);
     task.state = state;
     task.endedAt = std::min(m_clock.now(), m_leaseExpiry);
@@ -356,10 +359,15 @@
     return sum;
 }
 
-WorkerReport StandinWorker::report() const
+WorkerReport StandinWorker::report(const std::string &knownTasks) const
 {
     WorkerReport report {m_sequence, m_incarnation, m_description.capacity, m_description.slots,
-        m_description.connections, m_busySlots, m_faults.leaving, {}};
+        m_description.connections, m_busySlots, m_faults.leaving, m_incarnation + "/" + std::to_string(m_tasksVersion),
+        false, {}};
+    if (report.tasksVersion == knownTasks) {
+        report.unchanged = true;
+        return report;
+    }
     for (const auto &[attempt, task] : m_tasks) {
         const std::string result = task.state == WorkerTaskState::Done ? "ok" : "";
         report.tasks.push_back({attempt, task.state, task.start.profile, task.start.resources, task.start.resources,
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -78,7 +78,7 @@
     void end(Task &task, WorkerTaskState state);
     void updateProgress(Task &task) const;
     [[nodiscard]] Resources used() const;
-    [[nodiscard]] WorkerReport report() const;
+    [[nodiscard]] WorkerReport report(const std::string &knownTasks) const;
     void breach(const std::string &what);
 
     const Clock &m_clock;
@@ -90,6 +90,7 @@
     Instant m_leaseExpiry;
     std::string m_incarnation;
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_tasksVersion = 1;
     Instant m_reportedAt;
     std::map<std::string, std::uint64_t> m_stopped;
     std::map<TaskAttempt, Task> m_tasks;
