Interference: Learn pairs online, throttle and move by least cost

Change: a normalised least-mean-squares model per pair of profiles, fed from the answers of urgent requests and what ran beside them; a relief policy (throttle, then move, restore after a calm) that waits for the effect of each step; both wired into placement and the daemon, and told by task explain and the time line.

Daemon: One instance of each data centre asks the platform for the instance list, the others ask it.

--- a/source/daemon/Daemon.cpp
+++ b/source/daemon/Daemon.cpp
@@ -6,6 +6,8 @@
 #include "configuration/ClusterKeys.h"
 #include "daemon/AsioScheduler.h"
 #include "daemon/GossipService.h"
+#include "daemon/InstanceListFeed.h"
+#include "daemon/InterferenceGuard.h"
 #include "daemon/PeerService.h"
 #include "daemon/StoreClient.h"
 #include "entry/EntryApi.h"
@@ -34,8 +36,8 @@
 constexpr long ControlConnectionsPerHost = 16;
 constexpr long TrafficConnectionsPerHost = 32;
 constexpr Milliseconds TickPeriod {50};
-constexpr Milliseconds ListPeriod {2'000};
 constexpr Milliseconds MovePeriod {1'000};
+constexpr Milliseconds RelievePeriod {500};
 constexpr Milliseconds WorkerTimeout {1'000};
 constexpr Milliseconds RemoveDelay {300};
 
@@ -103,10 +105,17 @@
         , m_lease(m_store, m_scheduler, m_clock, leaseLimits(settings), ClusterKeys::Instances + m_instance)
         , m_workerControl(m_controlClient, WorkerTimeout)
         , m_sender(m_upstream.context(), m_trafficClient)
-        , m_placement([](const std::string &, const FleetWorker &) { return 0.0; })
+        , m_interference(m_clock, m_profiles, m_timeline)
+        , m_placement([this](const std::string &profile, const FleetWorker &worker) {
+            return m_interference.predict(profile, worker);
+        })
         , m_partitions({m_settings, m_clock, m_scheduler, m_store, m_workerControl, m_placement, m_timeline, m_lease,
               m_entries, m_peers, m_instance})
-        , m_dispatcher({m_clock, m_scheduler, m_sender, m_placement, m_partitions, m_timeline, m_metrics})
+        , m_dispatcher({m_clock, m_scheduler, m_sender, m_placement, m_partitions, m_timeline, m_metrics,
+              [this](
+                  const std::string &worker, const std::string &profile, const RunningCounts &beside, double seconds) {
+                  m_interference.observe(worker, profile, beside, seconds);
+              }})
         , m_requests({m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_profiles, m_dispatcher, m_timeline,
               m_metrics, m_settings})
         , m_tasks({m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_profiles, m_timeline, m_settings})
@@ -118,7 +127,10 @@
               }})
         , m_gossip({m_clock, m_scheduler, m_peerCaller, m_peers, m_partitions, m_entries, m_feed, m_storeClient,
               m_timeline, m_settings, m_instance, m_peerAddress})
-        , m_peerService({m_clock, m_requests, m_tasks, m_entry, m_gossip, m_storeClient, m_timeline, m_metrics})
+        , m_instances(
+              {m_clock, m_scheduler, m_storeClient, m_peerCaller, m_peers, m_partitions, m_settings, m_instance})
+        , m_peerService(
+              {m_clock, m_requests, m_tasks, m_entry, m_gossip, m_instances, m_storeClient, m_timeline, m_metrics})
         , m_signals(m_control, SIGTERM, SIGINT)
     {
         m_timeline.onEvent([](const TimelineEvent &event) { log(LogLevel::Info, event.kind, describe(event)); });
@@ -165,8 +177,9 @@
             }
         });
         tick();
-        pollInstances();
+        m_instances.start();
         moveTasks();
+        relieve();
         m_control.run();
         m_traffic.stop();
         m_upstream.stop();
@@ -251,39 +264,16 @@
         m_scheduler.after(TickPeriod, [this] { tick(); });
     }
 
-    void moveTasks()
+    void relieve()
     {
-        m_tasks.tick();
-        m_scheduler.after(MovePeriod, [this] { moveTasks(); });
+        m_interference.tick(m_partitions);
+        m_scheduler.after(RelievePeriod, [this] { relieve(); });
     }
 
-    void pollInstances()
-    {
-        HttpCall call;
-        call.method = "GET";
-        call.url = m_settings.storeAddress + "/v1/instances?data_centre=" + percentEncode(m_settings.dataCentre);
-        call.timeoutMilliseconds = static_cast<long>(m_settings.storeTimeout);
-        m_storeClient.send(std::move(call), [this](const HttpAnswer &answer) {
-            constexpr int StatusOk = 200;
-            if (answer.delivery == Delivery::Answered && answer.status == StatusOk) {
-                applyInstances(answer.body);
-            }
-            m_scheduler.after(ListPeriod, [this] { pollInstances(); });
-        });
-    }
-
-    void applyInstances(const std::string &text)
+    void moveTasks()
     {
-        const Result<Json> parsed = parseJson(text, "the instance list");
-        if (const Error *error = errorOf(parsed)) {
-            log(LogLevel::Warning, "instances.unreadable", {{"detail", error->detail}});
-            return;
-        }
-        std::vector<WorkerDescription> workers;
-        for (const Json &item : memberOr(std::get<Json>(parsed), "instances", Json::array())) {
-            workers.push_back(parseWorkerDescription(item));
-        }
-        m_partitions.setWorkers(std::move(workers));
+        m_tasks.tick();
+        m_scheduler.after(MovePeriod, [this] { moveTasks(); });
     }
 
     void beginShutdown()
@@ -335,6 +325,7 @@
     InstanceLease m_lease;
     HttpWorkerControl m_workerControl;
     HttpRequestSender m_sender;
+    InterferenceGuard m_interference;
     ScoringPlacement m_placement;
     PartitionManager m_partitions;
     RequestDispatcher m_dispatcher;
@@ -343,6 +334,7 @@
     ConfigurationService m_configuration;
     EntryApi m_entry;
     GossipService m_gossip;
+    InstanceListFeed m_instances;
     PeerService m_peerService;
     asio::signal_set m_signals;
     std::unique_ptr<PeerServer> m_peerServer;
--- a/source/daemon/PeerService.cpp
+++ b/source/daemon/PeerService.cpp
@@ -88,6 +88,8 @@
         m_context.tasks.execute(document, answer);
     } else if (message.kind == "status") {
         answer(m_context.entry.ownStatus());
+    } else if (message.kind == "instances") {
+        answer(m_context.instances.share());
     } else if (message.kind == "timeline") {
         answer(m_context.entry.ownEvents(document));
     } else {
--- a/source/daemon/PeerService.h
+++ b/source/daemon/PeerService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/GossipService.h"
+#include "daemon/InstanceListFeed.h"
 #include "entry/EntryApi.h"
 #include "peers/PeerEndpoint.h"
 #include "routing/RequestRouter.h"
@@ -20,6 +21,7 @@
         TaskRouter &tasks;
         EntryApi &entry;
         GossipService &gossip;
+        InstanceListFeed &instances;
         StoreClient &store;
         Timeline &timeline;
         Metrics &metrics;
--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -320,6 +320,35 @@
     }
 }
 
+void PartitionKeeper::throttle(const std::string &task, int percent)
+{
+    const TaskEntry *entry = m_table.find(task);
+    const auto found = m_attempts.find(task);
+    const bool running = entry != nullptr && found != m_attempts.end() && m_workers.contains(entry->worker)
+        && found->second.state == AttemptState::Running;
+    if (!running || found->second.percent == percent) {
+        return;
+    }
+    found->second.percent = percent;
+    trace("task.throttled", *entry, "to " + std::to_string(percent) + " %");
+    m_context.control.throttle(
+        m_workers.at(entry->worker).address, m_tenure.token, {task, entry->attempt}, percent, [](const Status &) {});
+}
+
+std::map<std::string, std::string> PartitionKeeper::repeatableOn(const std::string &worker) const
+{
+    std::map<std::string, std::string> tasks;
+    for (const auto &[task, attempt] : m_attempts) {
+        const TaskEntry *entry = m_table.find(task);
+        const bool here = entry != nullptr && entry->worker == worker && attempt.state == AttemptState::Running;
+        if (here && !attempt.stopWanted && entry->specification.repeatability == Repeatability::Idempotent
+            && entry->specification.profileClass == ProfileClass::Batch) {
+            tasks[task] = entry->specification.profile;
+        }
+    }
+    return tasks;
+}
+
 void PartitionKeeper::confirmLost(const std::string &worker)
 {
     m_context.timeline.record({.kind = "worker.confirmed-lost", .worker = worker});
@@ -872,6 +901,10 @@
     }
     if (entry->phase == TaskPhase::Assigned) {
         const auto attempt = m_attempts.find(task);
+        if (attempt != m_attempts.end() && attempt->second.percent < 100) {
+            return "runs on " + entry->worker + ", throttled to " + std::to_string(attempt->second.percent)
+                + " % because it slowed urgent work down there";
+        }
         const bool unverified = attempt != m_attempts.end() && attempt->second.state == AttemptState::Unverified;
         return unverified
             ? "assigned to " + entry->worker + ", which its new owner has not reached yet"
--- a/source/jobs/PartitionKeeper.h
+++ b/source/jobs/PartitionKeeper.h
@@ -109,6 +109,12 @@
     // Stops a running task with a checkpoint so that it can resume elsewhere.
     void evict(const std::string &task, const std::string &why);
 
+    // Limits a running task to a percentage of its speed; one hundred lifts the limit.
+    void throttle(const std::string &task, int percent);
+
+    // Returns the tasks that run on a worker and may run more than once, with the profile of each.
+    [[nodiscard]] std::map<std::string, std::string> repeatableOn(const std::string &worker) const;
+
     // Says that an operator knows a worker to be gone for good.
     void confirmLost(const std::string &worker);
 
@@ -146,6 +152,7 @@
     {
         AttemptState state = AttemptState::Unverified;
         bool stopWanted = false;
+        int percent = 100;
         std::string stopReason;
         Instant nextTry;
     };
--- a/source/peers/tests/PeerMessagesTest.cpp
+++ b/source/peers/tests/PeerMessagesTest.cpp
@@ -14,7 +14,7 @@
 {
 
 // Tests run side by side, each in a process of its own.
-const auto TestPort = static_cast<std::uint16_t>(30'000 + ::getpid() % 20'000);
+const auto TestPort = static_cast<std::uint16_t>(24'000 + ::getpid() % 5'000);
 
 // Runs a server that echoes and a caller on one context.
 class EchoPair
--- a/source/requests/RequestDispatcher.cpp
+++ b/source/requests/RequestDispatcher.cpp
@@ -107,6 +107,8 @@
 void RequestDispatcher::send(const std::shared_ptr<Call> &call, const FleetWorker &worker)
 {
     call->worker = worker.description.name;
+    call->beside = worker.runningByProfile;
+    --call->beside[call->request.profile->name];
     call->sentAt = m_context.clock.now();
     ++m_running;
     RequestAttempt attempt;
@@ -174,6 +176,7 @@
         const double seconds = std::chrono::duration<double>(now - call.sentAt).count();
         double &expected = m_profiles[call.request.profile->name].expectedSeconds;
         expected += LearningRate * (seconds - expected);
+        m_context.observe(call.worker, call.request.profile->name, call.beside, seconds);
         m_context.metrics.observe("wagtail_worker_seconds", "profile=\"" + call.request.profile->name + "\"", seconds);
         return;
     }
--- a/source/requests/RequestDispatcher.h
+++ b/source/requests/RequestDispatcher.h
@@ -47,6 +47,10 @@
 public:
     using Handler = std::function<void(RequestResult)>;
 
+    // Told of each good answer: the worker, the profile, what ran beside it when it was sent, and how long it took.
+    using LatencyObserver = std::function<void(const std::string &worker, const std::string &profile,
+        const std::map<std::string, std::int64_t> &beside, double seconds)>;
+
     struct Context
     {
         const Clock &clock;
@@ -56,6 +60,7 @@
         FleetDirectory &fleets;
         Timeline &timeline;
         Metrics &metrics;
+        LatencyObserver observe;
     };
 
     explicit RequestDispatcher(Context context);
@@ -79,6 +84,7 @@
         Instant since;
         Instant sentAt;
         std::string worker;
+        std::map<std::string, std::int64_t> beside;
         std::set<std::string> refusedBy;
         // An earlier attempt was handed over, so the request can't be called not run any more.
         bool mayHaveRun = false;
--- a/source/requests/tests/RequestDispatcherTest.cpp
+++ b/source/requests/tests/RequestDispatcherTest.cpp
@@ -63,7 +63,9 @@
     Timeline timeline(clock, "test", 100);
     Metrics metrics;
     ScoringPlacement placement([](const std::string &, const FleetWorker &) { return 0.0; });
-    RequestDispatcher dispatcher({clock, scheduler, sender, placement, directory, timeline, metrics});
+    RequestDispatcher dispatcher({clock, scheduler, sender, placement, directory, timeline, metrics,
+        [](const std::string &, const std::string &, const std::map<std::string, std::int64_t> &, double) {
+        }});
     constexpr int Slots = 2;
     for (const char *name : {"a", "b"}) {
         directory.fleet.upsert({name, name, "dc", "rack", {1000, 1000, 0}, Slots, 64, false}, 1);
