Jobs: Keep teams within their quotas and refuse what can never fit

Change: a quota per team in the configuration (API, wagtailctl team), counted over all partitions by gossip; a submission that no known worker could hold is refused with 422 and its remedy; explain names a full quota.

--- a/source/cli/CommandLine.cpp
+++ b/source/cli/CommandLine.cpp
@@ -33,6 +33,8 @@
   wagtailctl [OPTIONS] profile apply --file FILE  create or change profiles (--dry-run, --expect REVISION)
   wagtailctl [OPTIONS] profile list
   wagtailctl [OPTIONS] profile show|retire NAME
+  wagtailctl [OPTIONS] team list
+  wagtailctl [OPTIONS] team set|remove NAME       a team's quota (--data '{"millicores":64000,"memory_mb":1000}')
   wagtailctl [OPTIONS] worker list
   wagtailctl [OPTIONS] worker drain|return|explain WORKER
   wagtailctl [OPTIONS] status                     owners, store, revision in force on each instance
--- a/source/cli/Commands.cpp
+++ b/source/cli/Commands.cpp
@@ -55,6 +55,8 @@
         code = runWatcher();
     } else if (command == "profile") {
         code = runProfile();
+    } else if (command == "team") {
+        code = runTeam();
     } else if (command == "worker") {
         code = runWorker();
     } else if (command == "status") {
@@ -328,6 +330,26 @@
     return ExitCode::Done;
 }
 
+ExitCode Commands::runTeam()
+{
+    const std::string verb = word(1);
+    if (verb == "list") {
+        return showRows(
+            call("GET", "/v1/teams"), "teams", {"name", "revision", "millicores", "memory_mb", "accelerators"});
+    }
+    if (word(2).empty()) {
+        return usage("name a team");
+    }
+    const std::string target = "/v1/teams/" + percentEncode(word(2));
+    if (verb == "set") {
+        return show(call("PUT", target, m_line.data));
+    }
+    if (verb == "remove") {
+        return show(call("DELETE", target));
+    }
+    return usage("'team " + verb + "' is no command");
+}
+
 ExitCode Commands::runWorker()
 {
     const std::string verb = word(1);
--- a/source/cli/Commands.h
+++ b/source/cli/Commands.h
@@ -48,6 +48,7 @@
     ExitCode runProfile();
     ExitCode applyProfiles();
     ExitCode applyProfile(const std::string &name, const Json &document);
+    ExitCode runTeam();
     ExitCode runWorker();
     ExitCode runStatus();
     ExitCode runTimeline();
--- a/source/entry/EntryApi.cpp
+++ b/source/entry/EntryApi.cpp
@@ -3,6 +3,7 @@
 #include "base/Identifier.h"
 #include "base/MemberReader.h"
 #include "configuration/ClusterKeys.h"
+#include "configuration/ConfigurationValue.h"
 #include "entry/Problem.h"
 #include "workers/WorkerCodec.h"
 
@@ -48,6 +49,24 @@
     return value;
 }
 
+// Reads a team's quota; what it leaves out is not limited.
+Result<Resources> parseQuota(const std::string &body)
+{
+    constexpr std::int64_t Unlimited = 1'000'000'000'000;
+    const Result<Json> document = parseJson(body, "the quota");
+    if (const Error *error = errorOf(document)) {
+        return *error;
+    }
+    MemberReader reader(std::get<Json>(document), "quota");
+    const Resources quota {reader.integer("millicores", 0, Unlimited, Unlimited),
+        reader.integer("memory_mb", 0, Unlimited, Unlimited), reader.integer("accelerators", 0, Unlimited, Unlimited)};
+    const Status complete = reader.finish();
+    if (const Error *error = errorOf(complete)) {
+        return *error;
+    }
+    return quota;
+}
+
 void respondWith(const HttpServer::Responder &respond, const Result<Json> &result, int status)
 {
     const Error *error = errorOf(result);
@@ -87,6 +106,8 @@
         handleTasks(request, respond, "watcher");
     } else if (request.path == "/v1/profiles" || request.path.starts_with("/v1/profiles/")) {
         handleProfiles(request, respond);
+    } else if (request.path == "/v1/teams" || request.path.starts_with("/v1/teams/")) {
+        handleTeams(request, respond);
     } else if (request.path == "/v1/workers" || request.path.starts_with("/v1/workers/")) {
         handleWorkers(request, respond);
     } else if (request.path == "/v1/timeline") {
@@ -333,6 +354,47 @@
         std::get<ChangeCondition>(condition), changeAnswer(respond, 200));
 }
 
+void EntryApi::handleTeams(const HttpRequest &request, const Respond &respond)
+{
+    const std::vector<std::string> parts = segments(request.path);
+    if (parts.size() == 2 && request.method == "GET") {
+        Json teams = Json::array();
+        for (const StoreEntry *entry : m_context.entries.withPrefix(ClusterKeys::Teams)) {
+            const Result<Json> value = readConfigurationValue(entry->value, "a team");
+            Json item = errorOf(value) == nullptr ? std::get<Json>(value) : Json::object();
+            item["name"] = entry->key.substr(ClusterKeys::Teams.size());
+            item["revision"] = entry->revision;
+            teams.push_back(std::move(item));
+        }
+        respond(json(200, {{"teams", teams}}));
+        return;
+    }
+    const bool changes = parts.size() == 3 && (request.method == "PUT" || request.method == "DELETE");
+    if (!changes) {
+        respond(parts.size() > 3 ? notFound(request.path) : methodNotAllowed(request));
+        return;
+    }
+    const Result<ChangeCondition> condition = conditionOf(request);
+    const Status name = checkName(parts[2], "team");
+    const Error *fault = errorOf(name) != nullptr ? errorOf(name) : errorOf(condition);
+    if (fault != nullptr) {
+        respond(problem(*fault));
+        return;
+    }
+    const std::string key = ClusterKeys::Teams + parts[2];
+    if (request.method == "DELETE") {
+        m_context.configuration.erase(key, std::get<ChangeCondition>(condition), changeAnswer(respond, 200));
+        return;
+    }
+    const Result<Resources> quota = parseQuota(request.body);
+    if (const Error *error = errorOf(quota)) {
+        respond(problem(*error));
+        return;
+    }
+    m_context.configuration.write(
+        key, describe(std::get<Resources>(quota)), std::get<ChangeCondition>(condition), changeAnswer(respond, 200));
+}
+
 void EntryApi::handleWorkers(const HttpRequest &request, const Respond &respond)
 {
     const std::vector<std::string> parts = segments(request.path);
--- a/source/entry/EntryApi.h
+++ b/source/entry/EntryApi.h
@@ -58,6 +58,7 @@
     void putProfile(const HttpRequest &request, const std::string &name, const Respond &respond);
     void listProfiles(const Respond &respond);
     void showProfile(const std::string &name, const Respond &respond);
+    void handleTeams(const HttpRequest &request, const Respond &respond);
     void handleWorkers(const HttpRequest &request, const Respond &respond);
     void setWorkerState(const std::string &worker, const std::string &verb, const Respond &respond);
     void listWorkers(const Respond &respond);
--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -17,6 +17,7 @@
 constexpr int FailuresForQuarantine = 3;
 constexpr std::size_t MaximumClaims = 50'000;
 constexpr std::size_t AssignmentsPerTick = 64;
+constexpr Milliseconds CountTeamsPeriod {500};
 constexpr Milliseconds StallRefusal {1'000};
 
 Demand demandOf(const TaskSpecification &specification)
@@ -143,6 +144,10 @@
         return;
     }
     driveAttempts();
+    if (m_context.clock.now() >= m_countTeamsAt) {
+        m_countTeamsAt = m_context.clock.now() + CountTeamsPeriod;
+        countTeams();
+    }
     if (standing == Standing::Held) {
         assignWaiting();
         m_log.compact(m_table, m_context.clock.wallMilliseconds() - 2 * m_tenure.claimWindowMilliseconds);
@@ -806,12 +811,43 @@
         if (assigned >= AssignmentsPerTick) {
             return;
         }
-        if (mayStart(*entry) && assign(*entry)) {
+        if (mayStart(*entry) && isWithinQuota(*entry) && assign(*entry)) {
             ++assigned;
         }
     }
 }
 
+// What others hold is known with the delay of gossip, so that teams can exceed a quota for as long as that.
+bool PartitionKeeper::isWithinQuota(const TaskEntry &entry) const
+{
+    const std::string &team = entry.specification.team;
+    const std::optional<Resources> quota = team.empty() ? std::nullopt : m_context.quotas.quota(team);
+    if (!quota) {
+        return true;
+    }
+    const auto own = m_teamUse.find(team);
+    const Resources here = own == m_teamUse.end() ? Resources() : own->second;
+    const Resources elsewhere = m_context.quotas.usedElsewhere(team, m_tenure.partition.text());
+    return (here + elsewhere + entry.specification.resources).fitsInto(*quota);
+}
+
+void PartitionKeeper::countTeams()
+{
+    m_teamUse.clear();
+    for (const auto &[task, attempt] : m_attempts) {
+        const TaskEntry *entry = m_table.find(task);
+        if (entry != nullptr && !entry->specification.team.empty()) {
+            Resources &used = m_teamUse[entry->specification.team];
+            used = used + entry->specification.resources;
+        }
+    }
+}
+
+const std::map<std::string, Resources> &PartitionKeeper::teamUse() const
+{
+    return m_teamUse;
+}
+
 bool PartitionKeeper::assign(const TaskEntry &entry)
 {
     const std::string task = entry.specification.task;
@@ -826,6 +862,10 @@
     if (!worker || !m_fleet.reserve(*worker, holderOf(task), query.demand)) {
         return false;
     }
+    if (!entry.specification.team.empty()) {
+        Resources &used = m_teamUse[entry.specification.team];
+        used = used + entry.specification.resources;
+    }
     const TaskAttempt attempt {task, entry.attempt + 1};
     commit(task, {TaskAssigned {attempt, *worker, m_incarnations[*worker]}}, [this, task](const Status &status) {
         if (errorOf(status) != nullptr) {
@@ -916,6 +956,9 @@
     if (m_standing != Standing::Held) {
         return "waits: new assignments need the store, which does not answer";
     }
+    if (!isWithinQuota(*entry)) {
+        return "waits: team " + entry->specification.team + " holds its quota";
+    }
     const Demand demand = demandOf(entry->specification);
     bool everFits = false;
     for (const auto &[name, description] : m_workers) {
--- a/source/jobs/PartitionKeeper.h
+++ b/source/jobs/PartitionKeeper.h
@@ -5,6 +5,7 @@
 #include "base/Scheduler.h"
 #include "jobs/ShardLog.h"
 #include "jobs/TaskTable.h"
+#include "jobs/TeamQuotas.h"
 #include "placement/PlacementPolicy.h"
 #include "timeline/Timeline.h"
 #include "workers/WorkerMonitor.h"
@@ -27,6 +28,7 @@
     WorkerControl &control;
     PlacementPolicy &placement;
     Timeline &timeline;
+    const TeamQuotas &quotas;
 };
 
 // The identity and limits of one tenure of a partition.
@@ -131,6 +133,9 @@
     [[nodiscard]] std::vector<std::string> workers() const;
     [[nodiscard]] Milliseconds logStalledFor() const;
 
+    // Returns what the tasks of each team hold in this partition.
+    [[nodiscard]] const std::map<std::string, Resources> &teamUse() const;
+
     // Says in words why a task is where it is.
     [[nodiscard]] std::string explain(const std::string &task) const;
 
@@ -188,6 +193,8 @@
     bool assign(const TaskEntry &entry);
     [[nodiscard]] std::vector<const TaskEntry *> waitingTasks() const;
     [[nodiscard]] bool mayStart(const TaskEntry &entry) const;
+    [[nodiscard]] bool isWithinQuota(const TaskEntry &entry) const;
+    void countTeams();
     [[nodiscard]] Attempt *findAttempt(const std::string &task, std::uint64_t number);
     [[nodiscard]] static std::string holderOf(const std::string &task);
     void trace(const std::string &kind, const TaskEntry &entry, const std::string &detail);
@@ -210,6 +217,8 @@
     Fleet m_fleet;
     std::map<std::string, WorkerDescription> m_workers;
     std::map<std::string, std::string> m_incarnations;
+    std::map<std::string, Resources> m_teamUse;
+    Instant m_countTeamsAt;
     std::map<std::string, int> m_workerFailures;
     std::map<std::string, Instant> m_quarantinedUntil;
     Standing m_standing = Standing::Held;
--- a/source/jobs/tests/KeeperWorld.h
+++ b/source/jobs/tests/KeeperWorld.h
@@ -16,6 +16,24 @@
 namespace Wagtail
 {
 
+// The same quota for every team, or none.
+class FixedQuotas final : public TeamQuotas
+{
+public:
+    std::optional<Resources> quota(const std::string &) const override
+    {
+        return limit;
+    }
+
+    Resources usedElsewhere(const std::string &, const std::string &) const override
+    {
+        return elsewhere;
+    }
+
+    std::optional<Resources> limit;
+    Resources elsewhere;
+};
+
 // One instance with a tenure of the partition under test, its own way to the store and to the workers.
 struct KeeperInstance
 {
@@ -73,7 +91,8 @@
         tenure.token = ++m_token;
         tenure.unreachedHold = StopBy + Milliseconds(6'000);
         KeeperInstance *raw = instance.get();
-        const KeeperContext context {clock, m_scheduler, raw->store, raw->control, raw->placement, raw->timeline};
+        const KeeperContext context {
+            clock, m_scheduler, raw->store, raw->control, raw->placement, raw->timeline, quotas};
         instance->keeper = std::make_unique<PartitionKeeper>(
             context, tenure, [this, raw] { m_scheduler.post([raw] { raw->keeper.reset(); }); });
         instance->keeper->start();
@@ -94,6 +113,7 @@
         TaskSpecification specification;
         specification.task = task;
         specification.profile = "batch";
+        specification.team = "finance";
         specification.resources = {1500, 1000, 0};
         specification.payload = writeJson({{"run_ms", runMilliseconds}, {"fail", fails}});
         specification.maximumAttempts = 2;
@@ -171,6 +191,7 @@
     }
 
     ManualClock clock;
+    FixedQuotas quotas;
 
 private:
     void tickKeepers()
--- a/source/jobs/tests/PartitionKeeperModelTest.cpp
+++ b/source/jobs/tests/PartitionKeeperModelTest.cpp
@@ -74,6 +74,10 @@
             break;
         case 5:
             m_world.takeOver();
+            // The successor may not reach a worker that its predecessor still reaches.
+            if (step.argument % 2 == 0) {
+                m_world.present().network.cut.insert(address);
+            }
             break;
         case 6:
             present.paused = true;
@@ -209,4 +213,31 @@
     RC_ASSERT(unended.empty());
 }
 
+// A team's tasks never hold more than its quota less what it holds elsewhere, and all of them run in the end.
+RC_GTEST_PROP(PartitionKeeperModel, keepsTeamsWithinTheirQuota, ())
+{
+    constexpr std::int64_t TaskMilliCores = 1500;
+    KeeperWorld world;
+    const int allowed = *rc::gen::inRange(1, 4);
+    const int elsewhere = *rc::gen::inRange(0, 3);
+    world.quotas.limit = Resources {TaskMilliCores * (allowed + elsewhere), 1'000'000, 0};
+    world.quotas.elsewhere = {TaskMilliCores * elsewhere, 0, 0};
+    world.advance(Milliseconds(1'500));
+    const int count = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < count; ++i) {
+        world.submit("task-" + std::to_string(i), Repeatability::Idempotent, 400, false);
+    }
+    for (int round = 0; round < 200; ++round) {
+        world.advance(KeeperWorld::Step);
+        std::size_t running = 0;
+        for (const auto &worker : world.site.all()) {
+            running += worker->history()["running"].size();
+        }
+        RC_ASSERT(running <= static_cast<std::size_t>(allowed));
+    }
+    world.settle();
+    RC_ASSERT(world.acknowledged.size() == static_cast<std::size_t>(count));
+    RC_ASSERT(world.isAtRest());
+}
+
 }
--- a/source/ownership/PartitionManager.cpp
+++ b/source/ownership/PartitionManager.cpp
@@ -4,6 +4,7 @@
 #include "configuration/ClusterKeys.h"
 #include "configuration/ConfigurationValue.h"
 #include "ownership/PartitionAssignment.h"
+#include "workers/WorkerCodec.h"
 
 #include <algorithm>
 
@@ -202,7 +203,7 @@
     m_context.timeline.record({.kind = "partition.taken",
         .detail = name + " token " + std::to_string(token) + " hold " + std::to_string(tenure.unreachedHold.count())});
     const KeeperContext context {m_context.clock, m_context.scheduler, m_context.store, m_context.control,
-        m_context.placement, m_context.timeline};
+        m_context.placement, m_context.timeline, *this};
     auto keeper = std::make_unique<PartitionKeeper>(context, std::move(tenure), [this, name] {
         // The log calls this from within; the keeper may only go once it has returned.
         m_context.scheduler.post([this, name] { drop(name, "the log was taken over"); });
@@ -330,6 +331,10 @@
         offer.token = keeper->tenure().token;
         offer.ready = keeper->isReady() && mayAct;
         for (const auto &[workerName, worker] : keeper->fleet().workers()) {
+            const Resources &capacity = worker.description.capacity;
+            offer.largestMilliCores = std::max(offer.largestMilliCores, capacity.milliCores);
+            offer.largestMemoryMegabytes = std::max(offer.largestMemoryMegabytes, capacity.memoryMegabytes);
+            offer.largestAccelerators = std::max(offer.largestAccelerators, capacity.accelerators);
             if (worker.admission != WorkerAdmission::Open) {
                 continue;
             }
@@ -339,12 +344,46 @@
             offer.freeMemoryMegabytes = std::max(offer.freeMemoryMegabytes, room.memoryMegabytes);
             offer.freeAccelerators = std::max(offer.freeAccelerators, room.accelerators);
         }
+        for (const auto &[team, used] : keeper->teamUse()) {
+            offer.teams.push_back({team, used.milliCores, used.memoryMegabytes, used.accelerators});
+        }
         offer.waitingTasks = static_cast<std::int64_t>(keeper->table().unassigned().size());
         result.push_back(std::move(offer));
     }
     return result;
 }
 
+std::optional<Resources> PartitionManager::quota(const std::string &team) const
+{
+    const StoreEntry *entry = m_context.entries.find(ClusterKeys::Teams + team);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    const Result<Json> document = readConfigurationValue(entry->value, "the quota of team " + team);
+    return errorOf(document) != nullptr ? std::nullopt : std::optional(parseResources(std::get<Json>(document)));
+}
+
+Resources PartitionManager::usedElsewhere(const std::string &team, const std::string &partition) const
+{
+    Resources sum;
+    for (const auto &[name, keeper] : m_keepers) {
+        const auto used = keeper->teamUse().find(team);
+        if (name != partition && used != keeper->teamUse().end()) {
+            sum = sum + used->second;
+        }
+    }
+    for (const Gossip *gossip : m_context.peers.heard()) {
+        for (const PartitionOffer &offer : gossip->offers) {
+            for (const TeamUse &use : offer.teams) {
+                if (use.team == team && !m_keepers.contains(offer.partition)) {
+                    sum = sum + Resources {use.milliCores, use.memoryMegabytes, use.accelerators};
+                }
+            }
+        }
+    }
+    return sum;
+}
+
 const std::vector<WorkerDescription> &PartitionManager::workers() const
 {
     return m_workers;
--- a/source/ownership/PartitionManager.h
+++ b/source/ownership/PartitionManager.h
@@ -41,7 +41,7 @@
 };
 
 // Takes, keeps and hands over the partitions of the own data centre. Used on the control thread.
-class PartitionManager final : public FleetDirectory
+class PartitionManager final : public FleetDirectory, public TeamQuotas
 {
 public:
     explicit PartitionManager(ManagerContext context);
@@ -57,6 +57,9 @@
 
     [[nodiscard]] std::vector<Fleet *> fleets() override;
 
+    [[nodiscard]] std::optional<Resources> quota(const std::string &team) const override;
+    [[nodiscard]] Resources usedElsewhere(const std::string &team, const std::string &partition) const override;
+
     // Returns the keeper when this instance owns the partition and has read its state back.
     [[nodiscard]] PartitionKeeper *readyKeeper(const std::string &partition);
     [[nodiscard]] std::vector<PartitionKeeper *> keepers();
--- a/source/peers/PeerMessages.h
+++ b/source/peers/PeerMessages.h
@@ -9,6 +9,17 @@
 namespace Wagtail
 {
 
+// What a team's tasks hold in one partition.
+struct TeamUse
+{
+    std::string team;
+    std::int64_t milliCores = 0;
+    std::int64_t memoryMegabytes = 0;
+    std::int64_t accelerators = 0;
+
+    MSGPACK_DEFINE_ARRAY(team, milliCores, memoryMegabytes, accelerators)
+};
+
 // What one partition has to offer, for the choice of where to forward.
 struct PartitionOffer
 {
@@ -20,9 +31,14 @@
     std::int64_t freeMemoryMegabytes = 0;
     std::int64_t freeAccelerators = 0;
     std::int64_t waitingTasks = 0;
-
-    MSGPACK_DEFINE_ARRAY(
-        partition, token, ready, freeSlots, freeMilliCores, freeMemoryMegabytes, freeAccelerators, waitingTasks)
+    // The largest worker of the partition in each dimension, whatever runs on it.
+    std::int64_t largestMilliCores = 0;
+    std::int64_t largestMemoryMegabytes = 0;
+    std::int64_t largestAccelerators = 0;
+    std::vector<TeamUse> teams;
+
+    MSGPACK_DEFINE_ARRAY(partition, token, ready, freeSlots, freeMilliCores, freeMemoryMegabytes, freeAccelerators,
+        waitingTasks, largestMilliCores, largestMemoryMegabytes, largestAccelerators, teams)
 };
 
 // What instances tell each other several times a second.
--- a/source/routing/TaskRouter.cpp
+++ b/source/routing/TaskRouter.cpp
@@ -75,11 +75,14 @@
         std::int64_t room = 0;
     };
     std::vector<Candidate> candidates;
+    bool everFits = false;
     const auto consider = [&](const PartitionOffer &offer, int distance, const std::string &region) {
         const Resources room {offer.freeMilliCores, offer.freeMemoryMegabytes, offer.freeAccelerators};
         const bool allowed
             = profile.regions.empty() || std::ranges::find(profile.regions, region) != profile.regions.end();
         if (offer.ready && allowed) {
+            const Resources largest {offer.largestMilliCores, offer.largestMemoryMegabytes, offer.largestAccelerators};
+            everFits = everFits || profile.resources.fitsInto(largest);
             const bool fits = profile.resources.fitsInto(room);
             candidates.push_back(
                 {offer.partition, distance + (fits ? 0 : 10), offer.waitingTasks, offer.freeMilliCores});
@@ -95,6 +98,10 @@
             consider(offer, distance, gossip->region);
         }
     }
+    if (!candidates.empty() && !everFits) {
+        return Error {ErrorKind::Impossible, "no worker that is known is large enough for profile " + profile.name,
+            "lower the profile's resources, or add a larger worker"};
+    }
     if (candidates.empty()) {
         return Error {ErrorKind::Unavailable, "no partition is ready to take a task", "send the call again shortly"};
     }
@@ -122,12 +129,13 @@
     }
     std::string partition;
     std::string name;
+    const Result<std::string> chosen = choosePartition(*profile);
+    const Error *refusal = errorOf(chosen);
+    if (refusal != nullptr && (submission.key.empty() || refusal->kind == ErrorKind::Impossible)) {
+        handler(*refusal);
+        return;
+    }
     if (submission.key.empty()) {
-        const Result<std::string> chosen = choosePartition(*profile);
-        if (const Error *error = errorOf(chosen)) {
-            handler(*error);
-            return;
-        }
         partition = std::get<std::string>(chosen);
         name = partition + ":" + createIdentifier(m_context.clock.wallMilliseconds());
     } else {
