--- a/source/base/Error.cpp
+++ b/source/base/Error.cpp
@@ -1,7 +1,6 @@
 #include "base/Error.h"
 
-#include <array>
-#include <utility>
+#include "base/NameTable.h"
 
 namespace Wagtail
 {
@@ -9,7 +8,7 @@
 namespace
 {
 
-constexpr std::array<std::pair<ErrorKind, std::string_view>, 14> Names {{
+constexpr NameTable<ErrorKind, 14> Names {{{
     {ErrorKind::InvalidInput, "invalid-input"},
     {ErrorKind::NotFound, "not-found"},
     {ErrorKind::Conflict, "conflict"},
@@ -24,28 +23,18 @@
     {ErrorKind::TooLarge, "too-large"},
     {ErrorKind::Impossible, "impossible"},
     {ErrorKind::Internal, "internal"},
-}};
+}}};
 
 }
 
 std::string_view nameOf(ErrorKind kind)
 {
-    for (const auto &[candidate, name] : Names) {
-        if (candidate == kind) {
-            return name;
-        }
-    }
-    return "internal";
+    return Names.nameOf(kind);
 }
 
 ErrorKind errorKindFromName(std::string_view name)
 {
-    for (const auto &[kind, candidate] : Names) {
-        if (candidate == name) {
-            return kind;
-        }
-    }
-    return ErrorKind::Internal;
+    return Names.find(name).value_or(ErrorKind::Internal);
 }
 
 }
--- a/source/base/Outcome.cpp
+++ b/source/base/Outcome.cpp
@@ -1,29 +1,29 @@
 #include "base/Outcome.h"
 
+#include "base/NameTable.h"
+
 namespace Wagtail
 {
 
+namespace
+{
+
+constexpr NameTable<Outcome, 3> Names {{{
+    {Outcome::Done, "done"},
+    {Outcome::NotRun, "not-run"},
+    {Outcome::Unknown, "unknown"},
+}}};
+
+}
+
 std::string_view nameOf(Outcome outcome)
 {
-    switch (outcome) {
-    case Outcome::Done:
-        return "done";
-    case Outcome::NotRun:
-        return "not-run";
-    case Outcome::Unknown:
-        break;
-    }
-    return "unknown";
+    return Names.nameOf(outcome);
 }
 
 std::optional<Outcome> outcomeFromName(std::string_view name)
 {
-    for (const Outcome outcome : {Outcome::Done, Outcome::NotRun, Outcome::Unknown}) {
-        if (nameOf(outcome) == name) {
-            return outcome;
-        }
-    }
-    return std::nullopt;
+    return Names.find(name);
 }
 
 }
--- a/source/daemon/Daemon.cpp
+++ b/source/daemon/Daemon.cpp
@@ -118,10 +118,12 @@
               }})
         , m_requests({m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_profiles, m_dispatcher, m_timeline,
               m_metrics, m_settings})
-        , m_tasks({m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_profiles, m_timeline, m_settings})
+        , m_survey({m_scheduler, m_peers, m_peerCaller, m_entries, m_timeline, m_instance})
+        , m_tasks(
+              {m_clock, m_scheduler, m_partitions, m_peers, m_peerCaller, m_survey, m_profiles, m_timeline, m_settings})
         , m_configuration(m_store, m_scheduler, m_entries, m_timeline)
-        , m_entry({m_clock, m_scheduler, m_requests, m_tasks, m_configuration, m_partitions, m_peers, m_peerCaller,
-              m_profiles, m_entries, m_timeline, m_metrics, m_settings, m_instance,
+        , m_entry({m_clock, m_scheduler, m_requests, m_tasks, m_configuration, m_partitions, m_survey, m_profiles,
+              m_entries, m_timeline, m_metrics, m_settings, m_instance,
               [this] {
                   return unreadiness();
               }})
@@ -330,6 +332,7 @@
     PartitionManager m_partitions;
     RequestDispatcher m_dispatcher;
     RequestRouter m_requests;
+    PeerSurvey m_survey;
     TaskRouter m_tasks;
     ConfigurationService m_configuration;
     EntryApi m_entry;
--- a/source/entry/EntryApi.cpp
+++ b/source/entry/EntryApi.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr Milliseconds AskTimeout {1'500};
 constexpr Milliseconds PollPeriod {100};
 constexpr std::int64_t LongestWait = 60'000;
 constexpr std::int64_t LongestDeadline = 3'600'000;
@@ -423,7 +422,7 @@
 
 void EntryApi::listWorkers(const Respond &respond)
 {
-    askAll("status", Json::object(), [this, respond](std::vector<Json> answers, Json unasked) {
+    m_context.survey.ask("status", Json::object(), [this, respond](std::vector<Json> answers, Json unasked) {
         answers.push_back(ownStatus());
         Json workers = Json::array();
         for (const Json &answer : answers) {
@@ -437,7 +436,7 @@
 
 void EntryApi::explainWorker(const std::string &worker, const Respond &respond)
 {
-    askAll("status", Json::object(), [this, worker, respond](std::vector<Json> answers, const Json &) {
+    m_context.survey.ask("status", Json::object(), [this, worker, respond](std::vector<Json> answers, const Json &) {
         answers.push_back(ownStatus());
         for (const Json &answer : answers) {
             for (const Json &item : memberOr(answer, "workers", Json::array())) {
@@ -479,53 +478,6 @@
         {"open_requests", m_context.requests.openCount()}, {"partitions", partitions}, {"workers", workers}};
 }
 
-void EntryApi::askAll(
-    const std::string &kind, const Json &question, std::function<void(std::vector<Json>, Json)> handler)
-{
-    struct Gathering
-    {
-        std::vector<Json> answers;
-        Json unasked = Json::array();
-        std::size_t open = 1;
-        std::function<void(std::vector<Json>, Json)> handler;
-    };
-    const auto gathering = std::make_shared<Gathering>();
-    gathering->handler = std::move(handler);
-    const auto finishOne = [gathering] {
-        if (--gathering->open == 0) {
-            gathering->handler(std::move(gathering->answers), std::move(gathering->unasked));
-        }
-    };
-    std::map<std::string, std::string> targets;
-    for (const StoreEntry *entry : m_context.entries.withPrefix(ClusterKeys::Instances)) {
-        const InstanceRecord record = parseInstanceRecord(entry->value);
-        targets[record.instance] = record.peerAddress;
-    }
-    for (const Gossip *gossip : m_context.peers.heard()) {
-        targets[gossip->instance] = gossip->peerAddress;
-    }
-    targets.erase(m_context.instance);
-    const DocumentMessage message {writeJson(question), m_context.timeline.logicalTime()};
-    for (const auto &[instance, address] : targets) {
-        ++gathering->open;
-        const auto onAnswer = [this, gathering, finishOne, instance = instance](Result<std::string> answer) {
-            m_context.scheduler.post([gathering, finishOne, instance, answer = std::move(answer)] {
-                const auto *bytes = std::get_if<std::string>(&answer);
-                const auto reply = bytes == nullptr ? std::nullopt : decodeMessage<DocumentMessage>(*bytes);
-                Result<Json> document = reply ? parseJson(reply->document, "an answer") : Result<Json>(Error());
-                if (errorOf(document) != nullptr) {
-                    gathering->unasked.push_back(instance);
-                } else {
-                    gathering->answers.push_back(std::move(std::get<Json>(document)));
-                }
-                finishOne();
-            });
-        };
-        m_context.caller.call(address, {kind, encodeMessage(message)}, AskTimeout, onAnswer);
-    }
-    finishOne();
-}
-
 Json EntryApi::ownEvents(const Json &filter)
 {
     TimelineFilter wanted;
@@ -552,7 +504,7 @@
     }
     filter["since_ms"] = wholeNumber(request.parameter("since_ms").value_or("0")).value_or(0);
     filter["most"] = wholeNumber(request.parameter("most").value_or("500")).value_or(500);
-    askAll("timeline", filter, [this, filter, respond](std::vector<Json> answers, Json unasked) {
+    m_context.survey.ask("timeline", filter, [this, filter, respond](std::vector<Json> answers, Json unasked) {
         answers.push_back(ownEvents(filter));
         std::vector<TimelineEvent> events;
         for (const Json &answer : answers) {
@@ -571,7 +523,7 @@
 
 void EntryApi::handleStatus(const Respond &respond)
 {
-    askAll("status", Json::object(), [this, respond](std::vector<Json> answers, Json unasked) {
+    m_context.survey.ask("status", Json::object(), [this, respond](std::vector<Json> answers, Json unasked) {
         answers.push_back(ownStatus());
         Json instances = Json::array();
         for (Json &answer : answers) {
--- a/source/entry/EntryApi.h
+++ b/source/entry/EntryApi.h
@@ -3,6 +3,7 @@
 #include "entry/ConfigurationService.h"
 #include "http/HttpServer.h"
 #include "metrics/Metrics.h"
+#include "routing/PeerSurvey.h"
 #include "routing/RequestRouter.h"
 #include "routing/TaskRouter.h"
 
@@ -25,8 +26,7 @@
         TaskRouter &tasks;
         ConfigurationService &configuration;
         PartitionManager &partitions;
-        PeerDirectory &peers;
-        PeerCaller &caller;
+        PeerSurvey &survey;
         ProfileCatalog &profiles;
         VersionedEntries &entries;
         Timeline &timeline;
@@ -65,8 +65,6 @@
     void explainWorker(const std::string &worker, const Respond &respond);
     void handleTimeline(const HttpRequest &request, const Respond &respond);
     void handleStatus(const Respond &respond);
-    // Asks all peers with a message and passes on each answer and the names of those that did not answer.
-    void askAll(const std::string &kind, const Json &question, std::function<void(std::vector<Json>, Json)> handler);
     [[nodiscard]] static std::vector<std::string> segments(const std::string &path);
     [[nodiscard]] static Result<ChangeCondition> conditionOf(const HttpRequest &request);
     [[nodiscard]] std::function<void(Result<StoreRevision>)> changeAnswer(const Respond &respond, int status) const;
--- a/source/jobs/ShardRecords.cpp
+++ b/source/jobs/ShardRecords.cpp
@@ -1,17 +1,15 @@
 #include "jobs/ShardRecords.h"
 
+#include "base/NameTable.h"
 #include "workers/WorkerCodec.h"
 
-#include <array>
-#include <utility>
-
 namespace Wagtail
 {
 
 namespace
 {
 
-constexpr std::array<std::pair<TaskPhase, std::string_view>, 8> PhaseNames {{
+constexpr NameTable<TaskPhase, 8> PhaseNames {{{
     {TaskPhase::Waiting, "waiting"},
     {TaskPhase::Assigned, "assigned"},
     {TaskPhase::Moving, "moving"},
@@ -20,14 +18,14 @@
     {TaskPhase::Cancelled, "cancelled"},
     {TaskPhase::Unknown, "unknown"},
     {TaskPhase::Moved, "moved"},
-}};
+}}};
 
-constexpr std::array<std::pair<ReleaseReason, std::string_view>, 4> ReasonNames {{
+constexpr NameTable<ReleaseReason, 4> ReasonNames {{{
     {ReleaseReason::NotStarted, "not-started"},
     {ReleaseReason::Evicted, "evicted"},
     {ReleaseReason::Lost, "lost"},
     {ReleaseReason::Failed, "failed"},
-}};
+}}};
 
 // Writes each kind of record; the member "kind" tells them apart.
 struct Describer
@@ -114,22 +112,12 @@
 
 std::string_view nameOf(TaskPhase phase)
 {
-    for (const auto &[candidate, name] : PhaseNames) {
-        if (candidate == phase) {
-            return name;
-        }
-    }
-    return "unknown";
+    return PhaseNames.nameOf(phase);
 }
 
 TaskPhase taskPhaseFromName(std::string_view name)
 {
-    for (const auto &[phase, candidate] : PhaseNames) {
-        if (candidate == name) {
-            return phase;
-        }
-    }
-    return TaskPhase::Unknown;
+    return PhaseNames.find(name).value_or(TaskPhase::Unknown);
 }
 
 bool isFinal(TaskPhase phase)
@@ -139,22 +127,17 @@
 
 std::string_view nameOf(ReleaseReason reason)
 {
-    for (const auto &[candidate, name] : ReasonNames) {
-        if (candidate == reason) {
-            return name;
-        }
-    }
-    return "lost";
+    return ReasonNames.nameOf(reason);
 }
 
 ReleaseReason releaseReasonFromName(std::string_view name)
 {
-    for (const auto &[reason, candidate] : ReasonNames) {
-        if (candidate == name) {
-            return reason;
-        }
-    }
-    return ReleaseReason::Lost;
+    return ReasonNames.find(name).value_or(ReleaseReason::Lost);
+}
+
+Demand demandOf(const TaskSpecification &specification)
+{
+    return {specification.resources, 0, specification.profile};
 }
 
 Json describe(const TaskSpecification &specification)
--- a/source/jobs/TaskSpecification.h
+++ b/source/jobs/TaskSpecification.h
@@ -2,6 +2,7 @@
 
 #include "base/JsonReader.h"
 #include "base/Resources.h"
+#include "capacity/Fleet.h"
 #include "profiles/Profile.h"
 
 #include <cstdint>
@@ -28,6 +29,9 @@
     bool operator==(const TaskSpecification &) const = default;
 };
 
+// Returns what a run of the task takes from its worker.
+[[nodiscard]] Demand demandOf(const TaskSpecification &specification);
+
 [[nodiscard]] Json describe(const TaskSpecification &specification);
 [[nodiscard]] TaskSpecification parseTaskSpecification(const Json &document);
 
--- a/source/jobs/tests/KeeperWorld.h
+++ b/source/jobs/tests/KeeperWorld.h
@@ -20,12 +20,12 @@
 class FixedQuotas final : public TeamQuotas
 {
 public:
-    std::optional<Resources> quota(const std::string &) const override
+    [[nodiscard]] std::optional<Resources> quota(const std::string &) const override
     {
         return limit;
     }
 
-    Resources usedElsewhere(const std::string &, const std::string &) const override
+    [[nodiscard]] Resources usedElsewhere(const std::string &, const std::string &) const override
     {
         return elsewhere;
     }
--- a/source/routing/TaskRouter.cpp
+++ b/source/routing/TaskRouter.cpp
@@ -301,45 +301,17 @@
 
 void TaskRouter::list(Handler handler)
 {
-    struct Gathering
-    {
-        Json tasks = Json::array();
-        Json unasked = Json::array();
-        std::size_t open = 1;
-        Handler handler;
-    };
-    const auto gathering = std::make_shared<Gathering>();
-    gathering->handler = std::move(handler);
-    const auto finish = [gathering](const Json *document) {
-        if (document != nullptr) {
-            for (const Json &task : memberOr(*document, "tasks", Json::array())) {
-                gathering->tasks.push_back(task);
+    m_context.survey.ask("task", {{"command", "list"}},
+        [this, handler = std::move(handler)](std::vector<Json> answers, const Json &unasked) {
+            answers.push_back(listOwn());
+            Json tasks = Json::array();
+            for (const Json &answer : answers) {
+                for (const Json &task : memberOr(answer, "tasks", Json::array())) {
+                    tasks.push_back(task);
+                }
             }
-        }
-        if (--gathering->open == 0) {
-            gathering->handler(Json {{"tasks", gathering->tasks}, {"not_asked", gathering->unasked}});
-        }
-    };
-    const DocumentMessage message {writeJson({{"command", "list"}}), m_context.timeline.logicalTime()};
-    for (const Gossip *gossip : m_context.peers.heard()) {
-        ++gathering->open;
-        const std::string instance = gossip->instance;
-        m_context.caller.call(gossip->peerAddress, {"task", encodeMessage(message)}, CommandTimeout,
-            [this, gathering, finish, instance](Result<std::string> answer) {
-                m_context.scheduler.post([gathering, finish, instance, answer = std::move(answer)] {
-                    const auto reply = errorOf(answer) != nullptr
-                        ? std::nullopt
-                        : decodeMessage<DocumentMessage>(std::get<std::string>(answer));
-                    const Result<Json> document = reply ? parseJson(reply->document, "a list") : Result<Json>(Error());
-                    if (errorOf(document) != nullptr) {
-                        gathering->unasked.push_back(instance);
-                    }
-                    finish(std::get_if<Json>(&document));
-                });
-            });
-    }
-    const Json own = listOwn();
-    finish(&own);
+            handler(Json {{"tasks", std::move(tasks)}, {"not_asked", unasked}});
+        });
 }
 
 void TaskRouter::tick()
--- a/source/routing/TaskRouter.h
+++ b/source/routing/TaskRouter.h
@@ -4,6 +4,7 @@
 #include "ownership/PartitionManager.h"
 #include "peers/PeerEndpoint.h"
 #include "profiles/ProfileCatalog.h"
+#include "routing/PeerSurvey.h"
 
 #include <functional>
 #include <string>
@@ -36,6 +37,7 @@
         PartitionManager &partitions;
         PeerDirectory &peers;
         PeerCaller &caller;
+        PeerSurvey &survey;
         ProfileCatalog &profiles;
         Timeline &timeline;
         const Settings &settings;
--- a/source/workers/WorkerMessages.cpp
+++ b/source/workers/WorkerMessages.cpp
@@ -1,36 +1,32 @@
 #include "workers/WorkerMessages.h"
 
+#include "base/NameTable.h"
+
 namespace Wagtail
 {
 
+namespace
+{
+
+constexpr NameTable<WorkerTaskState, 6> Names {{{
+    {WorkerTaskState::Running, "running"},
+    {WorkerTaskState::Done, "done"},
+    {WorkerTaskState::Failed, "failed"},
+    {WorkerTaskState::Stopped, "stopped"},
+    {WorkerTaskState::Lapsed, "lapsed"},
+    {WorkerTaskState::Absent, "absent"},
+}}};
+
+}
+
 std::string_view nameOf(WorkerTaskState state)
 {
-    switch (state) {
-    case WorkerTaskState::Running:
-        return "running";
-    case WorkerTaskState::Done:
-        return "done";
-    case WorkerTaskState::Failed:
-        return "failed";
-    case WorkerTaskState::Stopped:
-        return "stopped";
-    case WorkerTaskState::Lapsed:
-        return "lapsed";
-    case WorkerTaskState::Absent:
-        break;
-    }
-    return "absent";
+    return Names.nameOf(state);
 }
 
 WorkerTaskState workerTaskStateFromName(std::string_view name)
 {
-    for (const WorkerTaskState state : {WorkerTaskState::Running, WorkerTaskState::Done, WorkerTaskState::Failed,
-             WorkerTaskState::Stopped, WorkerTaskState::Lapsed}) {
-        if (nameOf(state) == name) {
-            return state;
-        }
-    }
-    return WorkerTaskState::Absent;
+    return Names.find(name).value_or(WorkerTaskState::Absent);
 }
 
 }
