Jobs: Give back the work of a worker that was lost during the take-over

A worker whose leases ran out before the log had been read back was told lost while the keeper knew no tasks yet, once; its tasks then stayed assigned to it until it came back, which it may never do. Ruled out: a wait that is hidden elsewhere; the lost event itself came in time. Change: when the log has been read, the workers that are lost by then are told again. Before: PartitionKeeper.replacesWorkOfAWorkerThatWasLostDuringTheTakeOver red (attempt 1, same worker).

--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -72,6 +72,12 @@
         }
     }
     m_ready = true;
+    // Leases may have run out while the log was still being read.
+    for (const std::string &worker : workers()) {
+        if (m_monitor.isLost(worker)) {
+            onWorkerLost(worker);
+        }
+    }
     m_context.timeline.record({.kind = "partition.recovered",
         .detail = m_tenure.partition.text() + " token " + std::to_string(m_tenure.token) + " tasks "
             + std::to_string(m_table.tasks().size())});
--- a/source/jobs/tests/PartitionKeeperModelTest.cpp
+++ b/source/jobs/tests/PartitionKeeperModelTest.cpp
@@ -213,6 +213,29 @@
     RC_ASSERT(unended.empty());
 }
 
+// A worker whose leases ran out before the successor had read the log back gives its tasks back all the same.
+TEST(PartitionKeeper, replacesWorkOfAWorkerThatWasLostDuringTheTakeOver)
+{
+    KeeperWorld world;
+    world.advance(Milliseconds(1'500));
+    world.submit("task-0", Repeatability::Idempotent, 60'000, false);
+    world.advance(Milliseconds(2'000));
+    const std::string worker = world.present().keeper->table().find("task-0")->worker;
+    ASSERT_FALSE(worker.empty());
+    const std::string address = world.present().keeper->fleet().find(worker)->description.address;
+    world.present().paused = true;
+    world.takeOver();
+    world.present().network.cut.insert(address);
+    world.present().store.down = true;
+    world.advance(Milliseconds(20'000));
+    world.present().store.down = false;
+    world.advance(Milliseconds(5'000));
+    const TaskEntry *entry = world.present().keeper->table().find("task-0");
+    ASSERT_NE(entry, nullptr);
+    EXPECT_EQ(entry->attempt, 2U);
+    EXPECT_NE(entry->worker, worker);
+}
+
 // A team's tasks never hold more than its quota less what it holds elsewhere, and all of them run in the end.
 RC_GTEST_PROP(PartitionKeeperModel, keepsTeamsWithinTheirQuota, ())
 {
