Routing: Count the bytes that cross between the regions

Cause: the link between the regions is paid for by the byte, and forwarded requests were not counted by region. Change: wagtail_cross_region_bytes_total, sent and received, for forwarded requests. Gossip and task commands are not in it.

--- a/source/membership/PeerDirectory.cpp
+++ b/source/membership/PeerDirectory.cpp
@@ -53,6 +53,16 @@
     return best;
 }
 
+std::string PeerDirectory::regionOf(const std::string &peerAddress) const
+{
+    for (const Gossip *gossip : heard()) {
+        if (gossip->peerAddress == peerAddress) {
+            return gossip->region;
+        }
+    }
+    return {};
+}
+
 void PeerDirectory::charge(const std::string &partition, std::int64_t slots)
 {
     for (auto &[instance, peer] : m_peers) {
--- a/source/membership/PeerDirectory.h
+++ b/source/membership/PeerDirectory.h
@@ -27,6 +27,9 @@
     // Returns the newest offer for a partition among the peers heard of lately, with the peer's address.
     [[nodiscard]] std::optional<std::pair<std::string, PartitionOffer>> offerOf(const std::string &partition) const;
 
+    // Returns the region of the peer at an address, or an empty text when it was not heard of lately.
+    [[nodiscard]] std::string regionOf(const std::string &peerAddress) const;
+
     // Takes an expected use off an offer until the next gossip brings the truth.
     void charge(const std::string &partition, std::int64_t slots);
 
--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -235,8 +235,17 @@
     m_context.timeline.record(
         {.kind = "request.forwarded", .request = request.identity, .detail = kind + " " + address});
     const ForwardedRequest message = toMessage(request, left, m_context.timeline.logicalTime());
-    m_context.caller.call(address, {kind, encodeMessage(message)}, Milliseconds(left),
-        [this, handler = std::move(handler)](Result<std::string> answer) {
+    std::string body = encodeMessage(message);
+    // The link between the regions is paid for by the byte.
+    const bool crosses = m_context.peers.regionOf(address) != m_context.settings.region;
+    if (crosses) {
+        m_context.metrics.count("wagtail_cross_region_bytes_total", "direction=\"sent\"", body.size());
+    }
+    m_context.caller.call(address, {kind, std::move(body)}, Milliseconds(left),
+        [this, crosses, handler = std::move(handler)](Result<std::string> answer) {
+            if (const auto *bytes = std::get_if<std::string>(&answer); crosses && bytes != nullptr) {
+                m_context.metrics.count("wagtail_cross_region_bytes_total", "direction=\"received\"", bytes->size());
+            }
             m_context.scheduler.post([this, handler, answer = std::move(answer)] {
                 if (const Error *error = errorOf(answer)) {
                     // Only an error from before the call left proves that nothing ran.
