Tests: Send malformed input to a running daemon

Change: 30 malformed calls, twice, and 300 pieces of noise on the HTTP and the peer port, after which the daemon must still serve; part of ctest. Not covered: a peer that speaks another protocol version.

--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -53,3 +53,7 @@
 wagtail_slice(interference wagtail-base)
 add_executable(wagtail-decisions ${CMAKE_SOURCE_DIR}/bench/decisions_main.cpp)
 target_link_libraries(wagtail-decisions PRIVATE wagtail-placement wagtail-interference)
+
+add_test(NAME history.bad-input
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_bad_input.py --seed 7 --port 19600)
+set_tests_properties(history.bad-input PROPERTIES RESOURCE_LOCK deployment TIMEOUT 120)
