Peers: Test that another protocol version is refused

Cause: a daemon refused other versions, but no test sent one. Change: a message carries its protocol version; the test sends the next one and gets UnsupportedProtocol with a remedy, while messages of the present version go on being served.

--- a/source/peers/Http2Connection.cpp
+++ b/source/peers/Http2Connection.cpp
@@ -178,7 +178,7 @@
         return;
     }
     const std::string path = std::string(PathPrefix) + message.kind;
-    const std::string version = std::to_string(PeerProtocolVersion);
+    const std::string version = std::to_string(message.protocolVersion);
     const std::array<nghttp2_nv, 5> headers {headerField(":method", "POST"), headerField(":scheme", "http"),
         headerField(":authority", "peer"), headerField(":path", path), headerField(VersionHeader, version)};
     const nghttp2_data_provider provider {{}, &Callbacks::readBody};
--- a/source/peers/PeerEndpoint.h
+++ b/source/peers/PeerEndpoint.h
@@ -17,6 +17,7 @@
 {
     std::string kind;
     std::string body;
+    int protocolVersion = PeerProtocolVersion;
 };
 
 // Calls other daemons. Unavailable means that the call did not leave; Internal that its effect is not known.
--- a/source/peers/tests/PeerMessagesTest.cpp
+++ b/source/peers/tests/PeerMessagesTest.cpp
@@ -81,6 +81,20 @@
     EXPECT_EQ(*errorOf(result), (Error {ErrorKind::Conflict, "the detail", "the remedy"}));
 }
 
+TEST(PeerConnection, refusesAnotherProtocolVersion)
+{
+    EchoPair pair;
+    std::optional<Result<std::string>> answer;
+    pair.caller.call("127.0.0.1:" + std::to_string(TestPort), {"echo", "x", PeerProtocolVersion + 1},
+        Milliseconds(2000), [&answer](Result<std::string> result) { answer = std::move(result); });
+    EXPECT_EQ(pair.call("echo", "y"), Result<std::string>("y"));
+    ASSERT_TRUE(answer.has_value());
+    ASSERT_NE(errorOf(*answer), nullptr);
+    EXPECT_EQ(errorOf(*answer)->kind, ErrorKind::UnsupportedProtocol);
+    EXPECT_FALSE(errorOf(*answer)->remedy.empty());
+    EXPECT_EQ(pair.served, 1);
+}
+
 TEST(PeerConnection, tellsAnUnsentCallFromALostOne)
 {
     EchoPair pair;
