Jobs, Peers, Workers: Remove functions that nobody calls

Cause: reading the whole change once more: confirmLost, commitCount, bytesSent with its counter, and isReached were written ahead of a use that never came. Change: they are gone; behaviour and tests are as they were.

--- a/source/jobs/PartitionKeeper.cpp
+++ b/source/jobs/PartitionKeeper.cpp
@@ -348,13 +348,6 @@
     return tasks;
 }
 
-void PartitionKeeper::confirmLost(const std::string &worker)
-{
-    m_context.timeline.record({.kind = "worker.confirmed-lost", .worker = worker});
-    m_fleet.admit(worker, WorkerAdmission::Silent);
-    onWorkerLost(worker);
-}
-
 void PartitionKeeper::handOver(std::function<void()> handler)
 {
     m_handingOver = true;
--- a/source/jobs/PartitionKeeper.h
+++ b/source/jobs/PartitionKeeper.h
@@ -117,9 +117,6 @@
     // Returns the tasks that run on a worker and may run more than once, with the profile of each.
     [[nodiscard]] std::map<std::string, std::string> repeatableOn(const std::string &worker) const;
 
-    // Says that an operator knows a worker to be gone for good.
-    void confirmLost(const std::string &worker);
-
     // Stops starting work, waits for the log to settle, then calls the handler.
     void handOver(std::function<void()> handler);
 
--- a/source/jobs/ShardLog.cpp
+++ b/source/jobs/ShardLog.cpp
@@ -363,11 +363,6 @@
     return !m_writing;
 }
 
-std::uint64_t ShardLog::commitCount() const
-{
-    return m_nextSequence;
-}
-
 void ShardLog::retry(std::function<void()> action)
 {
     m_scheduler.after(RetryDelay, guarded(std::move(action)));
--- a/source/jobs/ShardLog.h
+++ b/source/jobs/ShardLog.h
@@ -46,7 +46,6 @@
     [[nodiscard]] Milliseconds stalledFor() const;
 
     [[nodiscard]] bool isIdle() const;
-    [[nodiscard]] std::uint64_t commitCount() const;
 
 private:
     struct Batch
--- a/source/peers/Http2Connection.cpp
+++ b/source/peers/Http2Connection.cpp
@@ -317,7 +317,6 @@
 void Http2Connection::write(std::string bytes)
 {
     m_writing = true;
-    m_bytesSent += bytes.size();
     const auto owned = std::make_shared<std::string>(std::move(bytes));
     asio::async_write(
         m_socket, asio::buffer(*owned), [self = shared_from_this(), owned](const asio::error_code &error, std::size_t) {
@@ -357,9 +356,4 @@
     return m_open;
 }
 
-std::uint64_t Http2Connection::bytesSent() const
-{
-    return m_bytesSent;
-}
-
 }
--- a/source/peers/Http2Connection.h
+++ b/source/peers/Http2Connection.h
@@ -39,9 +39,6 @@
 
     [[nodiscard]] bool isOpen() const;
 
-    // Returns the bytes sent and received since the connection began.
-    [[nodiscard]] std::uint64_t bytesSent() const;
-
 private:
     struct Stream
     {
@@ -76,7 +73,6 @@
     std::vector<char> m_readBuffer;
     bool m_writing = false;
     bool m_open = true;
-    std::uint64_t m_bytesSent = 0;
 };
 
 }
--- a/source/workers/WorkerMonitor.cpp
+++ b/source/workers/WorkerMonitor.cpp
@@ -133,10 +133,4 @@
     return found != m_contacts.end() && found->second.lost;
 }
 
-bool WorkerMonitor::isReached(const std::string &worker) const
-{
-    const auto found = m_contacts.find(worker);
-    return found != m_contacts.end() && found->second.reports > 0;
-}
-
 }
--- a/source/workers/WorkerMonitor.h
+++ b/source/workers/WorkerMonitor.h
@@ -76,9 +76,6 @@
     // Returns whether every lease that the worker held has run out.
     [[nodiscard]] bool isLost(const std::string &worker) const;
 
-    // Returns whether the worker answered under this token.
-    [[nodiscard]] bool isReached(const std::string &worker) const;
-
 private:
     struct Contact
     {
