Store: Commit several keys under conditions in one transaction

The platform's store has transactions over several keys with conditions on their revisions; the product's store interface lacked them.

--- a/source/store/HttpStore.cpp
+++ b/source/store/HttpStore.cpp
@@ -136,6 +136,29 @@
         });
 }
 
+void HttpStore::commit(StoreTransaction transaction, Handler<StoreCommit> handler)
+{
+    Json document = {{"conditions", Json::array()}, {"writes", Json::array()}, {"erasures", transaction.erasures}};
+    for (const StoreCondition &condition : transaction.conditions) {
+        document["conditions"].push_back({{"key", condition.key}, {"revision", condition.revision}});
+    }
+    for (const StoreWrite &write : transaction.writes) {
+        document["writes"].push_back({{"key", write.key}, {"value", write.value}, {"lease", write.lease}});
+    }
+    m_client.send(call("POST", "/v1/transactions", writeJson(document)),
+        [handler = std::move(handler)](const HttpAnswer &answer) {
+            handler(readAnswer<StoreCommit>(answer, [](const Json &present) {
+                StoreCommit commit;
+                commit.committed = memberOr(present, "committed", false);
+                commit.revision = memberOr(present, "revision", StoreRevision {0});
+                for (const Json &entry : memberOr(present, "present", Json::array())) {
+                    commit.present.push_back(parseEntry(entry));
+                }
+                return commit;
+            }));
+        });
+}
+
 void HttpStore::erase(const std::string &key, std::optional<StoreRevision> expected, Handler<std::monostate> handler)
 {
     const std::string condition = expected ? "?expect=" + std::to_string(*expected) : std::string();
--- a/source/store/Store.h
+++ b/source/store/Store.h
@@ -30,6 +30,10 @@
     // Writes one key. Fails with Conflict when the expected revision is not the present one.
     virtual void write(StoreWrite write, Handler<StoreRevision> handler) = 0;
 
+    // Applies all changes at one revision if every condition holds. A refusal by a condition is no error but an
+    // uncommitted result. Fails with NotFound when a named lease has lapsed.
+    virtual void commit(StoreTransaction transaction, Handler<StoreCommit> handler) = 0;
+
     // Erases one key. Fails with Conflict when the expected revision is not the present one.
     virtual void erase(const std::string &key, std::optional<StoreRevision> expected, Handler<std::monostate> handler)
         = 0;
--- a/source/store/StoreMessages.h
+++ b/source/store/StoreMessages.h
@@ -43,6 +43,35 @@
     LeaseIdentifier lease = 0;
 };
 
+// A condition of a transaction: the key's present revision, or MustNotExist.
+struct StoreCondition
+{
+    std::string key;
+    StoreRevision revision = MustNotExist;
+
+    bool operator==(const StoreCondition &) const = default;
+};
+
+// Writes and erases that take effect together, if all conditions hold, or not at all.
+// The expected revisions of the writes are not used: state them as conditions.
+struct StoreTransaction
+{
+    std::vector<StoreCondition> conditions;
+    std::vector<StoreWrite> writes;
+    std::vector<std::string> erasures;
+};
+
+// The outcome of a transaction. When it was not committed, `present` holds the existing keys among its conditions.
+struct StoreCommit
+{
+    bool committed = false;
+    StoreRevision revision = 0;
+    std::vector<StoreEntry> present;
+
+    // Returns the present revision of a condition's key after a refused transaction; MustNotExist when there is none.
+    [[nodiscard]] StoreRevision presentRevision(const std::string &key) const;
+};
+
 struct StoreEvent
 {
     StoreEntry entry;
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -39,12 +39,49 @@
         return Error {ErrorKind::NotFound, "no such lease", "grant a new lease"};
     }
     ++m_revision;
-    StoreEntry entry {write.key, write.value, m_revision, write.lease};
-    m_entries[write.key] = entry;
-    record(std::move(entry), false);
+    put({write.key, write.value, m_revision, write.lease});
     return m_revision;
 }
 
+void StandinStore::put(StoreEntry entry)
+{
+    m_entries[entry.key] = entry;
+    record(std::move(entry), false);
+}
+
+Result<StoreCommit> StandinStore::commit(const StoreTransaction &transaction)
+{
+    StoreCommit result;
+    bool holds = true;
+    for (const StoreCondition &condition : transaction.conditions) {
+        const std::optional<StoreEntry> entry = read(condition.key);
+        holds = holds && condition.revision == (entry ? entry->revision : MustNotExist);
+        if (entry) {
+            result.present.push_back(*entry);
+        }
+    }
+    if (!holds) {
+        return result;
+    }
+    for (const StoreWrite &write : transaction.writes) {
+        if (write.lease != 0 && !m_leases.contains(write.lease)) {
+            return Error {ErrorKind::NotFound, "no such lease", "grant a new lease"};
+        }
+    }
+    result.committed = true;
+    result.present.clear();
+    result.revision = ++m_revision;
+    for (const StoreWrite &write : transaction.writes) {
+        put({write.key, write.value, m_revision, write.lease});
+    }
+    for (const std::string &key : transaction.erasures) {
+        if (m_entries.erase(key) > 0) {
+            record({key, {}, m_revision, 0}, true);
+        }
+    }
+    return result;
+}
+
 Status StandinStore::erase(const std::string &key, std::optional<StoreRevision> expected)
 {
     const auto found = m_entries.find(key);
--- a/standins/StandinStore.h
+++ b/standins/StandinStore.h
@@ -25,6 +25,7 @@
 
     // Writes a key when its present revision is the expected one.
     [[nodiscard]] Result<StoreRevision> write(const StoreWrite &write);
+    [[nodiscard]] Result<StoreCommit> commit(const StoreTransaction &transaction);
     [[nodiscard]] Status erase(const std::string &key, std::optional<StoreRevision> expected);
     void eraseRange(const std::string &first, const std::string &end);
 
@@ -58,6 +59,7 @@
 
     void record(StoreEntry entry, bool erased);
     void eraseKey(const std::string &key);
+    void put(StoreEntry entry);
     void notifyWatches(const std::string &key);
     [[nodiscard]] StoreEvents eventsAfter(const std::string &prefix, StoreRevision after) const;
 
--- a/standins/StoreProgram.cpp
+++ b/standins/StoreProgram.cpp
@@ -117,6 +117,8 @@
         serveKeys(request, reply);
     } else if (request.path.starts_with("/v1/leases")) {
         serveLeases(request, reply);
+    } else if (request.path == "/v1/transactions") {
+        serveTransaction(request, reply);
     } else if (request.path == "/v1/watch") {
         serveWatch(request, reply);
     } else if (request.path == "/v1/instances") {
@@ -170,6 +172,37 @@
     respond(answer(m_store.renewLease(lease), Json::object()));
 }
 
+void StoreProgram::serveTransaction(const HttpRequest &request, const HttpServer::Responder &respond)
+{
+    const Result<Json> parsed = parseJson(request.body, "the transaction");
+    if (const Error *error = errorOf(parsed)) {
+        respond(answer(400, {{"detail", error->detail}}));
+        return;
+    }
+    const Json &document = std::get<Json>(parsed);
+    StoreTransaction transaction;
+    for (const Json &condition : memberOr(document, "conditions", Json::array())) {
+        transaction.conditions.push_back(
+            {memberOr(condition, "key", std::string()), memberOr(condition, "revision", MustNotExist)});
+    }
+    for (const Json &write : memberOr(document, "writes", Json::array())) {
+        transaction.writes.push_back({memberOr(write, "key", std::string()), memberOr(write, "value", std::string()),
+            std::nullopt, memberOr(write, "lease", LeaseIdentifier {0})});
+    }
+    transaction.erasures = memberOr(document, "erasures", std::vector<std::string>());
+    const Result<StoreCommit> result = m_store.commit(transaction);
+    Json present = Json::array();
+    StoreCommit outcome;
+    if (const auto *commit = std::get_if<StoreCommit>(&result)) {
+        outcome = *commit;
+    }
+    for (const StoreEntry &entry : outcome.present) {
+        present.push_back(describe(entry));
+    }
+    respond(answer(
+        result, {{"committed", outcome.committed}, {"revision", outcome.revision}, {"present", std::move(present)}}));
+}
+
 void StoreProgram::serveWatch(const HttpRequest &request, const HttpServer::Responder &respond)
 {
     const auto reply = [respond](const Result<StoreEvents> &result) {
--- a/standins/StoreProgram.h
+++ b/standins/StoreProgram.h
@@ -37,6 +37,7 @@
     void serve(const HttpRequest &request, const HttpServer::Responder &respond);
     void serveKeys(const HttpRequest &request, const HttpServer::Responder &respond);
     void serveLeases(const HttpRequest &request, const HttpServer::Responder &respond);
+    void serveTransaction(const HttpRequest &request, const HttpServer::Responder &respond);
     void serveWatch(const HttpRequest &request, const HttpServer::Responder &respond);
     void serveInstances(const HttpRequest &request, const HttpServer::Responder &respond);
     void changeFaults(const HttpRequest &request, const HttpServer::Responder &respond);
