--- a/source/base/SystemClock.cpp
+++ b/source/base/SystemClock.cpp
@@ -1,11 +1,16 @@
 #include "base/SystemClock.h"
 
+#include <ctime>
+
 namespace Wagtail
 {
 
 Instant SystemClock::now() const
 {
-    return std::chrono::steady_clock::now();
+    // The steady clock stands still while the machine is suspended, but leases run on.
+    timespec reading {};
+    ::clock_gettime(CLOCK_BOOTTIME, &reading);
+    return Instant(std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec));
 }
 
 std::int64_t SystemClock::wallMilliseconds() const
--- a/source/daemon/Daemon.cpp
+++ b/source/daemon/Daemon.cpp
@@ -4,7 +4,7 @@
 #include "base/SystemClock.h"
 #include "configuration/ClusterFeed.h"
 #include "configuration/ClusterKeys.h"
-#include "daemon/AsioScheduler.h"
+#include "eventloop/AsioScheduler.h"
 #include "daemon/GossipService.h"
 #include "daemon/InstanceListFeed.h"
 #include "daemon/InterferenceGuard.h"
@@ -263,6 +263,7 @@
         }
         m_dispatcher.tick();
         m_gossip.tick();
+        flushLog();
         m_scheduler.after(TickPeriod, [this] { tick(); });
     }
 
--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -33,6 +33,7 @@
         return ExitAddress;
     }
     const int status = std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
+    Wagtail::flushLog();
     // Late answers may still refer to each other across the stopped threads. Nothing is left to be saved, so the
     // process ends here without taking them apart.
     std::_Exit(status);
--- a/source/daemon/AsioScheduler.cpp
+++ b/source/eventloop/AsioScheduler.cpp
@@ -1,4 +1,4 @@
-#include "daemon/AsioScheduler.h"
+#include "eventloop/AsioScheduler.h"
 
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -5,6 +5,8 @@
 #include <asio/steady_timer.hpp>
 #include <cassert>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
@@ -166,10 +168,24 @@
         if (socket < 0) {
             return CURL_SOCKET_BAD;
         }
+        enableKeepAlive(socket);
         client->m_sockets.emplace(socket, std::make_shared<SocketWatch>(client->m_context, socket));
         return socket;
     }
 
+    // Without these a long wait on a connection that has gone silent would last until the call's own timeout.
+    static void enableKeepAlive(int socket)
+    {
+        constexpr int Enabled = 1;
+        constexpr int IdleSeconds = 1;
+        constexpr int ProbeSeconds = 1;
+        constexpr int Probes = 2;
+        ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &Enabled, sizeof(Enabled));
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleSeconds, sizeof(IdleSeconds));
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &ProbeSeconds, sizeof(ProbeSeconds));
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+    }
+
     static int closeSocket(void *self, curl_socket_t socket)
     {
         auto *client = static_cast<Implementation *>(self);
--- a/source/http/HttpMessages.h
+++ b/source/http/HttpMessages.h
@@ -34,11 +34,18 @@
     [[nodiscard]] std::optional<std::string> parameter(std::string_view name) const;
 };
 
+// What becomes of a connection once its answer is sent.
+enum class ConnectionFate {
+    Keep,
+    Close,
+};
+
 struct HttpResponse
 {
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    ConnectionFate connection = ConnectionFate::Keep;
 };
 
 // How far a call got. NotSent means that no byte of it left; Lost means that it may have been received.
--- a/source/http/HttpServer.cpp
+++ b/source/http/HttpServer.cpp
@@ -41,6 +41,9 @@
         builder.append_header(std::move(header.name), std::move(header.value));
     }
     builder.set_body(std::move(response.body));
+    if (response.connection == ConnectionFate::Close) {
+        builder.connection_close();
+    }
     builder.done();
 }
 
--- /dev/null
+++ b/source/scheduling/JobScheduler.cpp
@@ -0,0 +1,322 @@
+#include "scheduling/JobScheduler.h"
+
+#include "scheduling/JobRank.h"
+#include "scheduling/WorkerChoice.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// Run numbers of one tenure; a task that needs more starts than this within one tenure is hopeless.
+constexpr std::uint64_t RunsPerTenure = 100'000;
+// An occurrence is created this long before it is due, so that it starts on time.
+constexpr std::int64_t OccurrenceLeadMilliseconds = 0;
+
+}
+
+JobScheduler::JobScheduler(
+    Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t tenure)
+    : m_environment(environment)
+    , m_limits(limits)
+    , m_token(token)
+    , m_firstRun(tenure * RunsPerTenure + 1)
+    , m_self(std::make_shared<JobScheduler *>(this))
+{
+}
+
+JobScheduler::~JobScheduler() = default;
+
+void JobScheduler::inherit(const std::vector<WorkerListing> &workers, Instant leasesOverAt)
+{
+    m_recoveringUntil = leasesOverAt;
+    for (const WorkerListing &listing : workers) {
+        m_inheritedWorkers.insert(listing.name);
+        WorkerState &worker = m_workers[listing.name];
+        if (!worker.listed) {
+            worker.listing = listing;
+        }
+        contact(worker);
+    }
+}
+
+bool JobScheduler::isRecovering() const
+{
+    return !m_inheritedWorkers.empty() && m_environment.clock.now() < m_recoveringUntil;
+}
+
+JobState &JobScheduler::insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall)
+{
+    const std::string id = specification.id;
+    auto &slot = m_jobs[id];
+    slot = std::make_unique<JobState>();
+    slot->specification = std::move(specification);
+    slot->policy = std::move(policy);
+    slot->acceptedWall = acceptedWall;
+    const std::int64_t age = std::max<std::int64_t>(0, m_environment.clock.wallMilliseconds() - acceptedWall);
+    slot->acceptedAt = m_environment.clock.now() - Milliseconds(age);
+    return *slot;
+}
+
+void JobScheduler::restore(
+    JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress)
+{
+    if (m_jobs.contains(specification.id)) {
+        return;
+    }
+    JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
+    job.inherited = true;
+    restoreProgress(job, progress);
+    if (job.isFinished()) {
+        job.finishedAt = m_environment.clock.now();
+        return;
+    }
+    m_open.push_back(&job);
+    createDueOccurrences(job);
+    dispatchSoon();
+}
+
+void JobScheduler::add(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall)
+{
+    if (m_jobs.contains(specification.id)) {
+        return;
+    }
+    JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
+    m_open.push_back(&job);
+    createDueOccurrences(job);
+    dispatchSoon();
+}
+
+void JobScheduler::createDueOccurrences(JobState &job)
+{
+    const std::int64_t count = std::max<std::int64_t>(1, job.specification.repeatCount);
+    const std::int64_t now = m_environment.clock.wallMilliseconds() + OccurrenceLeadMilliseconds;
+    while (job.nextOccurrence < count && job.specification.dueTime(job.nextOccurrence) <= now) {
+        createOccurrence(job, job.nextOccurrence);
+        ++job.nextOccurrence;
+        dispatchSoon();
+    }
+}
+
+bool JobScheduler::cancel(const std::string &id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+        return false;
+    }
+    if (!found->second->isFinished()) {
+        finish(*found->second, JobPhase::Cancelled);
+    }
+    return true;
+}
+
+void JobScheduler::setPhase(JobState &job, JobPhase phase)
+{
+    job.phase = phase;
+    m_environment.listener.progressChanged(job.specification.id);
+}
+
+void JobScheduler::finish(JobState &job, JobPhase phase)
+{
+    m_environment.listener.decided("job-finished", job.specification.id, {{"phase", nameOf(phase)}});
+    job.finishedAt = m_environment.clock.now();
+    std::erase(m_open, &job);
+    setPhase(job, phase);
+    stopTasks(job);
+    dispatchSoon();
+}
+
+void JobScheduler::stopTasks(JobState &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (StepState &step : occurrence.steps) {
+            for (TaskState &task : step.tasks) {
+                if (task.phase == RunPhase::Starting || task.phase == RunPhase::Running) {
+                    beginStop(task);
+                }
+            }
+        }
+    }
+}
+
+void JobScheduler::completeTask(TaskState &task)
+{
+    StepState &step = *task.step;
+    if (task.phase == RunPhase::Waiting) {
+        --step.waitingCount;
+    }
+    task.phase = RunPhase::Done;
+    ++step.doneCount;
+    m_environment.listener.progressChanged(step.occurrence->job->specification.id);
+    dispatchSoon();
+    if (step.doneCount == static_cast<int>(step.tasks.size())) {
+        completeStep(step);
+    }
+}
+
+void JobScheduler::completeStep(StepState &step)
+{
+    OccurrenceState &occurrence = *step.occurrence;
+    JobState &job = *occurrence.job;
+    ++occurrence.stepsDone;
+    if (occurrence.stepsDone < static_cast<int>(occurrence.steps.size())) {
+        return;
+    }
+    ++job.finishedOccurrences;
+    if (job.finishedOccurrences >= std::max<std::int64_t>(1, job.specification.repeatCount)) {
+        finish(job, JobPhase::Done);
+    }
+}
+
+TaskState *JobScheduler::findTask(const TaskName &name)
+{
+    const auto found = m_jobs.find(name.job);
+    return found == m_jobs.end() ? nullptr : found->second->find(name);
+}
+
+void JobScheduler::updatePolicies(const std::map<std::string, QueuePolicy> &policies)
+{
+    for (JobState *job : m_open) {
+        const auto found = policies.find(job->specification.queue);
+        if (found != policies.end()) {
+            job->policy = found->second;
+        }
+    }
+    dispatchSoon();
+}
+
+void JobScheduler::allowStarts(bool allowed)
+{
+    if (m_startsAllowed != allowed) {
+        m_environment.listener.decided("starts-allowed", allowed ? "yes" : "no", Json::object());
+    }
+    m_startsAllowed = allowed;
+    if (allowed) {
+        dispatchSoon();
+    }
+}
+
+void JobScheduler::tick()
+{
+    const std::vector<JobState *> open = m_open;
+    for (JobState *job : open) {
+        createDueOccurrences(*job);
+    }
+    for (auto entry = m_workers.begin(); entry != m_workers.end();) {
+        WorkerState &worker = entry->second;
+        expireLeases(worker);
+        retryOrders(worker);
+        contact(worker);
+        const bool gone = !worker.listed && worker.tasks.empty() && !worker.reportOpen
+            && !m_inheritedWorkers.contains(entry->first);
+        entry = gone ? m_workers.erase(entry) : std::next(entry);
+    }
+    dispatchSoon();
+}
+
+const JobState *JobScheduler::find(const std::string &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+std::vector<std::string> JobScheduler::jobIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, job] : m_jobs) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+int JobScheduler::waitingCount(const std::string &queue) const
+{
+    int count = 0;
+    for (const JobState *job : m_open) {
+        count += job->specification.queue == queue && !job->everStarted ? 1 : 0;
+    }
+    return count;
+}
+
+std::map<std::string, EndMark> JobScheduler::appliedEnds() const
+{
+    std::map<std::string, EndMark> marks;
+    for (const auto &[name, worker] : m_workers) {
+        if (worker.processedEnd > worker.recordedEnd) {
+            marks[name] = {worker.incarnation, worker.processedEnd};
+        }
+    }
+    return marks;
+}
+
+void JobScheduler::endsRecorded(const std::map<std::string, EndMark> &marks)
+{
+    for (const auto &[name, mark] : marks) {
+        WorkerState *worker = findWorker(name);
+        if (worker == nullptr || worker->incarnation != mark.incarnation) {
+            continue;
+        }
+        worker->recordedEnd = std::max(worker->recordedEnd, mark.number);
+        contact(*worker);
+    }
+}
+
+void JobScheduler::phaseRecorded(const std::string &job, JobPhase phase)
+{
+    const auto found = m_jobs.find(job);
+    if (found != m_jobs.end()) {
+        found->second->recordedPhase = phase;
+    }
+}
+
+std::vector<std::string> JobScheduler::forgetFinished(Instant endedBefore)
+{
+    std::vector<std::string> forgotten;
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
+        JobState &job = *entry->second;
+        bool idle = job.isFinished() && job.recordedPhase == job.phase && job.finishedAt < endedBefore;
+        for (const auto &[number, occurrence] : job.occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                for (const TaskState &task : step.tasks) {
+                    idle = idle && task.worker.empty();
+                }
+            }
+        }
+        if (!idle) {
+            ++entry;
+            continue;
+        }
+        forgotten.push_back(entry->first);
+        entry = m_jobs.erase(entry);
+    }
+    return forgotten;
+}
+
+std::vector<WorkerListing> JobScheduler::leaseHolders() const
+{
+    std::vector<WorkerListing> holders;
+    for (const auto &[name, worker] : m_workers) {
+        if (worker.leaseGrantedUntil > 0) {
+            holders.push_back(worker.listing);
+        }
+    }
+    return holders;
+}
+
+bool JobScheduler::couldEverRun(const JobSpecification &job, const QueuePolicy &policy) const
+{
+    return std::all_of(job.steps.begin(), job.steps.end(), [&](const StepSpecification &step) {
+        return std::any_of(m_workers.begin(), m_workers.end(),
+            [&](const auto &entry) { return couldEverHold(entry.second, step, policy.pool); });
+    });
+}
+
+const std::map<std::string, WorkerState> &JobScheduler::workers() const
+{
+    return m_workers;
+}
+
+}
--- /dev/null
+++ b/source/scheduling/JobScheduler.h
@@ -0,0 +1,196 @@
+#pragma once
+
+#include "base/Scheduler.h"
+#include "scheduling/WorkerState.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace Wagtail
+{
+
+// What the scheduler tells the owner of its state.
+class JobSchedulerListener
+{
+public:
+    JobSchedulerListener() = default;
+    JobSchedulerListener(const JobSchedulerListener &) = delete;
+    JobSchedulerListener &operator=(const JobSchedulerListener &) = delete;
+    virtual ~JobSchedulerListener() = default;
+
+    // The job's progress differs from what the store has.
+    virtual void progressChanged(const std::string &job) = 0;
+
+    // Ends were listed that wait to be recorded, even if they changed no job.
+    virtual void endsListed() = 0;
+
+    // The set of workers that may hold a lease from this tenure has grown.
+    virtual void leaseHoldersChanged() = 0;
+
+    // A worker refused an order because it has seen a higher token: the tenure is over.
+    virtual void tokenRefused(const std::string &worker) = 0;
+
+    // A decision for the log, with the task or worker that it is about and what decided it.
+    virtual void decided(std::string_view what, const std::string &subject, const Json &inputs) = 0;
+};
+
+// Limits of one scheduler; all durations in milliseconds.
+struct SchedulingLimits
+{
+    // How long each lease on a worker's runs lasts; the platform's longest lease.
+    Milliseconds lease {6'000};
+    // How long a stopped task may take to end.
+    Milliseconds stopTimeout {200};
+    // The longest wait that a worker takes in a report request.
+    Milliseconds longestWait {2'000};
+};
+
+// The last end of a worker that has been applied, to be acknowledged once it is recorded.
+struct EndMark
+{
+    std::int64_t incarnation = 0;
+    std::uint64_t number = 0;
+};
+
+// Schedules the jobs of one partition on its workers under one tenure. It starts, renews, stops and restarts tasks
+// and counts their ends; it keeps nothing itself. All calls come from the control thread.
+class JobScheduler
+{
+public:
+    struct Environment
+    {
+        const Clock &clock;
+        Scheduler &scheduler;
+        WorkerGateway &gateway;
+        JobSchedulerListener &listener;
+    };
+
+    // The token fences all orders; the tenure, counted from 0, keeps run numbers above those of earlier tenures.
+    JobScheduler(Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t tenure);
+    ~JobScheduler();
+    JobScheduler(const JobScheduler &) = delete;
+    JobScheduler &operator=(const JobScheduler &) = delete;
+
+    // Names the workers that may run tasks of an earlier tenure. Inherited tasks whose place is unknown wait until each
+    // of them has answered or the time is over.
+    void inherit(const std::vector<WorkerListing> &workers, Instant leasesOverAt);
+
+    // Takes over a job with its recorded progress.
+    void restore(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress);
+
+    // Takes a newly accepted job.
+    void add(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
+
+    // Cancels a job. Returns whether it is known.
+    bool cancel(const std::string &id);
+
+    void updateWorker(const WorkerListing &listing);
+    void removeWorker(const std::string &name);
+
+    // Takes the policies in force. Jobs of queues that are not named keep what they have.
+    void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
+
+    // While starts are not allowed, running tasks are kept and ended but none is started.
+    void allowStarts(bool allowed);
+
+    // Lets time-driven decisions happen. Call it every TickPeriod.
+    void tick();
+    static constexpr Milliseconds TickPeriod {100};
+
+    [[nodiscard]] const JobState *find(const std::string &id) const;
+    [[nodiscard]] std::vector<std::string> jobIds() const;
+
+    // Returns how many accepted jobs of a queue have not started any task.
+    [[nodiscard]] int waitingCount(const std::string &queue) const;
+
+    // Returns the ends applied so far; hand them to endsRecorded() when the store has all progress up to now.
+    [[nodiscard]] std::map<std::string, EndMark> appliedEnds() const;
+    void endsRecorded(const std::map<std::string, EndMark> &marks);
+
+    // Says that the store has the phase of a job, so that callers may see it.
+    void phaseRecorded(const std::string &job, JobPhase phase);
+
+    // Forgets finished jobs that ended before the given time and returns their names.
+    [[nodiscard]] std::vector<std::string> forgetFinished(Instant endedBefore);
+
+    // Returns the workers that may hold a lease from this tenure.
+    [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
+
+    // Returns whether any listed worker of the queue's pool could ever hold each step of the job.
+    [[nodiscard]] bool couldEverRun(const JobSpecification &job, const QueuePolicy &policy) const;
+
+    [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
+
+private:
+    // Jobs
+    JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
+    void createDueOccurrences(JobState &job);
+    void setPhase(JobState &job, JobPhase phase);
+    void finish(JobState &job, JobPhase phase);
+    void completeTask(TaskState &task);
+    void completeStep(StepState &step);
+    [[nodiscard]] TaskState *findTask(const TaskName &name);
+
+    // Runs
+    [[nodiscard]] std::uint64_t nextRun(const StepState &step, const TaskState &task) const;
+    void place(TaskState &task, WorkerState &worker, std::uint64_t run);
+    void sendStart(TaskState &task);
+    void onStartAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
+    void onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome);
+    void beginStop(TaskState &task);
+    void sendStop(TaskState &task);
+    void onStopAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
+    void stopStray(WorkerState &worker, const RunName &run);
+    void detach(TaskState &task);
+    void release(TaskState &task, Milliseconds delay);
+    void stopTasks(JobState &job);
+
+    // Workers
+    void contact(WorkerState &worker);
+    void onReport(const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result);
+    void onReportFailed(WorkerState &worker, OrderOutcome outcome);
+    void applyReport(WorkerState &worker, const RunReport &report, Instant sentAt);
+    void applyEnd(WorkerState &worker, const EndedTask &ended);
+    void applyFailure(TaskState &task, WorkerState &worker, const RunName &run, bool current);
+    void applyRunning(WorkerState &worker, const RunningTask &running, Instant sentAt);
+    [[nodiscard]] bool adopt(WorkerState &worker, const RunningTask &running, Instant sentAt);
+    void settleMissing(WorkerState &worker, const std::set<RunName> &listed, Instant sentAt);
+    void noteProgress(TaskState &task, const RunningTask &running);
+    void moveStalledTasks(WorkerState &worker);
+    void controlPace(WorkerState &worker);
+    void sendPace(TaskState &task, int percent);
+    void workerRestarted(WorkerState &worker, std::int64_t incarnation);
+    void expireLeases(WorkerState &worker);
+    void retryOrders(WorkerState &worker);
+    void noteFailure(WorkerState &worker, const std::string &job);
+    [[nodiscard]] WorkerState *findWorker(const std::string &name);
+    [[nodiscard]] OrderTarget target(const WorkerState &worker) const;
+    [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
+
+    // Placement
+    void dispatchSoon();
+    void dispatch();
+    void placeStep(StepState &step);
+    void placeGang(StepState &step);
+    [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
+    [[nodiscard]] std::string preferredRack(const StepState &step) const;
+    [[nodiscard]] bool isRecovering() const;
+
+    Environment m_environment;
+    SchedulingLimits m_limits;
+    FencingToken m_token;
+    std::uint64_t m_firstRun;
+    bool m_startsAllowed = true;
+    bool m_dispatchPosted = false;
+    Instant m_recoveringUntil;
+    std::set<std::string> m_inheritedWorkers;
+    std::unordered_map<std::string, std::unique_ptr<JobState>> m_jobs;
+    // Jobs that are not finished, in the order of acceptance.
+    std::vector<JobState *> m_open;
+    std::map<std::string, WorkerState> m_workers;
+    // Ends when the scheduler does, so that late answers find nothing.
+    std::shared_ptr<JobScheduler *> m_self;
+};
+
+}
--- /dev/null
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -0,0 +1,416 @@
+// The part of JobScheduler that follows the workers: reports, leases, health and pace.
+#include "scheduling/JobScheduler.h"
+#include "scheduling/PaceControl.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// A worker that left a report request unanswered is asked again after this time.
+constexpr Milliseconds ReportRetryPeriod {250};
+// Workers with serving tasks beside backfilling ones are asked this often: several times within the time that a tail
+// may stay over its target.
+constexpr Milliseconds PacedWait {400};
+// Unrecorded ends are listed again after this time, so that running tasks are renewed while the store is away.
+constexpr Milliseconds UnrecordedPeriod {500};
+// An unanswered order is sent again after this time: a few round trips between regions.
+constexpr Milliseconds OrderRetryPeriod {250};
+// A worker that left this many report requests unanswered gets no lease renewals, so that its tasks end.
+constexpr int UnansweredBeforeLapse = 3;
+constexpr int FailuresBeforeQuarantine = 3;
+constexpr Milliseconds FirstQuarantine {2'000};
+constexpr int MostQuarantineDoublings = 3;
+// A task that makes no progress for this long is moved: several reports, and longer than any restore.
+constexpr Milliseconds StallTime {1'800};
+
+}
+
+OrderTarget JobScheduler::target(const WorkerState &worker) const
+{
+    return {worker.listing.name, worker.listing.address, m_token};
+}
+
+WorkerState *JobScheduler::findWorker(const std::string &name)
+{
+    const auto found = m_workers.find(name);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::int64_t JobScheduler::grantLease(WorkerState &worker)
+{
+    const bool first = worker.leaseGrantedUntil == 0;
+    const std::int64_t until = worker.clock.leaseEnd(m_environment.clock.now(), m_limits.lease);
+    worker.leaseGrantedUntil = std::max(worker.leaseGrantedUntil, until);
+    if (first) {
+        m_environment.listener.leaseHoldersChanged();
+    }
+    return until;
+}
+
+void JobScheduler::updateWorker(const WorkerListing &listing)
+{
+    WorkerState &worker = m_workers[listing.name];
+    const bool moved = !worker.listing.address.empty() && worker.listing.address != listing.address;
+    const bool began = !worker.listed;
+    const bool drains = listing.draining && !worker.listing.draining;
+    worker.listing = listing;
+    worker.listed = true;
+    if (moved || (worker.incarnation != 0 && listing.incarnation > worker.incarnation)) {
+        workerRestarted(worker, listing.incarnation);
+    }
+    if (began || drains) {
+        m_environment.listener.decided(drains ? "worker-draining" : "worker-listed", listing.name,
+            {{"address", listing.address}, {"pool", listing.pool}, {"rack", listing.rack}});
+    }
+    contact(worker);
+    dispatchSoon();
+}
+
+void JobScheduler::removeWorker(const std::string &name)
+{
+    WorkerState *worker = findWorker(name);
+    if (worker != nullptr && worker->listed) {
+        worker->listed = false;
+        m_environment.listener.decided("worker-unlisted", name, {{"tasks", worker->tasks.size()}});
+    }
+}
+
+void JobScheduler::contact(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    if (worker.reportOpen || worker.listing.address.empty()) {
+        return;
+    }
+    if (worker.unansweredInRow > 0 && now - worker.lastAnswer < ReportRetryPeriod) {
+        return;
+    }
+    const bool unrecorded = worker.processedEnd > worker.recordedEnd;
+    if (unrecorded && now - worker.lastAnswer < UnrecordedPeriod) {
+        return;
+    }
+    ReportRequest request;
+    request.recordedEnd = worker.recordedEnd;
+    const bool settled = worker.contacted && worker.unansweredInRow == 0 && !unrecorded;
+    if (settled) {
+        const bool paced = worker.backfillPercent < 100
+            || std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                [](const TaskState *task) { return task->step->specification().tailTarget.count() > 0; });
+        request.wait = paced ? PacedWait : m_limits.longestWait;
+    }
+    const bool renew = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty()
+        && worker.unansweredInRow < UnansweredBeforeLapse;
+    if (renew) {
+        request.leaseUntil = grantLease(worker);
+    }
+    worker.reportOpen = true;
+    m_environment.gateway.report(target(worker), request,
+        [weak = std::weak_ptr(m_self), name = worker.listing.name, sentAt = now](
+            const std::variant<RunReport, OrderOutcome> &result) {
+            if (const auto self = weak.lock()) {
+                (*self)->onReport(name, sentAt, result);
+            }
+        });
+}
+
+void JobScheduler::onReport(
+    const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result)
+{
+    WorkerState *worker = findWorker(name);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->reportOpen = false;
+    worker->lastAnswer = m_environment.clock.now();
+    if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
+        onReportFailed(*worker, *outcome);
+        return;
+    }
+    if (worker->unansweredInRow >= UnansweredBeforeLapse) {
+        m_environment.listener.decided("worker-answers-again", name, {{"unanswered", worker->unansweredInRow}});
+    }
+    worker->unansweredInRow = 0;
+    applyReport(*worker, std::get<RunReport>(result), sentAt);
+    dispatchSoon();
+    contact(*worker);
+}
+
+void JobScheduler::onReportFailed(WorkerState &worker, OrderOutcome outcome)
+{
+    if (outcome == OrderOutcome::Fenced) {
+        m_environment.listener.tokenRefused(worker.listing.name);
+    }
+    ++worker.unansweredInRow;
+    if (worker.unansweredInRow == UnansweredBeforeLapse) {
+        m_environment.listener.decided("worker-unreachable", worker.listing.name,
+            {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
+    }
+}
+
+void JobScheduler::applyReport(WorkerState &worker, const RunReport &report, Instant sentAt)
+{
+    const Instant now = m_environment.clock.now();
+    if (worker.incarnation != 0 && report.incarnation != worker.incarnation) {
+        if (report.incarnation < worker.incarnation) {
+            return;
+        }
+        workerRestarted(worker, report.incarnation);
+    }
+    worker.incarnation = report.incarnation;
+    worker.clock.observe(report.workerClock, sentAt, now);
+    worker.full = false;
+    if (!worker.contacted) {
+        worker.contacted = true;
+        m_inheritedWorkers.erase(worker.listing.name);
+    }
+    for (const EndedTask &ended : report.ended) {
+        if (ended.number > worker.processedEnd) {
+            applyEnd(worker, ended);
+            worker.processedEnd = ended.number;
+        }
+    }
+    std::set<RunName> listed;
+    for (const RunningTask &running : report.running) {
+        listed.insert(running.run);
+        applyRunning(worker, running, sentAt);
+    }
+    std::erase_if(worker.strays, [&listed](const RunName &run) { return !listed.contains(run); });
+    if (!report.truncated) {
+        settleMissing(worker, listed, sentAt);
+    }
+    moveStalledTasks(worker);
+    controlPace(worker);
+    if (worker.processedEnd > worker.recordedEnd) {
+        m_environment.listener.endsListed();
+    }
+}
+
+void JobScheduler::applyRunning(WorkerState &worker, const RunningTask &running, Instant sentAt)
+{
+    TaskState *task = findTask(running.run.task);
+    const bool current
+        = task != nullptr && task->worker == worker.listing.name && task->run == running.run.run;
+    if (current) {
+        if (task->phase == RunPhase::Starting) {
+            task->phase = RunPhase::Running;
+            task->startedAt = m_environment.clock.now();
+            task->progressedAt = task->startedAt;
+            task->lastOrderAnswered = sentAt;
+        }
+        noteProgress(*task, running);
+        return;
+    }
+    if (adopt(worker, running, sentAt)) {
+        return;
+    }
+    const bool known = worker.strays.contains(running.run);
+    worker.strays.insert(running.run);
+    if (!known) {
+        m_environment.listener.decided(
+            "stray-run-stopped", running.run.task.text(), {{"worker", worker.listing.name}, {"run", running.run.run}});
+    }
+    stopStray(worker, running.run);
+}
+
+bool JobScheduler::adopt(WorkerState &worker, const RunningTask &running, Instant sentAt)
+{
+    TaskState *task = findTask(running.run.task);
+    if (task == nullptr || task->phase != RunPhase::Waiting || task->run >= running.run.run) {
+        return false;
+    }
+    JobState &job = *task->step->occurrence->job;
+    if (!job.inherited || job.isFinished()) {
+        return false;
+    }
+    place(*task, worker, running.run.run);
+    task->phase = RunPhase::Running;
+    task->startedAt = m_environment.clock.now();
+    task->progressedAt = task->startedAt;
+    task->lastOrderAnswered = sentAt;
+    noteProgress(*task, running);
+    return true;
+}
+
+void JobScheduler::noteProgress(TaskState &task, const RunningTask &running)
+{
+    if (running.percent != task.percent) {
+        task.percent = running.percent;
+        task.progressedAt = m_environment.clock.now();
+    }
+    task.usage = running.usage;
+    if (!running.checkpoint.empty()) {
+        task.checkpoint = running.checkpoint;
+    }
+}
+
+void JobScheduler::settleMissing(WorkerState &worker, const std::set<RunName> &listed, Instant sentAt)
+{
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        const bool settled = !task->orderOpen && task->lastOrderAnswered != Instant() && task->lastOrderAnswered < sentAt;
+        if (task->phase == RunPhase::Starting || !settled || listed.contains({nameOf(*task), task->run})) {
+            continue;
+        }
+        if (task->phase == RunPhase::Running) {
+            m_environment.listener.decided("run-missing", nameOf(*task).text(),
+                {{"worker", worker.listing.name}, {"run", task->run}});
+        }
+        release(*task, Milliseconds(0));
+    }
+}
+
+void JobScheduler::moveStalledTasks(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        const StepSpecification &step = task->step->specification();
+        const bool judged = task->phase == RunPhase::Running && !step.backfills && !step.gang && !step.lasting;
+        const Milliseconds allowed = std::max(StallTime, step.estimate / 2);
+        if (!judged || now - task->progressedAt < allowed) {
+            continue;
+        }
+        m_environment.listener.decided("run-stalled", nameOf(*task).text(),
+            {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent}});
+        task->avoided.insert(worker.listing.name);
+        noteFailure(worker, task->step->occurrence->job->specification.id);
+        beginStop(*task);
+    }
+}
+
+void JobScheduler::controlPace(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    TailReading reading;
+    reading.percent = worker.backfillPercent;
+    std::vector<TaskState *> backfilling;
+    for (TaskState *task : worker.tasks) {
+        const StepSpecification &step = task->step->specification();
+        if (step.tailTarget.count() > 0 && task->phase == RunPhase::Running) {
+            const double ratio = static_cast<double>(task->usage) / static_cast<double>(step.tailTarget.count());
+            reading.ratio = std::max(reading.ratio, ratio);
+        } else if (step.backfills && task->phase == RunPhase::Running) {
+            backfilling.push_back(task);
+        }
+    }
+    // A change shows in the reports only after the half second over which they are averaged.
+    constexpr Milliseconds SettleTime {600};
+    if (now - worker.paceChangedAt >= SettleTime) {
+        const int next = nextBackfillPercent(reading);
+        if (next != worker.backfillPercent) {
+            worker.paceChangedAt = now;
+            worker.backfillPercent = next;
+            m_environment.listener.decided("pace-changed", worker.listing.name,
+                {{"percent", next}, {"ratio", reading.ratio}, {"backfilling", backfilling.size()}});
+        }
+    }
+    for (TaskState *task : backfilling) {
+        if (task->pacePercent != worker.backfillPercent) {
+            sendPace(*task, worker.backfillPercent);
+        }
+    }
+}
+
+void JobScheduler::sendPace(TaskState &task, int percent)
+{
+    WorkerState *worker = findWorker(task.worker);
+    if (worker == nullptr) {
+        return;
+    }
+    task.pacePercent = percent;
+    const RunName name {nameOf(task), task.run};
+    m_environment.gateway.pace(
+        target(*worker), name, percent, [weak = std::weak_ptr(m_self), name](const OrderAnswer &answer) {
+            const auto self = weak.lock();
+            if (!self || answer.outcome == OrderOutcome::Accepted) {
+                return;
+            }
+            // The next report sends it again.
+            TaskState *paced = (*self)->findTask(name.task);
+            if (paced != nullptr && paced->run == name.run) {
+                paced->pacePercent = -1;
+            }
+        });
+}
+
+void JobScheduler::workerRestarted(WorkerState &worker, std::int64_t incarnation)
+{
+    m_environment.listener.decided("worker-restarted", worker.listing.name,
+        {{"was", worker.incarnation}, {"is", incarnation}, {"tasks", worker.tasks.size()}});
+    worker.incarnation = incarnation;
+    worker.processedEnd = 0;
+    worker.recordedEnd = 0;
+    worker.strays.clear();
+    worker.clock.reset();
+    worker.leaseGrantedUntil = 0;
+    worker.contacted = false;
+    worker.full = false;
+    worker.failuresInRow = 0;
+    worker.quarantinedUntil = {};
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        if (task->phase == RunPhase::Starting && (task->uncertain || task->orderOpen)) {
+            // The order may reach the new incarnation, which must refuse it before the task runs elsewhere.
+            beginStop(*task);
+        } else {
+            release(*task, Milliseconds(0));
+        }
+    }
+}
+
+void JobScheduler::expireLeases(WorkerState &worker)
+{
+    const bool silent = worker.unansweredInRow > 0 && worker.clock.isKnown() && worker.leaseGrantedUntil > 0;
+    if (!silent || m_environment.clock.now() < worker.clock.surelyPast(worker.leaseGrantedUntil)) {
+        return;
+    }
+    if (worker.tasks.empty()) {
+        return;
+    }
+    m_environment.listener.decided("worker-leases-over", worker.listing.name, {{"tasks", worker.tasks.size()}});
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        release(*task, Milliseconds(0));
+    }
+}
+
+void JobScheduler::retryOrders(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    for (TaskState *task : worker.tasks) {
+        if (task->orderOpen || now - task->lastOrderSent < OrderRetryPeriod) {
+            continue;
+        }
+        if (task->phase == RunPhase::Starting && worker.unansweredInRow < UnansweredBeforeLapse) {
+            sendStart(*task);
+        } else if (task->phase == RunPhase::Stopping) {
+            sendStop(*task);
+        }
+    }
+}
+
+void JobScheduler::noteFailure(WorkerState &worker, const std::string &job)
+{
+    // A job that fails by its own fault says nothing about the worker, however many tasks it has there.
+    if (worker.lastFailedJob == job) {
+        return;
+    }
+    worker.lastFailedJob = job;
+    ++worker.failuresInRow;
+    if (worker.failuresInRow < FailuresBeforeQuarantine) {
+        return;
+    }
+    const int doublings = std::min(worker.quarantines, MostQuarantineDoublings);
+    const Milliseconds length = FirstQuarantine * (1 << doublings);
+    ++worker.quarantines;
+    // One more failure after the quarantine is enough for the next one.
+    worker.failuresInRow = FailuresBeforeQuarantine - 1;
+    worker.quarantinedUntil = m_environment.clock.now() + length;
+    m_environment.listener.decided(
+        "worker-quarantined", worker.listing.name, {{"milliseconds", length.count()}, {"job", job}});
+}
+
+}
--- /dev/null
+++ b/source/scheduling/JobState.cpp
@@ -0,0 +1,179 @@
+#include "scheduling/JobState.h"
+
+#include "base/NameTable.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr NameTable<JobPhase, 5> PhaseNames {{{{JobPhase::Pending, "pending"}, {JobPhase::Running, "running"},
+    {JobPhase::Done, "done"}, {JobPhase::Failed, "failed"}, {JobPhase::Cancelled, "cancelled"}}}};
+
+// Returns what the store keeps of a task beside its end, or null when there is nothing.
+Json describeTask(const TaskState &task)
+{
+    if (task.phase == RunPhase::Done || (task.failures == 0 && task.checkpoint.empty())) {
+        return nullptr;
+    }
+    return {{"index", task.index}, {"failures", task.failures}, {"failed_run", task.lastFailedRun},
+        {"checkpoint", task.checkpoint}};
+}
+
+Json describeStep(const StepState &step)
+{
+    std::string ends(step.tasks.size(), '0');
+    Json tasks = Json::array();
+    for (const TaskState &task : step.tasks) {
+        if (task.phase == RunPhase::Done) {
+            ends[static_cast<std::size_t>(task.index)] = '1';
+        }
+        Json entry = describeTask(task);
+        if (!entry.is_null()) {
+            tasks.push_back(std::move(entry));
+        }
+    }
+    Json document = {{"done", ends}};
+    if (!tasks.empty()) {
+        document["tasks"] = std::move(tasks);
+    }
+    return document;
+}
+
+void restoreStep(StepState &step, const Json &document)
+{
+    const std::string ends = memberOr(document, "done", std::string());
+    for (TaskState &task : step.tasks) {
+        const auto index = static_cast<std::size_t>(task.index);
+        if (index < ends.size() && ends[index] == '1') {
+            task.phase = RunPhase::Done;
+            ++step.doneCount;
+            --step.waitingCount;
+        }
+    }
+    for (const Json &entry : memberOr(document, "tasks", Json::array())) {
+        const int index = memberOr(entry, "index", -1);
+        if (index < 0 || static_cast<std::size_t>(index) >= step.tasks.size()) {
+            continue;
+        }
+        TaskState &task = step.tasks[static_cast<std::size_t>(index)];
+        task.failures = memberOr(entry, "failures", 0);
+        task.lastFailedRun = memberOr(entry, "failed_run", std::uint64_t {0});
+        task.checkpoint = memberOr(entry, "checkpoint", std::string());
+    }
+}
+
+}
+
+std::string_view nameOf(JobPhase phase)
+{
+    return PhaseNames.nameOf(phase);
+}
+
+JobPhase jobPhaseFromName(std::string_view name)
+{
+    return PhaseNames.find(name).value_or(JobPhase::Pending);
+}
+
+const StepSpecification &StepState::specification() const
+{
+    return occurrence->job->specification.steps[static_cast<std::size_t>(number)];
+}
+
+bool OccurrenceState::isEligible(const StepState &step) const
+{
+    const std::vector<int> &after = step.specification().after;
+    return std::all_of(after.begin(), after.end(), [this](int earlier) {
+        const StepState &other = steps[static_cast<std::size_t>(earlier)];
+        return other.doneCount == static_cast<int>(other.tasks.size());
+    });
+}
+
+bool JobState::isFinished() const
+{
+    return phase == JobPhase::Done || phase == JobPhase::Failed || phase == JobPhase::Cancelled;
+}
+
+TaskState *JobState::find(const TaskName &name)
+{
+    const auto occurrence = occurrences.find(name.occurrence);
+    if (occurrence == occurrences.end() || name.step < 0
+        || static_cast<std::size_t>(name.step) >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    StepState &step = occurrence->second.steps[static_cast<std::size_t>(name.step)];
+    if (name.index < 0 || static_cast<std::size_t>(name.index) >= step.tasks.size()) {
+        return nullptr;
+    }
+    return &step.tasks[static_cast<std::size_t>(name.index)];
+}
+
+TaskName nameOf(const TaskState &task)
+{
+    const OccurrenceState &occurrence = *task.step->occurrence;
+    return {occurrence.job->specification.id, occurrence.number, task.step->number, task.index};
+}
+
+OccurrenceState &createOccurrence(JobState &job, std::int64_t number)
+{
+    OccurrenceState &occurrence = job.occurrences[number];
+    occurrence.job = &job;
+    occurrence.number = number;
+    for (std::size_t i = 0; i < job.specification.steps.size(); ++i) {
+        StepState &step = occurrence.steps.emplace_back();
+        step.occurrence = &occurrence;
+        step.number = static_cast<int>(i);
+        const int count = job.specification.steps[i].count;
+        step.waitingCount = count;
+        step.tasks.resize(static_cast<std::size_t>(count));
+        for (int index = 0; index < count; ++index) {
+            step.tasks[static_cast<std::size_t>(index)].step = &step;
+            step.tasks[static_cast<std::size_t>(index)].index = index;
+        }
+    }
+    return occurrence;
+}
+
+Json describeProgress(const JobState &job)
+{
+    Json document = {{"phase", nameOf(job.phase)}};
+    if (job.isFinished()) {
+        return document;
+    }
+    document["started"] = job.everStarted;
+    document["next"] = job.nextOccurrence;
+    document["finished"] = job.finishedOccurrences;
+    Json occurrences = Json::object();
+    for (const auto &[number, occurrence] : job.occurrences) {
+        Json steps = Json::array();
+        for (const StepState &step : occurrence.steps) {
+            steps.push_back(describeStep(step));
+        }
+        occurrences[std::to_string(number)] = std::move(steps);
+    }
+    document["occurrences"] = std::move(occurrences);
+    return document;
+}
+
+void restoreProgress(JobState &job, const Json &document)
+{
+    job.phase = jobPhaseFromName(memberOr(document, "phase", std::string()));
+    job.recordedPhase = job.phase;
+    job.everStarted = memberOr(document, "started", false);
+    job.nextOccurrence = memberOr(document, "next", std::int64_t {0});
+    job.finishedOccurrences = memberOr(document, "finished", std::int64_t {0});
+    const Json occurrences = memberOr(document, "occurrences", Json::object());
+    for (const auto &[key, steps] : occurrences.items()) {
+        OccurrenceState &occurrence = createOccurrence(job, std::strtoll(key.c_str(), nullptr, 10));
+        for (std::size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
+            StepState &step = occurrence.steps[i];
+            restoreStep(step, steps[i]);
+            occurrence.stepsDone += step.doneCount == static_cast<int>(step.tasks.size()) ? 1 : 0;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/source/scheduling/JobState.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "scheduling/JobSpecification.h"
+#include "scheduling/QueuePolicy.h"
+#include "scheduling/TaskName.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace Wagtail
+{
+
+enum class RunPhase {
+    // Looks for a worker.
+    Waiting,
+    // A start was sent and its answer is not definite yet.
+    Starting,
+    Running,
+    // A stop was sent and the end is not certain yet.
+    Stopping,
+    Done,
+};
+
+enum class JobPhase {
+    Pending,
+    Running,
+    Done,
+    Failed,
+    Cancelled,
+};
+
+[[nodiscard]] std::string_view nameOf(JobPhase phase);
+
+// Returns the phase with the given stable name; Pending when there is none.
+[[nodiscard]] JobPhase jobPhaseFromName(std::string_view name);
+
+struct StepState;
+struct OccurrenceState;
+struct JobState;
+
+// One task and its present run.
+struct TaskState
+{
+    StepState *step = nullptr;
+    int index = 0;
+    RunPhase phase = RunPhase::Waiting;
+    // The number of the present run, or of the last one.
+    std::uint64_t run = 0;
+    // The worker of the present run, or empty.
+    std::string worker;
+    // Failed attempts, and the run that failed last: ends that are listed again are not counted twice.
+    int failures = 0;
+    std::uint64_t lastFailedRun = 0;
+    std::string checkpoint;
+    // The workers on which the task failed or stood still.
+    std::set<std::string> avoided;
+    // Whether an order of the present run went unanswered, so that it may still be carried out.
+    bool uncertain = false;
+    // Whether the order to start or stop waits for its answer.
+    bool orderOpen = false;
+    Instant lastOrderSent;
+    Instant lastOrderAnswered;
+    Instant startedAt;
+    int percent = 0;
+    Instant progressedAt;
+    std::int64_t usage = 0;
+    int pacePercent = 100;
+    Instant notBefore;
+};
+
+struct StepState
+{
+    OccurrenceState *occurrence = nullptr;
+    int number = 0;
+    std::vector<TaskState> tasks;
+    int doneCount = 0;
+    int waitingCount = 0;
+    // The highest run number that any member of the step used; gang members share one.
+    std::uint64_t highestRun = 0;
+
+    [[nodiscard]] const StepSpecification &specification() const;
+};
+
+// One run through all steps of a job.
+struct OccurrenceState
+{
+    JobState *job = nullptr;
+    std::int64_t number = 0;
+    std::deque<StepState> steps;
+    int stepsDone = 0;
+
+    // Returns whether all steps that the given one depends on are done.
+    [[nodiscard]] bool isEligible(const StepState &step) const;
+};
+
+struct JobState
+{
+    JobSpecification specification;
+    QueuePolicy policy;
+    // Wall time of the acceptance in milliseconds.
+    std::int64_t acceptedWall = 0;
+    Instant acceptedAt;
+    // What is true now, and what the store has recorded and may be shown to callers.
+    JobPhase phase = JobPhase::Pending;
+    JobPhase recordedPhase = JobPhase::Pending;
+    bool everStarted = false;
+    // Whether the job was accepted under an earlier tenure, so that unknown runs of it may exist.
+    bool inherited = false;
+    std::map<std::int64_t, OccurrenceState> occurrences;
+    // The next occurrence to be created, and the finished ones.
+    std::int64_t nextOccurrence = 0;
+    std::int64_t finishedOccurrences = 0;
+    Instant finishedAt;
+
+    [[nodiscard]] bool isFinished() const;
+    [[nodiscard]] TaskState *find(const TaskName &name);
+};
+
+// Returns the full name of a task.
+[[nodiscard]] TaskName nameOf(const TaskState &task);
+
+// Creates an occurrence with all its tasks waiting. The job must stay where it is in memory.
+OccurrenceState &createOccurrence(JobState &job, std::int64_t number);
+
+// Writes what must outlive the scheduler: the phase, finished tasks, failures and checkpoints.
+[[nodiscard]] Json describeProgress(const JobState &job);
+
+// Applies what describeProgress() wrote to a job without occurrences.
+void restoreProgress(JobState &job, const Json &document);
+
+}
--- /dev/null
+++ b/source/scheduling/TaskName.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Wagtail
+{
+
+// Names one task of a job: its occurrence (0 unless the job repeats), its step and its index in the step.
+struct TaskName
+{
+    std::string job;
+    std::int64_t occurrence = 0;
+    int step = 0;
+    int index = 0;
+
+    auto operator<=>(const TaskName &) const = default;
+
+    // Returns the form "job.occurrence.step.index".
+    [[nodiscard]] std::string text() const;
+
+    // Parses the form that text() returns.
+    [[nodiscard]] static std::optional<TaskName> parse(std::string_view text);
+};
+
+}
--- /dev/null
+++ b/source/scheduling/WorkerChoice.cpp
@@ -0,0 +1,110 @@
+#include "scheduling/WorkerChoice.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// Serving tasks use about half of what they ask for, so the rest is left to backfilling tasks.
+constexpr double ServingUse = 0.5;
+// The costs are shares of a worker: a full worker costs 0, an empty one 1. What disturbs or slows down the task
+// itself weighs more than packing.
+constexpr double AvoidedCost = 8.0;
+constexpr double ForeignRackCost = 4.0;
+constexpr double DisturbanceCost = 2.0;
+constexpr double SharedServingCost = 0.3;
+constexpr double PacedBackfillCost = 1.0;
+
+double share(std::int64_t part, std::int64_t whole)
+{
+    return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+int countServing(const WorkerState &worker)
+{
+    int count = 0;
+    for (const TaskState *task : worker.tasks) {
+        count += task->step->specification().tailTarget.count() > 0 ? 1 : 0;
+    }
+    return count;
+}
+
+int countBackfilling(const WorkerState &worker)
+{
+    int count = 0;
+    for (const TaskState *task : worker.tasks) {
+        count += task->step->specification().backfills ? 1 : 0;
+    }
+    return count;
+}
+
+double disturbanceCost(const WorkerState &worker, const StepSpecification &step)
+{
+    if (step.tailTarget.count() > 0) {
+        return DisturbanceCost * countBackfilling(worker) + SharedServingCost * countServing(worker);
+    }
+    if (!step.backfills) {
+        return 0.0;
+    }
+    const double paced = PacedBackfillCost * (100 - worker.backfillPercent) / 100.0;
+    return DisturbanceCost * countServing(worker) + paced;
+}
+
+}
+
+std::int64_t unusedMilliCores(const WorkerState &worker)
+{
+    std::int64_t unused = worker.listing.capacity.milliCores;
+    for (const TaskState *task : worker.tasks) {
+        const StepSpecification &step = task->step->specification();
+        const bool serving = step.tailTarget.count() > 0;
+        const double use = serving ? ServingUse : 1.0;
+        unused -= static_cast<std::int64_t>(static_cast<double>(step.demand.milliCores) * use);
+    }
+    return unused;
+}
+
+bool couldEverHold(const WorkerState &worker, const StepSpecification &step, const std::string &pool)
+{
+    return worker.listing.pool == pool && step.demand.fitsInto(worker.listing.capacity)
+        && (step.requiredLabel.empty() || worker.listing.labels.contains(step.requiredLabel));
+}
+
+std::optional<double> placementCost(const WorkerState &worker, const WorkerQuery &query)
+{
+    const StepSpecification &step = *query.step;
+    const bool usable = worker.listed && !worker.listing.draining && worker.contacted && !worker.full
+        && worker.unansweredInRow == 0 && worker.strays.empty() && worker.quarantinedUntil <= query.now;
+    if (!usable || !couldEverHold(worker, step, query.pool)) {
+        return std::nullopt;
+    }
+    const Resources demand = WorkerState::countedDemand(step);
+    if (!demand.fitsInto(worker.room())) {
+        return std::nullopt;
+    }
+    if (step.perWorkerLimit > 0) {
+        const auto found = query.sameStep->find(worker.listing.name);
+        if (found != query.sameStep->end() && found->second >= step.perWorkerLimit) {
+            return std::nullopt;
+        }
+    }
+    const std::int64_t capacity = worker.listing.capacity.milliCores;
+    const std::int64_t unused = unusedMilliCores(worker);
+    if (step.backfills && unused < step.demand.milliCores) {
+        return std::nullopt;
+    }
+    // Backfilling tasks are spread over what is unused; all others are packed.
+    double cost = step.backfills ? 1.0 - share(unused, capacity) : share(worker.room().milliCores, capacity);
+    cost += disturbanceCost(worker, step);
+    if (query.avoided->contains(worker.listing.name)) {
+        cost += AvoidedCost;
+    }
+    const std::string &rack = step.dataRack.empty() ? query.preferredRack : step.dataRack;
+    if (!rack.empty() && worker.listing.rack != rack) {
+        cost += ForeignRackCost;
+    }
+    return cost;
+}
+
+}
--- /dev/null
+++ b/source/scheduling/WorkerChoice.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "scheduling/WorkerState.h"
+
+namespace Wagtail
+{
+
+// What a task looks for when it needs a worker.
+struct WorkerQuery
+{
+    const StepSpecification *step = nullptr;
+    std::string pool;
+    const std::set<std::string> *avoided = nullptr;
+    // How many tasks of the step each worker already has.
+    const std::map<std::string, int> *sameStep = nullptr;
+    // The rack that the other tasks of a rack-bound step stand on, or empty.
+    std::string preferredRack;
+    Instant now;
+};
+
+// Returns the cost of a placement; nothing when a hard limit forbids it. Lower is better.
+// Load pattern: wide steps that arrive in bursts among lasting tasks; tight packing keeps whole workers free,
+// and backfilling tasks are kept away from serving tasks, which they disturb.
+[[nodiscard]] std::optional<double> placementCost(const WorkerState &worker, const WorkerQuery &query);
+
+// Returns the processors that a worker's tasks leave to backfilling ones, in thousandths of a core.
+[[nodiscard]] std::int64_t unusedMilliCores(const WorkerState &worker);
+
+// Returns whether any worker of the pool could ever hold a task of the step, were it empty.
+[[nodiscard]] bool couldEverHold(const WorkerState &worker, const StepSpecification &step, const std::string &pool);
+
+}
--- /dev/null
+++ b/source/scheduling/WorkerClock.cpp
@@ -0,0 +1,48 @@
+#include "scheduling/WorkerClock.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// The platform states that a worker's clock may be 2 % slow.
+constexpr double SlowestRate = 0.98;
+// Covers the rounding of readings to milliseconds.
+constexpr Milliseconds ReadingMargin {20};
+
+}
+
+void WorkerClock::observe(std::int64_t reading, Instant sentAt, Instant receivedAt)
+{
+    if (m_known && receivedAt < m_receivedAt) {
+        return;
+    }
+    m_known = true;
+    m_reading = reading;
+    m_sentAt = sentAt;
+    m_receivedAt = receivedAt;
+}
+
+void WorkerClock::reset()
+{
+    m_known = false;
+}
+
+bool WorkerClock::isKnown() const
+{
+    return m_known;
+}
+
+std::int64_t WorkerClock::leaseEnd(Instant now, Milliseconds length) const
+{
+    return m_reading + (std::chrono::duration_cast<Milliseconds>(now - m_sentAt) + length).count();
+}
+
+Instant WorkerClock::surelyPast(std::int64_t reading) const
+{
+    const double left = static_cast<double>(reading - m_reading) / SlowestRate;
+    return m_receivedAt + Milliseconds(static_cast<std::int64_t>(left)) + ReadingMargin;
+}
+
+}
--- /dev/null
+++ b/source/scheduling/WorkerClock.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <cstdint>
+
+namespace Wagtail
+{
+
+// What is known of a worker's own steady clock, in milliseconds. It may run up to 2 % slow.
+class WorkerClock
+{
+public:
+    // Takes a reading that arrived in an answer.
+    void observe(std::int64_t reading, Instant sentAt, Instant receivedAt);
+
+    // Forgets everything, for a worker that started anew.
+    void reset();
+
+    [[nodiscard]] bool isKnown() const;
+
+    // Returns the reading at which a lease of the given length that begins now ends. The clock must be known.
+    [[nodiscard]] std::int64_t leaseEnd(Instant now, Milliseconds length) const;
+
+    // Returns the time by which the worker's clock has surely passed the reading, however slowly it runs.
+    [[nodiscard]] Instant surelyPast(std::int64_t reading) const;
+
+private:
+    bool m_known = false;
+    std::int64_t m_reading = 0;
+    Instant m_sentAt;
+    Instant m_receivedAt;
+};
+
+}
--- /dev/null
+++ b/source/scheduling/WorkerState.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "scheduling/JobState.h"
+#include "scheduling/WorkerClock.h"
+#include "scheduling/WorkerGateway.h"
+
+#include <set>
+
+namespace Wagtail
+{
+
+// What the scheduler knows of one worker.
+struct WorkerState
+{
+    WorkerListing listing;
+    // Whether the platform's list has it at present.
+    bool listed = false;
+    // Whether it has answered under this tenure, and so refuses orders of earlier ones.
+    bool contacted = false;
+    WorkerClock clock;
+    std::int64_t incarnation = 0;
+    // The highest reading of the worker's clock up to which any run may hold a lease from this tenure.
+    std::int64_t leaseGrantedUntil = 0;
+    Instant lastAnswer;
+    int unansweredInRow = 0;
+    bool reportOpen = false;
+    // The request of the open report allows waiting for an end.
+    bool removed = false;
+    std::uint64_t processedEnd = 0;
+    std::uint64_t recordedEnd = 0;
+    // Tasks whose present run is on this worker, whatever its phase.
+    std::set<TaskState *> tasks;
+    // Runs that the last report listed and that belong to no present run; their room is not known.
+    std::set<RunName> strays;
+    Resources used;
+    // Failures of different jobs without a success between them.
+    int failuresInRow = 0;
+    std::string lastFailedJob;
+    Instant quarantinedUntil;
+    int quarantines = 0;
+    // Set when the worker refused a start for want of room, until its next report.
+    bool full = false;
+    // The share of their speed at which backfilling tasks work here, in percent.
+    int backfillPercent = 100;
+    Instant paceChangedAt;
+
+    // Returns what a task takes up here: backfilling tasks count with their memory only.
+    [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
+    [[nodiscard]] Resources room() const;
+};
+
+}
--- /dev/null
+++ b/source/tenure/JobJournal.cpp
@@ -0,0 +1,285 @@
+#include "tenure/JobJournal.h"
+
+#include "tenure/JobKeys.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// Changes gather for this long before they are written: each call to the store is paid for.
+constexpr Milliseconds GatherTime {20};
+// A transaction without a definite answer is sent again after this time.
+constexpr Milliseconds RetryPeriod {150};
+// The platform takes at most 32 conditions, writes and erasures in a transaction.
+constexpr std::size_t MostEntries = 32;
+// Two conditions and the head.
+constexpr std::size_t FixedEntries = 3;
+// One condition and two writes.
+constexpr std::size_t EntriesPerAccept = 3;
+
+}
+
+JobJournal::JobJournal(Store &store, Scheduler &scheduler, JobJournalOwner &owner, JournalPosition position)
+    : m_store(store), m_scheduler(scheduler), m_owner(owner), m_position(std::move(position))
+{
+}
+
+JobJournal::~JobJournal()
+{
+    *m_alive = false;
+    std::vector<PendingAccept> open(std::make_move_iterator(m_accepts.begin()), std::make_move_iterator(m_accepts.end()));
+    if (m_batch) {
+        std::move(m_batch->accepts.begin(), m_batch->accepts.end(), std::back_inserter(open));
+    }
+    for (const PendingAccept &accept : open) {
+        accept.handler({AcceptOutcome::Unknown, {}});
+    }
+    notifyFlushed();
+}
+
+void JobJournal::accept(JobRecord record, AcceptHandler handler)
+{
+    if (m_storeAway) {
+        handler({AcceptOutcome::StoreAway, {}});
+        return;
+    }
+    m_accepts.push_back({std::move(record), std::move(handler)});
+    schedule(GatherTime);
+}
+
+void JobJournal::progressChanged(const std::string &job)
+{
+    m_changed.insert(job);
+    schedule(GatherTime);
+}
+
+void JobJournal::requestCoverage()
+{
+    m_coverageWanted = true;
+    schedule(GatherTime);
+}
+
+void JobJournal::put(const std::string &key, std::string value)
+{
+    m_puts[key] = std::move(value);
+    schedule(GatherTime);
+}
+
+void JobJournal::erase(const std::string &key)
+{
+    m_erasures.insert(key);
+    schedule(GatherTime);
+}
+
+void JobJournal::flush(std::function<void()> handler)
+{
+    m_flushHandlers.push_back(std::move(handler));
+    schedule(Milliseconds(0));
+}
+
+bool JobJournal::isStoreAway() const
+{
+    return m_storeAway;
+}
+
+bool JobJournal::isIdle() const
+{
+    return m_accepts.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty() && !m_coverageWanted;
+}
+
+void JobJournal::schedule(Milliseconds delay)
+{
+    if (m_scheduled || m_batch) {
+        return;
+    }
+    m_scheduled = true;
+    m_scheduler.after(delay, [this, alive = m_alive] {
+        if (*alive) {
+            m_scheduled = false;
+            write();
+        }
+    });
+}
+
+void JobJournal::write()
+{
+    if (m_batch) {
+        return;
+    }
+    const bool onlyCoverage
+        = m_accepts.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty() && m_coverageWanted;
+    if (onlyCoverage) {
+        // Nothing has changed since the last transaction, so it covers the present.
+        m_coverageWanted = false;
+        m_owner.onCoverageBegins();
+        m_owner.onCovered();
+    }
+    if (isIdle()) {
+        notifyFlushed();
+        return;
+    }
+    m_batch.emplace();
+    fill(*m_batch);
+    send();
+}
+
+void JobJournal::fill(Batch &batch)
+{
+    StoreTransaction &transaction = batch.transaction;
+    transaction.conditions = {{JobKeys::owner(m_position.partition), m_position.ownerRevision},
+        {JobKeys::head(m_position.partition), m_position.headRevision}};
+    transaction.writes.push_back(
+        {JobKeys::head(m_position.partition), writeJson({{"tenure", m_position.tenure}}), std::nullopt, 0});
+    std::size_t entries = FixedEntries;
+    while (!m_changed.empty() && entries < MostEntries) {
+        const std::string job = *m_changed.begin();
+        m_changed.erase(m_changed.begin());
+        const auto progress = m_owner.progressOf(job);
+        if (progress) {
+            transaction.writes.push_back(
+                {JobKeys::progress(m_position.partition) + job, progress->second, std::nullopt, 0});
+            batch.phases.emplace_back(job, progress->first);
+            ++entries;
+        }
+    }
+    batch.covers = m_changed.empty();
+    if (batch.covers) {
+        m_coverageWanted = false;
+        m_owner.onCoverageBegins();
+    }
+    while (!m_accepts.empty() && entries + EntriesPerAccept <= MostEntries) {
+        PendingAccept accept = std::move(m_accepts.front());
+        m_accepts.pop_front();
+        const std::string &id = accept.record.specification.id;
+        transaction.conditions.push_back({JobKeys::home(id), MustNotExist});
+        transaction.writes.push_back({JobKeys::home(id), m_position.partition, std::nullopt, 0});
+        transaction.writes.push_back(
+            {JobKeys::jobs(m_position.partition) + id, serialize(accept.record), std::nullopt, 0});
+        batch.accepts.push_back(std::move(accept));
+        entries += EntriesPerAccept;
+    }
+    while (!m_puts.empty() && entries < MostEntries) {
+        auto node = m_puts.extract(m_puts.begin());
+        transaction.writes.push_back({node.key(), std::move(node.mapped()), std::nullopt, 0});
+        ++entries;
+    }
+    while (!m_erasures.empty() && entries < MostEntries) {
+        transaction.erasures.push_back(*m_erasures.begin());
+        m_erasures.erase(m_erasures.begin());
+        ++entries;
+    }
+}
+
+void JobJournal::send()
+{
+    m_store.commit(m_batch->transaction, [this, alive = m_alive](const Result<StoreCommit> &result) {
+        if (*alive) {
+            onResult(result);
+        }
+    });
+}
+
+void JobJournal::onResult(const Result<StoreCommit> &result)
+{
+    if (const auto *commit = std::get_if<StoreCommit>(&result)) {
+        m_storeAway = false;
+        if (commit->committed) {
+            onCommitted(commit->revision);
+        } else {
+            onRefused(*commit);
+        }
+        return;
+    }
+    m_storeAway = true;
+    m_batch->uncertain = true;
+    // What was not sent yet is refused, since nobody knows when the store returns.
+    std::deque<PendingAccept> unsent;
+    unsent.swap(m_accepts);
+    for (const PendingAccept &accept : unsent) {
+        accept.handler({AcceptOutcome::StoreAway, {}});
+    }
+    m_scheduler.after(RetryPeriod, [this, alive = m_alive] {
+        if (*alive) {
+            send();
+        }
+    });
+}
+
+void JobJournal::onCommitted(StoreRevision revision)
+{
+    m_position.headRevision = revision;
+    const Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    for (const auto &[job, phase] : batch.phases) {
+        m_owner.onPhaseRecorded(job, phase);
+    }
+    for (const PendingAccept &accept : batch.accepts) {
+        accept.handler({AcceptOutcome::Accepted, m_position.partition});
+    }
+    if (batch.covers) {
+        m_owner.onCovered();
+    }
+    if (isIdle()) {
+        notifyFlushed();
+    } else {
+        schedule(GatherTime);
+    }
+}
+
+void JobJournal::onRefused(const StoreCommit &commit)
+{
+    const StoreRevision owner = commit.presentRevision(JobKeys::owner(m_position.partition));
+    if (owner != m_position.ownerRevision) {
+        m_owner.onDeposed();
+        return;
+    }
+    const StoreRevision head = commit.presentRevision(JobKeys::head(m_position.partition));
+    if (head != m_position.headRevision) {
+        // Only this journal writes the head under this tenure: an earlier attempt has taken effect.
+        onCommitted(head);
+        return;
+    }
+    // Some jobs exist already. They leave the batch, and the rest is sent again.
+    Batch batch = std::move(*m_batch);
+    m_batch.reset();
+    for (PendingAccept &accept : batch.accepts) {
+        const std::string home = JobKeys::home(accept.record.specification.id);
+        const StoreEntry *present = nullptr;
+        for (const StoreEntry &entry : commit.present) {
+            present = entry.key == home ? &entry : present;
+        }
+        if (present != nullptr) {
+            accept.handler({AcceptOutcome::Exists, present->value});
+        } else {
+            m_accepts.push_back(std::move(accept));
+        }
+    }
+    for (const auto &[job, phase] : batch.phases) {
+        m_changed.insert(job);
+    }
+    const std::string progressPrefix = JobKeys::progress(m_position.partition);
+    const std::string jobsPrefix = JobKeys::jobs(m_position.partition);
+    for (StoreWrite &write : batch.transaction.writes) {
+        const bool rebuilt = write.key.starts_with(progressPrefix) || write.key.starts_with(jobsPrefix)
+            || write.key == JobKeys::head(m_position.partition) || write.key.starts_with(JobKeys::home(""));
+        if (!rebuilt) {
+            m_puts.emplace(write.key, std::move(write.value));
+        }
+    }
+    m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
+    m_coverageWanted = m_coverageWanted || batch.covers;
+    schedule(Milliseconds(0));
+}
+
+void JobJournal::notifyFlushed()
+{
+    std::vector<std::function<void()>> handlers;
+    handlers.swap(m_flushHandlers);
+    for (const auto &handler : handlers) {
+        handler();
+    }
+}
+
+}
--- /dev/null
+++ b/source/tenure/JobKeeper.cpp
@@ -0,0 +1,363 @@
+#include "tenure/JobKeeper.h"
+
+#include "tenure/JobKeys.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds LoadRetryPeriod {200};
+constexpr Milliseconds ForgettingPeriod {5'000};
+// A worker's clock may be 2 % slow, so the leases of an earlier tenure may last that much longer.
+constexpr double SlowestRate = 0.98;
+
+Milliseconds longestForeignLease(const JobKeeper::Limits &limits)
+{
+    const double lease = static_cast<double>(limits.scheduling.lease.count()) / SlowestRate;
+    return limits.ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
+}
+
+std::vector<WorkerListing> parseLeaseHolders(const std::string &text)
+{
+    std::vector<WorkerListing> holders;
+    const Result<Json> document = parseJson(text, "the lease holders");
+    const Json *members = std::get_if<Json>(&document);
+    if (members == nullptr || !members->is_object()) {
+        return holders;
+    }
+    for (const auto &[name, item] : members->items()) {
+        WorkerListing worker;
+        worker.name = name;
+        worker.address = memberOr(item, "address", std::string());
+        worker.pool = memberOr(item, "pool", std::string());
+        worker.incarnation = memberOr(item, "incarnation", std::int64_t {0});
+        holders.push_back(std::move(worker));
+    }
+    return holders;
+}
+
+}
+
+JobKeeper::JobKeeper(Environment environment, Limits limits, JournalPosition position)
+    : m_environment(std::move(environment))
+    , m_limits(limits)
+    , m_position(std::move(position))
+    , m_beganAt(m_environment.clock.now())
+    , m_jobs({m_environment.clock, m_environment.scheduler, m_environment.gateway, *this}, limits.scheduling,
+          m_position.ownerRevision, m_position.tenure)
+    , m_journal(m_environment.store, m_environment.scheduler, *this, m_position)
+    , m_inbox([this](const std::string &key) { onInboxChanged(key); })
+    , m_inboxFeed(m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition))
+{
+}
+
+JobKeeper::~JobKeeper()
+{
+    *m_alive = false;
+}
+
+void JobKeeper::load()
+{
+    m_environment.store.list(
+        JobKeys::partition(m_position.partition), [this, alive = m_alive](const Result<StoreListing> &result) {
+            if (!*alive) {
+                return;
+            }
+            if (const auto *listing = std::get_if<StoreListing>(&result)) {
+                restore(*listing);
+                return;
+            }
+            m_environment.scheduler.after(LoadRetryPeriod, [this, stillAlive = m_alive] {
+                if (*stillAlive) {
+                    load();
+                }
+            });
+        });
+}
+
+void JobKeeper::restore(const StoreListing &listing)
+{
+    const std::string jobsPrefix = JobKeys::jobs(m_position.partition);
+    const std::string progressPrefix = JobKeys::progress(m_position.partition);
+    std::map<std::string, const std::string *> progress;
+    std::vector<WorkerListing> holders;
+    for (const StoreEntry &entry : listing.entries) {
+        if (entry.key.starts_with(progressPrefix)) {
+            progress[entry.key.substr(progressPrefix.size())] = &entry.value;
+        } else if (entry.key == JobKeys::leaseHolders(m_position.partition)) {
+            holders = parseLeaseHolders(entry.value);
+        }
+    }
+    // A worker that the last owner met just before it ended may not be recorded yet, so all listed ones count.
+    for (const auto &[name, worker] : m_listed) {
+        holders.push_back(worker);
+    }
+    m_jobs.inherit(holders, m_beganAt + longestForeignLease(m_limits));
+    std::size_t count = 0;
+    for (const StoreEntry &entry : listing.entries) {
+        if (!entry.key.starts_with(jobsPrefix)) {
+            continue;
+        }
+        Result<JobRecord> parsed = parseJobRecord(entry.value);
+        if (const Error *error = errorOf(parsed)) {
+            m_environment.log("job-unreadable", entry.key, {{"error", error->detail}});
+            continue;
+        }
+        JobRecord record = std::get<JobRecord>(std::move(parsed));
+        const auto found = progress.find(record.specification.id);
+        Json document = Json::object();
+        if (found != progress.end()) {
+            const Result<Json> state = parseJson(*found->second, "the job's progress");
+            if (const Json *read = std::get_if<Json>(&state)) {
+                document = *read;
+            } else {
+                m_environment.log("progress-unreadable", entry.key, {{"error", errorOf(state)->detail}});
+            }
+        }
+        m_jobs.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
+        ++count;
+    }
+    m_loaded = true;
+    for (const auto &[name, worker] : m_listed) {
+        m_jobs.updateWorker(worker);
+    }
+    m_environment.log("partition-loaded", m_position.partition,
+        {{"jobs", count}, {"lease_holders", holders.size()}, {"token", m_position.ownerRevision}});
+    m_inboxFeed.start();
+}
+
+bool JobKeeper::isLoaded() const
+{
+    return m_loaded;
+}
+
+const JournalPosition &JobKeeper::position() const
+{
+    return m_position;
+}
+
+void JobKeeper::submit(JobRecord record, SubmitHandler handler)
+{
+    const std::string id = record.specification.id;
+    if (m_jobs.find(id) != nullptr) {
+        handler({AcceptOutcome::Exists, m_position.partition});
+        return;
+    }
+    m_journal.accept(record, [this, record, handler = std::move(handler)](const AcceptResult &result) {
+        if (result.outcome == AcceptOutcome::Accepted) {
+            m_jobs.add(record.specification, record.policy, record.acceptedWall);
+        }
+        handler(result);
+    });
+}
+
+void JobKeeper::cancel(const std::string &id, std::function<void(bool)> handler)
+{
+    const JobState *job = m_jobs.find(id);
+    if (job == nullptr) {
+        handler(false);
+        return;
+    }
+    const bool recorded = job->isFinished() && job->recordedPhase == job->phase;
+    if (recorded) {
+        handler(true);
+        return;
+    }
+    m_cancelHandlers.emplace(id, std::move(handler));
+    m_jobs.cancel(id);
+}
+
+std::optional<JobPhase> JobKeeper::phaseOf(const std::string &id) const
+{
+    const JobState *job = m_jobs.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    if (job->isFinished() && job->recordedPhase != job->phase) {
+        return JobPhase::Running;
+    }
+    return job->phase;
+}
+
+int JobKeeper::waitingCount(const std::string &queue) const
+{
+    return m_jobs.waitingCount(queue);
+}
+
+void JobKeeper::updateWorkers(const std::map<std::string, WorkerListing> &workers)
+{
+    for (const auto &[name, worker] : m_listed) {
+        if (!workers.contains(name)) {
+            m_jobs.removeWorker(name);
+        }
+    }
+    for (const auto &[name, worker] : workers) {
+        const auto known = m_listed.find(name);
+        if (m_loaded && (known == m_listed.end() || known->second != worker)) {
+            m_jobs.updateWorker(worker);
+        }
+    }
+    m_listed = workers;
+}
+
+void JobKeeper::updatePolicies(const std::map<std::string, QueuePolicy> &policies)
+{
+    m_jobs.updatePolicies(policies);
+}
+
+void JobKeeper::allowStarts(bool allowed)
+{
+    m_jobs.allowStarts(allowed);
+}
+
+void JobKeeper::tick()
+{
+    if (!m_loaded || m_deposed) {
+        return;
+    }
+    m_jobs.tick();
+    if (m_leaseHoldersDirty) {
+        writeLeaseHolders();
+    }
+    const Instant now = m_environment.clock.now();
+    if (now - m_lastForgetting < ForgettingPeriod) {
+        return;
+    }
+    m_lastForgetting = now;
+    for (const std::string &id : m_jobs.forgetFinished(now - m_limits.statusRetention)) {
+        m_journal.erase(JobKeys::home(id));
+        m_journal.erase(JobKeys::jobs(m_position.partition) + id);
+        m_journal.erase(JobKeys::progress(m_position.partition) + id);
+    }
+}
+
+void JobKeeper::writeLeaseHolders()
+{
+    m_leaseHoldersDirty = false;
+    Json holders = Json::object();
+    for (const WorkerListing &worker : m_jobs.leaseHolders()) {
+        holders[worker.name]
+            = {{"address", worker.address}, {"pool", worker.pool}, {"incarnation", worker.incarnation}};
+    }
+    m_journal.put(JobKeys::leaseHolders(m_position.partition), writeJson(holders));
+}
+
+void JobKeeper::flush(std::function<void()> handler)
+{
+    m_journal.flush(std::move(handler));
+}
+
+const JobScheduler &JobKeeper::jobs() const
+{
+    return m_jobs;
+}
+
+void JobKeeper::progressChanged(const std::string &job)
+{
+    m_journal.progressChanged(job);
+}
+
+void JobKeeper::endsListed()
+{
+    m_journal.requestCoverage();
+}
+
+void JobKeeper::leaseHoldersChanged()
+{
+    m_leaseHoldersDirty = true;
+}
+
+void JobKeeper::tokenRefused(const std::string &worker)
+{
+    depose("worker " + worker + " has seen a higher token");
+}
+
+void JobKeeper::decided(std::string_view what, const std::string &subject, const Json &inputs)
+{
+    m_environment.log(what, subject, inputs);
+}
+
+std::optional<std::pair<JobPhase, std::string>> JobKeeper::progressOf(const std::string &job)
+{
+    const JobState *state = m_jobs.find(job);
+    if (state == nullptr) {
+        return std::nullopt;
+    }
+    return std::pair(state->phase, writeJson(describeProgress(*state)));
+}
+
+void JobKeeper::onCoverageBegins()
+{
+    m_covered = m_jobs.appliedEnds();
+}
+
+void JobKeeper::onCovered()
+{
+    m_jobs.endsRecorded(m_covered);
+}
+
+void JobKeeper::onPhaseRecorded(const std::string &job, JobPhase phase)
+{
+    m_jobs.phaseRecorded(job, phase);
+    const JobState *state = m_jobs.find(job);
+    if (state == nullptr || !state->isFinished() || state->recordedPhase != state->phase) {
+        return;
+    }
+    const auto [first, last] = m_cancelHandlers.equal_range(job);
+    std::vector<std::function<void(bool)>> handlers;
+    for (auto entry = first; entry != last; ++entry) {
+        handlers.push_back(std::move(entry->second));
+    }
+    m_cancelHandlers.erase(first, last);
+    for (const auto &handler : handlers) {
+        handler(true);
+    }
+}
+
+void JobKeeper::onDeposed()
+{
+    depose("the store names another owner");
+}
+
+void JobKeeper::depose(const std::string &reason)
+{
+    if (m_deposed) {
+        return;
+    }
+    m_deposed = true;
+    m_jobs.allowStarts(false);
+    m_environment.log(
+        "tenure-over", m_position.partition, {{"token", m_position.ownerRevision}, {"reason", reason}});
+    m_environment.onDeposed();
+}
+
+void JobKeeper::onInboxChanged(const std::string &key)
+{
+    const StoreEntry *entry = m_inbox.find(key);
+    if (entry == nullptr) {
+        return;
+    }
+    const Result<InboxEntry> parsed = parseInboxEntry(entry->value);
+    if (const Error *error = errorOf(parsed)) {
+        m_environment.log("inbox-unreadable", key, {{"error", error->detail}});
+        m_journal.erase(key);
+        return;
+    }
+    applyInbox(key, std::get<InboxEntry>(parsed));
+}
+
+void JobKeeper::applyInbox(const std::string &key, const InboxEntry &entry)
+{
+    m_environment.log("inbox-applied", entry.job, {{"request", entry.request == InboxRequest::Submit ? "submit" : "cancel"}});
+    if (entry.request == InboxRequest::Submit) {
+        const JobRecord &record = *entry.record;
+        m_jobs.add(record.specification, record.policy, record.acceptedWall);
+        m_journal.erase(key);
+        return;
+    }
+    cancel(entry.job, [this, key](bool) { m_journal.erase(key); });
+}
+
+}
--- /dev/null
+++ b/source/tenure/JobKeeper.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "configuration/ClusterFeed.h"
+#include "scheduling/JobScheduler.h"
+#include "tenure/JobJournal.h"
+
+namespace Wagtail
+{
+
+// Everything that one tenure of a partition decides and keeps: its jobs, their recording and their scheduling.
+class JobKeeper final : public JobSchedulerListener, public JobJournalOwner
+{
+public:
+    struct Environment
+    {
+        const Clock &clock;
+        Scheduler &scheduler;
+        Store &store;
+        WorkerGateway &gateway;
+        // Takes each decision for the log.
+        std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
+        // Called when the tenure is over; the keeper must be destroyed afterwards, not within the call.
+        std::function<void()> onDeposed;
+    };
+
+    struct Limits
+    {
+        SchedulingLimits scheduling;
+        // How long an earlier owner may have gone on granting leases after its key was gone.
+        Milliseconds ownerLease {3'000};
+        // How long a finished job can be asked for.
+        Milliseconds statusRetention {120'000};
+    };
+
+    JobKeeper(Environment environment, Limits limits, JournalPosition position);
+    ~JobKeeper() override;
+
+    // Reads what earlier tenures recorded, then begins to schedule.
+    void load();
+
+    // Returns whether the recorded state has been read.
+    [[nodiscard]] bool isLoaded() const;
+    [[nodiscard]] const JournalPosition &position() const;
+
+    using SubmitHandler = std::function<void(const AcceptResult &)>;
+    void submit(JobRecord record, SubmitHandler handler);
+
+    // Calls the handler with true once the cancellation is recorded, with false when the job is not known here.
+    void cancel(const std::string &id, std::function<void(bool)> handler);
+
+    // Returns the phase that callers may see, or nothing when the job is not known here.
+    [[nodiscard]] std::optional<JobPhase> phaseOf(const std::string &id) const;
+    [[nodiscard]] int waitingCount(const std::string &queue) const;
+
+    void updateWorkers(const std::map<std::string, WorkerListing> &workers);
+    void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
+    void allowStarts(bool allowed);
+    void tick();
+
+    // Calls the handler once everything decided so far is in the store.
+    void flush(std::function<void()> handler);
+
+    [[nodiscard]] const JobScheduler &jobs() const;
+
+    // JobSchedulerListener
+    void progressChanged(const std::string &job) override;
+    void endsListed() override;
+    void leaseHoldersChanged() override;
+    void tokenRefused(const std::string &worker) override;
+    void decided(std::string_view what, const std::string &subject, const Json &inputs) override;
+
+    // JobJournalOwner
+    std::optional<std::pair<JobPhase, std::string>> progressOf(const std::string &job) override;
+    void onCoverageBegins() override;
+    void onCovered() override;
+    void onPhaseRecorded(const std::string &job, JobPhase phase) override;
+    void onDeposed() override;
+
+private:
+    void restore(const StoreListing &listing);
+    void onInboxChanged(const std::string &key);
+    void applyInbox(const std::string &key, const InboxEntry &entry);
+    void depose(const std::string &reason);
+    void writeLeaseHolders();
+
+    Environment m_environment;
+    Limits m_limits;
+    JournalPosition m_position;
+    Instant m_beganAt;
+    JobScheduler m_jobs;
+    JobJournal m_journal;
+    VersionedEntries m_inbox;
+    ClusterFeed m_inboxFeed;
+    bool m_loaded = false;
+    bool m_deposed = false;
+    std::map<std::string, WorkerListing> m_listed;
+    std::map<std::string, EndMark> m_covered;
+    std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
+    bool m_leaseHoldersDirty = false;
+    Instant m_lastForgetting;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
--- /dev/null
+++ b/source/tenure/PartitionPlan.cpp
@@ -0,0 +1,52 @@
+#include "tenure/PartitionPlan.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// One owner carries the workers of this many data centres.
+constexpr std::size_t MostDataCentresTogether = 2;
+
+}
+
+PartitionPlan::PartitionPlan(const std::map<std::string, std::string> &regions)
+{
+    std::map<std::string, std::set<std::string>> byRegion;
+    for (const auto &[dataCentre, region] : regions) {
+        byRegion[region].insert(dataCentre);
+    }
+    for (const auto &[region, dataCentres] : byRegion) {
+        const bool together = dataCentres.size() <= MostDataCentresTogether;
+        for (const std::string &dataCentre : dataCentres) {
+            const std::string partition = together ? region : dataCentre;
+            m_dataCentres[partition].insert(dataCentre);
+            m_partitions[dataCentre] = partition;
+        }
+    }
+}
+
+std::vector<std::string> PartitionPlan::partitions() const
+{
+    std::vector<std::string> names;
+    for (const auto &[partition, dataCentres] : m_dataCentres) {
+        names.push_back(partition);
+    }
+    return names;
+}
+
+std::string PartitionPlan::partitionOf(const std::string &dataCentre) const
+{
+    const auto found = m_partitions.find(dataCentre);
+    return found == m_partitions.end() ? std::string() : found->second;
+}
+
+const std::set<std::string> &PartitionPlan::dataCentres(const std::string &partition) const
+{
+    static const std::set<std::string> none;
+    const auto found = m_dataCentres.find(partition);
+    return found == m_dataCentres.end() ? none : found->second;
+}
+
+}
--- /dev/null
+++ b/source/tenure/PartitionSeats.cpp
@@ -0,0 +1,296 @@
+#include "tenure/PartitionSeats.h"
+
+#include "base/Identifier.h"
+#include "tenure/JobKeys.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// Time for the preferred instance to take a vacant partition before the next one tries.
+constexpr Milliseconds TurnLength {250};
+// Beyond this many candidates all try at once: the store lets only one succeed.
+constexpr std::int64_t MostTurns = 6;
+
+}
+
+PartitionSeats::PartitionSeats(Environment environment, InstanceCard self, JobKeeper::Limits limits)
+    : m_environment(std::move(environment)), m_self(std::move(self)), m_limits(limits)
+{
+    for (const std::string &partition : m_environment.plan.partitions()) {
+        m_seats[partition];
+    }
+}
+
+PartitionSeats::~PartitionSeats()
+{
+    *m_alive = false;
+}
+
+std::optional<InstanceCard> PartitionSeats::ownerOf(const std::string &partition) const
+{
+    const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    const Result<OwnerCard> card = parseOwnerCard(entry->value);
+    const auto *owner = std::get_if<OwnerCard>(&card);
+    return owner == nullptr ? std::nullopt : std::optional(owner->instance);
+}
+
+JobKeeper *PartitionSeats::keeper(const std::string &partition)
+{
+    const auto found = m_seats.find(partition);
+    const bool usable = found != m_seats.end() && found->second.keeper && found->second.keeper->isLoaded();
+    return usable ? found->second.keeper.get() : nullptr;
+}
+
+void PartitionSeats::review()
+{
+    if (m_environment.cluster.revision() == 0) {
+        return;
+    }
+    for (auto &[partition, seat] : m_seats) {
+        reviewSeat(partition, seat);
+    }
+}
+
+void PartitionSeats::reviewSeat(const std::string &partition, Seat &seat)
+{
+    const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
+    if (seat.keeper) {
+        const StoreRevision token = seat.keeper->position().ownerRevision;
+        const bool lost = entry == nullptr ? m_environment.cluster.revision() > token : entry->revision > token;
+        if (lost) {
+            m_environment.log("tenure-lost", partition, {{"token", token}});
+            drop(partition);
+        }
+        return;
+    }
+    if (seat.taking || m_releasing || !m_environment.lease.isHeld()) {
+        return;
+    }
+    if (entry == nullptr) {
+        const Instant now = m_environment.clock.now();
+        seat.vacantSince = seat.vacantSince.value_or(now);
+        if (now - *seat.vacantSince >= turnDelay(partition)) {
+            take(partition, MustNotExist);
+        }
+        return;
+    }
+    seat.vacantSince.reset();
+    const Result<OwnerCard> card = parseOwnerCard(entry->value);
+    const auto *owner = std::get_if<OwnerCard>(&card);
+    if (owner == nullptr || owner->instance.name != m_self.name) {
+        return;
+    }
+    if (owner->instance.incarnation == m_self.incarnation) {
+        // The answer to the transaction that wrote this entry was lost.
+        begin(partition, owner->tenure, entry->revision);
+        return;
+    }
+    // The owner was an earlier process of this very instance, so it is gone.
+    take(partition, entry->revision);
+}
+
+Milliseconds PartitionSeats::turnDelay(const std::string &partition) const
+{
+    const std::set<std::string> &near = m_environment.plan.dataCentres(partition);
+    std::vector<std::tuple<bool, std::int64_t, std::uint64_t, std::string>> order;
+    for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
+        const Result<InstanceCard> parsed = parseInstanceCard(entry->value);
+        if (const auto *card = std::get_if<InstanceCard>(&parsed)) {
+            order.emplace_back(
+                !near.contains(card->dataCentre), -card->milliCores, stableHash(partition + card->name), card->name);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    std::int64_t turn = 0;
+    for (const auto &candidate : order) {
+        if (std::get<3>(candidate) == m_self.name) {
+            break;
+        }
+        ++turn;
+    }
+    return TurnLength * std::min(turn, MostTurns);
+}
+
+void PartitionSeats::take(const std::string &partition, StoreRevision ownerRevision)
+{
+    m_seats[partition].taking = true;
+    m_environment.store.read(JobKeys::head(partition),
+        [this, alive = m_alive, partition, ownerRevision](const Result<std::optional<StoreEntry>> &result) {
+            if (!*alive) {
+                return;
+            }
+            const auto *head = std::get_if<std::optional<StoreEntry>>(&result);
+            if (head == nullptr || !m_environment.lease.isHeld()) {
+                m_seats[partition].taking = false;
+                return;
+            }
+            writeOwner(partition, ownerRevision, *head);
+        });
+}
+
+void PartitionSeats::writeOwner(
+    const std::string &partition, StoreRevision ownerRevision, const std::optional<StoreEntry> &head)
+{
+    std::uint64_t tenure = 0;
+    if (head) {
+        const Result<Json> document = parseJson(head->value, "the partition's head");
+        tenure = errorOf(document) == nullptr
+            ? memberOr(std::get<Json>(document), "tenure", std::uint64_t {0}) + 1
+            : head->revision;
+    }
+    StoreTransaction transaction;
+    transaction.conditions = {{JobKeys::owner(partition), ownerRevision},
+        {JobKeys::head(partition), head ? head->revision : MustNotExist}};
+    transaction.writes = {
+        {JobKeys::owner(partition), serialize(OwnerCard {m_self, tenure}), std::nullopt, m_environment.lease.lease()},
+        {JobKeys::head(partition), writeJson({{"tenure", tenure}}), std::nullopt, 0}};
+    m_environment.store.commit(
+        std::move(transaction), [this, alive = m_alive, partition, tenure](const Result<StoreCommit> &result) {
+            if (!*alive) {
+                return;
+            }
+            m_seats[partition].taking = false;
+            const auto *commit = std::get_if<StoreCommit>(&result);
+            if (commit == nullptr) {
+                m_environment.log("take-over-unanswered", partition, {{"error", errorOf(result)->detail}});
+                return;
+            }
+            if (commit->committed) {
+                begin(partition, tenure, commit->revision);
+            }
+        });
+}
+
+void PartitionSeats::begin(const std::string &partition, std::uint64_t tenure, StoreRevision revision)
+{
+    Seat &seat = m_seats[partition];
+    if (seat.keeper) {
+        return;
+    }
+    m_environment.log("tenure-begins", partition, {{"token", revision}, {"tenure", tenure}});
+    JobKeeper::Environment environment {m_environment.clock, m_environment.scheduler, m_environment.store,
+        m_environment.gateway, m_environment.log, [this, alive = m_alive, partition] {
+            m_environment.scheduler.post([this, alive, partition] {
+                if (*alive) {
+                    drop(partition);
+                }
+            });
+        }};
+    seat.keeper = std::make_unique<JobKeeper>(
+        std::move(environment), m_limits, JournalPosition {partition, tenure, revision, revision});
+    seat.keeper->updateWorkers(workersOf(partition));
+    seat.keeper->updatePolicies(m_policies);
+    seat.keeper->load();
+}
+
+void PartitionSeats::drop(const std::string &partition)
+{
+    Seat &seat = m_seats[partition];
+    seat.keeper.reset();
+    seat.vacantSince.reset();
+}
+
+void PartitionSeats::tick()
+{
+    review();
+    const bool allowed = !m_releasing && (m_environment.lease.isHeld() || m_storeOutage);
+    for (auto &[partition, seat] : m_seats) {
+        if (seat.keeper) {
+            seat.keeper->allowStarts(allowed);
+            seat.keeper->tick();
+        }
+    }
+}
+
+void PartitionSeats::setStoreOutage(bool confirmed)
+{
+    m_storeOutage = confirmed;
+}
+
+std::map<std::string, WorkerListing> PartitionSeats::workersOf(const std::string &partition) const
+{
+    std::map<std::string, WorkerListing> workers;
+    for (const auto &[name, worker] : m_workers) {
+        if (m_environment.plan.partitionOf(worker.dataCentre) == partition) {
+            workers.emplace(name, worker);
+        }
+    }
+    return workers;
+}
+
+void PartitionSeats::updateWorkers(const std::map<std::string, WorkerListing> &workers)
+{
+    m_workers = workers;
+    for (auto &[partition, seat] : m_seats) {
+        if (seat.keeper) {
+            seat.keeper->updateWorkers(workersOf(partition));
+        }
+    }
+}
+
+void PartitionSeats::updatePolicies(const std::map<std::string, QueuePolicy> &policies)
+{
+    m_policies = policies;
+    for (auto &[partition, seat] : m_seats) {
+        if (seat.keeper) {
+            seat.keeper->updatePolicies(policies);
+        }
+    }
+}
+
+void PartitionSeats::release(std::function<void()> handler)
+{
+    m_releasing = true;
+    std::vector<std::string> held;
+    for (const auto &[partition, seat] : m_seats) {
+        if (seat.keeper) {
+            held.push_back(partition);
+        }
+    }
+    releaseNext(std::move(held), std::move(handler));
+}
+
+void PartitionSeats::releaseNext(std::vector<std::string> partitions, std::function<void()> handler)
+{
+    if (partitions.empty()) {
+        handler();
+        return;
+    }
+    const std::string partition = partitions.back();
+    partitions.pop_back();
+    Seat &seat = m_seats[partition];
+    if (!seat.keeper) {
+        releaseNext(std::move(partitions), std::move(handler));
+        return;
+    }
+    seat.keeper->allowStarts(false);
+    seat.keeper->flush([this, alive = m_alive, partition, partitions = std::move(partitions),
+                           handler = std::move(handler)] {
+        if (!*alive) {
+            return;
+        }
+        const Seat &flushed = m_seats[partition];
+        const StoreRevision token = flushed.keeper ? flushed.keeper->position().ownerRevision : 0;
+        m_environment.store.erase(JobKeys::owner(partition), token,
+            [this, alive, partition, partitions, handler](const Status &status) {
+                if (!*alive) {
+                    return;
+                }
+                m_environment.log("partition-released", partition,
+                    {{"error", errorOf(status) == nullptr ? std::string() : errorOf(status)->detail}});
+                drop(partition);
+                releaseNext(partitions, handler);
+            });
+    });
+}
+
+}
--- /dev/null
+++ b/source/tenure/PartitionSeats.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "membership/InstanceLease.h"
+#include "tenure/InstanceCard.h"
+#include "tenure/JobKeeper.h"
+#include "tenure/PartitionPlan.h"
+
+namespace Wagtail
+{
+
+// Takes up, holds and hands over the partitions that this instance owns.
+class PartitionSeats
+{
+public:
+    struct Environment
+    {
+        const Clock &clock;
+        Scheduler &scheduler;
+        Store &store;
+        WorkerGateway &gateway;
+        const InstanceLease &lease;
+        const VersionedEntries &cluster;
+        const PartitionPlan &plan;
+        std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
+    };
+
+    PartitionSeats(Environment environment, InstanceCard self, JobKeeper::Limits limits);
+    ~PartitionSeats();
+    PartitionSeats(const PartitionSeats &) = delete;
+    PartitionSeats &operator=(const PartitionSeats &) = delete;
+
+    // Compares the owners in the store with what is held here and acts on the difference. Call it when the cluster's
+    // entries change and every JobScheduler::TickPeriod.
+    void review();
+    void tick();
+
+    // Takes the workers of all partitions, by name, and the policies in force.
+    void updateWorkers(const std::map<std::string, WorkerListing> &workers);
+    void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
+
+    // Returns the keeper of a partition that is owned here and loaded, or null.
+    [[nodiscard]] JobKeeper *keeper(const std::string &partition);
+
+    // Returns who owns a partition as far as is known here.
+    [[nodiscard]] std::optional<InstanceCard> ownerOf(const std::string &partition) const;
+
+    // Gives all partitions up after their last changes are recorded, then calls the handler.
+    void release(std::function<void()> handler);
+
+    // Says whether an owner may go on without a lease because nobody else can reach the store either.
+    void setStoreOutage(bool confirmed);
+
+private:
+    struct Seat
+    {
+        std::unique_ptr<JobKeeper> keeper;
+        bool taking = false;
+        std::optional<Instant> vacantSince;
+    };
+
+    void reviewSeat(const std::string &partition, Seat &seat);
+    void take(const std::string &partition, StoreRevision ownerRevision);
+    void writeOwner(const std::string &partition, StoreRevision ownerRevision, const std::optional<StoreEntry> &head);
+    void begin(const std::string &partition, std::uint64_t tenure, StoreRevision revision);
+    void drop(const std::string &partition);
+    [[nodiscard]] Milliseconds turnDelay(const std::string &partition) const;
+    [[nodiscard]] std::map<std::string, WorkerListing> workersOf(const std::string &partition) const;
+    void releaseNext(std::vector<std::string> partitions, std::function<void()> handler);
+
+    Environment m_environment;
+    InstanceCard m_self;
+    JobKeeper::Limits m_limits;
+    std::map<std::string, Seat> m_seats;
+    std::map<std::string, WorkerListing> m_workers;
+    std::map<std::string, QueuePolicy> m_policies;
+    bool m_releasing = false;
+    bool m_storeOutage = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}
