Scheduling: Place and pace backfilling work by learned pressure

Cause: the tail of a serving task behaves like a queue, 1/(1 - load); pairs of images differ from none to 1.5 in load per share of a worker. One pace for all on a worker stopped at the first tail over its target and never came back.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -85,6 +85,8 @@
         return;
     }
     JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
+    m_environment.listener.decided("job-accepted", job.specification.id,
+        {{"queue", job.policy.queue}, {"objective_ms", objectiveOf(job).count()}, {"steps", describe(job.specification)["steps"]}});
     m_open.push_back(&job);
     createDueOccurrences(job);
     dispatchSoon();
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -158,6 +158,7 @@
     void settleMissing(WorkerState &worker, const std::set<RunName> &listed, Instant sentAt);
     void noteProgress(TaskState &task, const RunningTask &running);
     void moveStalledTasks(WorkerState &worker);
+    void readPressure(WorkerState &worker);
     void controlPace(WorkerState &worker);
     void sendPace(TaskState &task, int percent);
     void workerRestarted(WorkerState &worker, std::int64_t incarnation);
@@ -189,6 +190,7 @@
     // Jobs that are not finished, in the order of acceptance.
     std::vector<JobState *> m_open;
     std::map<std::string, WorkerState> m_workers;
+    PressureModel m_pressure;
     // Ends when the scheduler does, so that late answers find nothing.
     std::shared_ptr<JobScheduler *> m_self;
 };
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -110,6 +110,7 @@
     query.step = &step.specification();
     query.pool = step.occurrence->job->policy.pool;
     query.avoided = &task.avoided;
+    query.pressure = &m_pressure;
     query.now = m_environment.clock.now();
     std::map<std::string, int> sameStep;
     if (query.step->perWorkerLimit > 0) {
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -34,9 +34,15 @@
     task.uncertain = false;
     task.percent = 0;
     task.pacePercent = 100;
+    task.usage = 0;
+    task.overSince.reset();
+    task.slowedSince.reset();
     --step.waitingCount;
     worker.tasks.insert(&task);
     worker.used = worker.used + WorkerState::countedDemand(step.specification());
+    if (step.specification().backfills) {
+        worker.backfilling.push_back({step.specification().image, worker.shareOf(step.specification()), 0.0, 100});
+    }
     JobState &job = *step.occurrence->job;
     if (!job.everStarted) {
         job.everStarted = true;
@@ -90,9 +96,6 @@
         task->phase = RunPhase::Running;
         task->startedAt = now;
         task->progressedAt = now;
-        if (task->step->specification().backfills && worker->backfillPercent < 100) {
-            sendPace(*task, worker->backfillPercent);
-        }
         return;
     case OrderOutcome::Superseded:
         // The run was there and has ended; its end is in the worker's list.
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -15,6 +15,8 @@
 // Workers with serving tasks beside backfilling ones are asked this often: several times within the time that a tail
 // may stay over its target.
 constexpr Milliseconds PacedWait {400};
+// Workers with serving tasks alone are asked often enough to know their load before work is put beside them.
+constexpr Milliseconds ServingWait {800};
 // Unrecorded ends are listed again after this time, so that running tasks are renewed while the store is away.
 constexpr Milliseconds UnrecordedPeriod {500};
 // An unanswered order is sent again after this time: a few round trips between regions.
@@ -24,6 +26,14 @@
 constexpr int FailuresBeforeQuarantine = 3;
 constexpr Milliseconds FirstQuarantine {2'000};
 constexpr int MostQuarantineDoublings = 3;
+constexpr Milliseconds LongestReadingGap {1'200};
+constexpr double SaturatedLoad = 0.92;
+// Smaller changes of pace are not worth an order.
+constexpr int LeastPaceChange = 10;
+// A backfilling task that stays below this speed for this long looks for another worker, unless much would be lost.
+constexpr int SlowPercent = 40;
+constexpr Milliseconds SlowedTime {1'200};
+constexpr int CheapPercent = 40;
 // A task that makes no progress for this long is moved: several reports, and longer than any restore.
 constexpr Milliseconds StallTime {1'800};
 
@@ -96,10 +106,8 @@
     request.recordedEnd = worker.recordedEnd;
     const bool settled = worker.contacted && worker.unansweredInRow == 0 && !unrecorded;
     if (settled) {
-        const bool paced = worker.backfillPercent < 100
-            || std::any_of(worker.tasks.begin(), worker.tasks.end(),
-                [](const TaskState *task) { return task->step->specification().tailTarget.count() > 0; });
-        request.wait = paced ? PacedWait : m_limits.longestWait;
+        const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
+        request.wait = mixed ? PacedWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
     const bool renew = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty()
         && worker.unansweredInRow < UnansweredBeforeLapse;
@@ -182,6 +190,7 @@
         settleMissing(worker, listed, sentAt);
     }
     moveStalledTasks(worker);
+    readPressure(worker);
     controlPace(worker);
     if (worker.processedEnd > worker.recordedEnd) {
         m_environment.listener.endsListed();
@@ -281,35 +290,83 @@
     }
 }
 
-void JobScheduler::controlPace(WorkerState &worker)
+void JobScheduler::readPressure(WorkerState &worker)
 {
     const Instant now = m_environment.clock.now();
-    TailReading reading;
-    reading.percent = worker.backfillPercent;
-    std::vector<TaskState *> backfilling;
-    for (TaskState *task : worker.tasks) {
+    BackfillUse use;
+    worker.backfilling.clear();
+    const double capacity = std::max(1.0, static_cast<double>(worker.listing.capacity.milliCores));
+    for (const TaskState *task : worker.tasks) {
         const StepSpecification &step = task->step->specification();
-        if (step.tailTarget.count() > 0 && task->phase == RunPhase::Running) {
-            const double ratio = static_cast<double>(task->usage) / static_cast<double>(step.tailTarget.count());
-            reading.ratio = std::max(reading.ratio, ratio);
-        } else if (step.backfills && task->phase == RunPhase::Running) {
-            backfilling.push_back(task);
+        if (step.backfills) {
+            const double share = static_cast<double>(task->usage) / capacity;
+            use[step.image] += share;
+            worker.backfilling.push_back({step.image, worker.shareOf(step), share, std::max(0, task->pacePercent)});
         }
     }
-    // A change shows in the reports only after the half second over which they are averaged.
-    constexpr Milliseconds SettleTime {600};
-    if (now - worker.paceChangedAt >= SettleTime) {
-        const int next = nextBackfillPercent(reading);
-        if (next != worker.backfillPercent) {
-            worker.paceChangedAt = now;
-            worker.backfillPercent = next;
-            m_environment.listener.decided("pace-changed", worker.listing.name,
-                {{"percent", next}, {"ratio", reading.ratio}, {"backfilling", backfilling.size()}});
+    BackfillUse change = use;
+    for (const auto &[image, share] : worker.backfillUse) {
+        change[image] -= share;
+    }
+    // Between reports that lie far apart the serving load itself has changed too much.
+    const bool comparable = now - worker.readAt <= LongestReadingGap;
+    worker.serving.clear();
+    for (TaskState *task : worker.tasks) {
+        const StepSpecification &step = task->step->specification();
+        if (step.tailTarget.count() == 0 || task->phase != RunPhase::Running || task->usage <= 0) {
+            continue;
         }
+        const double load = m_pressure.observeTail(step.image, task->usage);
+        const double before = task->load;
+        task->load = load;
+        // A queue that has filled up drains for a while, whatever presses on it.
+        if (comparable && before > 0.0 && load < SaturatedLoad && before < SaturatedLoad) {
+            m_pressure.learn(step.image, change, load - before);
+        }
+        if (task->usage <= step.tailTarget.count()) {
+            task->overSince.reset();
+        } else if (!task->overSince) {
+            task->overSince = now;
+        }
+        const auto overFor = task->overSince ? now - *task->overSince : Instant::duration::zero();
+        worker.serving.push_back({step.image, load,
+            m_pressure.loadAt(step.image, static_cast<double>(step.tailTarget.count())),
+            std::chrono::duration_cast<Milliseconds>(overFor).count()});
     }
-    for (TaskState *task : backfilling) {
-        if (task->pacePercent != worker.backfillPercent) {
-            sendPace(*task, worker.backfillPercent);
+    worker.backfillUse = std::move(use);
+    worker.readAt = now;
+}
+
+void JobScheduler::controlPace(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    const std::vector<int> paces = nextPaces(m_pressure, worker.serving, worker.backfilling);
+    std::size_t next = 0;
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        if (!task->step->specification().backfills) {
+            continue;
+        }
+        const int percent = paces[next];
+        worker.backfilling[next].percent = percent;
+        ++next;
+        if (task->phase != RunPhase::Running) {
+            continue;
+        }
+        if (std::abs(percent - task->pacePercent) >= LeastPaceChange
+            || (percent != task->pacePercent && (percent == 0 || percent == 100))) {
+            sendPace(*task, percent);
+        }
+        if (percent >= SlowPercent) {
+            task->slowedSince.reset();
+        } else if (!task->slowedSince) {
+            task->slowedSince = now;
+        }
+        const bool cheap = task->step->specification().checkpoints || task->percent < CheapPercent;
+        if (task->slowedSince && now - *task->slowedSince >= SlowedTime && cheap) {
+            m_environment.listener.decided("backfill-moved", nameOf(*task).text(),
+                {{"worker", worker.listing.name}, {"percent", task->percent}, {"pace", percent}});
+            beginStop(*task);
         }
     }
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -66,6 +66,11 @@
     Instant progressedAt;
     std::int64_t usage = 0;
     int pacePercent = 100;
+    // Of a serving task: its load at the last report, and since when its tail is over its target.
+    double load = 0.0;
+    std::optional<Instant> overSince;
+    // Of a backfilling task: since when it is slowed down below half of its speed.
+    std::optional<Instant> slowedSince;
     Instant notBefore;
 };
 
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -12,43 +12,31 @@
 // itself weighs more than packing.
 constexpr double AvoidedCost = 8.0;
 constexpr double ForeignRackCost = 4.0;
-constexpr double DisturbanceCost = 2.0;
-constexpr double SharedServingCost = 0.3;
-constexpr double PacedBackfillCost = 1.0;
+// Workers whose serving tasks have one image suit the backfilling images that this image bears well.
+constexpr double OtherImageCost = 0.5;
+constexpr double EmptyWorkerCost = 0.3;
+// How far below its limit a serving task's load must stay when a backfilling task comes beside it. Its own load may
+// still grow by a third of its swing before the task has ended.
+constexpr double PlacementMargin = 0.12;
 
 double share(std::int64_t part, std::int64_t whole)
 {
     return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-int countServing(const WorkerState &worker)
+// Returns the cost of a serving task beside those of other images.
+double mixtureCost(const WorkerState &worker, const StepSpecification &step)
 {
-    int count = 0;
+    std::set<std::string> others;
+    bool same = false;
     for (const TaskState *task : worker.tasks) {
-        count += task->step->specification().tailTarget.count() > 0 ? 1 : 0;
-    }
-    return count;
-}
-
-int countBackfilling(const WorkerState &worker)
-{
-    int count = 0;
-    for (const TaskState *task : worker.tasks) {
-        count += task->step->specification().backfills ? 1 : 0;
-    }
-    return count;
-}
-
-double disturbanceCost(const WorkerState &worker, const StepSpecification &step)
-{
-    if (step.tailTarget.count() > 0) {
-        return DisturbanceCost * countBackfilling(worker) + SharedServingCost * countServing(worker);
-    }
-    if (!step.backfills) {
-        return 0.0;
+        const StepSpecification &present = task->step->specification();
+        if (present.tailTarget.count() > 0 && present.image != step.image) {
+            others.insert(present.image);
+        }
+        same = same || present.image == step.image;
     }
-    const double paced = PacedBackfillCost * (100 - worker.backfillPercent) / 100.0;
-    return DisturbanceCost * countServing(worker) + paced;
+    return OtherImageCost * static_cast<double>(others.size()) + (same ? 0.0 : EmptyWorkerCost);
 }
 
 }
@@ -96,7 +84,17 @@
     }
     // Backfilling tasks are spread over what is unused; all others are packed.
     double cost = step.backfills ? 1.0 - share(unused, capacity) : share(worker.room().milliCores, capacity);
-    cost += disturbanceCost(worker, step);
+    if (step.tailTarget.count() > 0) {
+        cost += mixtureCost(worker, step);
+    }
+    if (step.backfills) {
+        const double excess = excessWith(*query.pressure, worker.serving, worker.backfilling, step.image,
+            share(step.demand.milliCores, capacity));
+        if (excess > -PlacementMargin) {
+            return std::nullopt;
+        }
+        cost += excess;
+    }
     if (query.avoided->contains(worker.listing.name)) {
         cost += AvoidedCost;
     }
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -15,6 +15,7 @@
     const std::map<std::string, int> *sameStep = nullptr;
     // The rack that the other tasks of a rack-bound step stand on, or empty.
     std::string preferredRack;
+    const PressureModel *pressure = nullptr;
     Instant now;
 };
 
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/JobState.h"
+#include "scheduling/PaceControl.h"
 #include "scheduling/WorkerClock.h"
 #include "scheduling/WorkerGateway.h"
 
@@ -40,13 +41,18 @@
     int quarantines = 0;
     // Set when the worker refused a start for want of room, until its next report.
     bool full = false;
-    // The share of their speed at which backfilling tasks work here, in percent.
-    int backfillPercent = 100;
-    Instant paceChangedAt;
+    // What the last report showed of the tasks that disturb each other.
+    std::vector<ServingReading> serving;
+    std::vector<BackfillReading> backfilling;
+    BackfillUse backfillUse;
+    Instant readAt;
 
     // Returns what a task takes up here: backfilling tasks count with their memory only.
     [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
     [[nodiscard]] Resources room() const;
+
+    // Returns the share of the worker's processors that a task of the step asks for.
+    [[nodiscard]] double shareOf(const StepSpecification &step) const;
 };
 
 }
