--- a/source/configuration/ClusterFeed.cpp
+++ b/source/configuration/ClusterFeed.cpp
@@ -6,13 +6,13 @@
 namespace
 {
 
-constexpr Milliseconds WatchWait {20'000};
 constexpr Milliseconds RetryDelay {500};
 
 }
 
-ClusterFeed::ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix)
-    : m_store(store), m_scheduler(scheduler), m_entries(entries), m_prefix(std::move(prefix))
+ClusterFeed::ClusterFeed(
+    Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix, Milliseconds watchWait)
+    : m_store(store), m_scheduler(scheduler), m_entries(entries), m_prefix(std::move(prefix)), m_watchWait(watchWait)
 {
 }
 
@@ -52,14 +52,18 @@
 void ClusterFeed::watch()
 {
     m_store.watch(
-        m_prefix, m_entries.revision(), WatchWait, [this, alive = m_alive](const Result<StoreEvents> &result) {
+        m_prefix, m_entries.revision(), m_watchWait, [this, alive = m_alive](const Result<StoreEvents> &result) {
             if (!*alive) {
                 return;
             }
             if (const Error *error = errorOf(result)) {
                 m_following = false;
-                const bool compacted = error->kind == ErrorKind::NotFound;
-                retry([this, compacted] { compacted ? list() : watch(); });
+                if (error->kind == ErrorKind::NotFound) {
+                    // The store no longer has the changes since then.
+                    list();
+                } else {
+                    retry([this] { watch(); });
+                }
                 return;
             }
             m_following = true;
--- a/source/configuration/ClusterFeed.h
+++ b/source/configuration/ClusterFeed.h
@@ -14,13 +14,17 @@
 class ClusterFeed
 {
 public:
-    ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix);
+    // Each watch waits for at most the given time, so that a change which the store's history lost is noticed by then.
+    ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
+        Milliseconds watchWait = LongestWatchWait);
     ~ClusterFeed();
     ClusterFeed(const ClusterFeed &) = delete;
     ClusterFeed &operator=(const ClusterFeed &) = delete;
 
     void start();
 
+    static constexpr Milliseconds LongestWatchWait {20'000};
+
     // Returns whether the last call succeeded.
     [[nodiscard]] bool isFollowing() const;
 
@@ -33,6 +37,7 @@
     Scheduler &m_scheduler;
     VersionedEntries &m_entries;
     std::string m_prefix;
+    Milliseconds m_watchWait;
     bool m_following = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -75,7 +75,8 @@
     if (seat.taking || m_releasing || !m_environment.lease.isHeld()) {
         return;
     }
-    if (entry == nullptr) {
+    const bool vacant = entry == nullptr || entry->revision <= seat.endedToken;
+    if (vacant) {
         const Instant now = m_environment.clock.now();
         seat.vacantSince = seat.vacantSince.value_or(now);
         if (now - *seat.vacantSince >= turnDelay(partition)) {
@@ -173,7 +174,7 @@
 void PartitionSeats::begin(const std::string &partition, std::uint64_t tenure, StoreRevision revision)
 {
     Seat &seat = m_seats[partition];
-    if (seat.keeper) {
+    if (seat.keeper || revision <= seat.endedToken) {
         return;
     }
     m_environment.log("tenure-begins", partition, {{"token", revision}, {"tenure", tenure}});
@@ -195,6 +196,9 @@
 void PartitionSeats::drop(const std::string &partition)
 {
     Seat &seat = m_seats[partition];
+    if (seat.keeper) {
+        seat.endedToken = seat.keeper->position().ownerRevision;
+    }
     seat.keeper.reset();
     seat.vacantSince.reset();
 }
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -56,6 +56,8 @@
         std::unique_ptr<JobKeeper> keeper;
         bool taking = false;
         std::optional<Instant> vacantSince;
+        // The token of the last tenure here. The cluster's entries may still show it after the store has ended it.
+        StoreRevision endedToken = 0;
     };
 
     void reviewSeat(const std::string &partition, Seat &seat);
