--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -277,21 +277,20 @@
 void JobScheduler::applyFailure(TaskState &task, WorkerState &worker, const RunName &run, bool current)
 {
     JobState &job = *task.step->occurrence->job;
+    const bool lasting = task.step->specification().lasting;
+    noteFailure(worker, job.specification.id);
+    const bool counted = !lasting && task.phase != RunPhase::Done && task.failedRuns.insert(run.run).second;
     m_environment.listener.decided("run-failed", run.task.text(),
-        {{"worker", worker.listing.name}, {"run", run.run}, {"failures", task.failures + 1},
+        {{"worker", worker.listing.name}, {"run", run.run}, {"failures", task.failedRuns.size()},
             {"attempts", job.policy.maximumAttempts}});
-    noteFailure(worker, job.specification.id);
-    const bool counted = run.run > task.lastFailedRun && task.phase != RunPhase::Done;
     if (counted) {
-        ++task.failures;
-        task.lastFailedRun = run.run;
         task.avoided.insert(worker.listing.name);
         m_environment.listener.progressChanged(job.specification.id);
     }
     if (current) {
         release(task, NoDelay);
     }
-    const bool exhausted = !task.step->specification().lasting && task.failures >= job.policy.maximumAttempts;
+    const bool exhausted = static_cast<int>(task.failedRuns.size()) >= job.policy.maximumAttempts;
     if (counted && exhausted && !job.isFinished()) {
         finish(job, JobPhase::Failed);
     }
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -16,11 +16,10 @@
 // Returns what the store keeps of a task beside its end, or null when there is nothing.
 Json describeTask(const TaskState &task)
 {
-    if (task.phase == RunPhase::Done || (task.failures == 0 && task.checkpoint.empty())) {
+    if (task.phase == RunPhase::Done || (task.failedRuns.empty() && task.checkpoint.empty())) {
         return nullptr;
     }
-    return {{"index", task.index}, {"failures", task.failures}, {"failed_run", task.lastFailedRun},
-        {"checkpoint", task.checkpoint}};
+    return {{"index", task.index}, {"failed_runs", task.failedRuns}, {"checkpoint", task.checkpoint}};
 }
 
 Json describeStep(const StepState &step)
@@ -60,8 +59,7 @@
             continue;
         }
         TaskState &task = step.tasks[static_cast<std::size_t>(index)];
-        task.failures = memberOr(entry, "failures", 0);
-        task.lastFailedRun = memberOr(entry, "failed_run", std::uint64_t {0});
+        task.failedRuns = memberOr(entry, "failed_runs", std::set<std::uint64_t>());
         task.checkpoint = memberOr(entry, "checkpoint", std::string());
     }
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -49,9 +49,8 @@
     std::uint64_t run = 0;
     // The worker of the present run, or empty.
     std::string worker;
-    // Failed attempts, and the run that failed last: ends that are listed again are not counted twice.
-    int failures = 0;
-    std::uint64_t lastFailedRun = 0;
+    // The runs that failed. After a take-over ends are listed again and in any order, so that counting is not enough.
+    std::set<std::uint64_t> failedRuns;
     std::string checkpoint;
     // The workers on which the task failed or stood still.
     std::set<std::string> avoided;
