--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr Milliseconds LoadRetryPeriod {200};
+// A cancellation must reach the workers within three seconds, also when the store's history lost it.
+constexpr Milliseconds InboxWait {1'000};
 constexpr Milliseconds ForgettingPeriod {5'000};
 // A worker's clock may be 2 % slow, so the leases of an earlier tenure may last that much longer.
 constexpr double SlowestRate = 0.98;
@@ -49,7 +51,7 @@
           m_position.ownerRevision, m_position.tenure)
     , m_journal(m_environment.store, m_environment.scheduler, *this, m_position)
     , m_inbox([this](const std::string &key) { onInboxChanged(key); })
-    , m_inboxFeed(m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition))
+    , m_inboxFeed(m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWait)
 {
 }
 
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -49,6 +49,17 @@
     return "wagtail/inbox/" + partition + "/";
 }
 
+// Cancellations sort behind submissions, so that a listing shows a job before its end.
+[[nodiscard]] inline std::string inboxSubmission(const std::string &partition, const std::string &job)
+{
+    return inbox(partition) + "1-submit-" + job;
+}
+
+[[nodiscard]] inline std::string inboxCancellation(const std::string &partition, const std::string &job)
+{
+    return inbox(partition) + "2-cancel-" + job;
+}
+
 // Returns the prefix of everything that an owner reads when its tenure begins.
 [[nodiscard]] inline std::string partition(const std::string &partition)
 {
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -189,7 +189,7 @@
     transaction.conditions = {{JobKeys::home(id), MustNotExist}};
     transaction.writes = {{JobKeys::home(id), partition, std::nullopt, 0},
         {JobKeys::jobs(partition) + id, serialize(submission->record), std::nullopt, 0},
-        {JobKeys::inbox(partition) + id,
+        {JobKeys::inboxSubmission(partition, id),
             serialize(InboxEntry {InboxRequest::Submit, id, submission->record}), std::nullopt, 0}};
     m_environment.log("job-submitted-without-owner", id, {{"partition", partition}});
     m_environment.store.commit(
@@ -326,7 +326,7 @@
         return;
     }
     if (inquiry->method == "DELETE") {
-        const std::string key = JobKeys::inbox(inquiry->partition) + "cancel-" + inquiry->job;
+        const std::string key = JobKeys::inboxCancellation(inquiry->partition, inquiry->job);
         const std::string value = serialize(InboxEntry {InboxRequest::Cancel, inquiry->job, std::nullopt});
         m_environment.log("job-cancelled-without-owner", inquiry->job, {{"partition", inquiry->partition}});
         m_environment.store.write(
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -19,7 +19,7 @@
 constexpr int StatusUnavailable = 503;
 // One failure may be a lost answer; two in a row mean that the way is closed.
 constexpr int FailuresBeforeRelay = 2;
-// While relaying, a direct call this often finds out whether the way is open again.
+// While relaying, a direct read this often finds out whether the way is open again.
 constexpr Milliseconds DirectProbePeriod {700};
 // The lease is renewed more often than this, so a store that answers is noticed within it.
 constexpr Milliseconds DirectAnswerAge {1'700};
@@ -48,9 +48,7 @@
 
 void StoreRelay::send(HttpCall call, Handler handler)
 {
-    const Instant now = m_environment.clock.now();
-    const bool probe = !m_lastDirectTry || now - *m_lastDirectTry >= DirectProbePeriod;
-    if (m_relaying && !probe) {
+    if (m_relaying) {
         sendThroughPeer(std::move(call), std::move(handler));
         return;
     }
@@ -77,7 +75,6 @@
 
 void StoreRelay::sendDirectly(HttpCall call, Handler handler)
 {
-    m_lastDirectTry = m_environment.clock.now();
     m_environment.client.send(
         std::move(call), [this, alive = m_alive, handler = std::move(handler)](HttpAnswer answer) {
             if (!*alive) {
@@ -100,13 +97,38 @@
         m_relaying = relaying;
         m_environment.log(relaying ? "store-unreachable" : "store-reached-again", "store",
             {{"failures", m_failuresInRow}});
+        if (relaying) {
+            survey();
+            probeLater();
+        }
     }
 }
 
+void StoreRelay::probeLater()
+{
+    m_environment.scheduler.after(DirectProbePeriod, [this, alive = m_alive] {
+        if (!*alive || !m_relaying) {
+            return;
+        }
+        sendDirectly(m_environment.probe(), [this, alive](const HttpAnswer &) {
+            if (*alive && m_relaying) {
+                survey();
+                probeLater();
+            }
+        });
+    });
+}
+
+std::string StoreRelay::relayPeer() const
+{
+    const std::vector<std::string> peers = m_reaching.empty() ? m_environment.peers() : m_reaching;
+    return peers.empty() ? std::string() : peers[m_nextPeer % peers.size()];
+}
+
 void StoreRelay::sendThroughPeer(HttpCall call, Handler handler)
 {
-    const std::vector<std::string> peers = m_environment.peers();
-    if (peers.empty()) {
+    const std::string peer = relayPeer();
+    if (peer.empty()) {
         HttpAnswer none;
         none.failure = "no other instance is known";
         handler(std::move(none));
@@ -114,7 +136,7 @@
     }
     HttpCall relayed;
     relayed.method = "POST";
-    relayed.url = "http://" + peers[m_nextPeer % peers.size()] + RelayPath;
+    relayed.url = "http://" + peer + RelayPath;
     relayed.headers = {{MethodHeader, call.method}, {UrlHeader, call.url},
         {TimeoutHeader, std::to_string(call.timeoutMilliseconds)}, {"Content-Type", "application/json"}};
     relayed.body = std::move(call.body);
@@ -188,7 +210,7 @@
         std::size_t asked = 0;
         std::size_t away = 0;
         std::size_t open = 0;
-        bool anyReaches = false;
+        std::vector<std::string> reaching;
     };
     const std::vector<std::string> peers = m_environment.peers();
     auto votes = std::make_shared<Votes>();
@@ -199,18 +221,21 @@
         call.method = "GET";
         call.url = "http://" + peer + HealthPath;
         call.timeoutMilliseconds = HealthTimeoutMilliseconds;
-        m_environment.client.send(std::move(call), [this, alive = m_alive, votes](const HttpAnswer &answer) {
+        m_environment.client.send(std::move(call), [this, alive = m_alive, votes, peer](const HttpAnswer &answer) {
             if (!*alive) {
                 return;
             }
             --votes->open;
             const bool answered = answer.delivery == Delivery::Answered;
-            votes->anyReaches = votes->anyReaches || (answered && answer.status == StatusOk);
+            if (answered && answer.status == StatusOk) {
+                votes->reaching.push_back(peer);
+            }
             votes->away += answered && answer.status == StatusNotReached ? 1 : 0;
             if (votes->open > 0) {
                 return;
             }
-            if (votes->anyReaches || votes->away * 2 < votes->asked) {
+            m_reaching = votes->reaching;
+            if (!m_reaching.empty() || votes->away * 2 < votes->asked) {
                 m_outageConfirmedAt.reset();
                 return;
             }
--- a/source/tenure/StoreRelay.h
+++ b/source/tenure/StoreRelay.h
@@ -23,6 +23,8 @@
         const Clock &clock;
         Scheduler &scheduler;
         HttpClient &client;
+        // Returns a cheap read of the store, to find out whether it answers.
+        std::function<HttpCall()> probe;
         // Returns the addresses of the other instances, as ip:port, nearest first.
         std::function<std::vector<std::string>()> peers;
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
@@ -52,13 +54,16 @@
     void sendDirectly(HttpCall call, Handler handler);
     void sendThroughPeer(HttpCall call, Handler handler);
     void noteDirect(bool answered);
+    void probeLater();
+    [[nodiscard]] std::string relayPeer() const;
 
     Environment m_environment;
     int m_failuresInRow = 0;
     bool m_relaying = false;
     std::size_t m_nextPeer = 0;
     std::optional<Instant> m_lastDirectAnswer;
-    std::optional<Instant> m_lastDirectTry;
+    // The other instances that reached the store at the last survey.
+    std::vector<std::string> m_reaching;
     std::optional<Instant> m_outageConfirmedAt;
     std::optional<Instant> m_lastSurvey;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
