Scheduling: Ignore serving tasks that a backfilling task does not press on

Cause: of 44 workers with 1,000 unused cores only 300 to 500 were used while work for 2,700 cores waited (trial with one record of state a second): a serving task near its own peak kept also those images away that do not disturb it; a tail over its target halved all paces; 735 tasks were moved for nothing.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -363,7 +363,9 @@
             task->slowedSince = now;
         }
         const bool cheap = task->step->specification().checkpoints || task->percent < CheapPercent;
-        if (task->slowedSince && now - *task->slowedSince >= SlowedTime && cheap) {
+        const bool slow = task->slowedSince && now - *task->slowedSince >= SlowedTime;
+        const WorkerState *better = slow && cheap ? choose(*task->step, *task) : nullptr;
+        if (better != nullptr && better != &worker) {
             m_environment.listener.decided("backfill-moved", nameOf(*task).text(),
                 {{"worker", worker.listing.name}, {"percent", task->percent}, {"pace", percent}});
             beginStop(*task);
--- a/source/scheduling/PaceControl.cpp
+++ b/source/scheduling/PaceControl.cpp
@@ -19,7 +19,8 @@
 // A serving task that stays over its target this long frees its worker of all backfilling work, whatever the model
 // says: half of the time after which the disturbance counts as harm.
 constexpr std::int64_t PatienceMilliseconds = 1'500;
-constexpr double LeastPressure = 0.01;
+// Growth of load below this is harmless, however loaded the serving task is by itself.
+constexpr double LeastPressure = 0.015;
 
 // Returns the growth of load that is still to come from tasks that have not reached their speed yet.
 double pendingPressure(
@@ -55,12 +56,6 @@
         paces[i] = percent < LeastUsefulPercent ? 0 : percent;
         needed -= pressure;
     }
-    if (needed > 0.0 && serving.load >= serving.limit) {
-        // The model does not explain it; all slow down.
-        for (int &percent : paces) {
-            percent = percent / 2 < LeastUsefulPercent ? 0 : percent / 2;
-        }
-    }
 }
 
 }
@@ -120,8 +115,11 @@
 {
     double most = -1.0;
     for (const ServingReading &reading : serving) {
-        const double load = reading.load + pendingPressure(model, reading.image, backfilling)
-            + model.coefficient(reading.image, image) * demand;
+        const double growth = model.coefficient(reading.image, image) * demand;
+        if (growth < LeastPressure) {
+            continue;
+        }
+        const double load = reading.load + pendingPressure(model, reading.image, backfilling) + growth;
         most = std::max(most, load - reading.limit);
     }
     return most;
--- a/source/scheduling/PressureModel.cpp
+++ b/source/scheduling/PressureModel.cpp
@@ -17,8 +17,8 @@
 constexpr double MostLoad = 0.98;
 constexpr double LeastTail = 1.0;
 // Step of the normalised least-mean-squares filter: large at first, then small against the noise of load swings.
-constexpr double FirstStep = 0.7;
-constexpr double LeastStep = 0.1;
+constexpr double FirstStep = 0.8;
+constexpr double LeastStep = 0.05;
 // Changes of use below this share of a worker drown in the swing of the serving task's own load.
 constexpr double LeastChange = 0.04;
 
@@ -74,7 +74,7 @@
         if (std::abs(share) < LeastChange / 2) {
             continue;
         }
-        const double step = std::max(LeastStep, FirstStep / (1.0 + pair.observations));
+        const double step = std::max(LeastStep, FirstStep / (1.0 + pair.observations / 2.0));
         pair.coefficient = std::clamp(pair.coefficient + step * error * share / power, 0.0, MostCoefficient);
         ++pair.observations;
     }
