--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -42,6 +42,8 @@
     Milliseconds lease {6'000};
     // How long a stopped task may take to end.
     Milliseconds stopTimeout {200};
+    // How long a draining worker goes on at least.
+    Milliseconds drain {3'000};
     // The longest wait that a worker takes in a report request.
     Milliseconds longestWait {2'000};
 };
@@ -158,6 +160,8 @@
     void settleMissing(WorkerState &worker, const std::set<RunName> &listed, Instant sentAt);
     void noteProgress(TaskState &task, const RunningTask &running);
     void moveStalledTasks(WorkerState &worker);
+    void evacuate(WorkerState &worker);
+    [[nodiscard]] static bool isStepDisturbed(const StepState &step);
     void readPressure(WorkerState &worker);
     void controlPace(WorkerState &worker);
     void sendPace(TaskState &task, int percent);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -21,9 +21,11 @@
 constexpr Milliseconds UnrecordedPeriod {500};
 // An unanswered order is sent again after this time: a few round trips between regions.
 constexpr Milliseconds OrderRetryPeriod {250};
-// A worker that left this many report requests unanswered gets no lease renewals, so that its tasks end.
-constexpr int UnansweredBeforeLapse = 3;
+// A worker that left this many report requests unanswered is said to be unreachable in the log.
+constexpr int UnansweredBeforeNotice = 3;
 constexpr int FailuresBeforeQuarantine = 3;
+// Time that a stop and the answer to it take before a draining worker exits.
+constexpr Milliseconds DrainMargin {500};
 constexpr Milliseconds FirstQuarantine {2'000};
 constexpr int MostQuarantineDoublings = 3;
 constexpr Milliseconds LongestReadingGap {1'200};
@@ -109,8 +111,8 @@
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? PacedWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
-    const bool renew = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty()
-        && worker.unansweredInRow < UnansweredBeforeLapse;
+    // A worker that may be gone gets no more renewals, so that its tasks can be given to others soon.
+    const bool renew = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty() && worker.unansweredInRow == 0;
     if (renew) {
         request.leaseUntil = grantLease(worker);
     }
@@ -137,7 +139,7 @@
         onReportFailed(*worker, *outcome);
         return;
     }
-    if (worker->unansweredInRow >= UnansweredBeforeLapse) {
+    if (worker->unansweredInRow >= UnansweredBeforeNotice) {
         m_environment.listener.decided("worker-answers-again", name, {{"unanswered", worker->unansweredInRow}});
     }
     worker->unansweredInRow = 0;
@@ -152,7 +154,7 @@
         m_environment.listener.tokenRefused(worker.listing.name);
     }
     ++worker.unansweredInRow;
-    if (worker.unansweredInRow == UnansweredBeforeLapse) {
+    if (worker.unansweredInRow == UnansweredBeforeNotice) {
         m_environment.listener.decided("worker-unreachable", worker.listing.name,
             {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
     }
@@ -190,6 +192,7 @@
         settleMissing(worker, listed, sentAt);
     }
     moveStalledTasks(worker);
+    evacuate(worker);
     readPressure(worker);
     controlPace(worker);
     if (worker.processedEnd > worker.recordedEnd) {
@@ -271,6 +274,46 @@
     }
 }
 
+void JobScheduler::evacuate(WorkerState &worker)
+{
+    if (!worker.listing.draining || !m_startsAllowed) {
+        return;
+    }
+    const Instant now = m_environment.clock.now();
+    worker.drainingSince = worker.drainingSince.value_or(now);
+    const auto drained = std::chrono::duration_cast<Milliseconds>(now - *worker.drainingSince);
+    const Milliseconds left = std::max(Milliseconds(0), m_limits.drain - drained - DrainMargin);
+    const bool late = left < m_limits.drain / 2;
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        const StepSpecification &step = task->step->specification();
+        if (task->phase != RunPhase::Running || step.gang) {
+            continue;
+        }
+        const Milliseconds remaining = step.estimate * (100 - task->percent) / 100;
+        const bool outlasts = step.lasting || remaining > left;
+        const bool worthMoving = step.lasting || step.checkpoints || task->percent < CheapPercent;
+        if (!outlasts || !worthMoving || choose(*task->step, *task) == nullptr) {
+            continue;
+        }
+        // The tasks of one step go one after the other as long as there is time.
+        if (step.lasting && !late && isStepDisturbed(*task->step)) {
+            continue;
+        }
+        m_environment.listener.decided("run-evacuated", nameOf(*task).text(),
+            {{"worker", worker.listing.name}, {"percent", task->percent}, {"drained_ms", drained.count()}});
+        beginStop(*task);
+    }
+}
+
+bool JobScheduler::isStepDisturbed(const StepState &step)
+{
+    constexpr int AtWork = 100;
+    const int away = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
+        [](const TaskState &task) { return task.phase != RunPhase::Running || task.percent < AtWork; }));
+    return away >= std::max(1, step.specification().disruptionBudget);
+}
+
 void JobScheduler::moveStalledTasks(WorkerState &worker)
 {
     const Instant now = m_environment.clock.now();
@@ -443,7 +486,7 @@
         if (task->orderOpen || now - task->lastOrderSent < OrderRetryPeriod) {
             continue;
         }
-        if (task->phase == RunPhase::Starting && worker.unansweredInRow < UnansweredBeforeLapse) {
+        if (task->phase == RunPhase::Starting && worker.unansweredInRow == 0) {
             sendStart(*task);
         } else if (task->phase == RunPhase::Stopping) {
             sendStop(*task);
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -25,8 +25,7 @@
     Instant lastAnswer;
     int unansweredInRow = 0;
     bool reportOpen = false;
-    // The request of the open report allows waiting for an end.
-    bool removed = false;
+    std::optional<Instant> drainingSince;
     std::uint64_t processedEnd = 0;
     std::uint64_t recordedEnd = 0;
     // Tasks whose present run is on this worker, whatever its phase.
--- a/source/settings/NodeSettings.cpp
+++ b/source/settings/NodeSettings.cpp
@@ -150,6 +150,7 @@
     settings.milliCores = std::llround(reader.number("limits", "processor_share", 0.0, MostCores) * MilliCoresPerCore);
     settings.workerLease = reader.milliseconds("workers", "lease_ms");
     settings.stopTimeout = reader.milliseconds("workers", "stop_ms");
+    settings.workerDrain = reader.milliseconds("workers", "drain_ms");
     settings.statusRetention = reader.seconds("jobs", "status_retention_s");
     settings.shutdownGrace = reader.seconds("shutdown", "grace_s");
     settings.logLevel = reader.text("log", "level");
--- a/source/settings/NodeSettings.h
+++ b/source/settings/NodeSettings.h
@@ -45,6 +45,8 @@
     // The longest lease that workers grant, and how long a stopped task may take.
     Milliseconds workerLease {0};
     Milliseconds stopTimeout {0};
+    // How long a draining worker goes on at least.
+    Milliseconds workerDrain {0};
     Milliseconds statusRetention {0};
     // The time from the request to stop until the process is killed.
     Milliseconds shutdownGrace {0};
--- /dev/null
+++ b/source/tenure/tests/TenureWorld.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "configuration/ClusterFeed.h"
+#include "tenure/JobApi.h"
+#include "tenure/JobKeys.h"
+#include "tenure/JobRouter.h"
+#include "testing/FakeWorkers.h"
+#include "testing/FaultyStore.h"
+
+namespace Wagtail
+{
+
+// Carries calls between the instances of a test.
+class FakePeerClient final : public HttpClient
+{
+public:
+    using Server = std::function<bool(const HttpRequest &, const HttpServer::Responder &)>;
+
+    explicit FakePeerClient(ManualScheduler &scheduler) : m_scheduler(scheduler)
+    {
+    }
+
+    // By the host part of the URL.
+    std::map<std::string, Server> servers;
+
+    void send(HttpCall call, Handler handler) override
+    {
+        constexpr std::string_view Scheme = "http://";
+        const std::string rest = call.url.substr(Scheme.size());
+        const std::string host = rest.substr(0, rest.find('/'));
+        HttpRequest request;
+        request.method = call.method;
+        request.path = rest.substr(rest.find('/'));
+        request.body = call.body;
+        m_scheduler.after(Milliseconds(1), [this, host, request, handler = std::move(handler)] {
+            const auto server = servers.find(host);
+            if (server == servers.end()) {
+                HttpAnswer none;
+                none.failure = "connection refused";
+                handler(none);
+                return;
+            }
+            server->second(request, [handler](const HttpResponse &response) {
+                HttpAnswer answer;
+                answer.delivery = Delivery::Answered;
+                answer.status = response.status;
+                answer.body = response.body;
+                handler(answer);
+            });
+        });
+    }
+
+private:
+    ManualScheduler &m_scheduler;
+};
+
+// What a process has sent goes on after its end.
+struct InstanceWires
+{
+    InstanceWires(ManualScheduler &scheduler, StandinStore &state, FakeWorkers &workers)
+        : store(state, scheduler), gateway(workers, scheduler)
+    {
+    }
+
+    FaultyStore store;
+    FakeWorkerGateway gateway;
+};
+
+// One process: all that it decides.
+struct TenureInstance
+{
+    TenureInstance(ManualClock &clock, ManualScheduler &scheduler, InstanceWires &wires, FakeWorkers &workers,
+        HttpClient &peers, const PartitionPlan &plan, const std::string &name, int life)
+        : store(wires.store)
+        , gateway(wires.gateway)
+        , lease(store, scheduler, clock, {}, JobKeys::Instances + name)
+        , cluster([](const std::string &) {})
+        , feed(store, scheduler, cluster, JobKeys::Cluster)
+        , card {name, name, "depot", "wheatbelt", name + "-" + std::to_string(life), 250}
+        , seats({clock, scheduler, store, gateway, lease, cluster, plan, log}, card, limits())
+        , api(seats)
+        , router({clock, scheduler, store, peers, seats, plan, log, "wheatbelt"})
+    {
+        lease.start(serialize(card));
+        feed.start();
+        seats.updateWorkers(workers.listings());
+    }
+
+    static JobKeeper::Limits limits()
+    {
+        JobKeeper::Limits limits;
+        limits.scheduling.lease = Milliseconds(2'000);
+        return limits;
+    }
+
+    static void log(std::string_view, const std::string &, const Json &)
+    {
+    }
+
+    FaultyStore &store;
+    FakeWorkerGateway &gateway;
+    InstanceLease lease;
+    VersionedEntries cluster;
+    ClusterFeed feed;
+    InstanceCard card;
+    PartitionSeats seats;
+    JobApi api;
+    JobRouter router;
+};
+
+// Three instances, four workers and the store, under a fake clock.
+class TenureWorld
+{
+public:
+    static constexpr int InstanceCount = 3;
+    static constexpr int WorkerCount = 4;
+
+    TenureWorld() : scheduler(clock), state(clock), workers(clock), peers(scheduler), plan(std::map<std::string, std::string> {{"depot", "wheatbelt"}})
+    {
+        for (int i = 0; i < WorkerCount; ++i) {
+            const std::string name = "worker-" + std::to_string(i);
+            workers.add({name, name + ":1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+        }
+        for (int i = 0; i < InstanceCount; ++i) {
+            start(i);
+        }
+    }
+
+    void start(int number)
+    {
+        const std::string name = "instance-" + std::to_string(number);
+        m_wires.push_back(std::make_unique<InstanceWires>(scheduler, state, workers));
+        instances[number] = std::make_unique<TenureInstance>(
+            clock, scheduler, *m_wires.back(), workers, peers, plan, name, ++m_lives);
+        TenureInstance *instance = instances[number].get();
+        peers.servers[name] = [instance](const HttpRequest &request, const HttpServer::Responder &respond) {
+            return instance->api.handle(request, respond);
+        };
+    }
+
+    void kill(int number)
+    {
+        peers.servers.erase("instance-" + std::to_string(number));
+        instances[number].reset();
+    }
+
+    void restartWorker(int number)
+    {
+        workers.restart("worker-" + std::to_string(number));
+        for (const auto &[id, instance] : instances) {
+            if (instance) {
+                instance->seats.updateWorkers(workers.listings());
+            }
+        }
+    }
+
+    void advance(Milliseconds duration)
+    {
+        constexpr Milliseconds Step {20};
+        for (Milliseconds passed {0}; passed < duration; passed += Step) {
+            scheduler.advance(Step, Step);
+            state.advance();
+            workers.advance();
+            m_untilTick -= Step;
+            if (m_untilTick.count() > 0) {
+                continue;
+            }
+            m_untilTick = JobScheduler::TickPeriod;
+            for (const auto &[id, instance] : instances) {
+                if (instance) {
+                    instance->seats.tick();
+                }
+            }
+        }
+    }
+
+    static JobRecord job(const std::string &id, int steps, int width)
+    {
+        JobRecord record;
+        record.specification.id = id;
+        record.specification.queue = "queue";
+        record.specification.payload = "work of " + id;
+        for (int i = 0; i < steps; ++i) {
+            StepSpecification step;
+            step.count = width;
+            step.demand = {1'000, 500, 0};
+            step.estimate = Milliseconds(300);
+            if (i > 0) {
+                step.after = {i - 1};
+            }
+            record.specification.steps.push_back(step);
+        }
+        record.policy = {"queue", "pool", 0, 3, 2.0, Milliseconds(1'000), false};
+        record.acceptedWall = 0;
+        return record;
+    }
+
+    // Returns what any instance answers for the job's state, or nothing.
+    std::optional<JobPhase> phaseOf(const std::string &id)
+    {
+        std::optional<JobPhase> found;
+        for (const auto &[number, instance] : instances) {
+            if (!instance) {
+                continue;
+            }
+            instance->router.status(id, clock.now() + Milliseconds(3'000), [&found](RouteOutcome outcome, JobPhase phase) {
+                if (outcome == RouteOutcome::Done) {
+                    found = phase;
+                }
+            });
+            advance(Milliseconds(1'500));
+            return found;
+        }
+        return found;
+    }
+
+    // Returns the instance that owns the partition, or null.
+    TenureInstance *owner()
+    {
+        for (const auto &[number, instance] : instances) {
+            if (instance && instance->seats.keeper("wheatbelt") != nullptr) {
+                return instance.get();
+            }
+        }
+        return nullptr;
+    }
+
+    ManualClock clock;
+    ManualScheduler scheduler;
+    StandinStore state;
+    FakeWorkers workers;
+    FakePeerClient peers;
+    PartitionPlan plan;
+    std::map<int, std::unique_ptr<TenureInstance>> instances;
+
+private:
+    int m_lives = 0;
+    std::vector<std::unique_ptr<InstanceWires>> m_wires;
+    Milliseconds m_untilTick {0};
+};
+
+}
--- /dev/null
+++ b/source/testing/FakeWorkers.h
@@ -0,0 +1,359 @@
+#pragma once
+
+#include "scheduling/WorkerGateway.h"
+#include "testing/ManualScheduler.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Wagtail
+{
+
+// Workers that follow the platform's rules for runs, leases and tokens, and record what callers must never see.
+class FakeWorkers
+{
+public:
+    // How the tasks of a job behave.
+    struct Behaviour
+    {
+        Milliseconds duration {300};
+        // The first so many runs of each task fail.
+        int failures = 0;
+        bool lasting = false;
+    };
+
+    explicit FakeWorkers(ManualClock &clock) : m_clock(clock)
+    {
+    }
+
+    void add(const WorkerListing &listing)
+    {
+        Worker &worker = m_workers[listing.name];
+        worker.listing = listing;
+        worker.bornAt = m_clock.now();
+    }
+
+    // Ends everything that runs on the worker and begins a new incarnation of it under its name.
+    void restart(const std::string &name)
+    {
+        Worker &worker = m_workers.at(name);
+        const WorkerListing listing = worker.listing;
+        worker = Worker();
+        worker.listing = listing;
+        worker.listing.incarnation = listing.incarnation + 1;
+        worker.bornAt = m_clock.now();
+    }
+
+    [[nodiscard]] std::map<std::string, WorkerListing> listings() const
+    {
+        std::map<std::string, WorkerListing> listings;
+        for (const auto &[name, worker] : m_workers) {
+            listings.emplace(name, worker.listing);
+        }
+        return listings;
+    }
+
+    void setBehaviour(const std::string &job, Behaviour behaviour)
+    {
+        m_behaviours[job] = behaviour;
+    }
+
+    // Lets time pass: tasks end, leases run out.
+    void advance()
+    {
+        for (auto &[name, worker] : m_workers) {
+            if (worker.leaseUntil > 0 && worker.leaseUntil < clockOf(worker)) {
+                worker.leaseUntil = 0;
+                ++worker.lapses;
+            }
+            const std::vector<Run> running = worker.running;
+            for (const Run &run : running) {
+                if (run.leaseUntil < clockOf(worker)) {
+                    end(worker, run, RunEnd::LeaseExpired);
+                } else if (!run.behaviour.lasting && m_clock.now() >= run.startedAt + run.behaviour.duration) {
+                    end(worker, run, run.fails ? RunEnd::Failed : RunEnd::Done);
+                }
+            }
+        }
+    }
+
+    OrderAnswer start(const std::string &name, FencingToken token, const StartOrder &order)
+    {
+        Worker &worker = m_workers.at(name);
+        advance();
+        if (token < worker.token) {
+            return {OrderOutcome::Fenced, clockOf(worker)};
+        }
+        worker.token = token;
+        for (Run &run : worker.running) {
+            if (run.name == order.run) {
+                run.leaseUntil = std::max(run.leaseUntil, order.leaseUntil);
+                return {OrderOutcome::Accepted, clockOf(worker)};
+            }
+        }
+        const auto closed = worker.closed.find(order.run.task);
+        if (closed != worker.closed.end() && order.run.run <= closed->second) {
+            return {OrderOutcome::Superseded, clockOf(worker)};
+        }
+        if (order.leaseUntil < clockOf(worker)) {
+            return {OrderOutcome::Expired, clockOf(worker)};
+        }
+        worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+        begin(worker, order);
+        return {OrderOutcome::Accepted, clockOf(worker)};
+    }
+
+    OrderAnswer stop(const std::string &name, FencingToken token, const RunName &runName)
+    {
+        Worker &worker = m_workers.at(name);
+        advance();
+        if (token < worker.token) {
+            return {OrderOutcome::Fenced, clockOf(worker)};
+        }
+        worker.token = token;
+        std::uint64_t &closed = worker.closed[runName.task];
+        closed = std::max(closed, runName.run);
+        const std::vector<Run> running = worker.running;
+        for (const Run &run : running) {
+            if (run.name == runName) {
+                end(worker, run, RunEnd::Stopped);
+            }
+        }
+        return {OrderOutcome::Accepted, clockOf(worker)};
+    }
+
+    std::variant<RunReport, OrderOutcome> report(
+        const std::string &name, FencingToken token, const ReportRequest &request)
+    {
+        Worker &worker = m_workers.at(name);
+        advance();
+        if (token < worker.token) {
+            return OrderOutcome::Fenced;
+        }
+        worker.token = token;
+        if (request.leaseUntil) {
+            worker.leaseUntil = std::max(worker.leaseUntil, *request.leaseUntil);
+            for (Run &run : worker.running) {
+                run.leaseUntil = std::max(run.leaseUntil, *request.leaseUntil);
+            }
+        }
+        for (const EndedTask &ended : worker.ended) {
+            if (ended.number <= request.recordedEnd) {
+                note(worker, ended);
+            }
+        }
+        std::erase_if(worker.ended, [&](const EndedTask &ended) { return ended.number <= request.recordedEnd; });
+        RunReport report;
+        report.workerClock = clockOf(worker);
+        report.incarnation = worker.listing.incarnation;
+        report.ended = worker.ended;
+        for (const Run &run : worker.running) {
+            report.running.push_back({run.name, {}, 0, 0});
+        }
+        return report;
+    }
+
+    // Returns what must never happen and did.
+    [[nodiscard]] std::vector<std::string> violations() const
+    {
+        std::vector<std::string> found = m_violations;
+        for (const auto &[task, starts] : m_starts) {
+            const auto done = m_notedDone.find(task);
+            if (done == m_notedDone.end()) {
+                continue;
+            }
+            for (const Instant start : starts) {
+                if (start > done->second) {
+                    found.push_back(task.text() + " was started after its noted end");
+                }
+            }
+        }
+        return found;
+    }
+
+    [[nodiscard]] std::size_t runningCount() const
+    {
+        std::size_t count = 0;
+        for (const auto &[name, worker] : m_workers) {
+            count += worker.running.size();
+        }
+        return count;
+    }
+
+    [[nodiscard]] std::size_t startCount(const TaskName &task) const
+    {
+        const auto found = m_starts.find(task);
+        return found == m_starts.end() ? 0 : found->second.size();
+    }
+
+private:
+    struct Run
+    {
+        RunName name;
+        std::int64_t leaseUntil = 0;
+        Instant startedAt;
+        Behaviour behaviour;
+        bool fails = false;
+    };
+
+    struct Worker
+    {
+        WorkerListing listing;
+        Instant bornAt;
+        FencingToken token = 0;
+        std::vector<Run> running;
+        std::vector<EndedTask> ended;
+        std::uint64_t nextEnd = 1;
+        std::map<TaskName, std::uint64_t> closed;
+        // The lease of everything on the worker, on its clock, and how often it has run out.
+        std::int64_t leaseUntil = 0;
+        int lapses = 0;
+        std::map<std::uint64_t, int> lapsesAtEnd;
+    };
+
+    [[nodiscard]] std::int64_t clockOf(const Worker &worker) const
+    {
+        return std::chrono::duration_cast<Milliseconds>(m_clock.now() - worker.bornAt).count();
+    }
+
+    void begin(Worker &worker, const StartOrder &order)
+    {
+        const TaskName &task = order.run.task;
+        for (const auto &[name, other] : m_workers) {
+            for (const Run &run : other.running) {
+                if (run.name.task == task) {
+                    m_violations.push_back(task.text() + " runs on " + name + " and " + worker.listing.name);
+                }
+            }
+        }
+        const Behaviour behaviour = m_behaviours[task.job];
+        if (behaviour.failures > 0 && m_notedFailures[task].size() >= MostAttempts) {
+            m_violations.push_back(task.text() + " was started after its last attempt");
+        }
+        m_starts[task].push_back(m_clock.now());
+        const bool fails = m_starts[task].size() <= static_cast<std::size_t>(behaviour.failures);
+        worker.running.push_back({order.run, order.leaseUntil, m_clock.now(), behaviour, fails});
+    }
+
+    void end(Worker &worker, const Run &run, RunEnd how)
+    {
+        std::uint64_t &closed = worker.closed[run.name.task];
+        closed = std::max(closed, run.name.run);
+        worker.ended.push_back({worker.nextEnd, run.name, how, {}});
+        worker.lapsesAtEnd[worker.nextEnd] = worker.lapses;
+        ++worker.nextEnd;
+        m_endedAt[run.name] = m_clock.now();
+        std::erase_if(worker.running, [&run](const Run &other) { return other.name == run.name; });
+    }
+
+    // An end counts as noted when it is acknowledged, unless the worker's lease ran out in between: by then its owner
+    // may have given the task to another worker.
+    void note(const Worker &worker, const EndedTask &ended)
+    {
+        if (worker.lapsesAtEnd.at(ended.number) != worker.lapses) {
+            return;
+        }
+        if (ended.end == RunEnd::Failed) {
+            m_notedFailures[ended.run.task].insert(ended.run.run);
+        }
+        if (ended.end == RunEnd::Done) {
+            const Instant when = m_endedAt[ended.run];
+            const auto [entry, added] = m_notedDone.emplace(ended.run.task, when);
+            entry->second = std::min(entry->second, when);
+        }
+    }
+
+    static constexpr std::size_t MostAttempts = 3;
+
+    ManualClock &m_clock;
+    std::map<std::string, Worker> m_workers;
+    std::map<std::string, Behaviour> m_behaviours;
+    std::map<TaskName, std::vector<Instant>> m_starts;
+    std::map<RunName, Instant> m_endedAt;
+    std::map<TaskName, Instant> m_notedDone;
+    std::map<TaskName, std::set<std::uint64_t>> m_notedFailures;
+    std::vector<std::string> m_violations;
+};
+
+// One instance's way to the workers, which can be cut, lose answers and carry orders out late.
+class FakeWorkerGateway final : public WorkerGateway
+{
+public:
+    FakeWorkerGateway(FakeWorkers &workers, ManualScheduler &scheduler) : m_workers(workers), m_scheduler(scheduler)
+    {
+    }
+
+    bool cut = false;
+    std::set<std::string> cutWorkers;
+    int loseAnswers = 0;
+    int lateOrders = 0;
+
+    void start(const OrderTarget &target, const StartOrder &order, AnswerHandler handler) override
+    {
+        carry(target, std::move(handler),
+            [this, target, order] { return m_workers.start(target.worker, target.token, order); });
+    }
+
+    void stop(const OrderTarget &target, const RunName &run, AnswerHandler handler) override
+    {
+        carry(target, std::move(handler),
+            [this, target, run] { return m_workers.stop(target.worker, target.token, run); });
+    }
+
+    void pace(const OrderTarget &, const RunName &, int, AnswerHandler handler) override
+    {
+        m_scheduler.after(Delay, [handler = std::move(handler)] { handler({OrderOutcome::Accepted, std::nullopt}); });
+    }
+
+    void report(const OrderTarget &target, const ReportRequest &request, ReportHandler handler) override
+    {
+        if (isCut(target)) {
+            m_scheduler.after(Timeout, [handler = std::move(handler)] { handler(OrderOutcome::Unknown); });
+            return;
+        }
+        const Milliseconds wait = std::min(request.wait, LongestWait);
+        m_scheduler.after(Delay + wait, [this, target, request, handler = std::move(handler)] {
+            std::variant<RunReport, OrderOutcome> result = m_workers.report(target.worker, target.token, request);
+            m_scheduler.after(Delay, [handler, result = std::move(result)] { handler(result); });
+        });
+    }
+
+private:
+    static constexpr Milliseconds Delay {2};
+    static constexpr Milliseconds Timeout {400};
+    static constexpr Milliseconds LateDelay {3'000};
+    static constexpr Milliseconds LongestWait {100};
+
+    [[nodiscard]] bool isCut(const OrderTarget &target) const
+    {
+        return cut || cutWorkers.contains(target.worker);
+    }
+
+    template<typename Work> void carry(const OrderTarget &target, AnswerHandler handler, Work work)
+    {
+        if (isCut(target)) {
+            m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
+            return;
+        }
+        if (lateOrders > 0) {
+            --lateOrders;
+            m_scheduler.after(LateDelay, [work] { work(); });
+            m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
+            return;
+        }
+        const bool lost = loseAnswers > 0;
+        loseAnswers -= lost ? 1 : 0;
+        m_scheduler.after(Delay, [this, lost, work, handler = std::move(handler)] {
+            const OrderAnswer answer = work();
+            m_scheduler.after(lost ? Timeout : Delay, [handler, answer, lost] { handler(lost ? OrderAnswer() : answer); });
+        });
+    }
+
+    FakeWorkers &m_workers;
+    ManualScheduler &m_scheduler;
+};
+
+}
