Tests: Histories of tenures under faults, against an oracle of the workers' rules

Three instances, four workers, a store that is cut and loses answers, orders that are lost or late, kills, restarts. Found by it: readings of a worker's former clock were taken for the new one.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -169,8 +169,10 @@
         }
         workerRestarted(worker, report.incarnation);
     }
+    const bool firstOfIncarnation = worker.incarnation != report.incarnation || !worker.clock.isKnown();
     worker.incarnation = report.incarnation;
-    worker.clock.observe(report.workerClock, sentAt, now);
+    // The first report of an incarnation tells its clock, whenever it was asked for.
+    worker.clock.observe(report.workerClock, firstOfIncarnation ? now : sentAt, now);
     worker.full = false;
     if (!worker.contacted) {
         worker.contacted = true;
@@ -446,7 +448,7 @@
     worker.processedEnd = 0;
     worker.recordedEnd = 0;
     worker.strays.clear();
-    worker.clock.reset();
+    worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
     worker.contacted = false;
     worker.full = false;
--- a/source/scheduling/WorkerClock.cpp
+++ b/source/scheduling/WorkerClock.cpp
@@ -15,7 +15,8 @@
 
 void WorkerClock::observe(std::int64_t reading, Instant sentAt, Instant receivedAt)
 {
-    if (m_known && receivedAt < m_receivedAt) {
+    const bool outdated = sentAt < m_validFrom || (m_known && receivedAt < m_receivedAt);
+    if (outdated) {
         return;
     }
     m_known = true;
@@ -24,8 +25,9 @@
     m_receivedAt = receivedAt;
 }
 
-void WorkerClock::reset()
+void WorkerClock::reset(Instant now)
 {
+    m_validFrom = now;
     m_known = false;
 }
 
--- a/source/scheduling/WorkerClock.h
+++ b/source/scheduling/WorkerClock.h
@@ -14,8 +14,8 @@
     // Takes a reading that arrived in an answer.
     void observe(std::int64_t reading, Instant sentAt, Instant receivedAt);
 
-    // Forgets everything, for a worker that started anew.
-    void reset();
+    // Forgets everything, for a worker that started anew. Answers to calls sent before then are not of its clock.
+    void reset(Instant now);
 
     [[nodiscard]] bool isKnown() const;
 
@@ -27,6 +27,7 @@
 
 private:
     bool m_known = false;
+    Instant m_validFrom;
     std::int64_t m_reading = 0;
     Instant m_sentAt;
     Instant m_receivedAt;
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -20,7 +20,7 @@
     struct Behaviour
     {
         Milliseconds duration {300};
-        // The first so many runs of each task fail.
+        // So many runs of each task fail before one succeeds.
         int failures = 0;
         bool lasting = false;
     };
@@ -56,6 +56,11 @@
         return listings;
     }
 
+    [[nodiscard]] std::int64_t incarnationOf(const std::string &name) const
+    {
+        return m_workers.at(name).listing.incarnation;
+    }
+
     void setBehaviour(const std::string &job, Behaviour behaviour)
     {
         m_behaviours[job] = behaviour;
@@ -90,7 +95,7 @@
         worker.token = token;
         for (Run &run : worker.running) {
             if (run.name == order.run) {
-                run.leaseUntil = std::max(run.leaseUntil, order.leaseUntil);
+                run.leaseUntil = std::max(run.leaseUntil, shortened(worker, order.leaseUntil));
                 return {OrderOutcome::Accepted, clockOf(worker)};
             }
         }
@@ -101,7 +106,7 @@
         if (order.leaseUntil < clockOf(worker)) {
             return {OrderOutcome::Expired, clockOf(worker)};
         }
-        worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+        worker.leaseUntil = std::max(worker.leaseUntil, shortened(worker, order.leaseUntil));
         begin(worker, order);
         return {OrderOutcome::Accepted, clockOf(worker)};
     }
@@ -135,9 +140,10 @@
         }
         worker.token = token;
         if (request.leaseUntil) {
-            worker.leaseUntil = std::max(worker.leaseUntil, *request.leaseUntil);
+            const std::int64_t until = shortened(worker, *request.leaseUntil);
+            worker.leaseUntil = std::max(worker.leaseUntil, until);
             for (Run &run : worker.running) {
-                run.leaseUntil = std::max(run.leaseUntil, *request.leaseUntil);
+                run.leaseUntil = std::max(run.leaseUntil, until);
             }
         }
         for (const EndedTask &ended : worker.ended) {
@@ -219,6 +225,12 @@
         return std::chrono::duration_cast<Milliseconds>(m_clock.now() - worker.bornAt).count();
     }
 
+    // Workers grant no lease beyond the longest one.
+    [[nodiscard]] std::int64_t shortened(const Worker &worker, std::int64_t until) const
+    {
+        return std::min(until, clockOf(worker) + LongestLease.count());
+    }
+
     void begin(Worker &worker, const StartOrder &order)
     {
         const TaskName &task = order.run.task;
@@ -234,8 +246,23 @@
             m_violations.push_back(task.text() + " was started after its last attempt");
         }
         m_starts[task].push_back(m_clock.now());
-        const bool fails = m_starts[task].size() <= static_cast<std::size_t>(behaviour.failures);
-        worker.running.push_back({order.run, order.leaseUntil, m_clock.now(), behaviour, fails});
+        const bool fails = failureCount(task) < static_cast<std::size_t>(behaviour.failures);
+        worker.running.push_back({order.run, shortened(worker, order.leaseUntil), m_clock.now(), behaviour, fails});
+    }
+
+    // Returns how many failures of a task have been acknowledged or are still listed by a worker.
+    [[nodiscard]] std::size_t failureCount(const TaskName &task) const
+    {
+        const auto found = m_acknowledgedFailures.find(task);
+        std::set<std::uint64_t> runs = found == m_acknowledgedFailures.end() ? std::set<std::uint64_t>() : found->second;
+        for (const auto &[name, worker] : m_workers) {
+            for (const EndedTask &ended : worker.ended) {
+                if (ended.run.task == task && ended.end == RunEnd::Failed) {
+                    runs.insert(ended.run.run);
+                }
+            }
+        }
+        return runs.size();
     }
 
     void end(Worker &worker, const Run &run, RunEnd how)
@@ -253,6 +280,9 @@
     // may have given the task to another worker.
     void note(const Worker &worker, const EndedTask &ended)
     {
+        if (ended.end == RunEnd::Failed) {
+            m_acknowledgedFailures[ended.run.task].insert(ended.run.run);
+        }
         if (worker.lapsesAtEnd.at(ended.number) != worker.lapses) {
             return;
         }
@@ -267,6 +297,7 @@
     }
 
     static constexpr std::size_t MostAttempts = 3;
+    static constexpr Milliseconds LongestLease {2'000};
 
     ManualClock &m_clock;
     std::map<std::string, Worker> m_workers;
@@ -275,6 +306,7 @@
     std::map<RunName, Instant> m_endedAt;
     std::map<TaskName, Instant> m_notedDone;
     std::map<TaskName, std::set<std::uint64_t>> m_notedFailures;
+    std::map<TaskName, std::set<std::uint64_t>> m_acknowledgedFailures;
     std::vector<std::string> m_violations;
 };
 
@@ -340,7 +372,13 @@
         }
         if (lateOrders > 0) {
             --lateOrders;
-            m_scheduler.after(LateDelay, [work] { work(); });
+            // The worker has taken the order in, so it is lost when the worker restarts.
+            const std::int64_t incarnation = m_workers.incarnationOf(target.worker);
+            m_scheduler.after(LateDelay, [this, work, worker = target.worker, incarnation] {
+                if (m_workers.incarnationOf(worker) == incarnation) {
+                    work();
+                }
+            });
             m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
             return;
         }
