--- /dev/null
+++ b/source/scheduling/tests/PressureTest.cpp
@@ -0,0 +1,110 @@
+#include "scheduling/PaceControl.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// Teaches the model one pair from changes of use whose effect follows the given coefficient.
+void teach(PressureModel &model, const std::string &serving, const std::string &backfilling, double coefficient)
+{
+    for (int i = 0; i < 40; ++i) {
+        const double change = i % 2 == 0 ? 0.2 : -0.2;
+        model.learn(serving, {{backfilling, change}}, coefficient * change);
+    }
+}
+
+constexpr double Limit = 0.8;
+
+}
+
+TEST(PressureModel, learnsEachPairByItself)
+{
+    PressureModel model;
+    teach(model, "pump", "tariff", 1.5);
+    teach(model, "pump", "report", 0.0);
+    EXPECT_NEAR(model.coefficient("pump", "tariff"), 1.5, 0.1);
+    EXPECT_NEAR(model.coefficient("pump", "report"), 0.0, 0.1);
+}
+
+TEST(PressureModel, doesNotLearnFromChangesThatDrownInTheSwingOfTheLoad)
+{
+    PressureModel model;
+    const double before = model.coefficient("pump", "tariff");
+    model.learn("pump", {{"tariff", 0.01}}, 0.3);
+    EXPECT_EQ(model.coefficient("pump", "tariff"), before);
+}
+
+TEST(PressureModel, readsLoadFromTheTailOverItsUndisturbedBase)
+{
+    PressureModel model;
+    EXPECT_LT(model.observeTail("pump", 10), 0.3);
+    EXPECT_GT(model.observeTail("pump", 200), 0.9);
+    EXPECT_LT(model.loadAt("pump", 20.0), model.loadAt("pump", 50.0));
+}
+
+// Load: one serving task near its limit, two backfilling images of which one disturbs it.
+TEST(PaceControl, slowsDownWhatDisturbsAndLeavesTheRest)
+{
+    PressureModel model;
+    teach(model, "pump", "tariff", 1.5);
+    teach(model, "pump", "report", 0.0);
+    const std::vector<ServingReading> serving {{"pump", 0.79, Limit, 0}};
+    const std::vector<BackfillReading> backfilling {{"tariff", 0.2, 0.2, 100}, {"report", 0.2, 0.2, 100}};
+    const std::vector<int> paces = nextPaces(model, serving, backfilling);
+    EXPECT_LT(paces[0], 100);
+    EXPECT_EQ(paces[1], 100);
+}
+
+TEST(PaceControl, stopsAllBackfillingBesideATailThatStaysOverItsTarget)
+{
+    const PressureModel model;
+    const std::vector<ServingReading> serving {{"pump", 0.9, Limit, 2'000}};
+    EXPECT_EQ(nextPaces(model, serving, {{"tariff", 0.1, 0.1, 100}, {"report", 0.1, 0.1, 40}}),
+        (std::vector<int> {0, 0}));
+}
+
+TEST(PaceControl, givesSpeedBackOnceThereIsRoom)
+{
+    PressureModel model;
+    teach(model, "pump", "tariff", 0.5);
+    const std::vector<ServingReading> serving {{"pump", 0.2, Limit, 0}};
+    EXPECT_EQ(nextPaces(model, serving, {{"tariff", 0.2, 0.0, 0}}), std::vector<int> {100});
+}
+
+// Load: a serving task at its own peak. What does not disturb it may still come.
+TEST(PaceControl, countsOnlyServingTasksThatThePlacementDisturbs)
+{
+    PressureModel model;
+    teach(model, "pump", "tariff", 1.5);
+    teach(model, "pump", "report", 0.0);
+    const std::vector<ServingReading> serving {{"pump", 0.79, Limit, 0}};
+    EXPECT_GT(excessWith(model, serving, {}, "tariff", 0.1), 0.0);
+    EXPECT_LT(excessWith(model, serving, {}, "report", 0.1), -0.5);
+}
+
+// Paces stay within their range, and no task is sped up while a tail is over its target.
+RC_GTEST_PROP(PaceControl, staysWithinItsRange, ())
+{
+    PressureModel model;
+    const double load = *rc::gen::inRange(0, 99) / 100.0;
+    const std::vector<ServingReading> serving {{"pump", load, Limit, 0}};
+    std::vector<BackfillReading> backfilling;
+    const int count = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < count; ++i) {
+        const std::string image = "image-" + std::to_string(*rc::gen::inRange(0, 3));
+        backfilling.push_back({image, *rc::gen::inRange(1, 40) / 100.0, 0.0, *rc::gen::inRange(0, 101)});
+    }
+    const std::vector<int> paces = nextPaces(model, serving, backfilling);
+    RC_ASSERT(paces.size() == backfilling.size());
+    for (std::size_t i = 0; i < paces.size(); ++i) {
+        RC_ASSERT(paces[i] >= 0 && paces[i] <= 100);
+        RC_ASSERT(load <= Limit || paces[i] <= backfilling[i].percent);
+    }
+}
+
+}
--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -70,3 +70,11 @@
     wagtail-eventloop)
 add_executable(wagtail-node ${CMAKE_SOURCE_DIR}/platform/main.cpp)
 target_link_libraries(wagtail-node PRIVATE wagtail-platform PkgConfig::POPT)
+if(WAGTAIL_TESTS)
+    file(GLOB platform_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/tests/*.cpp)
+    add_executable(wagtail-platform-tests ${platform_tests})
+    target_link_libraries(wagtail-platform-tests PRIVATE wagtail-platform ${RAPIDCHECK} GTest::gmock GTest::gtest
+        GTest::gtest_main)
+    gtest_discover_tests(wagtail-platform-tests DISCOVERY_TIMEOUT 60
+        PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
+endif()
