--- a/source/logging/tests/LogBufferTest.cpp
+++ b/source/logging/tests/LogBufferTest.cpp
@@ -1,7 +1,7 @@
 #include "logging/LogBuffer.h"
 
-#include <gtest/gtest.h>
 #include <fcntl.h>
+#include <gtest/gtest.h>
 #include <unistd.h>
 
 namespace Wagtail
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -18,8 +18,7 @@
 
 }
 
-JobScheduler::JobScheduler(
-    Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t tenure)
+JobScheduler::JobScheduler(Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t tenure)
     : m_environment(environment)
     , m_limits(limits)
     , m_token(token)
@@ -86,7 +85,8 @@
     }
     JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
     m_environment.listener.decided("job-accepted", job.specification.id,
-        {{"queue", job.policy.queue}, {"objective_ms", objectiveOf(job).count()}, {"steps", describe(job.specification)["steps"]}});
+        {{"queue", job.policy.queue}, {"objective_ms", objectiveOf(job).count()},
+            {"steps", describe(job.specification)["steps"]}});
     m_open.push_back(&job);
     createDueOccurrences(job);
     dispatchSoon();
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -93,12 +93,8 @@
     task->lastOrderAnswered = now;
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
-        task->phase = RunPhase::Running;
-        task->startedAt = now;
-        task->progressedAt = now;
-        return;
     case OrderOutcome::Superseded:
-        // The run was there and has ended; its end is in the worker's list.
+        // A superseded run was there and has ended; its end is in the worker's list.
         task->phase = RunPhase::Running;
         task->startedAt = now;
         task->progressedAt = now;
@@ -185,8 +181,8 @@
 
 void JobScheduler::stopStray(WorkerState &worker, const RunName &run)
 {
-    m_environment.gateway.stop(target(worker), run,
-        [weak = std::weak_ptr(m_self), name = worker.listing.name](const OrderAnswer &answer) {
+    m_environment.gateway.stop(
+        target(worker), run, [weak = std::weak_ptr(m_self), name = worker.listing.name](const OrderAnswer &answer) {
             const auto self = weak.lock();
             if (self && answer.outcome == OrderOutcome::Fenced) {
                 (*self)->m_environment.listener.tokenRefused(name);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -112,7 +112,8 @@
         request.wait = mixed ? PacedWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
     // A worker that may be gone gets no more renewals, so that its tasks can be given to others soon.
-    const bool renew = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty() && worker.unansweredInRow == 0;
+    const bool renew
+        = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty() && worker.unansweredInRow == 0;
     if (renew) {
         request.leaseUntil = grantLease(worker);
     }
@@ -155,8 +156,8 @@
     }
     ++worker.unansweredInRow;
     if (worker.unansweredInRow == UnansweredBeforeNotice) {
-        m_environment.listener.decided("worker-unreachable", worker.listing.name,
-            {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
+        m_environment.listener.decided(
+            "worker-unreachable", worker.listing.name, {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
     }
 }
 
@@ -205,8 +206,7 @@
 void JobScheduler::applyRunning(WorkerState &worker, const RunningTask &running, Instant sentAt)
 {
     TaskState *task = findTask(running.run.task);
-    const bool current
-        = task != nullptr && task->worker == worker.listing.name && task->run == running.run.run;
+    const bool current = task != nullptr && task->worker == worker.listing.name && task->run == running.run.run;
     if (current) {
         if (task->phase == RunPhase::Starting) {
             task->phase = RunPhase::Running;
@@ -264,13 +264,14 @@
 {
     const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
     for (TaskState *task : tasks) {
-        const bool settled = !task->orderOpen && task->lastOrderAnswered != Instant() && task->lastOrderAnswered < sentAt;
+        const bool settled
+            = !task->orderOpen && task->lastOrderAnswered != Instant() && task->lastOrderAnswered < sentAt;
         if (task->phase == RunPhase::Starting || !settled || listed.contains({nameOf(*task), task->run})) {
             continue;
         }
         if (task->phase == RunPhase::Running) {
-            m_environment.listener.decided("run-missing", nameOf(*task).text(),
-                {{"worker", worker.listing.name}, {"run", task->run}});
+            m_environment.listener.decided(
+                "run-missing", nameOf(*task).text(), {{"worker", worker.listing.name}, {"run", task->run}});
         }
         release(*task, Milliseconds(0));
     }
@@ -374,9 +375,9 @@
             task->overSince = now;
         }
         const auto overFor = task->overSince ? now - *task->overSince : Instant::duration::zero();
-        worker.serving.push_back({step.image, load,
-            m_pressure.loadAt(step.image, static_cast<double>(step.tailTarget.count())),
-            std::chrono::duration_cast<Milliseconds>(overFor).count()});
+        worker.serving.push_back(
+            {step.image, load, m_pressure.loadAt(step.image, static_cast<double>(step.tailTarget.count())),
+                std::chrono::duration_cast<Milliseconds>(overFor).count()});
     }
     worker.backfillUse = std::move(use);
     worker.readAt = now;
--- a/source/scheduling/JobSpecification.cpp
+++ b/source/scheduling/JobSpecification.cpp
@@ -50,8 +50,8 @@
 {
     StepSpecification step;
     step.count = memberOr(document, "count", step.count);
-    step.demand = {memberOr(document, "millicores", std::int64_t {0}), memberOr(document, "memory_mb", std::int64_t {0}),
-        memberOr(document, "accelerators", std::int64_t {0})};
+    step.demand = {memberOr(document, "millicores", std::int64_t {0}),
+        memberOr(document, "memory_mb", std::int64_t {0}), memberOr(document, "accelerators", std::int64_t {0})};
     step.estimate = Milliseconds(memberOr(document, "estimate_ms", std::int64_t {0}));
     step.after = memberOr(document, "after", step.after);
     step.checkpoints = memberOr(document, "checkpoints", step.checkpoints);
--- a/source/scheduling/PaceControl.cpp
+++ b/source/scheduling/PaceControl.cpp
@@ -35,8 +35,8 @@
 }
 
 // Slows down the tasks that press hardest on the serving task until the needed relief is reached.
-void relieve(const PressureModel &model, const ServingReading &serving,
-    const std::vector<BackfillReading> &backfilling, std::vector<int> &paces)
+void relieve(const PressureModel &model, const ServingReading &serving, const std::vector<BackfillReading> &backfilling,
+    std::vector<int> &paces)
 {
     std::vector<std::size_t> order(backfilling.size());
     std::iota(order.begin(), order.end(), 0);
@@ -64,6 +64,7 @@
     const std::vector<BackfillReading> &backfilling)
 {
     std::vector<int> paces;
+    paces.reserve(backfilling.size());
     for (const BackfillReading &task : backfilling) {
         paces.push_back(task.percent);
     }
@@ -81,6 +82,7 @@
         return paces;
     }
     std::vector<double> room;
+    room.reserve(serving.size());
     for (const ServingReading &reading : serving) {
         room.push_back(
             reading.limit - RestoreMargin - reading.load - pendingPressure(model, reading.image, backfilling));
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -88,8 +88,8 @@
         cost += mixtureCost(worker, step);
     }
     if (step.backfills) {
-        const double excess = excessWith(*query.pressure, worker.serving, worker.backfilling, step.image,
-            share(step.demand.milliCores, capacity));
+        const double excess = excessWith(
+            *query.pressure, worker.serving, worker.backfilling, step.image, share(step.demand.milliCores, capacity));
         if (excess > -PlacementMargin) {
             return std::nullopt;
         }
--- a/source/scheduling/tests/JobStateTest.cpp
+++ b/source/scheduling/tests/JobStateTest.cpp
@@ -1,6 +1,6 @@
 #include "scheduling/JobRank.h"
-#include "scheduling/WorkerClock.h"
 #include "scheduling/WorkerChoice.h"
+#include "scheduling/WorkerClock.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/source/scheduling/tests/PressureTest.cpp
+++ b/source/scheduling/tests/PressureTest.cpp
@@ -64,8 +64,8 @@
 {
     const PressureModel model;
     const std::vector<ServingReading> serving {{"pump", 0.9, Limit, 2'000}};
-    EXPECT_EQ(nextPaces(model, serving, {{"tariff", 0.1, 0.1, 100}, {"report", 0.1, 0.1, 40}}),
-        (std::vector<int> {0, 0}));
+    EXPECT_EQ(
+        nextPaces(model, serving, {{"tariff", 0.1, 0.1, 100}, {"report", 0.1, 0.1, 40}}), (std::vector<int> {0, 0}));
 }
 
 TEST(PaceControl, givesSpeedBackOnceThereIsRoom)
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -29,7 +29,8 @@
 JobJournal::~JobJournal()
 {
     *m_alive = false;
-    std::vector<PendingAccept> open(std::make_move_iterator(m_accepts.begin()), std::make_move_iterator(m_accepts.end()));
+    std::vector<PendingAccept> open(
+        std::make_move_iterator(m_accepts.begin()), std::make_move_iterator(m_accepts.end()));
     if (m_batch) {
         std::move(m_batch->accepts.begin(), m_batch->accepts.end(), std::back_inserter(open));
     }
@@ -120,7 +121,7 @@
         notifyFlushed();
         return;
     }
-    m_batch.emplace();
+    m_batch = Batch();
     fill(*m_batch);
     send();
 }
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -51,7 +51,8 @@
           m_position.ownerRevision, m_position.tenure)
     , m_journal(m_environment.store, m_environment.scheduler, *this, m_position)
     , m_inbox([this](const std::string &key) { onInboxChanged(key); })
-    , m_inboxFeed(m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWait)
+    , m_inboxFeed(
+          m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWait)
 {
 }
 
@@ -330,8 +331,7 @@
     }
     m_deposed = true;
     m_jobs.allowStarts(false);
-    m_environment.log(
-        "tenure-over", m_position.partition, {{"token", m_position.ownerRevision}, {"reason", reason}});
+    m_environment.log("tenure-over", m_position.partition, {{"token", m_position.ownerRevision}, {"reason", reason}});
     m_environment.onDeposed();
 }
 
@@ -352,7 +352,8 @@
 
 void JobKeeper::applyInbox(const std::string &key, const InboxEntry &entry)
 {
-    m_environment.log("inbox-applied", entry.job, {{"request", entry.request == InboxRequest::Submit ? "submit" : "cancel"}});
+    m_environment.log(
+        "inbox-applied", entry.job, {{"request", entry.request == InboxRequest::Submit ? "submit" : "cancel"}});
     if (entry.request == InboxRequest::Submit) {
         const JobRecord &record = *entry.record;
         m_jobs.add(record.specification, record.policy, record.acceptedWall);
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -64,8 +64,8 @@
     *m_alive = false;
 }
 
-bool JobRouter::callOwner(const std::string &partition, const std::string &method, const std::string &target,
-    std::string body, Answer answer)
+bool JobRouter::callOwner(
+    const std::string &partition, const std::string &method, const std::string &target, std::string body, Answer answer)
 {
     const std::optional<InstanceCard> owner = m_environment.seats.ownerOf(partition);
     if (!owner) {
@@ -189,8 +189,8 @@
     transaction.conditions = {{JobKeys::home(id), MustNotExist}};
     transaction.writes = {{JobKeys::home(id), partition, std::nullopt, 0},
         {JobKeys::jobs(partition) + id, serialize(submission->record), std::nullopt, 0},
-        {JobKeys::inboxSubmission(partition, id),
-            serialize(InboxEntry {InboxRequest::Submit, id, submission->record}), std::nullopt, 0}};
+        {JobKeys::inboxSubmission(partition, id), serialize(InboxEntry {InboxRequest::Submit, id, submission->record}),
+            std::nullopt, 0}};
     m_environment.log("job-submitted-without-owner", id, {{"partition", partition}});
     m_environment.store.commit(
         std::move(transaction), [this, alive = m_alive, submission](const Result<StoreCommit> &result) {
@@ -213,8 +213,7 @@
         });
 }
 
-void JobRouter::status(
-    const std::string &id, Instant deadline, std::function<void(RouteOutcome, JobPhase)> handler)
+void JobRouter::status(const std::string &id, Instant deadline, std::function<void(RouteOutcome, JobPhase)> handler)
 {
     auto inquiry = std::make_shared<Inquiry>();
     inquiry->method = "GET";
@@ -232,7 +231,9 @@
     inquiry->job = id;
     inquiry->begin = m_environment.clock.now();
     inquiry->deadline = deadline - AnswerMargin;
-    inquiry->handler = [handler = std::move(handler)](RouteOutcome outcome, JobPhase) { handler(outcome); };
+    inquiry->handler = [handler = std::move(handler)](RouteOutcome outcome, JobPhase) {
+        handler(outcome);
+    };
     inquire(inquiry);
 }
 
@@ -297,8 +298,8 @@
         askStore(inquiry);
         return;
     }
-    m_environment.store.read(JobKeys::home(inquiry->job),
-        [this, alive = m_alive, inquiry](const Result<std::optional<StoreEntry>> &result) {
+    m_environment.store.read(
+        JobKeys::home(inquiry->job), [this, alive = m_alive, inquiry](const Result<std::optional<StoreEntry>> &result) {
             if (!*alive) {
                 return;
             }
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -56,8 +56,8 @@
     struct Inquiry;
     using Answer = std::function<void(const HttpAnswer &)>;
 
-    [[nodiscard]] bool callOwner(
-        const std::string &partition, const std::string &method, const std::string &target, std::string body, Answer answer);
+    [[nodiscard]] bool callOwner(const std::string &partition, const std::string &method, const std::string &target,
+        std::string body, Answer answer);
     void trySubmit(const std::shared_ptr<Submission> &submission);
     void onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer);
     void retrySubmit(const std::shared_ptr<Submission> &submission);
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -144,13 +144,12 @@
     std::uint64_t tenure = 0;
     if (head) {
         const Result<Json> document = parseJson(head->value, "the partition's head");
-        tenure = errorOf(document) == nullptr
-            ? memberOr(std::get<Json>(document), "tenure", std::uint64_t {0}) + 1
-            : head->revision;
+        tenure = errorOf(document) == nullptr ? memberOr(std::get<Json>(document), "tenure", std::uint64_t {0}) + 1
+                                              : head->revision;
     }
     StoreTransaction transaction;
-    transaction.conditions = {{JobKeys::owner(partition), ownerRevision},
-        {JobKeys::head(partition), head ? head->revision : MustNotExist}};
+    transaction.conditions = {
+        {JobKeys::owner(partition), ownerRevision}, {JobKeys::head(partition), head ? head->revision : MustNotExist}};
     transaction.writes = {
         {JobKeys::owner(partition), serialize(OwnerCard {m_self, tenure}), std::nullopt, m_environment.lease.lease()},
         {JobKeys::head(partition), writeJson({{"tenure", tenure}}), std::nullopt, 0}};
@@ -277,24 +276,24 @@
         return;
     }
     seat.keeper->allowStarts(false);
-    seat.keeper->flush([this, alive = m_alive, partition, partitions = std::move(partitions),
-                           handler = std::move(handler)] {
-        if (!*alive) {
-            return;
-        }
-        const Seat &flushed = m_seats[partition];
-        const StoreRevision token = flushed.keeper ? flushed.keeper->position().ownerRevision : 0;
-        m_environment.store.erase(JobKeys::owner(partition), token,
-            [this, alive, partition, partitions, handler](const Status &status) {
-                if (!*alive) {
-                    return;
-                }
-                m_environment.log("partition-released", partition,
-                    {{"error", errorOf(status) == nullptr ? std::string() : errorOf(status)->detail}});
-                drop(partition);
-                releaseNext(partitions, handler);
-            });
-    });
+    seat.keeper->flush(
+        [this, alive = m_alive, partition, partitions = std::move(partitions), handler = std::move(handler)] {
+            if (!*alive) {
+                return;
+            }
+            const Seat &flushed = m_seats[partition];
+            const StoreRevision token = flushed.keeper ? flushed.keeper->position().ownerRevision : 0;
+            m_environment.store.erase(
+                JobKeys::owner(partition), token, [this, alive, partition, partitions, handler](const Status &status) {
+                    if (!*alive) {
+                        return;
+                    }
+                    m_environment.log("partition-released", partition,
+                        {{"error", errorOf(status) == nullptr ? std::string() : errorOf(status)->detail}});
+                    drop(partition);
+                    releaseNext(partitions, handler);
+                });
+        });
 }
 
 }
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -60,15 +60,13 @@
             handler(std::move(answer));
             return;
         }
-        // The first answer counts when the relay finds no way either: it tells whether the call may have arrived.
-        sendThroughPeer(std::move(call), [handler = std::move(handler), first = std::move(answer)](HttpAnswer relayed) {
-            const bool reached = relayed.delivery == Delivery::Answered;
-            if (reached) {
-                handler(std::move(relayed));
-                return;
+        const bool uncertain = answer.delivery == Delivery::Lost;
+        sendThroughPeer(std::move(call), [handler = std::move(handler), uncertain](HttpAnswer relayed) {
+            // The first call may have arrived, so that a refusal of the second says nothing about it.
+            if (uncertain && !reachedStore(relayed)) {
+                relayed.delivery = Delivery::Lost;
             }
-            HttpAnswer worse = relayed.delivery == Delivery::Lost ? std::move(relayed) : first;
-            handler(std::move(worse));
+            handler(std::move(relayed));
         });
     });
 }
@@ -95,8 +93,8 @@
     const bool relaying = m_failuresInRow >= FailuresBeforeRelay;
     if (relaying != m_relaying) {
         m_relaying = relaying;
-        m_environment.log(relaying ? "store-unreachable" : "store-reached-again", "store",
-            {{"failures", m_failuresInRow}});
+        m_environment.log(
+            relaying ? "store-unreachable" : "store-reached-again", "store", {{"failures", m_failuresInRow}});
         if (relaying) {
             survey();
             probeLater();
@@ -152,8 +150,8 @@
                 ++m_nextPeer;
             }
             if (answer.delivery == Delivery::Answered && answer.status == StatusNotReached) {
-                answer.delivery = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent
-                                                                                              : Delivery::Lost;
+                answer.delivery
+                    = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent : Delivery::Lost;
             }
             handler(std::move(answer));
         });
@@ -250,8 +248,7 @@
 
 bool StoreRelay::isOutageConfirmed() const
 {
-    return m_outageConfirmedAt && !answersDirectly()
-        && m_environment.clock.now() - *m_outageConfirmedAt < OutageAge;
+    return m_outageConfirmedAt && !answersDirectly() && m_environment.clock.now() - *m_outageConfirmedAt < OutageAge;
 }
 
 }
--- a/source/tenure/tests/TenureModelTest.cpp
+++ b/source/tenure/tests/TenureModelTest.cpp
@@ -119,9 +119,8 @@
         job.failures = choice % 7 == 0 ? 1 : choice % 11 == 0 ? ForGood : 0;
         m_world.workers.setBehaviour(id, {Milliseconds(200 + choice % 600), job.failures, false});
         instance->router.submit(TenureWorld::job(id, 1 + choice % 3, 1 + choice % 4),
-            m_world.clock.now() + Milliseconds(3'000), [&job](RouteOutcome outcome) {
-                job.acknowledged = job.acknowledged || outcome == RouteOutcome::Done;
-            });
+            m_world.clock.now() + Milliseconds(3'000),
+            [&job](RouteOutcome outcome) { job.acknowledged = job.acknowledged || outcome == RouteOutcome::Done; });
     }
 
     void cancel(TenureInstance *instance, int choice)
--- a/source/tenure/tests/TenureWorld.h
+++ b/source/tenure/tests/TenureWorld.h
@@ -115,7 +115,12 @@
     static constexpr int InstanceCount = 3;
     static constexpr int WorkerCount = 4;
 
-    TenureWorld() : scheduler(clock), state(clock), workers(clock), peers(scheduler), plan(std::map<std::string, std::string> {{"depot", "wheatbelt"}})
+    TenureWorld()
+        : scheduler(clock)
+        , state(clock)
+        , workers(clock)
+        , peers(scheduler)
+        , plan(std::map<std::string, std::string> {{"depot", "wheatbelt"}})
     {
         for (int i = 0; i < WorkerCount; ++i) {
             const std::string name = "worker-" + std::to_string(i);
@@ -203,11 +208,12 @@
             if (!instance) {
                 continue;
             }
-            instance->router.status(id, clock.now() + Milliseconds(3'000), [&found](RouteOutcome outcome, JobPhase phase) {
-                if (outcome == RouteOutcome::Done) {
-                    found = phase;
-                }
-            });
+            instance->router.status(
+                id, clock.now() + Milliseconds(3'000), [&found](RouteOutcome outcome, JobPhase phase) {
+                    if (outcome == RouteOutcome::Done) {
+                        found = phase;
+                    }
+                });
             advance(Milliseconds(1'500));
             return found;
         }
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -254,7 +254,8 @@
     [[nodiscard]] std::size_t failureCount(const TaskName &task) const
     {
         const auto found = m_acknowledgedFailures.find(task);
-        std::set<std::uint64_t> runs = found == m_acknowledgedFailures.end() ? std::set<std::uint64_t>() : found->second;
+        std::set<std::uint64_t> runs
+            = found == m_acknowledgedFailures.end() ? std::set<std::uint64_t>() : found->second;
         for (const auto &[name, worker] : m_workers) {
             for (const EndedTask &ended : worker.ended) {
                 if (ended.run.task == task && ended.end == RunEnd::Failed) {
@@ -386,7 +387,8 @@
         loseAnswers -= lost ? 1 : 0;
         m_scheduler.after(Delay, [this, lost, work, handler = std::move(handler)] {
             const OrderAnswer answer = work();
-            m_scheduler.after(lost ? Timeout : Delay, [handler, answer, lost] { handler(lost ? OrderAnswer() : answer); });
+            m_scheduler.after(
+                lost ? Timeout : Delay, [handler, answer, lost] { handler(lost ? OrderAnswer() : answer); });
         });
     }
 
