Scheduling: Keep workers free for waiting lasting tasks

Ruled out: no order was refused or unanswered. A dispatch now reserves for each waiting lasting task the worker with most room on which it fits once what does not last has ended.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -178,6 +178,7 @@
     void dispatch();
     void placeStep(StepState &step);
     void placeGang(StepState &step);
+    void reserveFor(const StepState &step);
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
@@ -188,6 +189,8 @@
     std::uint64_t m_firstRun;
     bool m_startsAllowed = true;
     bool m_dispatchPosted = false;
+    // Workers that are kept free of other work until waiting lasting tasks fit; chosen anew by each dispatch.
+    std::set<std::string> m_reserved;
     Instant m_recoveringUntil;
     std::set<std::string> m_inheritedWorkers;
     std::unordered_map<std::string, std::unique_ptr<JobState>> m_jobs;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -45,15 +45,52 @@
     }
     std::stable_sort(
         queue.begin(), queue.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    m_reserved.clear();
     for (const auto &[rank, job] : queue) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (StepState &step : occurrence.steps) {
-                if (step.waitingCount > 0 && !job->isFinished() && occurrence.isEligible(step)) {
-                    placeStep(step);
+                if (step.waitingCount == 0 || job->isFinished() || !occurrence.isEligible(step)) {
+                    continue;
                 }
+                placeStep(step);
+                if (step.specification().lasting && step.waitingCount > 0) {
+                    reserveFor(step);
+                }
+            }
+        }
+    }
+}
+
+void JobScheduler::reserveFor(const StepState &step)
+{
+    const StepSpecification &specification = step.specification();
+    const std::string &pool = step.occurrence->job->policy.pool;
+    std::vector<std::pair<std::int64_t, std::string>> candidates;
+    for (const auto &[name, worker] : m_workers) {
+        const bool usable
+            = worker.listed && worker.contacted && !worker.listing.draining && worker.unansweredInRow == 0;
+        if (!usable || m_reserved.contains(name) || !couldEverHold(worker, specification, pool)) {
+            continue;
+        }
+        // What lasts stays; everything else ends by itself before long.
+        Resources reachable = worker.listing.capacity;
+        int sameStep = 0;
+        for (const TaskState *task : worker.tasks) {
+            if (task->step->specification().lasting) {
+                reachable = reachable - WorkerState::countedDemand(task->step->specification());
             }
+            sameStep += task->step == &step ? 1 : 0;
+        }
+        const bool spread = specification.perWorkerLimit == 0 || sameStep < specification.perWorkerLimit;
+        if (spread && specification.demand.fitsInto(reachable)) {
+            candidates.emplace_back(-worker.room().milliCores, name);
         }
     }
+    std::sort(candidates.begin(), candidates.end());
+    const std::size_t wanted = std::min(candidates.size(), static_cast<std::size_t>(step.waitingCount));
+    for (std::size_t i = 0; i < wanted; ++i) {
+        m_reserved.insert(candidates[i].second);
+    }
 }
 
 void JobScheduler::placeStep(StepState &step)
@@ -127,6 +164,9 @@
     WorkerState *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
+        if (!query.step->lasting && m_reserved.contains(name)) {
+            continue;
+        }
         const std::optional<double> cost = placementCost(worker, query);
         if (cost && *cost < least) {
             least = *cost;
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -48,19 +48,21 @@
 protected:
     RelayTest()
         : m_scheduler(m_clock)
-        , m_relay({m_clock, m_scheduler, m_client, [] { return HttpCall {"GET", "http://store/probe", {}, {}, 100}; },
+        , m_relay({m_clock, m_scheduler, m_client,
               [] {
-                  return std::vector<std::string> {"peer:1"};
+                  return HttpCall {"GET", "http://store/probe", {}, {}, 100};
               },
-              [](std::string_view, const std::string &, const Json &) {}})
+              [] { return std::vector<std::string> {"peer:1"}; },
+              [](std::string_view, const std::string &, const Json &) {
+              }})
     {
     }
 
     HttpAnswer send()
     {
         HttpAnswer result;
-        m_relay.send({"POST", "http://store/write", {}, {}, 100},
-            [&result](HttpAnswer answer) { result = std::move(answer); });
+        m_relay.send(
+            {"POST", "http://store/write", {}, {}, 100}, [&result](HttpAnswer answer) { result = std::move(answer); });
         return result;
     }
 
@@ -105,25 +107,48 @@
 // The store ended the tenure, but the instance's view of the cluster still names it as the owner.
 TEST(PartitionSeats, doNotBeginAgainUnderAnEndedToken)
 {
-    TenureWorld world;
-    world.advance(Second * 2);
-    TenureInstance *owner = world.owner();
-    ASSERT_NE(owner, nullptr);
-    const StoreRevision token = owner->seats.keeper("wheatbelt")->position().ownerRevision;
-    ASSERT_EQ(errorOf(world.state.erase(JobKeys::owner("wheatbelt"), std::nullopt)), nullptr);
-    owner->seats.keeper("wheatbelt")->onDeposed();
-    for (int i = 0; i < 100; ++i) {
-        world.advance(Milliseconds(20));
-        const JobKeeper *keeper = owner->seats.keeper("wheatbelt");
-        if (keeper != nullptr) {
-            EXPECT_GT(keeper->position().ownerRevision, token);
+    ManualClock clock;
+    ManualScheduler scheduler(clock);
+    StandinStore state(clock);
+    FakeWorkers workers(clock);
+    InstanceWires wires(scheduler, state, workers);
+    const PartitionPlan plan(std::map<std::string, std::string> {{"depot", "wheatbelt"}});
+    InstanceLease lease(wires.store, scheduler, clock, {}, JobKeys::Instances + "instance");
+    VersionedEntries cluster([](const std::string &) {});
+    const InstanceCard card {"instance", "instance", "depot", "wheatbelt", "life", 250};
+    std::vector<std::string> begun;
+    const auto log = [&begun](std::string_view what, const std::string &, const Json &inputs) {
+        if (what == "tenure-begins") {
+            begun.push_back(writeJson(inputs));
         }
+    };
+    PartitionSeats seats({clock, scheduler, wires.store, wires.gateway, lease, cluster, plan, log}, card, {});
+    lease.start("instance");
+    scheduler.advance(Second);
+    ASSERT_TRUE(lease.isHeld());
+    constexpr StoreRevision StaleRevision = 2;
+    cluster.applyListing(
+        {StaleRevision, {{JobKeys::owner("wheatbelt"), serialize(OwnerCard {card, 0}), StaleRevision, 0}}});
+    seats.tick();
+    scheduler.advance(Milliseconds(200));
+    ASSERT_NE(seats.keeper("wheatbelt"), nullptr);
+    seats.keeper("wheatbelt")->onDeposed();
+    constexpr int Ticks = 20;
+    for (int i = 0; i < Ticks; ++i) {
+        scheduler.advance(Milliseconds(100));
+        seats.tick();
     }
-    ASSERT_NE(world.owner(), nullptr);
+    ASSERT_EQ(begun.size(), 2U) << testing::PrintToString(begun);
+    EXPECT_NE(begun[0], begun[1]);
 }
 
-// A listing shows a job and its cancellation at once.
-TEST(JobKeeper, appliesASubmissionBeforeItsCancellation)
+// A listing of the inbox shows a job before its cancellation.
+TEST(JobKeys, sortSubmissionsBeforeCancellations)
+{
+    EXPECT_LT(JobKeys::inboxSubmission("wheatbelt", "zz"), JobKeys::inboxCancellation("wheatbelt", "aa"));
+}
+
+TEST(JobKeeper, takesWhatWasLeftInItsInbox)
 {
     TenureWorld world;
     world.advance(Second * 2);
@@ -134,8 +159,7 @@
     StoreTransaction transaction;
     transaction.writes = {{JobKeys::inboxCancellation("wheatbelt", "job"), serialize(cancellation), {}, 0},
         {JobKeys::inboxSubmission("wheatbelt", "job"), serialize(submission), {}, 0},
-        {JobKeys::jobs("wheatbelt") + "job", serialize(record), {}, 0},
-        {JobKeys::home("job"), "wheatbelt", {}, 0}};
+        {JobKeys::jobs("wheatbelt") + "job", serialize(record), {}, 0}, {JobKeys::home("job"), "wheatbelt", {}, 0}};
     for (int i = 0; i < TenureWorld::InstanceCount; ++i) {
         world.kill(i);
     }
@@ -192,4 +216,37 @@
     EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
 }
 
+// Load: small tasks fill every gap as soon as it opens, while a lasting task needs a whole worker.
+TEST(JobScheduler, makesRoomForALastingTaskAmongSmallOnes)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    const auto submit = [&](const JobRecord &record) {
+        owner->router.submit(record, world.clock.now() + Second * 3, [](RouteOutcome) {});
+    };
+    int next = 0;
+    const auto submitSmall = [&] {
+        const std::string id = "small-" + std::to_string(next);
+        // The ends fall apart, so that no worker becomes empty by chance.
+        world.workers.setBehaviour(id, {Milliseconds(2'000 + 370 * (next % 11)), 0, false});
+        ++next;
+        submit(TenureWorld::job(id, 1, 1));
+    };
+    constexpr int SmallTasks = 60;
+    for (int i = 0; i < SmallTasks; ++i) {
+        submitSmall();
+    }
+    world.advance(Second * 3);
+    ASSERT_GT(world.workers.runningCount(), 10U);
+    JobRecord record = TenureWorld::job("lasting", 1, 1);
+    record.specification.steps[0].demand = {4'000, 500, 0};
+    record.specification.steps[0].lasting = true;
+    world.workers.setBehaviour("lasting", {Milliseconds(100), 0, true});
+    submit(record);
+    world.advance(Second * 6);
+    EXPECT_EQ(world.workers.startCount({"lasting", 0, 0, 0}), 1U);
+}
+
 }
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -157,7 +157,7 @@
         report.incarnation = worker.listing.incarnation;
         report.ended = worker.ended;
         for (const Run &run : worker.running) {
-            report.running.push_back({run.name, {}, 0, 0});
+            report.running.push_back({run.name, {}, percentOf(run), 0});
         }
         return report;
     }
@@ -225,6 +225,14 @@
         return std::chrono::duration_cast<Milliseconds>(m_clock.now() - worker.bornAt).count();
     }
 
+    [[nodiscard]] int percentOf(const Run &run) const
+    {
+        constexpr int AtWork = 100;
+        const auto worked = std::chrono::duration_cast<Milliseconds>(m_clock.now() - run.startedAt);
+        return run.behaviour.lasting ? AtWork
+                                     : static_cast<int>(AtWork * worked.count() / run.behaviour.duration.count());
+    }
+
     // Workers grant no lease beyond the longest one.
     [[nodiscard]] std::int64_t shortened(const Worker &worker, std::int64_t until) const
     {
