--- a/source/logging/Log.cpp
+++ b/source/logging/Log.cpp
@@ -21,7 +21,7 @@
 using Logger = boost::log::sources::severity_logger_mt<int>;
 
 // What gathers between two flushes under load, several times over.
-constexpr std::size_t BufferBytes = 512U * 1024U;
+constexpr std::size_t BufferBytes = 524'288;
 // Keeps the volume bounded under load; enough for every decision of a calm second.
 constexpr int MostPerEventAndSecond = 40;
 
