--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -1,12 +1,11 @@
 #include "daemon/Daemon.h"
 #include "logging/Log.h"
+#include "settings/SettingsFile.h"
 
 #include <cstdio>
 #include <cstdlib>
 #include <curl/curl.h>
-#include <fstream>
 #include <popt.h>
-#include <sstream>
 
 namespace
 {
@@ -15,21 +14,13 @@
 constexpr int ExitSettings = 3;
 constexpr int ExitAddress = 4;
 
-// Prints every fault with its remedy.
-void printErrors(const std::vector<Wagtail::Error> &errors)
-{
-    for (const Wagtail::Error &error : errors) {
-        std::fprintf(stderr, "%s\n    remedy: %s\n", error.detail.c_str(), error.remedy.c_str());
-    }
-}
-
 int serve(const Wagtail::Settings &settings)
 {
     Wagtail::startLog(settings.instanceName, settings.logLevel);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     auto daemon = Wagtail::Daemon::create(settings);
     if (const Wagtail::Error *error = Wagtail::errorOf(daemon)) {
-        printErrors({*error});
+        Wagtail::printErrors({*error});
         return ExitAddress;
     }
     const int status = std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
@@ -60,16 +51,14 @@
     }
     const std::string path = settingsPath;
     poptFreeContext(context);
-    std::ifstream file(path);
-    if (!file) {
-        std::fprintf(stderr, "%s can't be read\n    remedy: give the path of a readable file\n", path.c_str());
+    const auto text = Wagtail::readSettingsFile(path);
+    if (const Wagtail::Error *error = Wagtail::errorOf(text)) {
+        Wagtail::printErrors({*error});
         return ExitSettings;
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    const auto settings = Wagtail::parseSettings(text.str(), path);
+    const auto settings = Wagtail::parseSettings(std::get<std::string>(text), path);
     if (const auto *errors = std::get_if<std::vector<Wagtail::Error>>(&settings)) {
-        printErrors(*errors);
+        Wagtail::printErrors(*errors);
         return ExitSettings;
     }
     if (checkOnly != 0) {
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -13,8 +13,6 @@
 
 // Run numbers of one tenure; a task that needs more starts than this within one tenure is hopeless.
 constexpr std::uint64_t RunsPerTenure = 100'000;
-// An occurrence is created this long before it is due, so that it starts on time.
-constexpr std::int64_t OccurrenceLeadMilliseconds = 0;
 
 }
 
@@ -95,7 +93,7 @@
 void JobScheduler::createDueOccurrences(JobState &job)
 {
     const std::int64_t count = std::max<std::int64_t>(1, job.specification.repeatCount);
-    const std::int64_t now = m_environment.clock.wallMilliseconds() + OccurrenceLeadMilliseconds;
+    const std::int64_t now = m_environment.clock.wallMilliseconds();
     while (job.nextOccurrence < count && job.specification.dueTime(job.nextOccurrence) <= now) {
         createOccurrence(job, job.nextOccurrence);
         ++job.nextOccurrence;
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -40,8 +40,6 @@
 {
     // How long each lease on a worker's runs lasts; the platform's longest lease.
     Milliseconds lease {6'000};
-    // How long a stopped task may take to end.
-    Milliseconds stopTimeout {200};
     // How long a draining worker goes on at least.
     Milliseconds drain {3'000};
     // The longest wait that a worker takes in a report request.
@@ -125,6 +123,9 @@
     [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
 
 private:
+    // A run that has got less far than this, in percent, is cheap to begin again.
+    static constexpr int CheapPercent = 40;
+
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
--- a/source/settings/NodeSettings.cpp
+++ b/source/settings/NodeSettings.cpp
@@ -149,7 +149,6 @@
     constexpr double MostCores = 1'024.0;
     settings.milliCores = std::llround(reader.number("limits", "processor_share", 0.0, MostCores) * MilliCoresPerCore);
     settings.workerLease = reader.milliseconds("workers", "lease_ms");
-    settings.stopTimeout = reader.milliseconds("workers", "stop_ms");
     settings.workerDrain = reader.milliseconds("workers", "drain_ms");
     settings.statusRetention = reader.seconds("jobs", "status_retention_s");
     settings.shutdownGrace = reader.seconds("shutdown", "grace_s");
--- a/source/settings/NodeSettings.h
+++ b/source/settings/NodeSettings.h
@@ -42,9 +42,8 @@
     Endpoint store;
     // Thousandths of a core that the process may use.
     std::int64_t milliCores = 0;
-    // The longest lease that workers grant, and how long a stopped task may take.
+    // The longest lease that workers grant.
     Milliseconds workerLease {0};
-    Milliseconds stopTimeout {0};
     // How long a draining worker goes on at least.
     Milliseconds workerDrain {0};
     Milliseconds statusRetention {0};
--- a/source/settings/tests/NodeSettingsTest.cpp
+++ b/source/settings/tests/NodeSettingsTest.cpp
@@ -26,7 +26,6 @@
 processor_share = 0.25
 [workers]
 lease_ms = 6000
-stop_ms = 200
 drain_ms = 3000
 [jobs]
 status_retention_s = 120
--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -1,5 +1,7 @@
 #include "tenure/JobApi.h"
 
+#include "http/HttpStatus.h"
+
 namespace Wagtail
 {
 
@@ -7,13 +9,6 @@
 {
 
 constexpr std::string_view Root = "/v1/partitions/";
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-constexpr int StatusNotOwner = 421;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusUnknown = 504;
 
 HttpResponse answer(int status, const Json &document)
 {
@@ -38,15 +33,17 @@
 {
     switch (result.outcome) {
     case AcceptOutcome::Accepted:
-        return answer(StatusOk, {{"partition", result.home}});
+        return answer(HttpStatus::Ok, {{"partition", result.home}});
     case AcceptOutcome::Exists:
-        return answer(StatusConflict, {{"partition", result.home}});
+        return answer(HttpStatus::Conflict, {{"partition", result.home}});
     case AcceptOutcome::StoreAway:
-        return answer(StatusUnavailable, {{"detail", "the store is not answering"}, {"remedy", "retry later"}});
+        return answer(
+            HttpStatus::ServiceUnavailable, {{"detail", "the store is not answering"}, {"remedy", "retry later"}});
     case AcceptOutcome::Unknown:
         break;
     }
-    return answer(StatusUnknown, {{"detail", "the outcome is not known"}, {"remedy", "submit the same job again"}});
+    return answer(
+        HttpStatus::GatewayTimeout, {{"detail", "the outcome is not known"}, {"remedy", "submit the same job again"}});
 }
 
 }
@@ -63,7 +60,7 @@
     const std::vector<std::string> parts = split(std::string_view(request.path).substr(Root.size()));
     JobKeeper *keeper = m_seats.keeper(parts[0]);
     if (keeper == nullptr) {
-        respond(answer(StatusNotOwner,
+        respond(answer(HttpStatus::MisdirectedRequest,
             {{"detail", "this instance does not own " + parts[0]}, {"remedy", "ask the present owner"}}));
         return true;
     }
@@ -77,9 +74,9 @@
     } else if (collection == "jobs" && parts.size() == ItemParts && request.method == "DELETE") {
         cancel(*keeper, parts[2], respond);
     } else if (collection == "queues" && parts.size() == ItemParts && request.method == "GET") {
-        respond(answer(StatusOk, {{"waiting", keeper->waitingCount(parts[2])}}));
+        respond(answer(HttpStatus::Ok, {{"waiting", keeper->waitingCount(parts[2])}}));
     } else {
-        respond(answer(StatusNotFound, {{"detail", "no such call"}, {"remedy", "see docs/API.md"}}));
+        respond(answer(HttpStatus::NotFound, {{"detail", "no such call"}, {"remedy", "see docs/API.md"}}));
     }
     return true;
 }
@@ -88,7 +85,7 @@
 {
     Result<JobRecord> record = parseJobRecord(request.body);
     if (const Error *error = errorOf(record)) {
-        respond(answer(StatusBadRequest, {{"detail", error->detail}, {"remedy", error->remedy}}));
+        respond(answer(HttpStatus::BadRequest, {{"detail", error->detail}, {"remedy", error->remedy}}));
         return;
     }
     keeper.submit(std::get<JobRecord>(std::move(record)),
@@ -98,15 +95,16 @@
 void JobApi::cancel(JobKeeper &keeper, const std::string &id, const HttpServer::Responder &respond)
 {
     keeper.cancel(id, [respond](bool known) {
-        respond(known ? answer(StatusOk, Json::object()) : answer(StatusNotFound, {{"detail", "no such job here"}}));
+        respond(known ? answer(HttpStatus::Ok, Json::object())
+                      : answer(HttpStatus::NotFound, {{"detail", "no such job here"}}));
     });
 }
 
 void JobApi::status(const JobKeeper &keeper, const std::string &id, const HttpServer::Responder &respond)
 {
     const std::optional<JobPhase> phase = keeper.phaseOf(id);
-    respond(phase ? answer(StatusOk, {{"phase", nameOf(*phase)}})
-                  : answer(StatusNotFound, {{"detail", "no such job here"}}));
+    respond(phase ? answer(HttpStatus::Ok, {{"phase", nameOf(*phase)}})
+                  : answer(HttpStatus::NotFound, {{"detail", "no such job here"}}));
 }
 
 }
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -1,5 +1,7 @@
 #include "tenure/JobRouter.h"
 
+#include "http/HttpStatus.h"
+
 #include "tenure/JobKeys.h"
 
 namespace Wagtail
@@ -8,13 +10,6 @@
 namespace
 {
 
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusNotFound = 404;
-constexpr int StatusConflict = 409;
-constexpr int StatusNotOwner = 421;
-constexpr int StatusUnavailable = 503;
-
 // An owner answers within a commit of the store; a longer silence means that it is gone or cut off.
 constexpr long OwnerTimeoutMilliseconds = 700;
 constexpr Milliseconds RetryPeriod {100};
@@ -49,8 +44,6 @@
     std::string job;
     std::string partition;
     bool homeRead = false;
-    bool uncertain = false;
-    Instant begin;
     Instant deadline;
     std::function<void(RouteOutcome, JobPhase)> handler;
 };
@@ -112,7 +105,7 @@
             answer.delivery = Delivery::Answered;
             const bool accepted = result.outcome == AcceptOutcome::Accepted;
             const bool exists = result.outcome == AcceptOutcome::Exists;
-            answer.status = accepted ? StatusOk : exists ? StatusConflict : StatusUnavailable;
+            answer.status = accepted ? HttpStatus::Ok : exists ? HttpStatus::Conflict : HttpStatus::ServiceUnavailable;
             if (result.outcome == AcceptOutcome::Unknown) {
                 answer.delivery = Delivery::Lost;
             }
@@ -139,8 +132,8 @@
         return;
     }
     switch (answer.status) {
-    case StatusOk:
-    case StatusConflict: {
+    case HttpStatus::Ok:
+    case HttpStatus::Conflict: {
         const Result<Json> document = parseJson(answer.body, "the owner's answer");
         const Json *body = std::get_if<Json>(&document);
         const std::string home = body == nullptr ? std::string() : memberOr(*body, "partition", std::string());
@@ -148,13 +141,13 @@
         submission->finish(RouteOutcome::Done);
         return;
     }
-    case StatusBadRequest:
+    case HttpStatus::BadRequest:
         submission->finish(RouteOutcome::Refused);
         return;
-    case StatusUnavailable:
+    case HttpStatus::ServiceUnavailable:
         submission->finish(RouteOutcome::Unavailable);
         return;
-    case StatusNotOwner:
+    case HttpStatus::MisdirectedRequest:
         retrySubmit(submission);
         return;
     default:
@@ -218,7 +211,6 @@
     auto inquiry = std::make_shared<Inquiry>();
     inquiry->method = "GET";
     inquiry->job = id;
-    inquiry->begin = m_environment.clock.now();
     inquiry->deadline = deadline - AnswerMargin;
     inquiry->handler = std::move(handler);
     inquire(inquiry);
@@ -229,7 +221,6 @@
     auto inquiry = std::make_shared<Inquiry>();
     inquiry->method = "DELETE";
     inquiry->job = id;
-    inquiry->begin = m_environment.clock.now();
     inquiry->deadline = deadline - AnswerMargin;
     inquiry->handler = [handler = std::move(handler)](RouteOutcome outcome, JobPhase) {
         handler(outcome);
@@ -248,7 +239,7 @@
 {
     const auto onAnswer = [this, inquiry](const HttpAnswer &answer) {
         const bool answered = answer.delivery == Delivery::Answered;
-        if (answered && answer.status == StatusOk) {
+        if (answered && answer.status == HttpStatus::Ok) {
             const Result<Json> document = parseJson(answer.body, "the owner's answer");
             const Json *body = std::get_if<Json>(&document);
             const std::string phase = body == nullptr ? std::string() : memberOr(*body, "phase", std::string());
@@ -256,11 +247,10 @@
             finishInquiry(inquiry, RouteOutcome::Done, jobPhaseFromName(phase));
             return;
         }
-        if (answered && answer.status == StatusNotFound) {
+        if (answered && answer.status == HttpStatus::NotFound) {
             findHome(inquiry);
             return;
         }
-        inquiry->uncertain = inquiry->uncertain || answer.delivery == Delivery::Lost;
         askStore(inquiry);
     };
     JobKeeper *keeper = m_environment.seats.keeper(inquiry->partition);
@@ -392,7 +382,7 @@
         const bool sent = callOwner(partition, "GET", "/queues/" + queue, {}, [settle](const HttpAnswer &answer) {
             const Result<Json> document = parseJson(answer.body, "the owner's answer");
             const Json *body = std::get_if<Json>(&document);
-            const bool answered = answer.delivery == Delivery::Answered && answer.status == StatusOk;
+            const bool answered = answer.delivery == Delivery::Answered && answer.status == HttpStatus::Ok;
             settle(answered && body != nullptr ? std::optional(memberOr(*body, "waiting", 0)) : std::nullopt);
         });
         if (!sent) {
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -1,5 +1,7 @@
 #include "tenure/StoreRelay.h"
 
+#include "http/HttpStatus.h"
+
 #include <algorithm>
 
 namespace Wagtail
@@ -13,10 +15,6 @@
 constexpr const char *MethodHeader = "Wagtail-Method";
 constexpr const char *UrlHeader = "Wagtail-Url";
 constexpr const char *TimeoutHeader = "Wagtail-Timeout-Ms";
-constexpr int StatusOk = 200;
-constexpr int StatusTooMany = 429;
-constexpr int StatusNotReached = 502;
-constexpr int StatusUnavailable = 503;
 // One failure may be a lost answer; two in a row mean that the way is closed.
 constexpr int FailuresBeforeRelay = 2;
 // While relaying, a direct read this often finds out whether the way is open again.
@@ -31,8 +29,8 @@
 
 bool reachedStore(const HttpAnswer &answer)
 {
-    return answer.delivery == Delivery::Answered && answer.status != StatusTooMany
-        && answer.status != StatusUnavailable;
+    return answer.delivery == Delivery::Answered && answer.status != HttpStatus::TooManyRequests
+        && answer.status != HttpStatus::ServiceUnavailable;
 }
 
 }
@@ -144,12 +142,12 @@
             if (!*alive) {
                 return;
             }
-            const bool reached = answer.delivery == Delivery::Answered && answer.status != StatusNotReached;
+            const bool reached = answer.delivery == Delivery::Answered && answer.status != HttpStatus::BadGateway;
             if (!reached) {
                 // The next call takes another way.
                 ++m_nextPeer;
             }
-            if (answer.delivery == Delivery::Answered && answer.status == StatusNotReached) {
+            if (answer.delivery == Delivery::Answered && answer.status == HttpStatus::BadGateway) {
                 answer.delivery
                     = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent : Delivery::Lost;
             }
@@ -160,7 +158,7 @@
 bool StoreRelay::handle(const HttpRequest &request, const HttpServer::Responder &respond)
 {
     if (request.path == HealthPath) {
-        respond({answersDirectly() ? StatusOk : StatusNotReached, {}, {}});
+        respond({answersDirectly() ? HttpStatus::Ok : HttpStatus::BadGateway, {}, {}});
         return true;
     }
     if (request.path != RelayPath) {
@@ -182,7 +180,7 @@
             response.status = answer.status;
             response.body = std::move(answer.body);
         } else {
-            response.status = StatusNotReached;
+            response.status = HttpStatus::BadGateway;
             response.headers.push_back(
                 {"Wagtail-Delivery", answer.delivery == Delivery::NotSent ? "not-sent" : "lost"});
         }
@@ -225,10 +223,10 @@
             }
             --votes->open;
             const bool answered = answer.delivery == Delivery::Answered;
-            if (answered && answer.status == StatusOk) {
+            if (answered && answer.status == HttpStatus::Ok) {
                 votes->reaching.push_back(peer);
             }
-            votes->away += answered && answer.status == StatusNotReached ? 1 : 0;
+            votes->away += answered && answer.status == HttpStatus::BadGateway ? 1 : 0;
             if (votes->open > 0) {
                 return;
             }
