Scheduling: Forget lease holders that have left

A worker that is out of the list and whose lease has surely run out is dropped and the record rewritten; inherited workers that have not answered yet stay in it, which closes a gap for a second take-over in a row.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -205,14 +205,23 @@
     for (JobState *job : open) {
         createDueOccurrences(*job);
     }
+    if (!isRecovering()) {
+        m_inheritedWorkers.clear();
+    }
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         WorkerState &worker = entry->second;
         expireLeases(worker);
+        if (isGone(worker)) {
+            const bool held = worker.leaseGrantedUntil > 0;
+            entry = m_workers.erase(entry);
+            if (held) {
+                m_environment.listener.leaseHoldersChanged();
+            }
+            continue;
+        }
         retryOrders(worker);
         contact(worker);
-        const bool gone = !worker.listed && worker.tasks.empty() && !worker.reportOpen
-            && !m_inheritedWorkers.contains(entry->first);
-        entry = gone ? m_workers.erase(entry) : std::next(entry);
+        ++entry;
     }
     dispatchSoon();
 }
@@ -295,11 +304,21 @@
     return forgotten;
 }
 
+bool JobScheduler::isGone(const WorkerState &worker) const
+{
+    if (worker.listed || !worker.tasks.empty() || m_inheritedWorkers.contains(worker.listing.name)) {
+        return false;
+    }
+    return worker.leaseGrantedUntil == 0
+        || (worker.clock.isKnown() && m_environment.clock.now() >= worker.clock.surelyPast(worker.leaseGrantedUntil));
+}
+
 std::vector<WorkerListing> JobScheduler::leaseHolders() const
 {
     std::vector<WorkerListing> holders;
     for (const auto &[name, worker] : m_workers) {
-        if (worker.leaseGrantedUntil > 0) {
+        // Until they answer, inherited workers may hold leases of earlier tenures.
+        if (worker.leaseGrantedUntil > 0 || m_inheritedWorkers.contains(name)) {
             holders.push_back(worker.listing);
         }
     }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -25,7 +25,7 @@
     // Ends were listed that wait to be recorded, even if they changed no job.
     virtual void endsListed() = 0;
 
-    // The set of workers that may hold a lease from this tenure has grown.
+    // The set of workers that may hold a lease has changed.
     virtual void leaseHoldersChanged() = 0;
 
     // A worker refused an order because it has seen a higher token: the tenure is over.
@@ -114,7 +114,7 @@
     // Forgets finished jobs that ended before the given time and returns their names.
     [[nodiscard]] std::vector<std::string> forgetFinished(Instant endedBefore);
 
-    // Returns the workers that may hold a lease from this tenure.
+    // Returns the workers that may hold a lease from this tenure or an earlier one.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
 
     // Returns whether any listed worker of the queue's pool could ever hold each step of the job.
@@ -184,6 +184,9 @@
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
 
+    // Returns whether a worker is out of the platform's list and can't run anything of this tenure any more.
+    [[nodiscard]] bool isGone(const WorkerState &worker) const;
+
     Environment m_environment;
     SchedulingLimits m_limits;
     FencingToken m_token;
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -216,6 +216,40 @@
     EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
 }
 
+// A worker that left long ago must not hold up the tasks that a later owner inherits.
+TEST(JobScheduler, doesNotWaitForWorkersThatLeftBeforeATakeOver)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    // One task on each worker, so that each has held a lease.
+    JobRecord first = TenureWorld::job("first", 1, TenureWorld::WorkerCount);
+    first.specification.steps[0].perWorkerLimit = 1;
+    owner->router.submit(first, world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Second * 2);
+    ASSERT_EQ(owner->seats.keeper("wheatbelt")->jobs().leaseHolders().size(), 4U);
+    std::map<std::string, WorkerListing> listings = world.workers.listings();
+    listings.erase("worker-3");
+    owner->gateway.cutWorkers.insert("worker-3");
+    owner->seats.updateWorkers(listings);
+    world.advance(Second * 10);
+    EXPECT_EQ(owner->seats.keeper("wheatbelt")->jobs().leaseHolders().size(), 3U);
+    // A task that starts after the take-over only.
+    JobRecord second = TenureWorld::job("second", 1, 1);
+    second.specification.repeatCount = 1;
+    second.specification.firstRun = world.clock.wallMilliseconds() + 5'000;
+    owner->router.submit(second, world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Second);
+    const int number = owner->card.name.back() - '0';
+    world.kill(number);
+    world.start(number);
+    world.instances[number]->gateway.cutWorkers.insert("worker-3");
+    world.instances[number]->seats.updateWorkers(listings);
+    world.advance(Milliseconds(5'500));
+    EXPECT_EQ(world.workers.startCount({"second", 0, 0, 0}), 1U);
+}
+
 // Load: small tasks fill every gap as soon as it opens, while a lasting task needs a whole worker.
 TEST(JobScheduler, makesRoomForALastingTaskAmongSmallOnes)
 {
