--- a/source/configuration/VersionedEntries.cpp
+++ b/source/configuration/VersionedEntries.cpp
@@ -51,11 +51,13 @@
 void VersionedEntries::applyEvents(const StoreEvents &events)
 {
     std::set<std::string> changed;
+    // A transaction and the end of a lease change several keys at one revision.
+    const StoreRevision known = m_revision;
     for (const StoreEvent &event : events.events) {
-        if (event.entry.revision <= m_revision) {
+        if (event.entry.revision <= known) {
             continue;
         }
-        m_revision = event.entry.revision;
+        m_revision = std::max(m_revision, event.entry.revision);
         if (!event.erased) {
             if (put(event.entry)) {
                 changed.insert(event.entry.key);
--- a/source/configuration/tests/VersionedEntriesTest.cpp
+++ b/source/configuration/tests/VersionedEntriesTest.cpp
@@ -73,4 +73,14 @@
     RC_ASSERT(entries.snapshot().entries == store.list("k").entries);
 }
 
+// The end of a lease erases all its keys at one revision.
+TEST(VersionedEntries, appliesAllEventsOfOneRevision)
+{
+    VersionedEntries entries([](const std::string &) {});
+    entries.applyListing({5, {{"a", "x", 3, 1}, {"b", "y", 4, 1}}});
+    entries.applyEvents({9, {{{"a", {}, 9, 0}, true}, {{"b", {}, 9, 0}, true}}});
+    EXPECT_EQ(entries.find("a"), nullptr);
+    EXPECT_EQ(entries.find("b"), nullptr);
+}
+
 }
