--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -1,7 +1,6 @@
 #include "scheduling/JobScheduler.h"
 
 #include "scheduling/JobRank.h"
-#include "scheduling/WorkerChoice.h"
 
 #include <algorithm>
 
@@ -325,14 +324,6 @@
     return holders;
 }
 
-bool JobScheduler::couldEverRun(const JobSpecification &job, const QueuePolicy &policy) const
-{
-    return std::all_of(job.steps.begin(), job.steps.end(), [&](const StepSpecification &step) {
-        return std::any_of(m_workers.begin(), m_workers.end(),
-            [&](const auto &entry) { return couldEverHold(entry.second, step, policy.pool); });
-    });
-}
-
 const std::map<std::string, WorkerState> &JobScheduler::workers() const
 {
     return m_workers;
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -117,9 +117,6 @@
     // Returns the workers that may hold a lease from this tenure or an earlier one.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
 
-    // Returns whether any listed worker of the queue's pool could ever hold each step of the job.
-    [[nodiscard]] bool couldEverRun(const JobSpecification &job, const QueuePolicy &policy) const;
-
     [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
 
 private:
--- a/source/scheduling/WorkerClock.cpp
+++ b/source/scheduling/WorkerClock.cpp
@@ -6,8 +6,6 @@
 namespace
 {
 
-// The platform states that a worker's clock may be 2 % slow.
-constexpr double SlowestRate = 0.98;
 // Covers the rounding of readings to milliseconds.
 constexpr Milliseconds ReadingMargin {20};
 
--- a/source/scheduling/WorkerClock.h
+++ b/source/scheduling/WorkerClock.h
@@ -11,6 +11,9 @@
 class WorkerClock
 {
 public:
+    // The platform states that a worker's clock may be 2 % slow.
+    static constexpr double SlowestRate = 0.98;
+
     // Takes a reading that arrived in an answer.
     void observe(std::int64_t reading, Instant sentAt, Instant receivedAt);
 
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -12,12 +12,10 @@
 // A cancellation must reach the workers within three seconds, also when the store's history lost it.
 constexpr Milliseconds InboxWait {1'000};
 constexpr Milliseconds ForgettingPeriod {5'000};
-// A worker's clock may be 2 % slow, so the leases of an earlier tenure may last that much longer.
-constexpr double SlowestRate = 0.98;
-
+// Returns how long leases of an earlier tenure may last on the slowest worker's clock.
 Milliseconds longestForeignLease(const JobKeeper::Limits &limits)
 {
-    const double lease = static_cast<double>(limits.scheduling.lease.count()) / SlowestRate;
+    const double lease = static_cast<double>(limits.scheduling.lease.count()) / WorkerClock::SlowestRate;
     return limits.ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
 }
 
