Workers: Refuse a start that outlasted a lease

Ruled out: the count of the leases itself (heartbeats only renew from the report that they echo). Change: a start names the last report that its owner has seen, and the worker refuses it once a lease from that report would be over. PartitionKeeper.refusesAStartThatOutlastedTheLossOfItsWorker was red before (two runs at once) and is green.

--- a/source/jobs/PartitionKeeperAttempts.cpp
+++ b/source/jobs/PartitionKeeperAttempts.cpp
@@ -323,8 +323,8 @@
     }
     attempt.state = AttemptState::Starting;
     const std::uint64_t number = entry.attempt;
-    TaskStart start {{task, number}, entry.incarnation, entry.specification.profile, entry.specification.resources,
-        entry.specification.payload, entry.checkpoint};
+    TaskStart start {{task, number}, entry.incarnation, m_monitor.lastReport(entry.worker), entry.specification.profile,
+        entry.specification.resources, entry.specification.payload, entry.checkpoint};
     trace("task.starting", entry, "");
     m_context.control.start(m_workers.at(entry.worker).address, m_tenure.token, std::move(start),
         [this, alive = m_alive, task, number](const Status &status) {
--- a/source/jobs/tests/PartitionKeeperModelTest.cpp
+++ b/source/jobs/tests/PartitionKeeperModelTest.cpp
@@ -236,6 +236,27 @@
     EXPECT_NE(entry->worker, worker);
 }
 
+// A start that arrives after its worker was lost and met again runs nothing, since the task runs elsewhere by then.
+TEST(PartitionKeeper, refusesAStartThatOutlastedTheLossOfItsWorker)
+{
+    KeeperWorld world;
+    world.advance(Milliseconds(1'500));
+    world.present().network.slowPaths["/v1/tasks"] = Milliseconds(9'000);
+    world.submit("task-0", Repeatability::Idempotent, 60'000, false);
+    world.advance(Milliseconds(500));
+    const std::string worker = world.present().keeper->table().find("task-0")->worker;
+    ASSERT_FALSE(worker.empty());
+    const std::string address = world.present().keeper->fleet().find(worker)->description.address;
+    world.present().network.slowPaths.clear();
+    world.present().network.cut.insert(address);
+    world.advance(Milliseconds(6'500));
+    ASSERT_EQ(world.present().keeper->table().find("task-0")->attempt, 2U);
+    world.present().network.cut.clear();
+    world.advance(Milliseconds(4'000));
+    EXPECT_EQ(checkRuns(world, collectRuns(world)), "");
+    EXPECT_EQ(collectRuns(world).size(), 1U);
+}
+
 // A team's tasks never hold more than its quota less what it holds elsewhere, and all of them run in the end.
 RC_GTEST_PROP(PartitionKeeperModel, keepsTeamsWithinTheirQuota, ())
 {
--- a/source/testing/FaultyNetwork.h
+++ b/source/testing/FaultyNetwork.h
@@ -74,6 +74,8 @@
     std::set<std::string> cut;
     int loseAnswers = 0;
     int delayCalls = 0;
+    // Calls of these paths take so long to arrive.
+    std::map<std::string, Milliseconds> slowPaths;
 
     void send(HttpCall call, Handler handler) override
     {
@@ -96,7 +98,8 @@
         delayCalls -= late ? 1 : 0;
         loseAnswers -= lost ? 1 : 0;
         // A delayed call reaches the worker long after its sender has given it up.
-        const Milliseconds way = late ? Milliseconds(2'500) : Milliseconds(1);
+        const auto slow = slowPaths.find(request.path);
+        const Milliseconds way = slow != slowPaths.end() ? slow->second : late ? Milliseconds(2'500) : Milliseconds(1);
         m_scheduler.after(way, [this, address, request = std::move(request), exchange, lost] {
             const auto worker = m_site.find(address);
             if (!worker) {
--- a/source/workers/WorkerCodec.cpp
+++ b/source/workers/WorkerCodec.cpp
@@ -75,6 +75,7 @@
 {
     Json document = describe(start.attempt);
     document["incarnation"] = start.incarnation;
+    document["report"] = start.report;
     document["profile"] = start.profile;
     document["resources"] = describe(start.resources);
     document["payload"] = start.payload;
@@ -85,7 +86,7 @@
 TaskStart parseTaskStart(const Json &document)
 {
     return {parseTaskAttempt(document), memberOr(document, "incarnation", std::string()),
-        memberOr(document, "profile", std::string()), parseResources(memberOr(document, "resources", Json::object())),
+        memberOr(document, "report", std::uint64_t {0}), memberOr(document, "profile", std::string()), parseResources(memberOr(document, "resources", Json::object())),
         memberOr(document, "payload", std::string()), memberOr(document, "checkpoint", std::string())};
 }
 
--- a/source/workers/WorkerMessages.h
+++ b/source/workers/WorkerMessages.h
@@ -43,6 +43,9 @@
     TaskAttempt attempt;
     // The incarnation of the worker to which the attempt is assigned; any other refuses the start.
     std::string incarnation;
+    // The sequence number of the worker's last report that the owner has seen. The worker refuses the start once a
+    // lease that began with that report would be over, since its owner may have given the task to another worker.
+    std::uint64_t report = 0;
     std::string profile;
     Resources resources;
     std::string payload;
--- a/source/workers/WorkerMonitor.cpp
+++ b/source/workers/WorkerMonitor.cpp
@@ -127,6 +127,12 @@
     return found != m_contacts.end() && !found->second.lost && found->second.reports >= ReportsForLease;
 }
 
+std::uint64_t WorkerMonitor::lastReport(const std::string &worker) const
+{
+    const auto found = m_contacts.find(worker);
+    return found == m_contacts.end() ? 0 : found->second.sequence;
+}
+
 bool WorkerMonitor::isLost(const std::string &worker) const
 {
     const auto found = m_contacts.find(worker);
--- a/source/workers/WorkerMonitor.h
+++ b/source/workers/WorkerMonitor.h
@@ -73,6 +73,9 @@
     // Returns whether the worker's lease is held, so that starts on it are allowed.
     [[nodiscard]] bool holdsLease(const std::string &worker) const;
 
+    // Returns the sequence number of the worker's last report, or 0 when there is none.
+    [[nodiscard]] std::uint64_t lastReport(const std::string &worker) const;
+
     // Returns whether every lease that the worker held has run out.
     [[nodiscard]] bool isLost(const std::string &worker) const;
 
--- a/standins/StandinWorker.cpp
+++ b/standins/StandinWorker.cpp
@@ -111,6 +111,12 @@
     return token < m_token;
 }
 
+bool StandinWorker::isLate(const TaskStart &start) const
+{
+    const auto report = m_reports.find(start.report);
+    return report == m_reports.end() || m_clock.now() >= report->second + m_lease;
+}
+
 void StandinWorker::handleHeartbeat(const Json &document, const Respond &respond)
 {
     advance();
@@ -122,6 +128,8 @@
     }
     ++m_sequence;
     m_reportedAt = m_clock.now();
+    m_reports[m_sequence] = m_reportedAt;
+    std::erase_if(m_reports, [this](const auto &report) { return report.second + m_lease <= m_reportedAt; });
     for (const TaskAttempt &attempt : heartbeat.settled) {
         const auto found = m_tasks.find(attempt);
         if (found != m_tasks.end() && found->second.state != WorkerTaskState::Running) {
@@ -144,6 +152,10 @@
         respond(refusal(StatusConflict, "the worker began anew since the assignment"));
         return;
     }
+    if (isLate(start)) {
+        respond(refusal(StatusUnavailable, "the start took longer than a lease"));
+        return;
+    }
     if (m_tasks.contains(start.attempt)) {
         respond(answer(200, {{"state", nameOf(m_tasks.at(start.attempt).state)}}));
         return;
--- a/standins/StandinWorker.h
+++ b/standins/StandinWorker.h
@@ -74,6 +74,7 @@
     void answerRequest(const HttpRequest &request, const Respond &respond);
     void handleFaults(const Json &document, const Respond &respond);
     [[nodiscard]] bool isStale(FencingToken token) const;
+    [[nodiscard]] bool isLate(const TaskStart &start) const;
     void begin(TaskStart start);
     void end(Task &task, WorkerTaskState state);
     void updateProgress(Task &task) const;
@@ -92,6 +93,8 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_tasksVersion = 1;
     Instant m_reportedAt;
+    // When the reports were made from which a lease could still last.
+    std::map<std::uint64_t, Instant> m_reports;
     std::map<std::string, std::uint64_t> m_stopped;
     std::map<TaskAttempt, Task> m_tasks;
     std::int64_t m_busySlots = 0;
