Scheduling, Routing: Say why lasting tasks wait; give waiting forwarded requests back

Lasting tasks that found no worker left no line in the log. JobScheduler now logs every two seconds how many workers are unsuitable, unusable, spread out, taken by lasting tasks, busy or open. Reservations only go to workers that may get tasks at all. Routing (history.rolling): a request that was forwarded twice waited its whole time at a daemon that had handed its workers over; its sender gave up first and called it unknown. TaskState::startedAt, never read, is gone; one function marks a run as running.

--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -1,6 +1,7 @@
 #include "routing/RequestRouter.h"
 
 #include "base/Identifier.h"
+#include "routing/ForwardingTime.h"
 
 namespace Wagtail
 {
@@ -133,11 +134,13 @@
 void RequestRouter::dispatch(RoutedRequest request, std::shared_ptr<const Profile> profile, Handler handler)
 {
     const bool stays = request.hops >= MaximumHops || m_context.partitions.standing() == Standing::CutOff;
-    const Instant queueUntil = stays ? request.deadline : m_context.clock.now();
+    const Instant now = m_context.clock.now();
+    const Instant queueUntil = stays ? waitLimit(request.hops, now, request.deadline) : now;
     UrgentRequest urgent {request.identity, profile, request.deadline, queueUntil, request.body};
     m_context.dispatcher.submit(std::move(urgent),
         [this, request = std::move(request), profile, handler = std::move(handler)](RequestResult result) mutable {
-            if (isNoRoom(result)) {
+            const bool goesBack = request.hops >= MaximumHops;
+            if (isNoRoom(result) && !goesBack) {
                 forwardOrQueue(std::move(request), std::move(profile), std::move(handler));
                 return;
             }
@@ -234,10 +237,12 @@
     m_context.metrics.count("wagtail_forwarded_requests_total", "kind=\"" + kind + "\"");
     m_context.timeline.record(
         {.kind = "request.forwarded", .request = request.identity, .detail = kind + " " + address});
-    const ForwardedRequest message = toMessage(request, left, m_context.timeline.logicalTime());
-    std::string body = encodeMessage(message);
     // The link between the regions is paid for by the byte.
     const bool crosses = m_context.peers.regionOf(address) != m_context.settings.region;
+    const Distance distance = crosses ? Distance::OtherRegion : Distance::SameRegion;
+    const Milliseconds granted = timeForPeer(Milliseconds(left), distance);
+    const ForwardedRequest message = toMessage(request, granted.count(), m_context.timeline.logicalTime());
+    std::string body = encodeMessage(message);
     if (crosses) {
         m_context.metrics.count("wagtail_cross_region_bytes_total", "direction=\"sent\"", body.size());
     }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -137,6 +137,8 @@
     void place(TaskState &task, WorkerState &worker, std::uint64_t run);
     void sendStart(TaskState &task);
     void onStartAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
+    // Notes that the worker has the run; its reports that were asked for after the given time must list it.
+    void markRunning(TaskState &task, Instant answeredAt);
     void onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome);
     void beginStop(TaskState &task);
     void sendStop(TaskState &task);
@@ -177,6 +179,7 @@
     void placeStep(StepState &step);
     void placeGang(StepState &step);
     void reserveFor(const StepState &step);
+    void noteWaiting(StepState &step);
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -1,6 +1,7 @@
 // The part of JobScheduler that gives waiting tasks to workers.
 #include "scheduling/JobRank.h"
 #include "scheduling/JobScheduler.h"
+#include "scheduling/PlacementSurvey.h"
 #include "scheduling/WorkerChoice.h"
 
 #include <algorithm>
@@ -9,6 +10,14 @@
 namespace Wagtail
 {
 
+namespace
+{
+
+// Lasting tasks that wait this long are logged: they should be back at work within a second or two of any end.
+constexpr Milliseconds NoticedWait {2'000};
+
+}
+
 void JobScheduler::dispatchSoon()
 {
     if (m_dispatchPosted) {
@@ -55,34 +64,39 @@
                 placeStep(step);
                 if (step.specification().lasting && step.waitingCount > 0) {
                     reserveFor(step);
+                    noteWaiting(step);
                 }
             }
         }
     }
 }
 
+void JobScheduler::noteWaiting(StepState &step)
+{
+    const Instant now = m_environment.clock.now();
+    if (!step.waitingSince) {
+        step.waitingSince = now;
+    }
+    if (now - *step.waitingSince < NoticedWait) {
+        return;
+    }
+    step.waitingSince = now;
+    Json inputs = describe(surveyPlacement(m_workers, step, now));
+    inputs["waiting"] = step.waitingCount;
+    inputs["step"] = step.number;
+    m_environment.listener.decided("lasting-tasks-wait", step.occurrence->job->specification.id, inputs);
+}
+
 void JobScheduler::reserveFor(const StepState &step)
 {
     const StepSpecification &specification = step.specification();
     const std::string &pool = step.occurrence->job->policy.pool;
+    const Instant now = m_environment.clock.now();
     std::vector<std::pair<std::int64_t, std::string>> candidates;
     for (const auto &[name, worker] : m_workers) {
-        const bool usable
-            = worker.listed && worker.contacted && !worker.listing.draining && worker.unansweredInRow == 0;
-        if (!usable || m_reserved.contains(name) || !couldEverHold(worker, specification, pool)) {
-            continue;
-        }
-        // What lasts stays; everything else ends by itself before long.
-        Resources reachable = worker.listing.capacity;
-        int sameStep = 0;
-        for (const TaskState *task : worker.tasks) {
-            if (task->step->specification().lasting) {
-                reachable = reachable - WorkerState::countedDemand(task->step->specification());
-            }
-            sameStep += task->step == &step ? 1 : 0;
-        }
-        const bool spread = specification.perWorkerLimit == 0 || sameStep < specification.perWorkerLimit;
-        if (spread && specification.demand.fitsInto(reachable)) {
+        const bool suitable = !m_reserved.contains(name) && isUsable(worker, now)
+            && couldEverHold(worker, specification, pool) && !hasReachedSpread(worker, step);
+        if (suitable && specification.demand.fitsInto(roomBesideLasting(worker))) {
             candidates.emplace_back(-worker.room().milliCores, name);
         }
     }
@@ -111,6 +125,9 @@
         place(task, *worker, nextRun(step, task));
         sendStart(task);
     }
+    if (step.waitingCount == 0) {
+        step.waitingSince.reset();
+    }
 }
 
 void JobScheduler::placeGang(StepState &step)
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -95,9 +95,7 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::Superseded:
         // A superseded run was there and has ended; its end is in the worker's list.
-        task->phase = RunPhase::Running;
-        task->startedAt = now;
-        task->progressedAt = now;
+        markRunning(*task, now);
         return;
     case OrderOutcome::Unknown:
         task->uncertain = true;
@@ -108,6 +106,13 @@
     }
 }
 
+void JobScheduler::markRunning(TaskState &task, Instant answeredAt)
+{
+    task.phase = RunPhase::Running;
+    task.progressedAt = m_environment.clock.now();
+    task.lastOrderAnswered = answeredAt;
+}
+
 void JobScheduler::onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome)
 {
     m_environment.listener.decided("start-refused", nameOf(task).text(),
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -200,10 +200,7 @@
     const bool current = task != nullptr && task->worker == worker.listing.name && task->run == running.run.run;
     if (current) {
         if (task->phase == RunPhase::Starting) {
-            task->phase = RunPhase::Running;
-            task->startedAt = m_environment.clock.now();
-            task->progressedAt = task->startedAt;
-            task->lastOrderAnswered = sentAt;
+            markRunning(*task, sentAt);
         }
         noteProgress(*task, running);
         return;
@@ -231,10 +228,7 @@
         return false;
     }
     place(*task, worker, running.run.run);
-    task->phase = RunPhase::Running;
-    task->startedAt = m_environment.clock.now();
-    task->progressedAt = task->startedAt;
-    task->lastOrderAnswered = sentAt;
+    markRunning(*task, sentAt);
     noteProgress(*task, running);
     return true;
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -60,7 +60,6 @@
     bool orderOpen = false;
     Instant lastOrderSent;
     Instant lastOrderAnswered;
-    Instant startedAt;
     int percent = 0;
     Instant progressedAt;
     std::int64_t usage = 0;
@@ -80,6 +79,8 @@
     std::vector<TaskState> tasks;
     int doneCount = 0;
     int waitingCount = 0;
+    // Since when tasks of the step have found no worker, or since the last line of the log about it.
+    std::optional<Instant> waitingSince;
     // The highest run number that any member of the step used; gang members share one.
     std::uint64_t highestRun = 0;
 
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/WorkerChoice.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -59,12 +61,24 @@
         && (step.requiredLabel.empty() || worker.listing.labels.contains(step.requiredLabel));
 }
 
+bool isUsable(const WorkerState &worker, Instant now)
+{
+    return worker.listed && !worker.listing.draining && worker.contacted && !worker.full && worker.unansweredInRow == 0
+        && worker.strays.empty() && worker.quarantinedUntil <= now;
+}
+
+bool hasReachedSpread(const WorkerState &worker, const StepState &step)
+{
+    const int limit = step.specification().perWorkerLimit;
+    const auto present = std::count_if(
+        worker.tasks.begin(), worker.tasks.end(), [&step](const TaskState *task) { return task->step == &step; });
+    return limit > 0 && present >= limit;
+}
+
 std::optional<double> placementCost(const WorkerState &worker, const WorkerQuery &query)
 {
     const StepSpecification &step = *query.step;
-    const bool usable = worker.listed && !worker.listing.draining && worker.contacted && !worker.full
-        && worker.unansweredInRow == 0 && worker.strays.empty() && worker.quarantinedUntil <= query.now;
-    if (!usable || !couldEverHold(worker, step, query.pool)) {
+    if (!isUsable(worker, query.now) || !couldEverHold(worker, step, query.pool)) {
         return std::nullopt;
     }
     const Resources demand = WorkerState::countedDemand(step);
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -19,6 +19,12 @@
     Instant now;
 };
 
+// Returns whether a worker may get new tasks at all.
+[[nodiscard]] bool isUsable(const WorkerState &worker, Instant now);
+
+// Returns whether a worker has as many tasks of a step as the step's limit for one worker allows.
+[[nodiscard]] bool hasReachedSpread(const WorkerState &worker, const StepState &step);
+
 // Returns the cost of a placement; nothing when a hard limit forbids it. Lower is better.
 // Load pattern: wide steps that arrive in bursts among lasting tasks; tight packing keeps whole workers free,
 // and backfilling tasks are kept away from serving tasks, which they disturb.
