Scheduling, Tenure: One partition for small fleets; an empty worker rather than a second serving image

Change: up to three data centres form one partition. A worker without serving tasks is taken before a second image of serving tasks joins others, since a backfilling image must be borne by every serving image beside it.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -180,6 +180,7 @@
     void placeGang(StepState &step);
     void reserveFor(const StepState &step);
     void noteWaiting(StepState &step);
+    void notePlaced(const StepState &step, const std::vector<const TaskState *> &tasks);
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -114,20 +114,39 @@
         return;
     }
     const Instant now = m_environment.clock.now();
+    std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
         if (task.phase != RunPhase::Waiting || task.notBefore > now) {
             continue;
         }
         WorkerState *worker = choose(step, task);
         if (worker == nullptr) {
-            return;
+            break;
         }
         place(task, *worker, nextRun(step, task));
         sendStart(task);
+        placed.push_back(&task);
     }
     if (step.waitingCount == 0) {
         step.waitingSince.reset();
     }
+    notePlaced(step, placed);
+}
+
+void JobScheduler::notePlaced(const StepState &step, const std::vector<const TaskState *> &tasks)
+{
+    if (tasks.empty()) {
+        return;
+    }
+    Json runs = Json::array();
+    for (const TaskState *task : tasks) {
+        runs.push_back({{"task", task->index}, {"run", task->run}, {"worker", task->worker}});
+    }
+    const JobState &job = *step.occurrence->job;
+    const auto age = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - job.acceptedAt);
+    m_environment.listener.decided("tasks-placed", job.specification.id,
+        {{"occurrence", step.occurrence->number}, {"step", step.number}, {"age_ms", age.count()},
+            {"waiting", step.waitingCount}, {"runs", std::move(runs)}});
 }
 
 void JobScheduler::placeGang(StepState &step)
@@ -156,6 +175,7 @@
     for (TaskState *member : placed) {
         sendStart(*member);
     }
+    notePlaced(step, {placed.begin(), placed.end()});
 }
 
 WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task)
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -15,7 +15,7 @@
 constexpr double AvoidedCost = 8.0;
 constexpr double ForeignRackCost = 4.0;
 // Workers whose serving tasks have one image suit the backfilling images that this image bears well.
-constexpr double OtherImageCost = 0.5;
+constexpr double OtherImageCost = 1.5;
 constexpr double EmptyWorkerCost = 0.3;
 // How far below its limit a serving task's load must stay when a backfilling task comes beside it. Its own load may
 // still grow by a third of its swing before the task has ended.
--- a/source/tenure/PartitionPlan.cpp
+++ b/source/tenure/PartitionPlan.cpp
@@ -8,6 +8,7 @@
 
 // One owner carries the workers of this many data centres.
 constexpr std::size_t MostDataCentresTogether = 2;
+constexpr std::size_t MostDataCentresOfFleet = 3;
 
 }
 
@@ -17,10 +18,11 @@
     for (const auto &[dataCentre, region] : regions) {
         byRegion[region].insert(dataCentre);
     }
+    const bool small = regions.size() <= MostDataCentresOfFleet;
     for (const auto &[region, dataCentres] : byRegion) {
         const bool together = dataCentres.size() <= MostDataCentresTogether;
         for (const std::string &dataCentre : dataCentres) {
-            const std::string partition = together ? region : dataCentre;
+            const std::string partition = small ? "fleet" : together ? region : dataCentre;
             m_dataCentres[partition].insert(dataCentre);
             m_partitions[dataCentre] = partition;
         }
