--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-// Lasting tasks that wait this long are logged: they should be back at work within a second or two of any end.
+// Tasks that wait this long are logged: lasting ones should be back at work within a second or two of any end.
 constexpr Milliseconds NoticedWait {2'000};
 
 }
@@ -62,9 +62,11 @@
                     continue;
                 }
                 placeStep(step);
+                if (step.waitingCount > 0) {
+                    noteWaiting(step);
+                }
                 if (step.specification().lasting && step.waitingCount > 0) {
                     reserveFor(step);
-                    noteWaiting(step);
                 }
             }
         }
@@ -84,7 +86,9 @@
     Json inputs = describe(surveyPlacement(m_workers, step, now));
     inputs["waiting"] = step.waitingCount;
     inputs["step"] = step.number;
-    m_environment.listener.decided("lasting-tasks-wait", step.occurrence->job->specification.id, inputs);
+    inputs["lasting"] = step.specification().lasting;
+    inputs["reserved"] = m_reserved.size();
+    m_environment.listener.decided("tasks-wait", step.occurrence->job->specification.id, inputs);
 }
 
 void JobScheduler::reserveFor(const StepState &step)
