Tenure, Scheduling: Keep what was learned, answer in time, stop renewing in doubt

JobRouter now answers at half of the caller's time (submissions) or shortly before the deadline (states, cancellations): unknown while an attempt may still take effect, else unavailable. - an owner that reaches neither the store nor half of the others went on renewing leases, while its successor counts on them to run out. It now only observes (SchedulingAuthority). Tests, each red before: JobRouter.answersBeforeTheCallersTimeIsOver, JobScheduler.runsATaskOnceWhenOnlyTheCutOffOwnerReachesItsWorker (red on the former renewal), PressureModel.goesOnFromWhatAnEarlierOwnerLearned.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/JobScheduler.h"
 
+#include "base/NameTable.h"
 #include "scheduling/JobRank.h"
 
 #include <algorithm>
@@ -13,6 +14,14 @@
 // Run numbers of one tenure; a task that needs more starts than this within one tenure is hopeless.
 constexpr std::uint64_t RunsPerTenure = 100'000;
 
+constexpr NameTable<SchedulingAuthority, 3> AuthorityNames {{{{SchedulingAuthority::Full, "full"},
+    {SchedulingAuthority::KeepRunning, "keep-running"}, {SchedulingAuthority::Observe, "observe"}}}};
+
+}
+
+std::string_view nameOf(SchedulingAuthority authority)
+{
+    return AuthorityNames.nameOf(authority);
 }
 
 JobScheduler::JobScheduler(Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t tenure)
@@ -187,13 +196,14 @@
     dispatchSoon();
 }
 
-void JobScheduler::allowStarts(bool allowed)
+void JobScheduler::setAuthority(SchedulingAuthority authority)
 {
-    if (m_startsAllowed != allowed) {
-        m_environment.listener.decided("starts-allowed", allowed ? "yes" : "no", Json::object());
+    if (m_authority == authority) {
+        return;
     }
-    m_startsAllowed = allowed;
-    if (allowed) {
+    m_environment.listener.decided("authority-changed", std::string(nameOf(authority)), {{"was", nameOf(m_authority)}});
+    m_authority = authority;
+    if (authority == SchedulingAuthority::Full) {
         dispatchSoon();
     }
 }
@@ -329,4 +339,9 @@
     return m_workers;
 }
 
+PressureModel &JobScheduler::pressure()
+{
+    return m_pressure;
+}
+
 }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -53,6 +53,18 @@
     std::uint64_t number = 0;
 };
 
+// What the owner of a partition may tell its workers.
+enum class SchedulingAuthority {
+    // Starts tasks and prolongs their leases.
+    Full,
+    // Keeps running tasks alive, until a successor takes over.
+    KeepRunning,
+    // Prolongs nothing: somebody else may be the owner, who counts on the leases to run out.
+    Observe,
+};
+
+[[nodiscard]] std::string_view nameOf(SchedulingAuthority authority);
+
 // Schedules the jobs of one partition on its workers under one tenure. It starts, renews, stops and restarts tasks
 // and counts their ends; it keeps nothing itself. All calls come from the control thread.
 class JobScheduler
@@ -91,8 +103,7 @@
     // Takes the policies in force. Jobs of queues that are not named keep what they have.
     void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
 
-    // While starts are not allowed, running tasks are kept and ended but none is started.
-    void allowStarts(bool allowed);
+    void setAuthority(SchedulingAuthority authority);
 
     // Lets time-driven decisions happen. Call it every TickPeriod.
     void tick();
@@ -119,6 +130,9 @@
 
     [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
 
+    // What is known of how tasks disturb each other; a successor goes on from it.
+    [[nodiscard]] PressureModel &pressure();
+
 private:
     // A run that has got less far than this, in percent, is cheap to begin again.
     static constexpr int CheapPercent = 40;
@@ -192,7 +206,7 @@
     SchedulingLimits m_limits;
     FencingToken m_token;
     std::uint64_t m_firstRun;
-    bool m_startsAllowed = true;
+    SchedulingAuthority m_authority = SchedulingAuthority::Full;
     bool m_dispatchPosted = false;
     // Workers that are kept free of other work until waiting lasting tasks fit; chosen anew by each dispatch.
     std::set<std::string> m_reserved;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -34,7 +34,7 @@
 void JobScheduler::dispatch()
 {
     m_dispatchPosted = false;
-    if (!m_startsAllowed) {
+    if (m_authority != SchedulingAuthority::Full) {
         return;
     }
     const Instant now = m_environment.clock.now();
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -103,8 +103,8 @@
         request.wait = mixed ? PacedWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
     // A worker that may be gone gets no more renewals, so that its tasks can be given to others soon.
-    const bool renew
-        = worker.clock.isKnown() && worker.contacted && !worker.tasks.empty() && worker.unansweredInRow == 0;
+    const bool renew = m_authority != SchedulingAuthority::Observe && worker.clock.isKnown() && worker.contacted
+        && !worker.tasks.empty() && worker.unansweredInRow == 0;
     if (renew) {
         request.leaseUntil = grantLease(worker);
     }
@@ -264,7 +264,7 @@
 
 void JobScheduler::evacuate(WorkerState &worker)
 {
-    if (!worker.listing.draining || !m_startsAllowed) {
+    if (!worker.listing.draining || m_authority != SchedulingAuthority::Full) {
         return;
     }
     const Instant now = m_environment.clock.now();
@@ -369,7 +369,8 @@
         if (task->orderOpen || now - task->lastOrderSent < OrderRetryPeriod) {
             continue;
         }
-        if (task->phase == RunPhase::Starting && worker.unansweredInRow == 0) {
+        const bool mayStart = m_authority == SchedulingAuthority::Full && worker.unansweredInRow == 0;
+        if (task->phase == RunPhase::Starting && mayStart) {
             sendStart(*task);
         } else if (task->phase == RunPhase::Stopping) {
             sendStop(*task);
--- a/source/scheduling/PlacementSurvey.cpp
+++ b/source/scheduling/PlacementSurvey.cpp
@@ -17,8 +17,7 @@
     return room;
 }
 
-PlacementSurvey surveyPlacement(
-    const std::map<std::string, WorkerState> &workers, const StepState &step, Instant now)
+PlacementSurvey surveyPlacement(const std::map<std::string, WorkerState> &workers, const StepState &step, Instant now)
 {
     const StepSpecification &specification = step.specification();
     const std::string &pool = step.occurrence->job->policy.pool;
--- a/source/scheduling/PressureModel.cpp
+++ b/source/scheduling/PressureModel.cpp
@@ -59,6 +59,35 @@
     return sum;
 }
 
+Json PressureModel::describe() const
+{
+    Json pairs = Json::array();
+    for (const auto &[images, pair] : m_pairs) {
+        pairs.push_back({{"serving", images.first}, {"backfilling", images.second}, {"coefficient", pair.coefficient},
+            {"observations", pair.observations}});
+    }
+    return {{"lowest_tails_ms", m_lowestTails}, {"pairs", std::move(pairs)}};
+}
+
+void PressureModel::restore(const Json &document)
+{
+    for (const auto &[image, tail] : memberOr(document, "lowest_tails_ms", std::map<std::string, double>())) {
+        const auto [entry, added] = m_lowestTails.emplace(image, tail);
+        entry->second = std::min(entry->second, tail);
+    }
+    for (const Json &pair : memberOr(document, "pairs", Json::array())) {
+        const std::string serving = memberOr(pair, "serving", std::string());
+        const std::string backfilling = memberOr(pair, "backfilling", std::string());
+        const double coefficient = memberOr(pair, "coefficient", UnknownCoefficient);
+        const int observations = memberOr(pair, "observations", 0);
+        if (serving.empty() || backfilling.empty()) {
+            continue;
+        }
+        m_pairs.emplace(
+            std::pair(serving, backfilling), Pair {std::clamp(coefficient, 0.0, MostCoefficient), observations});
+    }
+}
+
 void PressureModel::learn(const std::string &serving, const BackfillUse &changeOfUse, double changeOfLoad)
 {
     double power = 0.0;
--- a/source/scheduling/PressureModel.h
+++ b/source/scheduling/PressureModel.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/JsonReader.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -28,6 +30,13 @@
     // Returns the growth of the serving image's load by the given use.
     [[nodiscard]] double pressure(const std::string &serving, const BackfillUse &use) const;
 
+    // Returns what the model has learned, in the form that the store keeps.
+    [[nodiscard]] Json describe() const;
+
+    // Adds what describe() wrote to a new model. Members that can't be read are left out, since they can be learned
+    // again.
+    void restore(const Json &document);
+
     // Takes how a serving task's load changed from one report to the next, and how the use beside it changed.
     void learn(const std::string &serving, const BackfillUse &changeOfUse, double changeOfLoad);
 
--- a/source/scheduling/tests/PressureTest.cpp
+++ b/source/scheduling/tests/PressureTest.cpp
@@ -39,6 +39,20 @@
     EXPECT_EQ(model.coefficient("pump", "tariff"), before);
 }
 
+// Load: backfilling tasks that wait while a new owner learns what its predecessor knew.
+TEST(PressureModel, goesOnFromWhatAnEarlierOwnerLearned)
+{
+    PressureModel before;
+    teach(before, "pump", "tariff", 1.5);
+    before.observeTail("pump", 10);
+    PressureModel after;
+    after.restore(before.describe());
+    EXPECT_EQ(after.coefficient("pump", "tariff"), before.coefficient("pump", "tariff"));
+    EXPECT_EQ(after.loadAt("pump", 50.0), before.loadAt("pump", 50.0));
+    after.restore(Json {{"pairs", "none"}, {"lowest_tails_ms", 7}});
+    EXPECT_EQ(after.describe(), before.describe());
+}
+
 TEST(PressureModel, readsLoadFromTheTailOverItsUndisturbedBase)
 {
     PressureModel model;
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -12,6 +12,8 @@
 // A cancellation must reach the workers within three seconds, also when the store's history lost it.
 constexpr Milliseconds InboxWait {1'000};
 constexpr Milliseconds ForgettingPeriod {5'000};
+// A pair of images is learned within a few reports; what is lost of it at a take-over is learned again as fast.
+constexpr Milliseconds PressurePeriod {3'000};
 // Returns how long leases of an earlier tenure may last on the slowest worker's clock.
 Milliseconds longestForeignLease(const JobKeeper::Limits &limits)
 {
@@ -89,6 +91,8 @@
             progress[entry.key.substr(progressPrefix.size())] = &entry.value;
         } else if (entry.key == JobKeys::leaseHolders(m_position.partition)) {
             holders = parseLeaseHolders(entry.value);
+        } else if (entry.key == JobKeys::pressure(m_position.partition)) {
+            restorePressure(entry.value);
         }
     }
     // A worker that the last owner met just before it ended may not be recorded yet, so all listed ones count.
@@ -208,9 +212,9 @@
     m_jobs.updatePolicies(policies);
 }
 
-void JobKeeper::allowStarts(bool allowed)
+void JobKeeper::setAuthority(SchedulingAuthority authority)
 {
-    m_jobs.allowStarts(allowed);
+    m_jobs.setAuthority(m_deposed ? SchedulingAuthority::Observe : authority);
 }
 
 void JobKeeper::tick()
@@ -223,6 +227,10 @@
         writeLeaseHolders();
     }
     const Instant now = m_environment.clock.now();
+    if (now - m_lastPressure >= PressurePeriod) {
+        m_lastPressure = now;
+        writePressure();
+    }
     if (now - m_lastForgetting < ForgettingPeriod) {
         return;
     }
@@ -245,6 +253,27 @@
     m_journal.put(JobKeys::leaseHolders(m_position.partition), writeJson(holders));
 }
 
+void JobKeeper::writePressure()
+{
+    std::string text = writeJson(m_jobs.pressure().describe());
+    if (text == m_recordedPressure) {
+        return;
+    }
+    m_recordedPressure = text;
+    m_journal.put(JobKeys::pressure(m_position.partition), std::move(text));
+}
+
+void JobKeeper::restorePressure(const std::string &text)
+{
+    const Result<Json> document = parseJson(text, "the learned pressure");
+    if (const Error *error = errorOf(document)) {
+        m_environment.log("pressure-unreadable", m_position.partition, {{"error", error->detail}});
+        return;
+    }
+    m_jobs.pressure().restore(std::get<Json>(document));
+    m_recordedPressure = text;
+}
+
 void JobKeeper::flush(std::function<void()> handler)
 {
     m_journal.flush(std::move(handler));
@@ -328,7 +357,7 @@
         return;
     }
     m_deposed = true;
-    m_jobs.allowStarts(false);
+    m_jobs.setAuthority(SchedulingAuthority::Observe);
     m_environment.log("tenure-over", m_position.partition, {{"token", m_position.ownerRevision}, {"reason", reason}});
     m_environment.onDeposed();
 }
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -54,7 +54,7 @@
 
     void updateWorkers(const std::map<std::string, WorkerListing> &workers);
     void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
-    void allowStarts(bool allowed);
+    void setAuthority(SchedulingAuthority authority);
     void tick();
 
     // Calls the handler once everything decided so far is in the store.
@@ -82,6 +82,8 @@
     void applyInbox(const std::string &key, const InboxEntry &entry);
     void depose(const std::string &reason);
     void writeLeaseHolders();
+    void writePressure();
+    void restorePressure(const std::string &text);
 
     Environment m_environment;
     Limits m_limits;
@@ -98,6 +100,8 @@
     std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
     bool m_leaseHoldersDirty = false;
     Instant m_lastForgetting;
+    Instant m_lastPressure;
+    std::string m_recordedPressure;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -33,6 +33,12 @@
     return "wagtail/partitions/" + partition + "/lease-holders";
 }
 
+// What earlier owners have learned of how tasks disturb each other.
+[[nodiscard]] inline std::string pressure(const std::string &partition)
+{
+    return "wagtail/partitions/" + partition + "/pressure";
+}
+
 [[nodiscard]] inline std::string jobs(const std::string &partition)
 {
     return "wagtail/partitions/" + partition + "/jobs/";
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -4,6 +4,8 @@
 
 #include "tenure/JobKeys.h"
 
+#include <utility>
+
 namespace Wagtail
 {
 
@@ -17,6 +19,9 @@
 constexpr Milliseconds DirectAfter {400};
 // Answers need this much time to travel back.
 constexpr Milliseconds AnswerMargin {80};
+// A submission whose outcome is still open after this share of the caller's time is given up: the caller can ask
+// another instance in the rest.
+constexpr int SubmissionTimeDivisor = 2;
 constexpr std::size_t MostHomes = 20'000;
 
 }
@@ -28,13 +33,24 @@
     std::string partition;
     Instant begin;
     Instant deadline;
+    // Whether an attempt that may still take effect was left without an answer.
     bool uncertain = false;
+    bool inFlight = false;
     std::function<void(RouteOutcome)> handler;
 
-    void finish(RouteOutcome outcome) const
+    void finish(RouteOutcome outcome)
     {
+        if (!handler) {
+            return;
+        }
         const bool denied = outcome == RouteOutcome::Refused || outcome == RouteOutcome::Unavailable;
-        handler(denied && uncertain ? RouteOutcome::Unknown : outcome);
+        const bool open = uncertain || inFlight;
+        std::exchange(handler, nullptr)(denied && open ? RouteOutcome::Unknown : outcome);
+    }
+
+    [[nodiscard]] bool isFinished() const
+    {
+        return !handler;
     }
 };
 
@@ -82,7 +98,7 @@
     auto submission = std::make_shared<Submission>();
     submission->partition = m_environment.homePartition;
     submission->begin = m_environment.clock.now();
-    submission->deadline = deadline - AnswerMargin;
+    submission->deadline = submission->begin + (deadline - submission->begin) / SubmissionTimeDivisor;
     submission->handler = std::move(handler);
     submission->record = std::move(record);
     const auto known = m_homes.find(submission->record.specification.id);
@@ -90,6 +106,9 @@
         submission->finish(RouteOutcome::Done);
         return;
     }
+    const auto left = std::chrono::duration_cast<Milliseconds>(submission->deadline - submission->begin);
+    m_environment.scheduler.after(
+        std::max(left, Milliseconds(0)), [submission] { submission->finish(RouteOutcome::Unavailable); });
     trySubmit(submission);
 }
 
@@ -97,6 +116,7 @@
 {
     JobKeeper *keeper = m_environment.seats.keeper(submission->partition);
     if (keeper != nullptr) {
+        submission->inFlight = true;
         keeper->submit(submission->record, [this, alive = m_alive, submission](const AcceptResult &result) {
             if (!*alive) {
                 return;
@@ -117,15 +137,16 @@
     if (submission->body.empty()) {
         submission->body = serialize(submission->record);
     }
-    const bool sent = callOwner(submission->partition, "POST", "/jobs", submission->body,
+    submission->inFlight = callOwner(submission->partition, "POST", "/jobs", submission->body,
         [this, submission](const HttpAnswer &answer) { onSubmitAnswer(submission, answer); });
-    if (!sent) {
+    if (!submission->inFlight) {
         retrySubmit(submission);
     }
 }
 
 void JobRouter::onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer)
 {
+    submission->inFlight = false;
     if (answer.delivery != Delivery::Answered) {
         submission->uncertain = submission->uncertain || answer.delivery == Delivery::Lost;
         retrySubmit(submission);
@@ -158,6 +179,9 @@
 
 void JobRouter::retrySubmit(const std::shared_ptr<Submission> &submission)
 {
+    if (submission->isFinished()) {
+        return;
+    }
     const Instant now = m_environment.clock.now();
     if (now + RetryPeriod >= submission->deadline) {
         submission->finish(RouteOutcome::Unavailable);
@@ -185,11 +209,13 @@
         {JobKeys::inboxSubmission(partition, id), serialize(InboxEntry {InboxRequest::Submit, id, submission->record}),
             std::nullopt, 0}};
     m_environment.log("job-submitted-without-owner", id, {{"partition", partition}});
+    submission->inFlight = true;
     m_environment.store.commit(
         std::move(transaction), [this, alive = m_alive, submission](const Result<StoreCommit> &result) {
             if (!*alive) {
                 return;
             }
+            submission->inFlight = false;
             const auto *commit = std::get_if<StoreCommit>(&result);
             if (commit != nullptr) {
                 const std::string &job = submission->record.specification.id;
@@ -230,6 +256,12 @@
 
 void JobRouter::inquire(const std::shared_ptr<Inquiry> &inquiry)
 {
+    const auto left = std::chrono::duration_cast<Milliseconds>(inquiry->deadline - m_environment.clock.now());
+    m_environment.scheduler.after(std::max(left, Milliseconds(0)), [this, alive = m_alive, inquiry] {
+        if (*alive) {
+            finishInquiry(inquiry, RouteOutcome::Unknown, JobPhase::Pending);
+        }
+    });
     const auto known = m_homes.find(inquiry->job);
     inquiry->partition = known == m_homes.end() ? m_environment.homePartition : known->second;
     askOwner(inquiry);
@@ -352,7 +384,9 @@
 
 void JobRouter::finishInquiry(const std::shared_ptr<Inquiry> &inquiry, RouteOutcome outcome, JobPhase phase)
 {
-    inquiry->handler(outcome, phase);
+    if (inquiry->handler) {
+        std::exchange(inquiry->handler, nullptr)(outcome, phase);
+    }
 }
 
 void JobRouter::waitingCount(const std::string &queue, std::function<void(std::optional<int>)> handler)
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -43,8 +43,10 @@
     JobRouter(const JobRouter &) = delete;
     JobRouter &operator=(const JobRouter &) = delete;
 
-    // Submits a job. Gives up with Unknown or Unavailable at the deadline at the latest.
+    // Submits a job. Gives up with Unknown or Unavailable at half of the caller's time, so that the caller can ask
+    // another instance in the other half.
     void submit(JobRecord record, Instant deadline, std::function<void(RouteOutcome)> handler);
+    // Both give up with Unknown shortly before the deadline.
     void status(const std::string &id, Instant deadline, std::function<void(RouteOutcome, JobPhase)> handler);
     void cancel(const std::string &id, Instant deadline, std::function<void(RouteOutcome)> handler);
 
--- a/source/tenure/PartitionPlan.cpp
+++ b/source/tenure/PartitionPlan.cpp
@@ -6,9 +6,11 @@
 namespace
 {
 
-// One owner carries the workers of this many data centres.
+// One owner carries the workers of this many data centres of a region.
 constexpr std::size_t MostDataCentresTogether = 2;
+// A fleet with at most this many data centres is one partition: some seventy workers use a fifth of a core.
 constexpr std::size_t MostDataCentresOfFleet = 3;
+const std::string FleetPartition = "fleet";
 
 }
 
@@ -22,7 +24,7 @@
     for (const auto &[region, dataCentres] : byRegion) {
         const bool together = dataCentres.size() <= MostDataCentresTogether;
         for (const std::string &dataCentre : dataCentres) {
-            const std::string partition = small ? "fleet" : together ? region : dataCentre;
+            const std::string partition = small ? FleetPartition : together ? region : dataCentre;
             m_dataCentres[partition].insert(dataCentre);
             m_partitions[dataCentre] = partition;
         }
--- a/source/tenure/PartitionPlan.h
+++ b/source/tenure/PartitionPlan.h
@@ -12,8 +12,9 @@
 class PartitionPlan
 {
 public:
-    // Takes the region of each data centre. A region with few data centres is one partition, because one owner packs
-    // its workers better; in a larger one each data centre is a partition, because one owner could not carry it.
+    // Takes the region of each data centre. Few data centres are one partition, because one owner packs their workers
+    // better and leaves none idle while work waits elsewhere. In a larger fleet a region with few data centres is one,
+    // and otherwise each data centre, because one owner could not carry them.
     explicit PartitionPlan(const std::map<std::string, std::string> &regions);
 
     [[nodiscard]] std::vector<std::string> partitions() const;
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -205,10 +205,13 @@
 void PartitionSeats::tick()
 {
     review();
-    const bool allowed = !m_releasing && (m_environment.lease.isHeld() || m_storeOutage);
+    const bool certain = m_environment.lease.isHeld() || m_storeOutage;
+    const SchedulingAuthority authority = !certain ? SchedulingAuthority::Observe
+        : m_releasing                              ? SchedulingAuthority::KeepRunning
+                                                   : SchedulingAuthority::Full;
     for (auto &[partition, seat] : m_seats) {
         if (seat.keeper) {
-            seat.keeper->allowStarts(allowed);
+            seat.keeper->setAuthority(authority);
             seat.keeper->tick();
         }
     }
@@ -275,7 +278,7 @@
         releaseNext(std::move(partitions), std::move(handler));
         return;
     }
-    seat.keeper->allowStarts(false);
+    seat.keeper->setAuthority(SchedulingAuthority::KeepRunning);
     seat.keeper->flush(
         [this, alive = m_alive, partition, partitions = std::move(partitions), handler = std::move(handler)] {
             if (!*alive) {
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -128,11 +128,11 @@
     ASSERT_TRUE(lease.isHeld());
     constexpr StoreRevision StaleRevision = 2;
     cluster.applyListing(
-        {StaleRevision, {{JobKeys::owner("wheatbelt"), serialize(OwnerCard {card, 0}), StaleRevision, 0}}});
+        {StaleRevision, {{JobKeys::owner("fleet"), serialize(OwnerCard {card, 0}), StaleRevision, 0}}});
     seats.tick();
     scheduler.advance(Milliseconds(200));
-    ASSERT_NE(seats.keeper("wheatbelt"), nullptr);
-    seats.keeper("wheatbelt")->onDeposed();
+    ASSERT_NE(seats.keeper("fleet"), nullptr);
+    seats.keeper("fleet")->onDeposed();
     constexpr int Ticks = 20;
     for (int i = 0; i < Ticks; ++i) {
         scheduler.advance(Milliseconds(100));
@@ -145,7 +145,7 @@
 // A listing of the inbox shows a job before its cancellation.
 TEST(JobKeys, sortSubmissionsBeforeCancellations)
 {
-    EXPECT_LT(JobKeys::inboxSubmission("wheatbelt", "zz"), JobKeys::inboxCancellation("wheatbelt", "aa"));
+    EXPECT_LT(JobKeys::inboxSubmission("fleet", "zz"), JobKeys::inboxCancellation("wheatbelt", "aa"));
 }
 
 TEST(JobKeeper, takesWhatWasLeftInItsInbox)
@@ -157,9 +157,9 @@
     const InboxEntry submission {InboxRequest::Submit, "job", record};
     const InboxEntry cancellation {InboxRequest::Cancel, "job", std::nullopt};
     StoreTransaction transaction;
-    transaction.writes = {{JobKeys::inboxCancellation("wheatbelt", "job"), serialize(cancellation), {}, 0},
-        {JobKeys::inboxSubmission("wheatbelt", "job"), serialize(submission), {}, 0},
-        {JobKeys::jobs("wheatbelt") + "job", serialize(record), {}, 0}, {JobKeys::home("job"), "wheatbelt", {}, 0}};
+    transaction.writes = {{JobKeys::inboxCancellation("fleet", "job"), serialize(cancellation), {}, 0},
+        {JobKeys::inboxSubmission("fleet", "job"), serialize(submission), {}, 0},
+        {JobKeys::jobs("fleet") + "job", serialize(record), {}, 0}, {JobKeys::home("job"), "wheatbelt", {}, 0}};
     for (int i = 0; i < TenureWorld::InstanceCount; ++i) {
         world.kill(i);
     }
@@ -168,7 +168,7 @@
     world.advance(Second * 12);
     EXPECT_EQ(world.phaseOf("job"), JobPhase::Cancelled);
     EXPECT_EQ(world.workers.runningCount(), 0U);
-    EXPECT_TRUE(world.state.list(JobKeys::inbox("wheatbelt")).entries.empty());
+    EXPECT_TRUE(world.state.list(JobKeys::inbox("fleet")).entries.empty());
 }
 
 // After a take-over the failures of one task are listed by several workers in any order.
@@ -204,7 +204,7 @@
     ASSERT_EQ(world.workers.runningCount(), 1U);
     std::map<std::string, WorkerListing> listings = world.workers.listings();
     const TaskName task {"job", 0, 0, 0};
-    const JobScheduler &jobs = owner->seats.keeper("wheatbelt")->jobs();
+    const JobScheduler &jobs = owner->seats.keeper("fleet")->jobs();
     const std::string before = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
     listings.at(before).draining = true;
     owner->seats.updateWorkers(listings);
@@ -216,6 +216,38 @@
     EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
 }
 
+// An owner that reaches neither store nor neighbours must let its leases run out, because its successor starts the
+// tasks of workers that it can't reach elsewhere.
+TEST(JobScheduler, runsATaskOnceWhenOnlyTheCutOffOwnerReachesItsWorker)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    world.workers.setBehaviour("job", {Milliseconds(100), 0, true});
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    JobRecord record = TenureWorld::job("job", 1, 1);
+    record.specification.steps[0].lasting = true;
+    owner->router.submit(record, world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Second * 2);
+    const JobScheduler &jobs = owner->seats.keeper("fleet")->jobs();
+    const std::string worker = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    owner->store.down = true;
+    // Any other worker would tell it of the successor's higher token.
+    for (const auto &[name, listing] : world.workers.listings()) {
+        if (name != worker) {
+            owner->gateway.cutWorkers.insert(name);
+        }
+    }
+    for (const auto &[number, instance] : world.instances) {
+        if (instance.get() != owner) {
+            instance->gateway.cutWorkers.insert(worker);
+        }
+    }
+    world.advance(Second * 20);
+    EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(world.workers.startCount({"job", 0, 0, 0}), 2U);
+}
+
 // A worker that left long ago must not hold up the tasks that a later owner inherits.
 TEST(JobScheduler, doesNotWaitForWorkersThatLeftBeforeATakeOver)
 {
@@ -228,13 +260,13 @@
     first.specification.steps[0].perWorkerLimit = 1;
     owner->router.submit(first, world.clock.now() + Second * 3, [](RouteOutcome) {});
     world.advance(Second * 2);
-    ASSERT_EQ(owner->seats.keeper("wheatbelt")->jobs().leaseHolders().size(), 4U);
+    ASSERT_EQ(owner->seats.keeper("fleet")->jobs().leaseHolders().size(), 4U);
     std::map<std::string, WorkerListing> listings = world.workers.listings();
     listings.erase("worker-3");
     owner->gateway.cutWorkers.insert("worker-3");
     owner->seats.updateWorkers(listings);
     world.advance(Second * 10);
-    EXPECT_EQ(owner->seats.keeper("wheatbelt")->jobs().leaseHolders().size(), 3U);
+    EXPECT_EQ(owner->seats.keeper("fleet")->jobs().leaseHolders().size(), 3U);
     // A task that starts after the take-over only.
     JobRecord second = TenureWorld::job("second", 1, 1);
     second.specification.repeatCount = 1;
@@ -283,4 +315,27 @@
     EXPECT_EQ(world.workers.startCount({"lasting", 0, 0, 0}), 1U);
 }
 
+// Load: a store that keeps silent while callers wait. The outcome of an acceptance under way is not known, and the
+// caller hears so while there is time to ask another instance.
+TEST(JobRouter, answersBeforeTheCallersTimeIsOver)
+{
+    TenureWorld world;
+    world.advance(Second * 3);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    for (const auto &[number, instance] : world.instances) {
+        instance->store.delay = Second * 10;
+    }
+    std::optional<RouteOutcome> submitted;
+    std::optional<RouteOutcome> cancelled;
+    owner->router.submit(TenureWorld::job("job", 1, 1), world.clock.now() + Second * 3,
+        [&submitted](RouteOutcome outcome) { submitted = outcome; });
+    owner->router.cancel(
+        "other", world.clock.now() + Second * 3, [&cancelled](RouteOutcome outcome) { cancelled = outcome; });
+    world.advance(Milliseconds(1'600));
+    EXPECT_EQ(submitted, RouteOutcome::Unknown);
+    world.advance(Milliseconds(1'350));
+    EXPECT_EQ(cancelled, RouteOutcome::Unknown);
+}
+
 }
--- a/source/tenure/tests/TenureWorld.h
+++ b/source/tenure/tests/TenureWorld.h
@@ -79,7 +79,7 @@
         , card {name, name, "depot", "wheatbelt", name + "-" + std::to_string(life), 250}
         , seats({clock, scheduler, store, gateway, lease, cluster, plan, log}, card, limits())
         , api(seats)
-        , router({clock, scheduler, store, peers, seats, plan, log, "wheatbelt"})
+        , router({clock, scheduler, store, peers, seats, plan, log, plan.partitions().front()})
     {
         lease.start(serialize(card));
         feed.start();
@@ -224,7 +224,7 @@
     TenureInstance *owner()
     {
         for (const auto &[number, instance] : instances) {
-            if (instance && instance->seats.keeper("wheatbelt") != nullptr) {
+            if (instance && instance->seats.keeper(plan.partitions().front()) != nullptr) {
                 return instance.get();
             }
         }
