Tenure: Spread partitions over instances by processor time left

At start-up each instance saw only itself as a candidate and took everything that was vacant. Change: turnOf() orders candidates by region, then by processor time divided by the partitions that they own; vacancies are judged half a second after the start, when all instances are listed.

--- a/source/tenure/PartitionPlan.cpp
+++ b/source/tenure/PartitionPlan.cpp
@@ -1,5 +1,7 @@
 #include "tenure/PartitionPlan.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -14,7 +16,7 @@
 
 }
 
-PartitionPlan::PartitionPlan(const std::map<std::string, std::string> &regions)
+PartitionPlan::PartitionPlan(const std::map<std::string, std::string> &regions) : m_regions(regions)
 {
     std::map<std::string, std::set<std::string>> byRegion;
     for (const auto &[dataCentre, region] : regions) {
@@ -53,4 +55,11 @@
     return found == m_dataCentres.end() ? none : found->second;
 }
 
+int PartitionPlan::dataCentresInRegion(const std::string &partition, const std::string &region) const
+{
+    const std::set<std::string> &inside = dataCentres(partition);
+    return static_cast<int>(std::count_if(inside.begin(), inside.end(),
+        [this, &region](const std::string &dataCentre) { return m_regions.at(dataCentre) == region; }));
+}
+
 }
--- a/source/tenure/PartitionPlan.h
+++ b/source/tenure/PartitionPlan.h
@@ -23,7 +23,11 @@
     [[nodiscard]] std::string partitionOf(const std::string &dataCentre) const;
     [[nodiscard]] const std::set<std::string> &dataCentres(const std::string &partition) const;
 
+    // Returns how many of a partition's data centres lie in a region.
+    [[nodiscard]] int dataCentresInRegion(const std::string &partition, const std::string &region) const;
+
 private:
+    std::map<std::string, std::string> m_regions;
     std::map<std::string, std::set<std::string>> m_dataCentres;
     std::map<std::string, std::string> m_partitions;
 };
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -1,10 +1,9 @@
 #include "tenure/PartitionSeats.h"
 
-#include "base/Identifier.h"
 #include "tenure/JobKeys.h"
+#include "tenure/OwnerTurn.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace Wagtail
 {
@@ -16,11 +15,16 @@
 constexpr Milliseconds TurnLength {250};
 // Beyond this many candidates all try at once: the store lets only one succeed.
 constexpr std::int64_t MostTurns = 6;
+// All instances of a fleet start within 0.3 s; before that the list of candidates is not complete.
+constexpr Milliseconds SettleTime {500};
 
 }
 
 PartitionSeats::PartitionSeats(Environment environment, InstanceCard self, JobKeeper::Limits limits)
-    : m_environment(std::move(environment)), m_self(std::move(self)), m_limits(limits)
+    : m_environment(std::move(environment))
+    , m_self(std::move(self))
+    , m_limits(limits)
+    , m_beganAt(m_environment.clock.now())
 {
     for (const std::string &partition : m_environment.plan.partitions()) {
         m_seats[partition];
@@ -78,7 +82,7 @@
     const bool vacant = entry == nullptr || entry->revision <= seat.endedToken;
     if (vacant) {
         const Instant now = m_environment.clock.now();
-        seat.vacantSince = seat.vacantSince.value_or(now);
+        seat.vacantSince = std::max(seat.vacantSince.value_or(now), m_beganAt + SettleTime);
         if (now - *seat.vacantSince >= turnDelay(partition)) {
             take(partition, MustNotExist);
         }
@@ -101,24 +105,22 @@
 
 Milliseconds PartitionSeats::turnDelay(const std::string &partition) const
 {
-    const std::set<std::string> &near = m_environment.plan.dataCentres(partition);
-    std::vector<std::tuple<bool, std::int64_t, std::uint64_t, std::string>> order;
+    const std::set<std::string> &inside = m_environment.plan.dataCentres(partition);
+    std::map<std::string, int> owned;
+    for (const auto &[other, seat] : m_seats) {
+        if (const std::optional<InstanceCard> owner = ownerOf(other)) {
+            ++owned[owner->name];
+        }
+    }
+    std::vector<OwnerCandidate> candidates;
     for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
         const Result<InstanceCard> parsed = parseInstanceCard(entry->value);
         if (const auto *card = std::get_if<InstanceCard>(&parsed)) {
-            order.emplace_back(
-                !near.contains(card->dataCentre), -card->milliCores, stableHash(partition + card->name), card->name);
-        }
-    }
-    std::sort(order.begin(), order.end());
-    std::int64_t turn = 0;
-    for (const auto &candidate : order) {
-        if (std::get<3>(candidate) == m_self.name) {
-            break;
+            candidates.push_back({card->name, m_environment.plan.dataCentresInRegion(partition, card->region),
+                inside.contains(card->dataCentre), card->milliCores, owned[card->name]});
         }
-        ++turn;
     }
-    return TurnLength * std::min(turn, MostTurns);
+    return TurnLength * std::min(turnOf(m_self.name, partition, candidates), MostTurns);
 }
 
 void PartitionSeats::take(const std::string &partition, StoreRevision ownerRevision)
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -72,6 +72,7 @@
     Environment m_environment;
     InstanceCard m_self;
     JobKeeper::Limits m_limits;
+    Instant m_beganAt;
     std::map<std::string, Seat> m_seats;
     std::map<std::string, WorkerListing> m_workers;
     std::map<std::string, QueuePolicy> m_policies;
