Tenure: Send lasting jobs where most is free, refuse those that crowd passing work out

Cause: lasting jobs stay, and each partition took those of its own callers. An owner sends a new job to the partition that can run it, that has its data, and for lasting jobs that has most free; lasting jobs for which less than 1.5 times the average use of passing work would remain are refused with 429. A job with a label that only another partition's workers have goes there; before, it never ran. Tests: PartitionChoice.*, PoolRooms.*

--- a/source/http/HttpStatus.h
+++ b/source/http/HttpStatus.h
@@ -5,6 +5,7 @@
 {
 
 constexpr int Ok = 200;
+constexpr int SeeOther = 303;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -2,6 +2,8 @@
 
 #include "base/NameTable.h"
 #include "scheduling/JobRank.h"
+#include "scheduling/PlacementSurvey.h"
+#include "scheduling/WorkerChoice.h"
 
 #include <algorithm>
 
@@ -14,6 +16,9 @@
 // Run numbers of one tenure; a task that needs more starts than this within one tenure is hopeless.
 constexpr std::uint64_t RunsPerTenure = 100'000;
 
+// Share of a new sample in an average: with a sample each tick it follows the load within some seconds.
+constexpr double AveragingShare = 0.02;
+
 constexpr NameTable<SchedulingAuthority, 3> AuthorityNames {{{{SchedulingAuthority::Full, "full"},
     {SchedulingAuthority::KeepRunning, "keep-running"}, {SchedulingAuthority::Observe, "observe"}}}};
 
@@ -217,6 +222,7 @@
     if (!isRecovering()) {
         m_inheritedWorkers.clear();
     }
+    averagePassingWork();
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         WorkerState &worker = entry->second;
         expireLeases(worker);
@@ -235,6 +241,62 @@
     dispatchSoon();
 }
 
+void JobScheduler::averagePassingWork()
+{
+    std::map<std::string, std::int64_t> wanted;
+    for (const JobState *job : m_open) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                const StepSpecification &specification = step.specification();
+                const int open = static_cast<int>(step.tasks.size()) - step.doneCount;
+                if (!specification.lasting && !specification.backfills && occurrence.isEligible(step)) {
+                    wanted[job->policy.pool] += open * specification.demand.milliCores;
+                }
+            }
+        }
+    }
+    for (const auto &[name, worker] : m_workers) {
+        m_passing.try_emplace(worker.listing.pool, 0.0);
+    }
+    for (auto &[pool, average] : m_passing) {
+        average += (static_cast<double>(wanted[pool]) - average) * AveragingShare;
+    }
+}
+
+PoolRooms JobScheduler::rooms() const
+{
+    const Instant now = m_environment.clock.now();
+    PoolRooms rooms;
+    for (const auto &[name, worker] : m_workers) {
+        if (!worker.listed) {
+            continue;
+        }
+        PoolRoom &room = rooms[worker.listing.pool];
+        room.largestWorker = room.largestWorker.maximum(worker.listing.capacity);
+        room.labels.insert(worker.listing.labels.begin(), worker.listing.labels.end());
+        room.racks.insert(worker.listing.rack);
+        if (isUsable(worker, now) || !worker.contacted) {
+            room.capacity += worker.listing.capacity.milliCores;
+            room.freeBesideLasting += roomBesideLasting(worker).milliCores;
+        }
+    }
+    for (const JobState *job : m_open) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                if (step.specification().lasting && occurrence.isEligible(step)) {
+                    const Resources demand = WorkerState::countedDemand(step.specification());
+                    rooms[job->policy.pool].freeBesideLasting -= step.waitingCount * demand.milliCores;
+                }
+            }
+        }
+    }
+    for (auto &[pool, room] : rooms) {
+        const auto average = m_passing.find(pool);
+        room.passing = average == m_passing.end() ? 0 : static_cast<std::int64_t>(average->second);
+    }
+    return rooms;
+}
+
 const JobState *JobScheduler::find(const std::string &id) const
 {
     const auto found = m_jobs.find(id);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Scheduler.h"
+#include "scheduling/PoolRoom.h"
 #include "scheduling/WorkerState.h"
 
 #include <functional>
@@ -130,6 +131,9 @@
 
     [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
 
+    // Returns what the listed workers can take, by pool.
+    [[nodiscard]] PoolRooms rooms() const;
+
     // What is known of how tasks disturb each other; a successor goes on from it.
     [[nodiscard]] PressureModel &pressure();
 
@@ -163,6 +167,7 @@
     void stopTasks(JobState &job);
 
     // Workers
+    void averagePassingWork();
     void contact(WorkerState &worker);
     void onReport(const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result);
     void onReportFailed(WorkerState &worker, OrderOutcome outcome);
@@ -216,6 +221,8 @@
     // Jobs that are not finished, in the order of acceptance.
     std::vector<JobState *> m_open;
     std::map<std::string, WorkerState> m_workers;
+    // The processors that tasks which end by themselves use or wait for, in thousandths of a core, on average by pool.
+    std::map<std::string, double> m_passing;
     PressureModel m_pressure;
     // Ends when the scheduler does, so that late answers find nothing.
     std::shared_ptr<JobScheduler *> m_self;
--- /dev/null
+++ b/source/scheduling/PoolRoom.cpp
@@ -0,0 +1,37 @@
+#include "scheduling/PoolRoom.h"
+
+#include "workers/WorkerCodec.h"
+
+namespace Wagtail
+{
+
+Json describe(const PoolRooms &rooms)
+{
+    Json document = Json::object();
+    for (const auto &[pool, room] : rooms) {
+        document[pool]
+            = {{"capacity", room.capacity}, {"free_beside_lasting", room.freeBesideLasting}, {"passing", room.passing},
+                {"largest_worker", describe(room.largestWorker)}, {"labels", room.labels}, {"racks", room.racks}};
+    }
+    return document;
+}
+
+PoolRooms parsePoolRooms(const Json &document)
+{
+    PoolRooms rooms;
+    if (!document.is_object()) {
+        return rooms;
+    }
+    for (const auto &[pool, item] : document.items()) {
+        PoolRoom &room = rooms[pool];
+        room.capacity = memberOr(item, "capacity", room.capacity);
+        room.freeBesideLasting = memberOr(item, "free_beside_lasting", room.freeBesideLasting);
+        room.passing = memberOr(item, "passing", room.passing);
+        room.largestWorker = parseResources(memberOr(item, "largest_worker", Json::object()));
+        room.labels = memberOr(item, "labels", room.labels);
+        room.racks = memberOr(item, "racks", room.racks);
+    }
+    return rooms;
+}
+
+}
--- /dev/null
+++ b/source/scheduling/PoolRoom.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/JsonReader.h"
+#include "base/Resources.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Wagtail
+{
+
+// What the workers of one pool in one partition can take. Processors are in thousandths of a core.
+struct PoolRoom
+{
+    // Over all workers that may get new tasks.
+    std::int64_t capacity = 0;
+    // What lasting tasks leave, those that still wait included.
+    std::int64_t freeBesideLasting = 0;
+    // What tasks that end by themselves have lately used or waited for, on average.
+    std::int64_t passing = 0;
+    // The largest worker by each kind of resource.
+    Resources largestWorker;
+    std::set<std::string> labels;
+    std::set<std::string> racks;
+
+    bool operator==(const PoolRoom &) const = default;
+};
+
+// By the name of the pool.
+using PoolRooms = std::map<std::string, PoolRoom>;
+
+[[nodiscard]] Json describe(const PoolRooms &rooms);
+[[nodiscard]] PoolRooms parsePoolRooms(const Json &document);
+
+}
--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -29,6 +29,8 @@
     }
 }
 
+}
+
 HttpResponse describeAccept(const AcceptResult &result)
 {
     switch (result.outcome) {
@@ -39,6 +41,11 @@
     case AcceptOutcome::StoreAway:
         return answer(
             HttpStatus::ServiceUnavailable, {{"detail", "the store is not answering"}, {"remedy", "retry later"}});
+    case AcceptOutcome::Elsewhere:
+        return answer(HttpStatus::SeeOther, {{"partition", result.home}});
+    case AcceptOutcome::Refused:
+        return answer(HttpStatus::TooManyRequests,
+            {{"detail", "the workers have no room for the job"}, {"remedy", "submit it later"}});
     case AcceptOutcome::Unknown:
         break;
     }
@@ -46,8 +53,6 @@
         HttpStatus::GatewayTimeout, {{"detail", "the outcome is not known"}, {"remedy", "submit the same job again"}});
 }
 
-}
-
 JobApi::JobApi(PartitionSeats &seats) : m_seats(seats)
 {
 }
@@ -73,6 +78,8 @@
         status(*keeper, parts[2], respond);
     } else if (collection == "jobs" && parts.size() == ItemParts && request.method == "DELETE") {
         cancel(*keeper, parts[2], respond);
+    } else if (collection == "room" && parts.size() == CollectionParts && request.method == "GET") {
+        respond(answer(HttpStatus::Ok, describe(keeper->jobs().rooms())));
     } else if (collection == "queues" && parts.size() == ItemParts && request.method == "GET") {
         respond(answer(HttpStatus::Ok, {{"waiting", keeper->waitingCount(parts[2])}}));
     } else {
@@ -88,7 +95,9 @@
         respond(answer(HttpStatus::BadRequest, {{"detail", error->detail}, {"remedy", error->remedy}}));
         return;
     }
+    const bool here = request.parameter("placement") == "here";
     keeper.submit(std::get<JobRecord>(std::move(record)),
+        here ? JobKeeper::Placement::Here : JobKeeper::Placement::Free,
         [respond](const AcceptResult &result) { respond(describeAccept(result)); });
 }
 
--- a/source/tenure/JobApi.h
+++ b/source/tenure/JobApi.h
@@ -6,6 +6,9 @@
 namespace Wagtail
 {
 
+// Returns how an owner answers a submission.
+[[nodiscard]] HttpResponse describeAccept(const AcceptResult &result);
+
 // Serves the jobs of the partitions that this instance owns, to the other instances and to operators.
 // docs/API.md lists the calls.
 class JobApi
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -20,6 +20,10 @@
     Exists,
     // The store is not answering and nothing was sent.
     StoreAway,
+    // Another partition should take it; the home names it. Nothing was recorded.
+    Elsewhere,
+    // No partition can ever run it, or it would crowd other work out. Nothing was recorded.
+    Refused,
     // The tenure ended before the result was known.
     Unknown,
 };
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -143,13 +143,51 @@
     return m_position;
 }
 
-void JobKeeper::submit(JobRecord record, SubmitHandler handler)
+std::optional<AcceptResult> JobKeeper::chooseElsewhere(const JobRecord &record, Placement placement)
+{
+    if (m_listed.empty()) {
+        return std::nullopt;
+    }
+    PartitionRooms rooms;
+    if (placement == Placement::Free) {
+        rooms = m_rooms;
+    }
+    rooms[m_position.partition] = m_jobs.rooms();
+    const PartitionChoice choice = choosePartition(record, m_position.partition, rooms);
+    const std::string &id = record.specification.id;
+    if (choice.kind != PartitionChoice::Kind::Take) {
+        const char *reason = choice.kind == PartitionChoice::Kind::NeverFits ? "never fits" : "crowded";
+        m_environment.log("job-refused", id,
+            {{"reason", reason}, {"lasting_millicores", lastingDemand(record.specification)},
+                {"rooms", describe(rooms[m_position.partition])}});
+        return AcceptResult {AcceptOutcome::Refused, {}};
+    }
+    if (choice.partition == m_position.partition) {
+        return std::nullopt;
+    }
+    m_rooms[choice.partition][record.policy.pool].freeBesideLasting -= lastingDemand(record.specification);
+    m_environment.log("job-sent-elsewhere", id, {{"partition", choice.partition}});
+    return AcceptResult {AcceptOutcome::Elsewhere, choice.partition};
+}
+
+void JobKeeper::updateRoom(const std::string &partition, const PoolRooms &rooms)
+{
+    if (partition != m_position.partition) {
+        m_rooms[partition] = rooms;
+    }
+}
+
+void JobKeeper::submit(JobRecord record, Placement placement, SubmitHandler handler)
 {
     const std::string id = record.specification.id;
     if (m_jobs.find(id) != nullptr) {
         handler({AcceptOutcome::Exists, m_position.partition});
         return;
     }
+    if (const std::optional<AcceptResult> elsewhere = chooseElsewhere(record, placement)) {
+        handler(*elsewhere);
+        return;
+    }
     m_journal.accept(record, [this, record, handler = std::move(handler)](const AcceptResult &result) {
         if (result.outcome == AcceptOutcome::Accepted) {
             m_jobs.add(record.specification, record.policy, record.acceptedWall);
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -3,6 +3,7 @@
 #include "configuration/ClusterFeed.h"
 #include "scheduling/JobScheduler.h"
 #include "tenure/JobJournal.h"
+#include "tenure/PartitionChoice.h"
 
 namespace Wagtail
 {
@@ -42,8 +43,14 @@
     [[nodiscard]] bool isLoaded() const;
     [[nodiscard]] const JournalPosition &position() const;
 
+    // Whether a job that suits another partition better may be sent there.
+    enum class Placement {
+        Free,
+        Here,
+    };
+
     using SubmitHandler = std::function<void(const AcceptResult &)>;
-    void submit(JobRecord record, SubmitHandler handler);
+    void submit(JobRecord record, Placement placement, SubmitHandler handler);
 
     // Calls the handler with true once the cancellation is recorded, with false when the job is not known here.
     void cancel(const std::string &id, std::function<void(bool)> handler);
@@ -54,6 +61,9 @@
 
     void updateWorkers(const std::map<std::string, WorkerListing> &workers);
     void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
+
+    // Takes what another partition's workers can take.
+    void updateRoom(const std::string &partition, const PoolRooms &rooms);
     void setAuthority(SchedulingAuthority authority);
     void tick();
 
@@ -83,6 +93,9 @@
     void depose(const std::string &reason);
     void writeLeaseHolders();
     void writePressure();
+
+    // Returns why the job is not to be recorded here, if so.
+    [[nodiscard]] std::optional<AcceptResult> chooseElsewhere(const JobRecord &record, Placement placement);
     void restorePressure(const std::string &text);
 
     Environment m_environment;
@@ -99,6 +112,8 @@
     std::map<std::string, EndMark> m_covered;
     std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
     bool m_leaseHoldersDirty = false;
+    // The rooms of the other partitions; a job that is sent there is taken off until the next update.
+    PartitionRooms m_rooms;
     Instant m_lastForgetting;
     Instant m_lastPressure;
     std::string m_recordedPressure;
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -2,6 +2,7 @@
 
 #include "http/HttpStatus.h"
 
+#include "tenure/JobApi.h"
 #include "tenure/JobKeys.h"
 
 #include <utility>
@@ -36,6 +37,8 @@
     // Whether an attempt that may still take effect was left without an answer.
     bool uncertain = false;
     bool inFlight = false;
+    // An owner sent the job to another partition; that one does not send it on.
+    bool sentElsewhere = false;
     std::function<void(RouteOutcome)> handler;
 
     void finish(RouteOutcome outcome)
@@ -117,19 +120,16 @@
     JobKeeper *keeper = m_environment.seats.keeper(submission->partition);
     if (keeper != nullptr) {
         submission->inFlight = true;
-        keeper->submit(submission->record, [this, alive = m_alive, submission](const AcceptResult &result) {
+        const auto placement = submission->sentElsewhere ? JobKeeper::Placement::Here : JobKeeper::Placement::Free;
+        keeper->submit(submission->record, placement, [this, alive = m_alive, submission](const AcceptResult &result) {
             if (!*alive) {
                 return;
             }
             HttpAnswer answer;
-            answer.delivery = Delivery::Answered;
-            const bool accepted = result.outcome == AcceptOutcome::Accepted;
-            const bool exists = result.outcome == AcceptOutcome::Exists;
-            answer.status = accepted ? HttpStatus::Ok : exists ? HttpStatus::Conflict : HttpStatus::ServiceUnavailable;
-            if (result.outcome == AcceptOutcome::Unknown) {
-                answer.delivery = Delivery::Lost;
-            }
-            answer.body = writeJson({{"partition", result.home}});
+            answer.delivery = result.outcome == AcceptOutcome::Unknown ? Delivery::Lost : Delivery::Answered;
+            HttpResponse response = describeAccept(result);
+            answer.status = response.status;
+            answer.body = std::move(response.body);
             onSubmitAnswer(submission, answer);
         });
         return;
@@ -137,7 +137,8 @@
     if (submission->body.empty()) {
         submission->body = serialize(submission->record);
     }
-    submission->inFlight = callOwner(submission->partition, "POST", "/jobs", submission->body,
+    const std::string target = submission->sentElsewhere ? "/jobs?placement=here" : "/jobs";
+    submission->inFlight = callOwner(submission->partition, "POST", target, submission->body,
         [this, submission](const HttpAnswer &answer) { onSubmitAnswer(submission, answer); });
     if (!submission->inFlight) {
         retrySubmit(submission);
@@ -162,7 +163,11 @@
         submission->finish(RouteOutcome::Done);
         return;
     }
+    case HttpStatus::SeeOther:
+        sendElsewhere(submission, answer.body);
+        return;
     case HttpStatus::BadRequest:
+    case HttpStatus::TooManyRequests:
         submission->finish(RouteOutcome::Refused);
         return;
     case HttpStatus::ServiceUnavailable:
@@ -177,6 +182,20 @@
     }
 }
 
+void JobRouter::sendElsewhere(const std::shared_ptr<Submission> &submission, const std::string &answer)
+{
+    const Result<Json> document = parseJson(answer, "the owner's answer");
+    const Json *body = std::get_if<Json>(&document);
+    const std::string partition = body == nullptr ? std::string() : memberOr(*body, "partition", std::string());
+    if (partition.empty() || submission->sentElsewhere || submission->isFinished()) {
+        retrySubmit(submission);
+        return;
+    }
+    submission->partition = partition;
+    submission->sentElsewhere = true;
+    trySubmit(submission);
+}
+
 void JobRouter::retrySubmit(const std::shared_ptr<Submission> &submission)
 {
     if (submission->isFinished()) {
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -62,6 +62,7 @@
         std::string body, Answer answer);
     void trySubmit(const std::shared_ptr<Submission> &submission);
     void onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer);
+    void sendElsewhere(const std::shared_ptr<Submission> &submission, const std::string &answer);
     void retrySubmit(const std::shared_ptr<Submission> &submission);
     void submitDirectly(const std::shared_ptr<Submission> &submission);
     void inquire(const std::shared_ptr<Inquiry> &inquiry);
--- /dev/null
+++ b/source/tenure/PartitionChoice.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "scheduling/PoolRoom.h"
+#include "tenure/JobRecord.h"
+
+namespace Wagtail
+{
+
+// The rooms of all partitions that are known, by the name of the partition.
+using PartitionRooms = std::map<std::string, PoolRooms>;
+
+// Where a new job goes.
+struct PartitionChoice
+{
+    enum class Kind {
+        // The named partition takes it.
+        Take,
+        // No partition has workers that could ever hold it.
+        NeverFits,
+        // Its lasting tasks would take the room that passing work needs.
+        Crowded,
+    };
+
+    Kind kind = Kind::Take;
+    std::string partition;
+
+    bool operator==(const PartitionChoice &) const = default;
+};
+
+// Chooses among the home partition and the others that are known.
+// Load pattern: lasting jobs that arrive unevenly and stay; without a choice they take all workers of one partition,
+// where passing work then waits, while another has room.
+[[nodiscard]] PartitionChoice choosePartition(
+    const JobRecord &job, const std::string &home, const PartitionRooms &rooms);
+
+// Returns the processors that the lasting tasks of a job take up, in thousandths of a core.
+[[nodiscard]] std::int64_t lastingDemand(const JobSpecification &job);
+
+}
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -255,6 +255,15 @@
     }
 }
 
+void PartitionSeats::updateRoom(const std::string &partition, const PoolRooms &rooms)
+{
+    for (auto &[name, seat] : m_seats) {
+        if (seat.keeper) {
+            seat.keeper->updateRoom(partition, rooms);
+        }
+    }
+}
+
 void PartitionSeats::release(std::function<void()> handler)
 {
     m_releasing = true;
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -38,6 +38,9 @@
     void updateWorkers(const std::map<std::string, WorkerListing> &workers);
     void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
 
+    // Takes what the workers of a partition can take.
+    void updateRoom(const std::string &partition, const PoolRooms &rooms);
+
     // Returns the keeper of a partition that is owned here and loaded, or null.
     [[nodiscard]] JobKeeper *keeper(const std::string &partition);
 
--- /dev/null
+++ b/source/tenure/tests/PartitionChoiceTest.cpp
@@ -0,0 +1,91 @@
+#include "tenure/PartitionChoice.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+PoolRoom roomWith(std::int64_t freeBesideLasting)
+{
+    return {10'000, freeBesideLasting, 500, {4'000, 8'000, 0}, {"a", "rack-1"}, {"rack-1"}};
+}
+
+JobRecord job(bool lasting)
+{
+    JobRecord record;
+    record.policy.pool = "pool";
+    StepSpecification step;
+    step.count = 2;
+    step.demand = {1'000, 1'000, 0};
+    step.estimate = Milliseconds(1'000);
+    step.lasting = lasting;
+    record.specification.steps = {step};
+    return record;
+}
+
+constexpr auto Take = PartitionChoice::Kind::Take;
+
+}
+
+// Load: lasting jobs whose callers all come in at one partition.
+TEST(PartitionChoice, sendsLastingJobsWhereMostIsFree)
+{
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(4'000)}}}, {"other", {{"pool", roomWith(6'000)}}}};
+    EXPECT_EQ(choosePartition(job(true), "home", rooms), (PartitionChoice {Take, "other"}));
+    EXPECT_EQ(choosePartition(job(false), "home", rooms), (PartitionChoice {Take, "home"}));
+}
+
+TEST(PartitionChoice, staysAtHomeWhenOthersHaveLittleMore)
+{
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(4'000)}}}, {"other", {{"pool", roomWith(4'100)}}}};
+    EXPECT_EQ(choosePartition(job(true), "home", rooms), (PartitionChoice {Take, "home"}));
+}
+
+// Load: so many lasting jobs that passing work finds no worker any more.
+TEST(PartitionChoice, refusesLastingJobsThatCrowdPassingWorkOut)
+{
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(2'500)}}}};
+    EXPECT_EQ(choosePartition(job(true), "home", rooms).kind, PartitionChoice::Kind::Crowded);
+    EXPECT_EQ(choosePartition(job(false), "home", rooms).kind, Take);
+}
+
+TEST(PartitionChoice, limitsWhatABacklogOfPassingWorkKeepsFree)
+{
+    PoolRoom room = roomWith(5'000);
+    room.passing = 1'000'000;
+    EXPECT_EQ(choosePartition(job(true), "home", {{"home", {{"pool", room}}}}).kind, Take);
+}
+
+TEST(PartitionChoice, goesToTheOnlyPartitionWithTheLabel)
+{
+    JobRecord labelled = job(false);
+    labelled.specification.steps[0].requiredLabel = "b";
+    PoolRoom other = roomWith(1'000);
+    other.labels = {"b"};
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(9'000)}}}, {"other", {{"pool", other}}}};
+    EXPECT_EQ(choosePartition(labelled, "home", rooms), (PartitionChoice {Take, "other"}));
+    labelled.specification.steps[0].requiredLabel = "c";
+    EXPECT_EQ(choosePartition(labelled, "home", rooms).kind, PartitionChoice::Kind::NeverFits);
+}
+
+TEST(PartitionChoice, goesToTheData)
+{
+    JobRecord near = job(false);
+    near.specification.steps[0].dataRack = "rack-2";
+    PoolRoom other = roomWith(1'000);
+    other.racks = {"rack-2"};
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(9'000)}}}, {"other", {{"pool", other}}}};
+    EXPECT_EQ(choosePartition(near, "home", rooms), (PartitionChoice {Take, "other"}));
+}
+
+TEST(PoolRooms, surviveTheWayToAnotherOwner)
+{
+    const PoolRooms rooms {{"pool", roomWith(4'000)}};
+    EXPECT_EQ(parsePoolRooms(describe(rooms)), rooms);
+    EXPECT_TRUE(parsePoolRooms(Json("none")).empty());
+}
+
+}
