Tenure: Let one owner choose the partition of all lasting jobs

Change: entries bring lasting jobs to the owner of the first partition, which counts what it gives away; when it can't be reached, the home partition decides as before.

--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -99,7 +99,10 @@
 void JobRouter::submit(JobRecord record, Instant deadline, std::function<void(RouteOutcome)> handler)
 {
     auto submission = std::make_shared<Submission>();
-    submission->partition = m_environment.homePartition;
+    // The owner of one partition chooses for all lasting jobs: it counts what it has just given to others, which
+    // owners that choose on their own would learn too late in a burst.
+    submission->partition
+        = record.specification.lasts() ? m_environment.plan.partitions().front() : m_environment.homePartition;
     submission->begin = m_environment.clock.now();
     submission->deadline = submission->begin + (deadline - submission->begin) / SubmissionTimeDivisor;
     submission->handler = std::move(handler);
@@ -206,6 +209,9 @@
         submission->finish(RouteOutcome::Unavailable);
         return;
     }
+    if (!submission->sentElsewhere) {
+        submission->partition = m_environment.homePartition;
+    }
     if (now - submission->begin >= DirectAfter) {
         submitDirectly(submission);
         return;
