Tenure: Count lasting jobs that are being recorded; send passing work away from a full partition

Cause: the owner that chooses for lasting jobs did not count those whose acceptance was on its way to the store, and kept 1,060 cores of 1,150 for lasting tasks while others had 720; short tasks then waited there for 30 s. Tests: PartitionChoice.sendsPassingWorkAwayFromAFullPartition (red before).

--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -153,6 +153,9 @@
         rooms = m_rooms;
     }
     rooms[m_position.partition] = m_jobs.rooms();
+    for (const auto &[pool, demand] : m_lastingOnTheWay) {
+        rooms[m_position.partition][pool].freeBesideLasting -= demand;
+    }
     const PartitionChoice choice = choosePartition(record, m_position.partition, rooms);
     const std::string &id = record.specification.id;
     if (choice.kind != PartitionChoice::Kind::Take) {
@@ -188,7 +191,10 @@
         handler(*elsewhere);
         return;
     }
-    m_journal.accept(record, [this, record, handler = std::move(handler)](const AcceptResult &result) {
+    const std::int64_t demand = lastingDemand(record.specification);
+    m_lastingOnTheWay[record.policy.pool] += demand;
+    m_journal.accept(record, [this, record, demand, handler = std::move(handler)](const AcceptResult &result) {
+        m_lastingOnTheWay[record.policy.pool] -= demand;
         if (result.outcome == AcceptOutcome::Accepted) {
             m_jobs.add(record.specification, record.policy, record.acceptedWall);
         }
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -102,6 +102,9 @@
     Limits m_limits;
     JournalPosition m_position;
     Instant m_beganAt;
+    // The processors of lasting tasks, by pool, whose jobs are being recorded. The journal answers for them when it is
+    // destroyed, so this outlives it.
+    std::map<std::string, std::int64_t> m_lastingOnTheWay;
     JobScheduler m_jobs;
     JobJournal m_journal;
     VersionedEntries m_inbox;
--- a/source/tenure/PartitionChoice.cpp
+++ b/source/tenure/PartitionChoice.cpp
@@ -47,6 +47,13 @@
         : static_cast<double>(room.freeBesideLasting - demand) / static_cast<double>(room.capacity);
 }
 
+// Returns how much of a partition's capacity passing work lacks, as a negative share; 0 where there is enough.
+double shortageShare(const PoolRoom &room)
+{
+    const auto wanted = static_cast<std::int64_t>(PassingHeadroom * static_cast<double>(room.passing));
+    return std::min(0.0, freeShareWith(room, wanted));
+}
+
 bool leavesRoomForPassingWork(const PoolRoom &room, std::int64_t demand)
 {
     const double wanted = PassingHeadroom * static_cast<double>(room.passing);
@@ -78,7 +85,7 @@
         if (room == pools.end() || !couldRun(room->second, job.specification)) {
             continue;
         }
-        const double share = demand > 0 ? freeShareWith(room->second, demand) : 0.0;
+        const double share = demand > 0 ? freeShareWith(room->second, demand) : shortageShare(room->second);
         const double preference = name == home ? MoveMargin : 0.0;
         const std::pair<std::int64_t, double> value {workNearData(room->second, job.specification), share + preference};
         if (best == nullptr || value > bestValue) {
--- a/source/tenure/tests/PartitionChoiceTest.cpp
+++ b/source/tenure/tests/PartitionChoiceTest.cpp
@@ -44,6 +44,13 @@
     EXPECT_EQ(choosePartition(job(true), "home", rooms), (PartitionChoice {Take, "home"}));
 }
 
+// Load: a partition that lasting tasks fill, so that passing work would wait for tens of seconds.
+TEST(PartitionChoice, sendsPassingWorkAwayFromAFullPartition)
+{
+    const PartitionRooms rooms {{"home", {{"pool", roomWith(100)}}}, {"other", {{"pool", roomWith(3'000)}}}};
+    EXPECT_EQ(choosePartition(job(false), "home", rooms), (PartitionChoice {Take, "other"}));
+}
+
 // Load: so many lasting jobs that passing work finds no worker any more.
 TEST(PartitionChoice, refusesLastingJobsThatCrowdPassingWorkOut)
 {
