Scheduling, Platform: Ask the placement advisor before starting steps of advised queues

A queue may let only some workers run a step, known to an advisor that answers one call at a time. Such tasks were refused by every worker for want of a ticket and never ran. JobScheduler asks for a few workers for each waiting task, those that are known to be suitable first, remembers the answers for the worker's life, renews tickets that run out, and goes on waiting while the advisor is away.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Scheduler.h"
+#include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PoolRoom.h"
 #include "scheduling/WorkerState.h"
 
@@ -77,6 +78,8 @@
         Scheduler &scheduler;
         WorkerGateway &gateway;
         JobSchedulerListener &listener;
+        // Null where no queue needs one.
+        PlacementAdvisor *advisor = nullptr;
     };
 
     // The token fences all orders; the tenure, counted from 0, keeps run numbers above those of earlier tenures.
@@ -192,6 +195,14 @@
     [[nodiscard]] OrderTarget target(const WorkerState &worker) const;
     [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
 
+    // Advice
+    [[nodiscard]] bool mayRun(const StepState &step, const WorkerState &worker) const;
+    [[nodiscard]] static std::string ticketFor(const StepState &step, const std::string &worker);
+    [[nodiscard]] std::vector<std::string> workersToAskFor(const StepState &step) const;
+    void askAdvisor(StepState &step);
+    void onAdvice(const StepName &name, const std::map<std::string, std::int64_t> &asked, Instant askedAt,
+        const std::variant<PlacementAdvice, AdviceFailure> &result);
+
     // Placement
     void dispatchSoon();
     void dispatch();
@@ -213,6 +224,9 @@
     std::uint64_t m_firstRun;
     SchedulingAuthority m_authority = SchedulingAuthority::Full;
     bool m_dispatchPosted = false;
+    // The advisor handles one call at a time.
+    bool m_adviceOpen = false;
+    Instant m_nextAdvice;
     // Workers that are kept free of other work until waiting lasting tasks fit; chosen anew by each dispatch.
     std::set<std::string> m_reserved;
     Instant m_recoveringUntil;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -65,6 +65,9 @@
                 if (step.waitingCount > 0) {
                     noteWaiting(step);
                 }
+                if (step.waitingCount > 0 && job->policy.advised) {
+                    askAdvisor(step);
+                }
                 if (step.specification().lasting && step.waitingCount > 0) {
                     reserveFor(step);
                 }
@@ -205,7 +208,8 @@
     WorkerState *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
-        if (!query.step->lasting && m_reserved.contains(name)) {
+        const bool keptFree = !query.step->lasting && m_reserved.contains(name);
+        if (keptFree || !mayRun(step, worker)) {
             continue;
         }
         const std::optional<double> cost = placementCost(worker, query);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -61,6 +61,7 @@
     order.run = name;
     order.payload = task.step->occurrence->job->specification.payload;
     order.checkpoint = task.checkpoint;
+    order.ticket = ticketFor(*task.step, task.worker);
     order.leaseUntil = grantLease(*worker);
     task.orderOpen = true;
     const Instant sentAt = m_environment.clock.now();
@@ -122,6 +123,9 @@
         m_environment.listener.tokenRefused(worker.listing.name);
         return;
     }
+    if (outcome == OrderOutcome::TicketRefused) {
+        task.step->permissions.erase(worker.listing.name);
+    }
     worker.full = worker.full || outcome == OrderOutcome::NoRoom;
     if (outcome == OrderOutcome::Unhealthy) {
         noteFailure(worker, task.step->occurrence->job->specification.id);
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -72,6 +72,15 @@
     Instant notBefore;
 };
 
+// What the placement advisor said of one worker.
+struct PlacementPermission
+{
+    std::int64_t incarnation = 0;
+    // Empty where the worker may not run the step; that does not change during its life.
+    std::string ticket;
+    Instant validUntil;
+};
+
 struct StepState
 {
     OccurrenceState *occurrence = nullptr;
@@ -83,6 +92,8 @@
     std::optional<Instant> waitingSince;
     // The highest run number that any member of the step used; gang members share one.
     std::uint64_t highestRun = 0;
+    // By worker; only for queues with a placement advisor.
+    std::map<std::string, PlacementPermission> permissions;
 
     [[nodiscard]] const StepSpecification &specification() const;
 };
--- a/source/settings/NodeSettings.cpp
+++ b/source/settings/NodeSettings.cpp
@@ -72,6 +72,13 @@
         return std::get<Endpoint>(parsed);
     }
 
+    std::optional<Endpoint> optionalEndpoint(const char *table, const char *key)
+    {
+        const Json member = find(table, key);
+        const bool missing = member.is_null() || (member.is_string() && member.get<std::string>().empty());
+        return missing ? std::nullopt : std::optional(endpoint(table, key));
+    }
+
     std::map<std::string, std::string> texts(const char *table)
     {
         std::map<std::string, std::string> values;
@@ -146,6 +153,7 @@
     settings.peers = reader.endpoint("listen", "peers");
     settings.metrics = reader.endpoint("listen", "metrics");
     settings.store = reader.endpoint("store", "address");
+    settings.advisor = reader.optionalEndpoint("advisor", "address");
     constexpr double MostCores = 1'024.0;
     settings.milliCores = std::llround(reader.number("limits", "processor_share", 0.0, MostCores) * MilliCoresPerCore);
     settings.workerLease = reader.milliseconds("workers", "lease_ms");
--- a/source/settings/NodeSettings.h
+++ b/source/settings/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -40,6 +41,8 @@
     Endpoint peers;
     Endpoint metrics;
     Endpoint store;
+    // The service that knows which workers may run a step; nothing where no queue needs it.
+    std::optional<Endpoint> advisor;
     // Thousandths of a core that the process may use.
     std::int64_t milliCores = 0;
     // The longest lease that workers grant.
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -47,8 +47,8 @@
     , m_limits(limits)
     , m_position(std::move(position))
     , m_beganAt(m_environment.clock.now())
-    , m_jobs({m_environment.clock, m_environment.scheduler, m_environment.gateway, *this}, limits.scheduling,
-          m_position.ownerRevision, m_position.tenure)
+    , m_jobs({m_environment.clock, m_environment.scheduler, m_environment.gateway, *this, m_environment.advisor},
+          limits.scheduling, m_position.ownerRevision, m_position.tenure)
     , m_journal(m_environment.store, m_environment.scheduler, *this, m_position)
     , m_inbox([this](const std::string &key) { onInboxChanged(key); })
     , m_inboxFeed(
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -22,6 +22,7 @@
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
         // Called when the tenure is over; the keeper must be destroyed afterwards, not within the call.
         std::function<void()> onDeposed;
+        PlacementAdvisor *advisor = nullptr;
     };
 
     struct Limits
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -180,13 +180,15 @@
     }
     m_environment.log("tenure-begins", partition, {{"token", revision}, {"tenure", tenure}});
     JobKeeper::Environment environment {m_environment.clock, m_environment.scheduler, m_environment.store,
-        m_environment.gateway, m_environment.log, [this, alive = m_alive, partition] {
+        m_environment.gateway, m_environment.log,
+        [this, alive = m_alive, partition] {
             m_environment.scheduler.post([this, alive, partition] {
                 if (*alive) {
                     drop(partition);
                 }
             });
-        }};
+        },
+        m_environment.advisor};
     seat.keeper = std::make_unique<JobKeeper>(
         std::move(environment), m_limits, JournalPosition {partition, tenure, revision, revision});
     seat.keeper->updateWorkers(workersOf(partition));
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -22,6 +22,7 @@
         const VersionedEntries &cluster;
         const PartitionPlan &plan;
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
+        PlacementAdvisor *advisor = nullptr;
     };
 
     PartitionSeats(Environment environment, InstanceCard self, JobKeeper::Limits limits);
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -282,6 +282,31 @@
     EXPECT_EQ(world.workers.startCount({"second", 0, 0, 0}), 1U);
 }
 
+TEST(JobScheduler, startsAdvisedStepsOnlyWhereTheAdvisorAllowsIt)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    world.advisor.suitable = {"worker-2"};
+    world.advisor.away = true;
+    world.workers.requireTickets("job");
+    JobRecord record = TenureWorld::job("job", 1, 6);
+    record.policy.advised = true;
+    owner->router.submit(record, world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Second * 2);
+    EXPECT_EQ(world.workers.runningCount(), 0U);
+    world.advisor.away = false;
+    // Four tasks fit at once, and the ticket runs out before the others can start.
+    world.workers.setBehaviour("job", {Milliseconds(1'500), 0, false});
+    world.advance(Second);
+    EXPECT_EQ(world.workers.runningCount(), 4U);
+    world.advance(Second * 5);
+    EXPECT_EQ(world.phaseOf("job"), JobPhase::Done);
+    EXPECT_EQ(world.advisor.mostOpenCalls, 1);
+    EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
+}
+
 // Load: small tasks fill every gap as soon as it opens, while a lasting task needs a whole worker.
 TEST(JobScheduler, makesRoomForALastingTaskAmongSmallOnes)
 {
--- a/source/tenure/tests/TenureWorld.h
+++ b/source/tenure/tests/TenureWorld.h
@@ -4,6 +4,7 @@
 #include "tenure/JobApi.h"
 #include "tenure/JobKeys.h"
 #include "tenure/JobRouter.h"
+#include "testing/FakeAdvisor.h"
 #include "testing/FakeWorkers.h"
 #include "testing/FaultyStore.h"
 
@@ -70,14 +71,14 @@
 struct TenureInstance
 {
     TenureInstance(ManualClock &clock, ManualScheduler &scheduler, InstanceWires &wires, FakeWorkers &workers,
-        HttpClient &peers, const PartitionPlan &plan, const std::string &name, int life)
+        HttpClient &peers, PlacementAdvisor &advisor, const PartitionPlan &plan, const std::string &name, int life)
         : store(wires.store)
         , gateway(wires.gateway)
         , lease(store, scheduler, clock, {}, JobKeys::Instances + name)
         , cluster([](const std::string &) {})
         , feed(store, scheduler, cluster, JobKeys::Cluster)
         , card {name, name, "depot", "wheatbelt", name + "-" + std::to_string(life), 250}
-        , seats({clock, scheduler, store, gateway, lease, cluster, plan, log}, card, limits())
+        , seats({clock, scheduler, store, gateway, lease, cluster, plan, log, &advisor}, card, limits())
         , api(seats)
         , router({clock, scheduler, store, peers, seats, plan, log, plan.partitions().front()})
     {
@@ -120,6 +121,7 @@
         , state(clock)
         , workers(clock)
         , peers(scheduler)
+        , advisor(scheduler)
         , plan(std::map<std::string, std::string> {{"depot", "wheatbelt"}})
     {
         for (int i = 0; i < WorkerCount; ++i) {
@@ -136,7 +138,7 @@
         const std::string name = "instance-" + std::to_string(number);
         m_wires.push_back(std::make_unique<InstanceWires>(scheduler, state, workers));
         instances[number] = std::make_unique<TenureInstance>(
-            clock, scheduler, *m_wires.back(), workers, peers, plan, name, ++m_lives);
+            clock, scheduler, *m_wires.back(), workers, peers, advisor, plan, name, ++m_lives);
         TenureInstance *instance = instances[number].get();
         peers.servers[name] = [instance](const HttpRequest &request, const HttpServer::Responder &respond) {
             return instance->api.handle(request, respond);
@@ -236,6 +238,7 @@
     StandinStore state;
     FakeWorkers workers;
     FakePeerClient peers;
+    FakeAdvisor advisor;
     PartitionPlan plan;
     std::map<int, std::unique_ptr<TenureInstance>> instances;
 
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -66,6 +66,12 @@
         m_behaviours[job] = behaviour;
     }
 
+    // Starts of the job's tasks need the ticket that FakeAdvisor gives for the worker.
+    void requireTickets(const std::string &job)
+    {
+        m_advisedJobs.insert(job);
+    }
+
     // Lets time pass: tasks end, leases run out.
     void advance()
     {
@@ -99,6 +105,9 @@
                 return {OrderOutcome::Accepted, clockOf(worker)};
             }
         }
+        if (m_advisedJobs.contains(order.run.task.job) && order.ticket != "ticket of " + name) {
+            return {OrderOutcome::TicketRefused, clockOf(worker)};
+        }
         const auto closed = worker.closed.find(order.run.task);
         if (closed != worker.closed.end() && order.run.run <= closed->second) {
             return {OrderOutcome::Superseded, clockOf(worker)};
@@ -311,6 +320,7 @@
     ManualClock &m_clock;
     std::map<std::string, Worker> m_workers;
     std::map<std::string, Behaviour> m_behaviours;
+    std::set<std::string> m_advisedJobs;
     std::map<TaskName, std::vector<Instant>> m_starts;
     std::map<RunName, Instant> m_endedAt;
     std::map<TaskName, Instant> m_notedDone;
