Tenure: Let short budgets use nearly all of their time

Seen on a trial deployment: 17 submissions of callers with about 100 ms left were given up after half of it as unknown, though the owner answered just then. Submissions now go on for half of the caller's time, or 700 ms, or until 30 ms before the deadline, whichever comes last of the first and first of the others.

--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -18,11 +18,19 @@
 constexpr Milliseconds RetryPeriod {100};
 // A partition without a reachable owner for this long gets its jobs through the store.
 constexpr Milliseconds DirectAfter {400};
-// Answers need this much time to travel back.
-constexpr Milliseconds AnswerMargin {80};
+// Answers need this much time to travel back to a caller of the same data centre.
+constexpr Milliseconds AnswerMargin {30};
 // A submission whose outcome is still open after this share of the caller's time is given up: the caller can ask
 // another instance in the rest.
 constexpr int SubmissionTimeDivisor = 2;
+// An acceptance through an owner in another region takes about 100 ms, or 600 ms while the store is slow.
+constexpr Milliseconds UsefulTime {700};
+
+// Returns how long an attempt to submit goes on when the caller waits for the given time.
+Milliseconds submissionTime(Milliseconds left)
+{
+    return std::max(left / SubmissionTimeDivisor, std::min(left - AnswerMargin, UsefulTime));
+}
 constexpr std::size_t MostHomes = 20'000;
 
 }
@@ -104,7 +112,8 @@
     submission->partition
         = record.specification.lasts() ? m_environment.plan.partitions().front() : m_environment.homePartition;
     submission->begin = m_environment.clock.now();
-    submission->deadline = submission->begin + (deadline - submission->begin) / SubmissionTimeDivisor;
+    submission->deadline = submission->begin
+        + submissionTime(std::chrono::duration_cast<Milliseconds>(deadline - submission->begin));
     submission->handler = std::move(handler);
     submission->record = std::move(record);
     const auto known = m_homes.find(submission->record.specification.id);
