--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -112,8 +112,8 @@
     submission->partition
         = record.specification.lasts() ? m_environment.plan.partitions().front() : m_environment.homePartition;
     submission->begin = m_environment.clock.now();
-    submission->deadline = submission->begin
-        + submissionTime(std::chrono::duration_cast<Milliseconds>(deadline - submission->begin));
+    submission->deadline
+        = submission->begin + submissionTime(std::chrono::duration_cast<Milliseconds>(deadline - submission->begin));
     submission->handler = std::move(handler);
     submission->record = std::move(record);
     const auto known = m_homes.find(submission->record.specification.id);
@@ -222,7 +222,11 @@
         submission->partition = m_environment.homePartition;
     }
     if (now - submission->begin >= DirectAfter) {
-        submitDirectly(submission);
+        if (m_environment.isStoreAway()) {
+            submission->finish(RouteOutcome::Unavailable);
+        } else {
+            submitDirectly(submission);
+        }
         return;
     }
     m_environment.scheduler.after(RetryPeriod, [this, alive = m_alive, submission] {
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -36,6 +36,10 @@
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
         // The partition that takes this instance's new jobs.
         std::string homePartition;
+        // Returns whether no instance reaches the store, so that an attempt to write would only leave its outcome open.
+        std::function<bool()> isStoreAway = [] {
+            return false;
+        };
     };
 
     explicit JobRouter(Environment environment);
