--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -158,6 +158,8 @@
     void place(TaskState &task, WorkerState &worker, std::uint64_t run);
     void sendStart(TaskState &task);
     void onStartAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
+    // Counts the job among those of which a task has begun.
+    void noteStarted(JobState &job);
     // Notes that the worker has the run; its reports that were asked for after the given time must list it.
     void markRunning(TaskState &task, Instant answeredAt);
     void onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -43,8 +43,11 @@
     if (step.specification().backfills) {
         worker.backfilling.push_back({step.specification().image, worker.shareOf(step.specification()), 0.0, 100});
     }
-    JobState &job = *step.occurrence->job;
-    if (!job.everStarted) {
+}
+
+void JobScheduler::noteStarted(JobState &job)
+{
+    if (!job.everStarted && !job.isFinished()) {
         job.everStarted = true;
         setPhase(job, JobPhase::Running);
     }
@@ -112,6 +115,7 @@
     task.phase = RunPhase::Running;
     task.progressedAt = m_environment.clock.now();
     task.lastOrderAnswered = answeredAt;
+    noteStarted(*task.step->occurrence->job);
 }
 
 void JobScheduler::onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome)
@@ -231,6 +235,7 @@
     }
     const bool current = task->worker == worker.listing.name && task->run == ended.run.run;
     JobState &job = *task->step->occurrence->job;
+    noteStarted(job);
     if (current && !ended.checkpoint.empty() && ended.end != RunEnd::Done) {
         task->checkpoint = ended.checkpoint;
         m_environment.listener.progressChanged(job.specification.id);
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -282,6 +282,23 @@
     EXPECT_EQ(world.workers.startCount({"second", 0, 0, 0}), 1U);
 }
 
+// A start that a worker refuses begins nothing, so its job still counts among those that wait.
+TEST(JobScheduler, countsAJobAsWaitingUntilATaskHasReallyStarted)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    world.workers.requireTickets("job");
+    owner->router.submit(TenureWorld::job("job", 1, 2), world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Second * 2);
+    EXPECT_EQ(owner->seats.keeper("fleet")->waitingCount("queue"), 1);
+    EXPECT_EQ(world.phaseOf("job"), JobPhase::Pending);
+    owner->router.submit(TenureWorld::job("other", 1, 2), world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Milliseconds(200));
+    EXPECT_EQ(owner->seats.keeper("fleet")->waitingCount("queue"), 1);
+}
+
 TEST(JobScheduler, startsAdvisedStepsOnlyWhereTheAdvisorAllowsIt)
 {
     TenureWorld world;
