--- a/source/scheduling/JobSchedulerAdvice.cpp
+++ b/source/scheduling/JobSchedulerAdvice.cpp
@@ -12,7 +12,7 @@
 
 // The advisor takes longer for each worker named, so few are asked for at a time: some for each waiting task, since not
 // all are suitable.
-constexpr int AskedForEachTask = 3;
+constexpr std::size_t AskedForEachTask = 3;
 constexpr std::size_t LeastAsked = 4;
 constexpr std::size_t MostAsked = 30;
 // After a refused or unanswered call.
@@ -56,9 +56,10 @@
         }
     }
     std::sort(candidates.begin(), candidates.end());
-    const auto wanted = static_cast<std::size_t>(AskedForEachTask * step.waitingCount);
+    const std::size_t wanted = AskedForEachTask * static_cast<std::size_t>(step.waitingCount);
     candidates.resize(std::min({candidates.size(), std::max(wanted, LeastAsked), MostAsked}));
     std::vector<std::string> names;
+    names.reserve(candidates.size());
     for (const auto &candidate : candidates) {
         names.push_back(std::get<2>(candidate));
     }
