Tenure: Do not refuse a job that another partition has accepted

Found on reading the diff: with several partitions a late copy of an accepted request reaches an owner that does not know the job, and was refused as never run when that owner had no room. The owner now looks the job's home up in the store before it refuses. JobKeeper.doesNotRefuseAJobThatIsAcceptedElsewhere is red without the look-up. An answer that comes while the call is being sent no longer marks the submission as in flight.

--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -173,6 +173,21 @@
     return AcceptResult {AcceptOutcome::Elsewhere, choice.partition};
 }
 
+void JobKeeper::refuse(const std::string &id, SubmitHandler handler)
+{
+    m_environment.store.read(JobKeys::home(id),
+        [alive = m_alive, handler = std::move(handler)](const Result<std::optional<StoreEntry>> &result) {
+            const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
+            if (home == nullptr || !*alive) {
+                handler({AcceptOutcome::Unknown, {}});
+            } else if (*home) {
+                handler({AcceptOutcome::Exists, (*home)->value});
+            } else {
+                handler({AcceptOutcome::Refused, {}});
+            }
+        });
+}
+
 void JobKeeper::updateRoom(const std::string &partition, const PoolRooms &rooms)
 {
     if (partition != m_position.partition) {
@@ -188,7 +203,11 @@
         return;
     }
     if (const std::optional<AcceptResult> elsewhere = chooseElsewhere(record, placement)) {
-        handler(*elsewhere);
+        if (elsewhere->outcome == AcceptOutcome::Refused) {
+            refuse(id, std::move(handler));
+        } else {
+            handler(*elsewhere);
+        }
         return;
     }
     const std::int64_t demand = lastingDemand(record.specification);
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -97,6 +97,9 @@
 
     // Returns why the job is not to be recorded here, if so.
     [[nodiscard]] std::optional<AcceptResult> chooseElsewhere(const JobRecord &record, Placement placement);
+
+    // Refuses a job, unless another partition has accepted it: requests arrive again after their answer.
+    void refuse(const std::string &id, SubmitHandler handler);
     void restorePressure(const std::string &text);
 
     Environment m_environment;
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -25,13 +25,13 @@
 constexpr int SubmissionTimeDivisor = 2;
 // An acceptance through an owner in another region takes about 100 ms, or 600 ms while the store is slow.
 constexpr Milliseconds UsefulTime {700};
+constexpr std::size_t MostHomes = 20'000;
 
 // Returns how long an attempt to submit goes on when the caller waits for the given time.
 Milliseconds submissionTime(Milliseconds left)
 {
     return std::max(left / SubmissionTimeDivisor, std::min(left - AnswerMargin, UsefulTime));
 }
-constexpr std::size_t MostHomes = 20'000;
 
 }
 
@@ -150,9 +150,11 @@
         submission->body = serialize(submission->record);
     }
     const std::string target = submission->sentElsewhere ? "/jobs?placement=here" : "/jobs";
-    submission->inFlight = callOwner(submission->partition, "POST", target, submission->body,
+    submission->inFlight = true;
+    const bool sent = callOwner(submission->partition, "POST", target, submission->body,
         [this, submission](const HttpAnswer &answer) { onSubmitAnswer(submission, answer); });
-    if (!submission->inFlight) {
+    if (!sent) {
+        submission->inFlight = false;
         retrySubmit(submission);
     }
 }
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -380,4 +380,29 @@
     EXPECT_EQ(cancelled, RouteOutcome::Unknown);
 }
 
+// A late copy of a request whose job another partition has accepted is not told that the job never runs.
+TEST(JobKeeper, doesNotRefuseAJobThatIsAcceptedElsewhere)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    JobRecord job = TenureWorld::job("job", 1, 1);
+    job.specification.steps[0].requiredLabel = "nowhere";
+    std::optional<RouteOutcome> outcome;
+    const auto submit = [&] {
+        outcome.reset();
+        owner->router.submit(
+            job, world.clock.now() + Second * 3, [&outcome](RouteOutcome result) { outcome = result; });
+        world.advance(Milliseconds(200));
+    };
+    submit();
+    EXPECT_EQ(outcome, RouteOutcome::Refused);
+    StoreTransaction transaction;
+    transaction.writes = {{JobKeys::home("job"), "other", {}, 0}};
+    ASSERT_EQ(errorOf(world.state.commit(transaction)), nullptr);
+    submit();
+    EXPECT_EQ(outcome, RouteOutcome::Done);
+}
+
 }
