Tenure: Release a partition also while its jobs go on

Change: while it is given up a partition takes no requests (entries go to the successor), and the flush ends with the first transaction that holds all that was decided before.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -33,6 +33,7 @@
         std::make_move_iterator(m_accepts.begin()), std::make_move_iterator(m_accepts.end()));
     if (m_batch) {
         std::move(m_batch->accepts.begin(), m_batch->accepts.end(), std::back_inserter(open));
+        std::move(m_batch->flushHandlers.begin(), m_batch->flushHandlers.end(), std::back_inserter(m_flushHandlers));
     }
     for (const PendingAccept &accept : open) {
         accept.handler({AcceptOutcome::Unknown, {}});
@@ -161,6 +162,9 @@
         batch.accepts.push_back(std::move(accept));
         entries += EntriesPerAccept;
     }
+    if (batch.covers && m_accepts.empty()) {
+        batch.flushHandlers.swap(m_flushHandlers);
+    }
     while (!m_puts.empty() && entries < MostEntries) {
         auto node = m_puts.extract(m_puts.begin());
         transaction.writes.push_back({node.key(), std::move(node.mapped()), std::nullopt, 0});
@@ -222,6 +226,9 @@
     if (batch.covers) {
         m_owner.onCovered();
     }
+    for (const auto &handler : batch.flushHandlers) {
+        handler();
+    }
     if (isIdle()) {
         notifyFlushed();
     } else {
@@ -271,6 +278,7 @@
     }
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
     m_coverageWanted = m_coverageWanted || batch.covers;
+    std::move(batch.flushHandlers.begin(), batch.flushHandlers.end(), std::back_inserter(m_flushHandlers));
     schedule(Milliseconds(0));
 }
 
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -108,6 +108,8 @@
         std::vector<PendingAccept> accepts;
         std::vector<std::pair<std::string, JobPhase>> phases;
         bool covers = false;
+        // Called once the batch is in the store; it holds all that was decided before they asked.
+        std::vector<std::function<void()>> flushHandlers;
         // Whether an earlier attempt went unanswered and may have taken effect.
         bool uncertain = false;
     };
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -50,7 +50,8 @@
 JobKeeper *PartitionSeats::keeper(const std::string &partition)
 {
     const auto found = m_seats.find(partition);
-    const bool usable = found != m_seats.end() && found->second.keeper && found->second.keeper->isLoaded();
+    const bool usable = found != m_seats.end() && found->second.keeper && found->second.keeper->isLoaded()
+        && !found->second.releasing;
     return usable ? found->second.keeper.get() : nullptr;
 }
 
@@ -203,6 +204,7 @@
         seat.endedToken = seat.keeper->position().ownerRevision;
     }
     seat.keeper.reset();
+    seat.releasing = false;
     seat.vacantSince.reset();
 }
 
@@ -291,6 +293,7 @@
         releaseNext(std::move(partitions), std::move(handler));
         return;
     }
+    seat.releasing = true;
     seat.keeper->setAuthority(SchedulingAuthority::KeepRunning);
     seat.keeper->flush(
         [this, alive = m_alive, partition, partitions = std::move(partitions), handler = std::move(handler)] {
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -59,6 +59,8 @@
     {
         std::unique_ptr<JobKeeper> keeper;
         bool taking = false;
+        // Given up once its last changes are recorded; meanwhile it takes no requests, so that they come to an end.
+        bool releasing = false;
         std::optional<Instant> vacantSince;
         // The token of the last tenure here. The cluster's entries may still show it after the store has ended it.
         StoreRevision endedToken = 0;
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -405,4 +405,37 @@
     EXPECT_EQ(outcome, RouteOutcome::Done);
 }
 
+// Load: jobs that come in and end all the time while an instance is asked to stop.
+TEST(PartitionSeats, releaseAPartitionWhileItsJobsGoOn)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    TenureInstance *entry = nullptr;
+    for (const auto &[number, instance] : world.instances) {
+        entry = instance.get() == owner ? entry : instance.get();
+    }
+    bool released = false;
+    int accepted = 0;
+    constexpr int Jobs = 60;
+    for (int i = 0; i < Jobs; ++i) {
+        const std::string id = "job-" + std::to_string(i);
+        world.workers.setBehaviour(id, {Milliseconds(60), 0, false});
+        entry->router.submit(TenureWorld::job(id, 1, 1), world.clock.now() + Second * 3,
+            [&accepted](RouteOutcome outcome) { accepted += outcome == RouteOutcome::Done ? 1 : 0; });
+        if (i == Jobs / 4) {
+            owner->seats.release([&released] { released = true; });
+        }
+        world.advance(Milliseconds(20));
+        EXPECT_TRUE(released || i < Jobs / 4 + 15);
+    }
+    world.advance(Second * 5);
+    EXPECT_EQ(accepted, Jobs);
+    for (int i = 0; i < Jobs; ++i) {
+        EXPECT_EQ(world.phaseOf("job-" + std::to_string(i)), JobPhase::Done);
+    }
+    EXPECT_EQ(world.workers.violations(), std::vector<std::string>());
+}
+
 }
--- a/source/workers/WorkerCodec.cpp
+++ b/source/workers/WorkerCodec.cpp
@@ -86,8 +86,9 @@
 TaskStart parseTaskStart(const Json &document)
 {
     return {parseTaskAttempt(document), memberOr(document, "incarnation", std::string()),
-        memberOr(document, "report", std::uint64_t {0}), memberOr(document, "profile", std::string()), parseResources(memberOr(document, "resources", Json::object())),
-        memberOr(document, "payload", std::string()), memberOr(document, "checkpoint", std::string())};
+        memberOr(document, "report", std::uint64_t {0}), memberOr(document, "profile", std::string()),
+        parseResources(memberOr(document, "resources", Json::object())), memberOr(document, "payload", std::string()),
+        memberOr(document, "checkpoint", std::string())};
 }
 
 Json describe(const WorkerReport &report)
