Scheduling, Tenure: Check spread and read owners' answers in one place

Found on reading the whole change: placementCost() counted the tasks of a step by a map that choose() built anew for each task, beside hasReachedSpread(), which derives the same from the worker's tasks; JobRouter parsed an owner's answer three times in the same way. The query now names the step's state, the map is gone, and textIn() reads a member of an answer. No behaviour changes: a task stands among its worker's tasks exactly while it names that worker.

--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -188,27 +188,18 @@
 WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task)
 {
     WorkerQuery query;
-    query.step = &step.specification();
+    query.step = &step;
     query.pool = step.occurrence->job->policy.pool;
     query.avoided = &task.avoided;
     query.pressure = &m_pressure;
     query.now = m_environment.clock.now();
-    std::map<std::string, int> sameStep;
-    if (query.step->perWorkerLimit > 0) {
-        for (const TaskState &other : step.tasks) {
-            if (!other.worker.empty()) {
-                ++sameStep[other.worker];
-            }
-        }
-    }
-    query.sameStep = &sameStep;
-    if (query.step->sameRack) {
+    if (step.specification().sameRack) {
         query.preferredRack = preferredRack(step);
     }
     WorkerState *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
-        const bool keptFree = !query.step->lasting && m_reserved.contains(name);
+        const bool keptFree = !step.specification().lasting && m_reserved.contains(name);
         if (keptFree || !mayRun(step, worker)) {
             continue;
         }
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -70,14 +70,17 @@
 bool hasReachedSpread(const WorkerState &worker, const StepState &step)
 {
     const int limit = step.specification().perWorkerLimit;
+    if (limit == 0) {
+        return false;
+    }
     const auto present = std::count_if(
         worker.tasks.begin(), worker.tasks.end(), [&step](const TaskState *task) { return task->step == &step; });
-    return limit > 0 && present >= limit;
+    return present >= limit;
 }
 
 std::optional<double> placementCost(const WorkerState &worker, const WorkerQuery &query)
 {
-    const StepSpecification &step = *query.step;
+    const StepSpecification &step = query.step->specification();
     if (!isUsable(worker, query.now) || !couldEverHold(worker, step, query.pool)) {
         return std::nullopt;
     }
@@ -85,11 +88,8 @@
     if (!demand.fitsInto(worker.room())) {
         return std::nullopt;
     }
-    if (step.perWorkerLimit > 0) {
-        const auto found = query.sameStep->find(worker.listing.name);
-        if (found != query.sameStep->end() && found->second >= step.perWorkerLimit) {
-            return std::nullopt;
-        }
+    if (hasReachedSpread(worker, *query.step)) {
+        return std::nullopt;
     }
     const std::int64_t capacity = worker.listing.capacity.milliCores;
     const std::int64_t unused = unusedMilliCores(worker);
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -8,11 +8,9 @@
 // What a task looks for when it needs a worker.
 struct WorkerQuery
 {
-    const StepSpecification *step = nullptr;
+    const StepState *step = nullptr;
     std::string pool;
     const std::set<std::string> *avoided = nullptr;
-    // How many tasks of the step each worker already has.
-    const std::map<std::string, int> *sameStep = nullptr;
     // The rack that the other tasks of a rack-bound step stand on, or empty.
     std::string preferredRack;
     const PressureModel *pressure = nullptr;
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -27,6 +27,14 @@
 constexpr Milliseconds UsefulTime {700};
 constexpr std::size_t MostHomes = 20'000;
 
+// Returns a text of an owner's answer, or an empty one when the answer has none.
+std::string textIn(const std::string &answer, const char *member)
+{
+    const Result<Json> document = parseJson(answer, "the owner's answer");
+    const Json *body = std::get_if<Json>(&document);
+    return body == nullptr ? std::string() : memberOr(*body, member, std::string());
+}
+
 // Returns how long an attempt to submit goes on when the caller waits for the given time.
 Milliseconds submissionTime(Milliseconds left)
 {
@@ -170,10 +178,7 @@
     switch (answer.status) {
     case HttpStatus::Ok:
     case HttpStatus::Conflict: {
-        const Result<Json> document = parseJson(answer.body, "the owner's answer");
-        const Json *body = std::get_if<Json>(&document);
-        const std::string home = body == nullptr ? std::string() : memberOr(*body, "partition", std::string());
-        rememberHome(submission->record.specification.id, home);
+        rememberHome(submission->record.specification.id, textIn(answer.body, "partition"));
         submission->finish(RouteOutcome::Done);
         return;
     }
@@ -198,9 +203,7 @@
 
 void JobRouter::sendElsewhere(const std::shared_ptr<Submission> &submission, const std::string &answer)
 {
-    const Result<Json> document = parseJson(answer, "the owner's answer");
-    const Json *body = std::get_if<Json>(&document);
-    const std::string partition = body == nullptr ? std::string() : memberOr(*body, "partition", std::string());
+    const std::string partition = textIn(answer, "partition");
     if (partition.empty() || submission->sentElsewhere || submission->isFinished()) {
         retrySubmit(submission);
         return;
@@ -312,11 +315,8 @@
     const auto onAnswer = [this, inquiry](const HttpAnswer &answer) {
         const bool answered = answer.delivery == Delivery::Answered;
         if (answered && answer.status == HttpStatus::Ok) {
-            const Result<Json> document = parseJson(answer.body, "the owner's answer");
-            const Json *body = std::get_if<Json>(&document);
-            const std::string phase = body == nullptr ? std::string() : memberOr(*body, "phase", std::string());
             rememberHome(inquiry->job, inquiry->partition);
-            finishInquiry(inquiry, RouteOutcome::Done, jobPhaseFromName(phase));
+            finishInquiry(inquiry, RouteOutcome::Done, jobPhaseFromName(textIn(answer.body, "phase")));
             return;
         }
         if (answered && answer.status == HttpStatus::NotFound) {
