Tenure: Delegate lasting tasks that find no worker to another partition

Ruled out: moving the whole job, which would stop what still runs; lending workers, whose fencing tokens of two partitions do not compare. Change: after 1.5 s without a worker that could take it, a waiting lasting task is delegated. One guarded transaction of the home partition writes its progress, in which the task is another's, the job with its delegated tasks under the other partition, and an entry for that partition's owner. Runs there are numbered above those at home. Cancellations follow through the other partition's inbox, again after a take-over. Guests are not delegated on. Also: 0.12 instead of 0.2 of the workers are kept for passing work not seen yet.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -57,6 +57,21 @@
     std::uint64_t number = 0;
 };
 
+// A step with lasting tasks that find no worker.
+struct UnplacedStep
+{
+    std::string job;
+    int step = 0;
+    int waiting = 0;
+};
+
+struct ForgottenJob
+{
+    std::string id;
+    // Whether the job lives in another partition.
+    bool guest = false;
+};
+
 // What the owner of a partition may tell its workers.
 enum class SchedulingAuthority {
     // Starts tasks and prolongs their leases.
@@ -97,6 +112,23 @@
     // Takes over a job with its recorded progress.
     void restore(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress);
 
+    // Takes over the tasks of a job of another partition, with what this one has recorded of it.
+    void restoreGuest(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
+        const Json &progress, const std::vector<DelegatedTask> &tasks);
+
+    // Takes tasks that another partition has newly delegated.
+    void addGuest(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
+        const std::vector<DelegatedTask> &tasks);
+
+    // Returns the steps with lasting tasks that have waited for longer than the given time without a worker that could
+    // take one.
+    [[nodiscard]] std::vector<UnplacedStep> unplacedLasting(Milliseconds longerThan) const;
+
+    // Leaves up to so many waiting tasks of a step to another partition. Returns all tasks of the job that are left to
+    // that partition. The other partition must not hear of them before the job's progress is recorded.
+    [[nodiscard]] std::vector<DelegatedTask> delegate(
+        const UnplacedStep &unplaced, const std::string &partition, int count);
+
     // Takes a newly accepted job.
     void add(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
 
@@ -128,8 +160,8 @@
     // Says that the store has the phase of a job, so that callers may see it.
     void phaseRecorded(const std::string &job, JobPhase phase);
 
-    // Forgets finished jobs that ended before the given time and returns their names.
-    [[nodiscard]] std::vector<std::string> forgetFinished(Instant endedBefore);
+    // Forgets finished jobs that ended before the given time and returns them.
+    [[nodiscard]] std::vector<ForgottenJob> forgetFinished(Instant endedBefore);
 
     // Returns the workers that may hold a lease from this tenure or an earlier one.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
@@ -149,6 +181,7 @@
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
+    void openGuest(JobState &job, const std::vector<DelegatedTask> &tasks);
     void numberImages(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -65,6 +65,8 @@
                 placeStep(step);
                 if (step.waitingCount > 0) {
                     noteWaiting(step);
+                } else {
+                    step.unplacedSince.reset();
                 }
                 if (step.waitingCount > 0 && job->policy.advised) {
                     askAdvisor(step);
@@ -83,6 +85,9 @@
     if (!step.waitingSince) {
         step.waitingSince = now;
     }
+    if (!step.unplacedSince) {
+        step.unplacedSince = now;
+    }
     if (now - *step.waitingSince < NoticedWait) {
         return;
     }
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -297,8 +297,10 @@
 bool JobScheduler::isStepDisturbed(const StepState &step)
 {
     constexpr int AtWork = 100;
-    const int away = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-        [](const TaskState &task) { return task.phase != RunPhase::Running || task.percent < AtWork; }));
+    const int away = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const TaskState &task) {
+        // What other partitions run is theirs to watch.
+        return task.phase != RunPhase::Delegated && (task.phase != RunPhase::Running || task.percent < AtWork);
+    }));
     return away >= std::max(1, step.specification().disruptionBudget);
 }
 
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -16,10 +16,16 @@
 // Returns what the store keeps of a task beside its end, or null when there is nothing.
 Json describeTask(const TaskState &task)
 {
-    if (task.phase == RunPhase::Done || (task.failedRuns.empty() && task.checkpoint.empty())) {
+    const bool plain = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty();
+    if (task.phase == RunPhase::Done || plain) {
         return nullptr;
     }
-    return {{"index", task.index}, {"failed_runs", task.failedRuns}, {"checkpoint", task.checkpoint}};
+    Json document = {{"index", task.index}, {"failed_runs", task.failedRuns}, {"checkpoint", task.checkpoint}};
+    if (!task.delegatedTo.empty()) {
+        document["delegated_to"] = task.delegatedTo;
+        document["last_run"] = task.run;
+    }
+    return document;
 }
 
 Json describeStep(const StepState &step)
@@ -61,6 +67,12 @@
         TaskState &task = step.tasks[static_cast<std::size_t>(index)];
         task.failedRuns = memberOr(entry, "failed_runs", std::set<std::uint64_t>());
         task.checkpoint = memberOr(entry, "checkpoint", std::string());
+        task.delegatedTo = memberOr(entry, "delegated_to", std::string());
+        if (!task.delegatedTo.empty() && task.phase == RunPhase::Waiting) {
+            task.phase = RunPhase::Delegated;
+            task.run = memberOr(entry, "last_run", task.run);
+            --step.waitingCount;
+        }
     }
 }
 
@@ -109,6 +121,21 @@
     return &step.tasks[static_cast<std::size_t>(name.index)];
 }
 
+std::set<std::string> JobState::delegates() const
+{
+    std::set<std::string> partitions = formerDelegates;
+    for (const auto &[number, occurrence] : occurrences) {
+        for (const StepState &step : occurrence.steps) {
+            for (const TaskState &task : step.tasks) {
+                if (!task.delegatedTo.empty()) {
+                    partitions.insert(task.delegatedTo);
+                }
+            }
+        }
+    }
+    return partitions;
+}
+
 TaskName nameOf(const TaskState &task)
 {
     const OccurrenceState &occurrence = *task.step->occurrence;
@@ -135,10 +162,38 @@
     return occurrence;
 }
 
+void takeDelegated(JobState &job, const std::vector<DelegatedTask> &tasks)
+{
+    for (const DelegatedTask &delegated : tasks) {
+        TaskState *task = job.find(delegated.task);
+        if (task != nullptr && task->phase == RunPhase::Delegated) {
+            task->phase = RunPhase::Waiting;
+            task->delegatedRun = delegated.lastRun;
+            ++task->step->waitingCount;
+        }
+    }
+}
+
+void leaveToOthers(JobState &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (StepState &step : occurrence.steps) {
+            for (TaskState &task : step.tasks) {
+                task.phase = RunPhase::Delegated;
+            }
+            step.waitingCount = 0;
+        }
+    }
+}
+
 Json describeProgress(const JobState &job)
 {
     Json document = {{"phase", nameOf(job.phase)}};
     if (job.isFinished()) {
+        const std::set<std::string> delegates = job.delegates();
+        if (!delegates.empty()) {
+            document["delegates"] = delegates;
+        }
         return document;
     }
     document["started"] = job.everStarted;
@@ -160,6 +215,7 @@
 {
     job.phase = jobPhaseFromName(memberOr(document, "phase", std::string()));
     job.recordedPhase = job.phase;
+    job.formerDelegates = memberOr(document, "delegates", std::set<std::string>());
     job.everStarted = memberOr(document, "started", false);
     job.nextOccurrence = memberOr(document, "next", std::int64_t {0});
     job.finishedOccurrences = memberOr(document, "finished", std::int64_t {0});
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -21,6 +21,8 @@
     // A stop was sent and the end is not certain yet.
     Stopping,
     Done,
+    // Another partition runs it.
+    Delegated,
 };
 
 enum class JobPhase {
@@ -48,6 +50,8 @@
     RunPhase phase = RunPhase::Waiting;
     // The number of the present run, or of the last one.
     std::uint64_t run = 0;
+    // The number of the last run in the partition that delegated the task here; runs here are numbered above it.
+    std::uint64_t delegatedRun = 0;
     // The worker of the present run, or empty.
     std::string worker;
     // The runs that failed. After a take-over ends are listed again and in any order, so that counting is not enough.
@@ -71,6 +75,8 @@
     // Of a backfilling task: since when it is slowed down below half of its speed.
     std::optional<Instant> slowedSince;
     Instant notBefore;
+    // The partition that the task is delegated to, where this one has delegated it.
+    std::string delegatedTo;
 };
 
 // What the placement advisor said of one worker.
@@ -93,6 +99,8 @@
     int waitingCount = 0;
     // Since when tasks of the step have found no worker, or since the last line of the log about it.
     std::optional<Instant> waitingSince;
+    // Since when any task of the step has waited.
+    std::optional<Instant> unplacedSince;
     // The highest run number that any member of the step used; gang members share one.
     std::uint64_t highestRun = 0;
     // By worker; only for queues with a placement advisor.
@@ -126,6 +134,8 @@
     bool everStarted = false;
     // Whether the job was accepted under an earlier tenure, so that unknown runs of it may exist.
     bool inherited = false;
+    // Whether the job lives in another partition, which delegated some of its tasks to this one.
+    bool guest = false;
     std::map<std::int64_t, OccurrenceState> occurrences;
     // The next occurrence to be created, and the finished ones.
     std::int64_t nextOccurrence = 0;
@@ -134,6 +144,22 @@
 
     [[nodiscard]] bool isFinished() const;
     [[nodiscard]] TaskState *find(const TaskName &name);
+
+    // Returns the partitions that run some of the job's tasks instead of this one.
+    [[nodiscard]] std::set<std::string> delegates() const;
+
+    // Remembered of a finished job, whose tasks are no longer kept.
+    std::set<std::string> formerDelegates;
+};
+
+// A task that one partition has another one run.
+struct DelegatedTask
+{
+    TaskName task;
+    // The number of its last run in the partition that delegates it.
+    std::uint64_t lastRun = 0;
+
+    bool operator==(const DelegatedTask &) const = default;
 };
 
 // Returns the full name of a task.
@@ -142,6 +168,12 @@
 // Creates an occurrence with all its tasks waiting. The job must stay where it is in memory.
 OccurrenceState &createOccurrence(JobState &job, std::int64_t number);
 
+// Makes the named tasks of a guest wait for workers of this partition. Tasks that do so already stay as they are.
+void takeDelegated(JobState &job, const std::vector<DelegatedTask> &tasks);
+
+// Leaves all tasks of a guest to other partitions, to begin with.
+void leaveToOthers(JobState &job);
+
 // Writes what must outlive the scheduler: the phase, finished tasks, failures and checkpoints.
 [[nodiscard]] Json describeProgress(const JobState &job);
 
--- a/source/scheduling/PassingDemand.cpp
+++ b/source/scheduling/PassingDemand.cpp
@@ -12,7 +12,7 @@
 constexpr double AveragingShare = 0.02;
 // The share of the workers that passing work is taken to need before any was seen. It falls to nothing while the
 // observation goes on.
-constexpr double UnobservedShare = 0.2;
+constexpr double UnobservedShare = 0.12;
 constexpr Milliseconds ObservationTime {60'000};
 // Before any task was seen: room that holds half of the largest worker serves most sizes.
 constexpr std::int64_t UnobservedDivisor = 2;
--- a/source/scheduling/PoolRoom.cpp
+++ b/source/scheduling/PoolRoom.cpp
@@ -17,7 +17,8 @@
     for (const auto &[pool, room] : rooms) {
         document[pool] = {{"capacity", room.capacity}, {"free_beside_lasting", room.freeBesideLasting},
             {"free_for_passing", room.freeForPassing}, {"passing", room.passing},
-            {"largest_worker", describe(room.largestWorker)}, {"labels", room.labels}, {"racks", room.racks}};
+            {"largest_gap", describe(room.largestGap)}, {"largest_worker", describe(room.largestWorker)},
+            {"labels", room.labels}, {"racks", room.racks}};
     }
     return document;
 }
@@ -34,6 +35,7 @@
         room.freeBesideLasting = memberOr(item, "free_beside_lasting", room.freeBesideLasting);
         room.freeForPassing = memberOr(item, "free_for_passing", room.freeForPassing);
         room.passing = memberOr(item, "passing", room.passing);
+        room.largestGap = parseResources(memberOr(item, "largest_gap", Json::object()));
         room.largestWorker = parseResources(memberOr(item, "largest_worker", Json::object()));
         room.labels = memberOr(item, "labels", room.labels);
         room.racks = memberOr(item, "racks", room.racks);
--- a/source/scheduling/PoolRoom.h
+++ b/source/scheduling/PoolRoom.h
@@ -22,6 +22,8 @@
     std::int64_t freeForPassing = 0;
     // What tasks that end by themselves are expected to need.
     std::int64_t passing = 0;
+    // The largest room that lasting tasks leave on one worker.
+    Resources largestGap;
     // The largest worker by each kind of resource.
     Resources largestWorker;
     std::set<std::string> labels;
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -2,6 +2,8 @@
 
 #include "tenure/JobKeys.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -57,6 +59,12 @@
     schedule(GatherTime);
 }
 
+void JobJournal::delegate(const std::string &job, std::vector<StoreWrite> writes)
+{
+    m_delegations.push_back({job, std::move(writes)});
+    schedule(GatherTime);
+}
+
 void JobJournal::requestCoverage()
 {
     m_coverageWanted = true;
@@ -88,7 +96,8 @@
 
 bool JobJournal::isIdle() const
 {
-    return m_accepts.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty() && !m_coverageWanted;
+    return m_accepts.empty() && m_delegations.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty()
+        && !m_coverageWanted;
 }
 
 void JobJournal::schedule(Milliseconds delay)
@@ -110,8 +119,8 @@
     if (m_batch) {
         return;
     }
-    const bool onlyCoverage
-        = m_accepts.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty() && m_coverageWanted;
+    const bool onlyCoverage = m_accepts.empty() && m_delegations.empty() && m_changed.empty() && m_puts.empty()
+        && m_erasures.empty() && m_coverageWanted;
     if (onlyCoverage) {
         // Nothing has changed since the last transaction, so it covers the present.
         m_coverageWanted = false;
@@ -135,16 +144,20 @@
     transaction.writes.push_back(
         {JobKeys::head(m_position.partition), writeJson({{"tenure", m_position.tenure}}), std::nullopt, 0});
     std::size_t entries = FixedEntries;
-    while (!m_changed.empty() && entries < MostEntries) {
-        const std::string job = *m_changed.begin();
-        m_changed.erase(m_changed.begin());
-        const auto progress = m_owner.progressOf(job);
-        if (progress) {
-            transaction.writes.push_back(
-                {JobKeys::progress(m_position.partition) + job, progress->second, std::nullopt, 0});
-            batch.phases.emplace_back(job, progress->first);
-            ++entries;
+    fillDelegations(batch, entries);
+    // The progress of a job must not show a delegation before the transaction that carries it.
+    std::set<std::string> held;
+    for (const PendingDelegation &delegation : m_delegations) {
+        held.insert(delegation.job);
+    }
+    for (auto next = m_changed.begin(); next != m_changed.end() && entries < MostEntries;) {
+        if (held.contains(*next)) {
+            ++next;
+            continue;
         }
+        const std::string job = *next;
+        next = m_changed.erase(next);
+        writeProgress(batch, job, entries);
     }
     batch.covers = m_changed.empty();
     if (batch.covers) {
@@ -167,7 +180,8 @@
     }
     while (!m_puts.empty() && entries < MostEntries) {
         auto node = m_puts.extract(m_puts.begin());
-        transaction.writes.push_back({node.key(), std::move(node.mapped()), std::nullopt, 0});
+        transaction.writes.push_back({node.key(), node.mapped(), std::nullopt, 0});
+        batch.puts.insert(std::move(node));
         ++entries;
     }
     while (!m_erasures.empty() && entries < MostEntries) {
@@ -177,6 +191,47 @@
     }
 }
 
+void JobJournal::writeProgress(Batch &batch, const std::string &job, std::size_t &entries)
+{
+    const auto progress = m_owner.progressOf(job);
+    if (!progress) {
+        return;
+    }
+    batch.transaction.writes.push_back(
+        {JobKeys::progress(m_position.partition) + job, progress->second, std::nullopt, 0});
+    batch.phases.emplace_back(job, progress->first);
+    ++entries;
+}
+
+void JobJournal::fillDelegations(Batch &batch, std::size_t &entries)
+{
+    while (!m_delegations.empty()) {
+        const PendingDelegation &next = m_delegations.front();
+        const std::size_t others = static_cast<std::size_t>(std::count_if(m_delegations.begin(), m_delegations.end(),
+            [&next](const PendingDelegation &delegation) { return delegation.job == next.job; }));
+        // All delegations of a job go together, since its progress shows all of them.
+        if (entries + 1 + others * next.writes.size() > MostEntries) {
+            return;
+        }
+        const std::string job = next.job;
+        std::deque<PendingDelegation> later;
+        for (PendingDelegation &delegation : m_delegations) {
+            if (delegation.job != job) {
+                later.push_back(std::move(delegation));
+                continue;
+            }
+            for (const StoreWrite &write : delegation.writes) {
+                batch.transaction.writes.push_back(write);
+                ++entries;
+            }
+            batch.delegations.push_back(std::move(delegation));
+        }
+        m_delegations = std::move(later);
+        m_changed.erase(job);
+        writeProgress(batch, job, entries);
+    }
+}
+
 void JobJournal::send()
 {
     m_store.commit(m_batch->transaction, [this, alive = m_alive](const Result<StoreCommit> &result) {
@@ -267,15 +322,10 @@
     for (const auto &[job, phase] : batch.phases) {
         m_changed.insert(job);
     }
-    const std::string progressPrefix = JobKeys::progress(m_position.partition);
-    const std::string jobsPrefix = JobKeys::jobs(m_position.partition);
-    for (StoreWrite &write : batch.transaction.writes) {
-        const bool rebuilt = write.key.starts_with(progressPrefix) || write.key.starts_with(jobsPrefix)
-            || write.key == JobKeys::head(m_position.partition) || write.key.starts_with(JobKeys::home(""));
-        if (!rebuilt) {
-            m_puts.emplace(write.key, std::move(write.value));
-        }
-    }
+    // What was put again meanwhile is newer.
+    m_puts.merge(batch.puts);
+    m_delegations.insert(m_delegations.begin(), std::make_move_iterator(batch.delegations.begin()),
+        std::make_move_iterator(batch.delegations.end()));
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
     m_coverageWanted = m_coverageWanted || batch.covers;
     std::move(batch.flushHandlers.begin(), batch.flushHandlers.end(), std::back_inserter(m_flushHandlers));
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -81,6 +81,9 @@
     // Has the job's progress written with the next transaction.
     void progressChanged(const std::string &job);
 
+    // Has the job's progress written together with the given keys of another partition, in one transaction.
+    void delegate(const std::string &job, std::vector<StoreWrite> writes);
+
     // Has the coverage announced again even when no job changed.
     void requestCoverage();
 
@@ -101,11 +104,19 @@
         AcceptHandler handler;
     };
 
+    struct PendingDelegation
+    {
+        std::string job;
+        std::vector<StoreWrite> writes;
+    };
+
     // A transaction under way, with what follows when it is in the store.
     struct Batch
     {
         StoreTransaction transaction;
         std::vector<PendingAccept> accepts;
+        std::vector<PendingDelegation> delegations;
+        std::map<std::string, std::string> puts;
         std::vector<std::pair<std::string, JobPhase>> phases;
         bool covers = false;
         // Called once the batch is in the store; it holds all that was decided before they asked.
@@ -117,6 +128,8 @@
     void schedule(Milliseconds delay);
     void write();
     void fill(Batch &batch);
+    void fillDelegations(Batch &batch, std::size_t &entries);
+    void writeProgress(Batch &batch, const std::string &job, std::size_t &entries);
     void send();
     void onResult(const Result<StoreCommit> &result);
     void onCommitted(StoreRevision revision);
@@ -129,6 +142,7 @@
     JobJournalOwner &m_owner;
     JournalPosition m_position;
     std::deque<PendingAccept> m_accepts;
+    std::deque<PendingDelegation> m_delegations;
     std::set<std::string> m_changed;
     std::map<std::string, std::string> m_puts;
     std::set<std::string> m_erasures;
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -12,6 +12,9 @@
 // A cancellation must reach the workers within three seconds, also when the store's history lost it.
 constexpr Milliseconds InboxWait {1'000};
 constexpr Milliseconds ForgettingPeriod {5'000};
+// Lasting tasks should be back at work within some seconds of any end, and a worker may free itself meanwhile.
+constexpr Milliseconds DelegationAfter {1'500};
+constexpr Milliseconds DelegationPeriod {500};
 // A pair of images is learned within a few reports; what is lost of it at a take-over is learned again as fast.
 constexpr Milliseconds PressurePeriod {3'000};
 // Returns how long leases of an earlier tenure may last on the slowest worker's clock.
@@ -105,23 +108,8 @@
         if (!entry.key.starts_with(jobsPrefix)) {
             continue;
         }
-        Result<JobRecord> parsed = parseJobRecord(entry.value);
-        if (const Error *error = errorOf(parsed)) {
-            m_environment.log("job-unreadable", entry.key, {{"error", error->detail}});
-            continue;
-        }
-        JobRecord record = std::get<JobRecord>(std::move(parsed));
-        const auto found = progress.find(record.specification.id);
-        Json document = Json::object();
-        if (found != progress.end()) {
-            const Result<Json> state = parseJson(*found->second, "the job's progress");
-            if (const Json *read = std::get_if<Json>(&state)) {
-                document = *read;
-            } else {
-                m_environment.log("progress-unreadable", entry.key, {{"error", errorOf(state)->detail}});
-            }
-        }
-        m_jobs.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
+        const auto found = progress.find(entry.key.substr(jobsPrefix.size()));
+        restoreJob(entry, found == progress.end() ? nullptr : found->second);
         ++count;
     }
     m_loaded = true;
@@ -133,6 +121,37 @@
     m_inboxFeed.start();
 }
 
+void JobKeeper::restoreJob(const StoreEntry &entry, const std::string *progress)
+{
+    Result<JobRecord> parsed = parseJobRecord(entry.value);
+    if (const Error *error = errorOf(parsed)) {
+        m_environment.log("job-unreadable", entry.key, {{"error", error->detail}});
+        return;
+    }
+    JobRecord record = std::get<JobRecord>(std::move(parsed));
+    Json document = Json::object();
+    if (progress != nullptr) {
+        const Result<Json> state = parseJson(*progress, "the job's progress");
+        if (const Json *read = std::get_if<Json>(&state)) {
+            document = *read;
+        } else {
+            m_environment.log("progress-unreadable", entry.key, {{"error", errorOf(state)->detail}});
+        }
+    }
+    const std::string id = record.specification.id;
+    if (!record.delegated.empty()) {
+        m_jobs.restoreGuest(
+            std::move(record.specification), std::move(record.policy), record.acceptedWall, document, record.delegated);
+        return;
+    }
+    m_jobs.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
+    const JobState *job = m_jobs.find(id);
+    if (job != nullptr && job->isFinished()) {
+        // The last owner may have ended before it told them.
+        cancelDelegated(*job);
+    }
+}
+
 bool JobKeeper::isLoaded() const
 {
     return m_loaded;
@@ -198,7 +217,8 @@
 void JobKeeper::submit(JobRecord record, Placement placement, SubmitHandler handler)
 {
     const std::string id = record.specification.id;
-    if (m_jobs.find(id) != nullptr) {
+    const JobState *known = m_jobs.find(id);
+    if (known != nullptr && !known->guest) {
         handler({AcceptOutcome::Exists, m_position.partition});
         return;
     }
@@ -224,23 +244,68 @@
 void JobKeeper::cancel(const std::string &id, std::function<void(bool)> handler)
 {
     const JobState *job = m_jobs.find(id);
-    if (job == nullptr) {
+    if (job == nullptr || job->guest) {
         handler(false);
         return;
     }
-    const bool recorded = job->isFinished() && job->recordedPhase == job->phase;
+    cancelHere(*job, std::move(handler));
+}
+
+void JobKeeper::cancelHere(const JobState &job, std::function<void(bool)> handler)
+{
+    const std::string id = job.specification.id;
+    const bool recorded = job.isFinished() && job.recordedPhase == job.phase;
     if (recorded) {
         handler(true);
         return;
     }
     m_cancelHandlers.emplace(id, std::move(handler));
+    if (!job.isFinished()) {
+        cancelDelegated(job);
+    }
     m_jobs.cancel(id);
 }
 
+void JobKeeper::cancelDelegated(const JobState &job)
+{
+    const std::string &id = job.specification.id;
+    for (const std::string &partition : job.delegates()) {
+        m_journal.put(
+            JobKeys::inboxCancellation(partition, id), serialize(InboxEntry {InboxRequest::Cancel, id, std::nullopt}));
+    }
+}
+
+void JobKeeper::delegateUnplaced()
+{
+    if (m_rooms.empty()) {
+        return;
+    }
+    for (const UnplacedStep &unplaced : m_jobs.unplacedLasting(DelegationAfter)) {
+        const JobState &job = *m_jobs.find(unplaced.job);
+        const StepSpecification &step = job.specification.steps[static_cast<std::size_t>(unplaced.step)];
+        const std::optional<DelegationChoice> choice
+            = chooseDelegate(step, job.policy.pool, unplaced.waiting, m_position.partition, m_rooms);
+        if (!choice) {
+            continue;
+        }
+        m_rooms[choice->partition][job.policy.pool].takeForLasting(
+            choice->count * WorkerState::countedDemand(step).milliCores);
+        JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
+        record.delegated = m_jobs.delegate(unplaced, choice->partition, choice->count);
+        m_environment.log("tasks-delegated", unplaced.job,
+            {{"partition", choice->partition}, {"step", unplaced.step}, {"count", choice->count},
+                {"waiting", unplaced.waiting}});
+        const InboxEntry entry {InboxRequest::Delegate, unplaced.job, record};
+        m_journal.delegate(unplaced.job,
+            {{JobKeys::jobs(choice->partition) + unplaced.job, serialize(record), std::nullopt, 0},
+                {JobKeys::inboxDelegation(choice->partition, unplaced.job), serialize(entry), std::nullopt, 0}});
+    }
+}
+
 std::optional<JobPhase> JobKeeper::phaseOf(const std::string &id) const
 {
     const JobState *job = m_jobs.find(id);
-    if (job == nullptr) {
+    if (job == nullptr || job->guest) {
         return std::nullopt;
     }
     if (job->isFinished() && job->recordedPhase != job->phase) {
@@ -290,6 +355,10 @@
         writeLeaseHolders();
     }
     const Instant now = m_environment.clock.now();
+    if (now - m_lastDelegation >= DelegationPeriod) {
+        m_lastDelegation = now;
+        delegateUnplaced();
+    }
     if (now - m_lastPressure >= PressurePeriod) {
         m_lastPressure = now;
         writePressure();
@@ -298,10 +367,12 @@
         return;
     }
     m_lastForgetting = now;
-    for (const std::string &id : m_jobs.forgetFinished(now - m_limits.statusRetention)) {
-        m_journal.erase(JobKeys::home(id));
-        m_journal.erase(JobKeys::jobs(m_position.partition) + id);
-        m_journal.erase(JobKeys::progress(m_position.partition) + id);
+    for (const ForgottenJob &job : m_jobs.forgetFinished(now - m_limits.statusRetention)) {
+        if (!job.guest) {
+            m_journal.erase(JobKeys::home(job.id));
+        }
+        m_journal.erase(JobKeys::jobs(m_position.partition) + job.id);
+        m_journal.erase(JobKeys::progress(m_position.partition) + job.id);
     }
 }
 
@@ -442,15 +513,25 @@
 
 void JobKeeper::applyInbox(const std::string &key, const InboxEntry &entry)
 {
-    m_environment.log(
-        "inbox-applied", entry.job, {{"request", entry.request == InboxRequest::Submit ? "submit" : "cancel"}});
+    m_environment.log("inbox-applied", entry.job, {{"request", nameOf(entry.request)}});
     if (entry.request == InboxRequest::Submit) {
         const JobRecord &record = *entry.record;
         m_jobs.add(record.specification, record.policy, record.acceptedWall);
         m_journal.erase(key);
         return;
     }
-    cancel(entry.job, [this, key](bool) { m_journal.erase(key); });
+    if (entry.request == InboxRequest::Delegate) {
+        const JobRecord &record = *entry.record;
+        m_jobs.addGuest(record.specification, record.policy, record.acceptedWall, record.delegated);
+        m_journal.erase(key);
+        return;
+    }
+    const JobState *job = m_jobs.find(entry.job);
+    if (job == nullptr) {
+        m_journal.erase(key);
+        return;
+    }
+    cancelHere(*job, [this, key](bool) { m_journal.erase(key); });
 }
 
 }
--- a/source/tenure/JobKeeper.h
+++ b/source/tenure/JobKeeper.h
@@ -91,6 +91,14 @@
     void restore(const StoreListing &listing);
     void onInboxChanged(const std::string &key);
     void applyInbox(const std::string &key, const InboxEntry &entry);
+    void restoreJob(const StoreEntry &entry, const std::string *progress);
+    void cancelHere(const JobState &job, std::function<void(bool)> handler);
+
+    // Tells the partitions that run some of a cancelled job's tasks.
+    void cancelDelegated(const JobState &job);
+
+    // Leaves lasting tasks that find no worker to partitions with room.
+    void delegateUnplaced();
     void depose(const std::string &reason);
     void writeLeaseHolders();
     void writePressure();
@@ -122,6 +130,7 @@
     // The rooms of the other partitions; a job that is sent there is taken off until the next update.
     PartitionRooms m_rooms;
     Instant m_lastForgetting;
+    Instant m_lastDelegation;
     Instant m_lastPressure;
     std::string m_recordedPressure;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -61,6 +61,11 @@
     return inbox(partition) + "1-submit-" + job;
 }
 
+[[nodiscard]] inline std::string inboxDelegation(const std::string &partition, const std::string &job)
+{
+    return inbox(partition) + "1-delegate-" + job;
+}
+
 [[nodiscard]] inline std::string inboxCancellation(const std::string &partition, const std::string &job)
 {
     return inbox(partition) + "2-cancel-" + job;
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -1,5 +1,7 @@
 #include "tenure/JobRecord.h"
 
+#include "base/NameTable.h"
+
 namespace Wagtail
 {
 
@@ -8,8 +10,12 @@
 
 Json describe(const JobRecord &record)
 {
-    return {{"job", describe(record.specification)}, {"policy", describe(record.policy)},
+    Json document = {{"job", describe(record.specification)}, {"policy", describe(record.policy)},
         {"accepted_ms", record.acceptedWall}};
+    for (const DelegatedTask &delegated : record.delegated) {
+        document["delegated"].push_back({{"task", delegated.task.text()}, {"last_run", delegated.lastRun}});
+    }
+    return document;
 }
 
 Result<JobRecord> parseRecord(const Json &document)
@@ -22,9 +28,25 @@
     record.specification = std::get<JobSpecification>(std::move(specification));
     record.policy = parseQueuePolicy(memberOr(document, "policy", Json::object()));
     record.acceptedWall = memberOr(document, "accepted_ms", std::int64_t {0});
+    for (const Json &member : memberOr(document, "delegated", Json::array())) {
+        const std::optional<TaskName> task = TaskName::parse(memberOr(member, "task", std::string()));
+        if (!task) {
+            return Error {ErrorKind::InvalidInput, "a delegated task has no readable name",
+                "write the record with the same version that reads it"};
+        }
+        record.delegated.push_back({*task, memberOr(member, "last_run", std::uint64_t {0})});
+    }
     return record;
 }
 
+constexpr NameTable<InboxRequest, 3> RequestNames {
+    {{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"}, {InboxRequest::Delegate, "delegate"}}}};
+
+}
+
+std::string_view nameOf(InboxRequest request)
+{
+    return RequestNames.nameOf(request);
 }
 
 std::string serialize(const JobRecord &record)
@@ -43,7 +65,7 @@
 
 std::string serialize(const InboxEntry &entry)
 {
-    Json document = {{"request", entry.request == InboxRequest::Submit ? "submit" : "cancel"}, {"job", entry.job}};
+    Json document = {{"request", nameOf(entry.request)}, {"job", entry.job}};
     if (entry.record) {
         document["record"] = describe(*entry.record);
     }
@@ -59,8 +81,13 @@
     const Json &document = std::get<Json>(parsed);
     InboxEntry entry;
     entry.job = memberOr(document, "job", std::string());
-    if (memberOr(document, "request", std::string()) == "cancel") {
-        entry.request = InboxRequest::Cancel;
+    const std::optional<InboxRequest> request = RequestNames.find(memberOr(document, "request", std::string()));
+    if (!request) {
+        return Error {ErrorKind::InvalidInput, "the inbox entry asks for something unknown",
+            "write it with the same version that reads it"};
+    }
+    entry.request = *request;
+    if (entry.request == InboxRequest::Cancel) {
         return entry;
     }
     Result<JobRecord> record = parseRecord(memberOr(document, "record", Json()));
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "scheduling/JobSpecification.h"
+#include "scheduling/JobState.h"
 #include "scheduling/QueuePolicy.h"
 
 #include <optional>
@@ -15,6 +15,8 @@
     QueuePolicy policy;
     // Wall time of the submission in milliseconds.
     std::int64_t acceptedWall = 0;
+    // The tasks that a partition runs for the job's home partition; empty in the home partition itself.
+    std::vector<DelegatedTask> delegated;
 
     bool operator==(const JobRecord &) const = default;
 };
@@ -24,12 +26,16 @@
 // Reads what serialize() wrote. Fails with InvalidInput.
 [[nodiscard]] Result<JobRecord> parseJobRecord(const std::string &text);
 
-// What an entry asks of an owner that it can't reach.
+// What an entry asks of an owner that it can't reach, or one owner of another.
 enum class InboxRequest {
     Submit,
     Cancel,
+    // Runs some tasks of a job that lives in another partition.
+    Delegate,
 };
 
+[[nodiscard]] std::string_view nameOf(InboxRequest request);
+
 struct InboxEntry
 {
     InboxRequest request = InboxRequest::Submit;
--- a/source/tenure/PartitionChoice.cpp
+++ b/source/tenure/PartitionChoice.cpp
@@ -16,6 +16,9 @@
 // However much passing work waits, it keeps lasting jobs out of this share of the workers at most.
 constexpr double MostPassingShare = 0.3;
 
+// Gaps on several workers add up to more than fits into them.
+constexpr double UsableShareOfGaps = 0.5;
+
 bool couldHold(const PoolRoom &room, const StepSpecification &step)
 {
     return step.demand.fitsInto(room.largestWorker)
@@ -63,6 +66,27 @@
 
 }
 
+std::optional<DelegationChoice> chooseDelegate(const StepSpecification &step, const std::string &pool, int waiting,
+    const std::string &home, const PartitionRooms &rooms)
+{
+    const std::int64_t demand = step.backfills ? 0 : step.demand.milliCores;
+    std::optional<DelegationChoice> best;
+    std::int64_t mostFree = 0;
+    for (const auto &[name, pools] : rooms) {
+        const auto room = pools.find(pool);
+        const bool possible = name != home && room != pools.end() && couldHold(room->second, step);
+        if (!possible || !step.demand.fitsInto(room->second.largestGap) || room->second.freeBesideLasting <= mostFree) {
+            continue;
+        }
+        const auto usable
+            = static_cast<std::int64_t>(UsableShareOfGaps * static_cast<double>(room->second.freeBesideLasting));
+        const std::int64_t fitting = demand == 0 ? waiting : std::max<std::int64_t>(1, usable / demand);
+        mostFree = room->second.freeBesideLasting;
+        best = DelegationChoice {name, static_cast<int>(std::min<std::int64_t>(waiting, fitting))};
+    }
+    return best;
+}
+
 std::int64_t lastingDemand(const JobSpecification &job)
 {
     std::int64_t demand = 0;
--- a/source/tenure/PartitionChoice.h
+++ b/source/tenure/PartitionChoice.h
@@ -33,6 +33,20 @@
 [[nodiscard]] PartitionChoice choosePartition(
     const JobRecord &job, const std::string &home, const PartitionRooms &rooms);
 
+// A partition that can take some lasting tasks.
+struct DelegationChoice
+{
+    std::string partition;
+    int count = 0;
+
+    bool operator==(const DelegationChoice &) const = default;
+};
+
+// Chooses where waiting lasting tasks of a step go that find no worker at home.
+// Load pattern: many workers of one partition lost at once, while others have room for what ran there.
+[[nodiscard]] std::optional<DelegationChoice> chooseDelegate(const StepSpecification &step, const std::string &pool,
+    int waiting, const std::string &home, const PartitionRooms &rooms);
+
 // Returns the processors that the lasting tasks of a job take up, in thousandths of a core.
 [[nodiscard]] std::int64_t lastingDemand(const JobSpecification &job);
 
