Tenure: Keep partitions with strong instances after an outage; hear live workers before starting again

The store is away for three seconds and drops all leases. The first instance to register again saw nobody else and took three partitions, 109 workers each, at 0.12 of a core. Nine seconds later it had not heard all workers, took their leases as over and started tasks again whose ends lay unread at live workers. Ruled out: renewals by the former owner (its tenure was over), workers that were silent (none was logged as unreachable). Change: KnownInstances remembers who was listed while this instance itself lost its lease, so that stronger ones get their turns; a partition that is being taken counts as owned; inherited tasks of unknown place wait up to ten seconds longer than the leases for listed workers that have not left requests unanswered. Tests: each fails with the memory or the wait set to 0.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+// How much longer than its leases an owner waits for live workers that it has not heard yet.
+constexpr Milliseconds LongestHearing {10'000};
 // Run numbers of one tenure; a task that needs more starts than this within one tenure is hopeless.
 constexpr std::uint64_t RunsPerTenure = 100'000;
 
@@ -53,7 +55,17 @@
 
 bool JobScheduler::isRecovering() const
 {
-    return !m_inheritedWorkers.empty() && m_environment.clock.now() < m_recoveringUntil;
+    const Instant now = m_environment.clock.now();
+    if (m_inheritedWorkers.empty() || now < m_recoveringUntil) {
+        return !m_inheritedWorkers.empty();
+    }
+    // An owner that is short of processor time may not have heard what a live worker has long finished.
+    return now < m_recoveringUntil + LongestHearing
+        && std::any_of(m_inheritedWorkers.begin(), m_inheritedWorkers.end(), [this](const std::string &name) {
+               const auto worker = m_workers.find(name);
+               return worker != m_workers.end() && worker->second.listed
+                   && worker->second.unansweredInRow < UnansweredBeforeNotice;
+           });
 }
 
 JobState &JobScheduler::insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall)
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -177,6 +177,8 @@
 private:
     // A run that has got less far than this, in percent, is cheap to begin again.
     static constexpr int CheapPercent = 40;
+    // A worker that left this many report requests unanswered counts as unreachable.
+    static constexpr int UnansweredBeforeNotice = 3;
 
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -20,8 +20,6 @@
 constexpr Milliseconds UnrecordedPeriod {500};
 // An unanswered order is sent again after this time: a few round trips between regions.
 constexpr Milliseconds OrderRetryPeriod {250};
-// A worker that left this many report requests unanswered is said to be unreachable in the log.
-constexpr int UnansweredBeforeNotice = 3;
 constexpr int FailuresBeforeQuarantine = 3;
 // Time that a stop and the answer to it take before a draining worker exits.
 constexpr Milliseconds DrainMargin {500};
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds TurnLength {250};
 // Beyond this many candidates all try at once: the store lets only one succeed.
 constexpr std::int64_t MostTurns = 6;
+// An instance lets others go first for each partition that it has, as it can't tell yet what that will cost it.
+constexpr std::int64_t TurnsForEachOwned = 2;
 // All instances of a fleet start within 0.3 s; before that the list of candidates is not complete.
 constexpr Milliseconds SettleTime {500};
 
@@ -60,6 +62,7 @@
     if (m_environment.cluster.revision() == 0) {
         return;
     }
+    observeInstances();
     for (auto &[partition, seat] : m_seats) {
         reviewSeat(partition, seat);
     }
@@ -104,6 +107,28 @@
     take(partition, entry->revision);
 }
 
+void PartitionSeats::observeInstances()
+{
+    const Instant now = m_environment.clock.now();
+    if (!m_environment.lease.isHeld()) {
+        m_instances.noteLeaseMissing(now);
+    }
+    std::vector<InstanceCard> listed;
+    for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
+        Result<InstanceCard> parsed = parseInstanceCard(entry->value);
+        if (auto *card = std::get_if<InstanceCard>(&parsed)) {
+            listed.push_back(std::move(*card));
+        }
+    }
+    m_instances.observe(listed, now);
+}
+
+int PartitionSeats::ownedHere() const
+{
+    return static_cast<int>(std::count_if(m_seats.begin(), m_seats.end(),
+        [](const auto &entry) { return entry.second.keeper != nullptr || entry.second.taking; }));
+}
+
 Milliseconds PartitionSeats::turnDelay(const std::string &partition) const
 {
     const std::set<std::string> &inside = m_environment.plan.dataCentres(partition);
@@ -113,15 +138,15 @@
             ++owned[owner->name];
         }
     }
+    // The store does not show yet what was taken within this round.
+    owned[m_self.name] = std::max(owned[m_self.name], ownedHere());
     std::vector<OwnerCandidate> candidates;
-    for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
-        const Result<InstanceCard> parsed = parseInstanceCard(entry->value);
-        if (const auto *card = std::get_if<InstanceCard>(&parsed)) {
-            candidates.push_back({card->name, m_environment.plan.dataCentresInRegion(partition, card->region),
-                inside.contains(card->dataCentre), card->milliCores, owned[card->name]});
-        }
+    for (const InstanceCard &card : m_instances.candidates(m_environment.clock.now())) {
+        candidates.push_back({card.name, m_environment.plan.dataCentresInRegion(partition, card.region),
+            inside.contains(card.dataCentre), card.milliCores, owned[card.name]});
     }
-    return TurnLength * std::min(turnOf(m_self.name, partition, candidates), MostTurns);
+    const std::int64_t turn = std::min(turnOf(m_self.name, partition, candidates), MostTurns);
+    return TurnLength * (turn + (turn == 0 ? 0 : TurnsForEachOwned * owned[m_self.name]));
 }
 
 void PartitionSeats::take(const std::string &partition, StoreRevision ownerRevision)
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -3,6 +3,7 @@
 #include "membership/InstanceLease.h"
 #include "tenure/InstanceCard.h"
 #include "tenure/JobKeeper.h"
+#include "tenure/KnownInstances.h"
 #include "tenure/PartitionPlan.h"
 
 namespace Wagtail
@@ -71,6 +72,8 @@
     void writeOwner(const std::string &partition, StoreRevision ownerRevision, const std::optional<StoreEntry> &head);
     void begin(const std::string &partition, std::uint64_t tenure, StoreRevision revision);
     void drop(const std::string &partition);
+    void observeInstances();
+    [[nodiscard]] int ownedHere() const;
     [[nodiscard]] Milliseconds turnDelay(const std::string &partition) const;
     [[nodiscard]] std::map<std::string, WorkerListing> workersOf(const std::string &partition) const;
     void releaseNext(std::vector<std::string> partitions, std::function<void()> handler);
@@ -79,6 +82,7 @@
     InstanceCard m_self;
     JobKeeper::Limits m_limits;
     Instant m_beganAt;
+    KnownInstances m_instances;
     std::map<std::string, Seat> m_seats;
     std::map<std::string, WorkerListing> m_workers;
     std::map<std::string, QueuePolicy> m_policies;
--- a/source/tenure/tests/TenureTest.cpp
+++ b/source/tenure/tests/TenureTest.cpp
@@ -142,6 +142,62 @@
     EXPECT_NE(begun[0], begun[1]);
 }
 
+// Load: a store that dropped all leases while it was away. The instance that is back first is too weak for what the
+// others owned.
+TEST(PartitionSeats, leavePartitionsToStrongerInstancesThatAreOnTheirWayBack)
+{
+    ManualClock clock;
+    ManualScheduler scheduler(clock);
+    StandinStore state(clock);
+    FakeWorkers workers(clock);
+    InstanceWires wires(scheduler, state, workers);
+    const PartitionPlan plan(std::map<std::string, std::string> {
+        {"a", "wheatbelt"}, {"b", "wheatbelt"}, {"c", "wheatbelt"}, {"d", "coastal"}});
+    InstanceLease lease(wires.store, scheduler, clock, {}, JobKeys::Instances + "weak");
+    VersionedEntries cluster([](const std::string &) {});
+    const InstanceCard weak {"weak", "weak", "a", "wheatbelt", "life", 120};
+    int taken = 0;
+    const auto log = [&taken](std::string_view what, const std::string &, const Json &) {
+        taken += what == "tenure-begins" ? 1 : 0;
+    };
+    PartitionSeats seats({clock, scheduler, wires.store, wires.gateway, lease, cluster, plan, log}, weak, {});
+    const auto list = [&cluster](StoreRevision revision, const std::vector<InstanceCard> &owners, bool owned) {
+        StoreListing listing {revision, {}};
+        for (const InstanceCard &card : owners) {
+            listing.entries.push_back({JobKeys::Instances + card.name, serialize(card), revision, 0});
+        }
+        for (const std::string partition : {"a", "b", "c", "coastal"}) {
+            if (owned) {
+                listing.entries.push_back(
+                    {JobKeys::owner(partition), serialize(OwnerCard {owners.back(), 0}), revision, 0});
+            }
+        }
+        cluster.applyListing(listing);
+    };
+    const auto pass = [&](Milliseconds duration) {
+        for (Milliseconds passed {0}; passed < duration; passed += Milliseconds(100)) {
+            scheduler.advance(Milliseconds(100));
+            seats.tick();
+        }
+    };
+    std::vector<InstanceCard> all {weak};
+    constexpr int StrongInstances = 8;
+    for (int i = 0; i < StrongInstances; ++i) {
+        const std::string name = "strong-" + std::to_string(i);
+        all.push_back({name, name, "b", "wheatbelt", "life", 500});
+    }
+    list(1, all, true);
+    pass(Second);
+    lease.start("weak");
+    pass(Second);
+    ASSERT_TRUE(lease.isHeld());
+    list(2, {weak}, false);
+    pass(Second);
+    EXPECT_EQ(taken, 0);
+    pass(Second * 8);
+    EXPECT_EQ(taken, 4);
+}
+
 // A listing of the inbox shows a job before its cancellation.
 TEST(JobKeys, sortSubmissionsBeforeCancellations)
 {
@@ -248,6 +304,30 @@
     EXPECT_EQ(world.workers.startCount({"job", 0, 0, 0}), 2U);
 }
 
+// Load: a successor that is short of processor time reads the workers' lists long after the leases of its predecessor.
+TEST(JobScheduler, startsNothingAgainBeforeItHasHeardLiveWorkers)
+{
+    TenureWorld world;
+    world.advance(Second * 2);
+    world.workers.setBehaviour("job", {Milliseconds(600), 0, false});
+    TenureInstance *owner = world.owner();
+    ASSERT_NE(owner, nullptr);
+    owner->router.submit(TenureWorld::job("job", 1, 1), world.clock.now() + Second * 3, [](RouteOutcome) {});
+    world.advance(Milliseconds(300));
+    ASSERT_EQ(world.workers.runningCount(), 1U);
+    const JobScheduler &jobs = owner->seats.keeper("fleet")->jobs();
+    const std::string worker = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    world.kill(owner->card.name.back() - '0');
+    for (const auto &[id, instance] : world.instances) {
+        if (instance) {
+            instance->gateway.reportDelays[worker] = Second * 7;
+        }
+    }
+    world.advance(Second * 16);
+    EXPECT_EQ(world.workers.startCount({"job", 0, 0, 0}), 1U);
+    EXPECT_EQ(world.phaseOf("job"), JobPhase::Done);
+}
+
 // A worker that left long ago must not hold up the tasks that a later owner inherits.
 TEST(JobScheduler, doesNotWaitForWorkersThatLeftBeforeATakeOver)
 {
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -341,6 +341,8 @@
     std::set<std::string> cutWorkers;
     int loseAnswers = 0;
     int lateOrders = 0;
+    // How long the instance takes until it reads a worker's answer to a report request.
+    std::map<std::string, Milliseconds> reportDelays;
 
     void start(const OrderTarget &target, const StartOrder &order, AnswerHandler handler) override
     {
@@ -368,7 +370,9 @@
         const Milliseconds wait = std::min(request.wait, LongestWait);
         m_scheduler.after(Delay + wait, [this, target, request, handler = std::move(handler)] {
             std::variant<RunReport, OrderOutcome> result = m_workers.report(target.worker, target.token, request);
-            m_scheduler.after(Delay, [handler, result = std::move(result)] { handler(result); });
+            const auto slow = reportDelays.find(target.worker);
+            const Milliseconds readingDelay = slow == reportDelays.end() ? Milliseconds(0) : slow->second;
+            m_scheduler.after(Delay + readingDelay, [handler, result = std::move(result)] { handler(result); });
         });
     }
 
