Tests, Scheduling: Read malformed messages without ending the process

Cause: operators of similar systems lost whole processes to one malformed message. Looked for here with corrupted copies of each message that the node reads (operators, workers, store, advisor, other instances, records of other versions).

--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -221,6 +221,9 @@
     job.finishedOccurrences = memberOr(document, "finished", std::int64_t {0});
     const Json occurrences = memberOr(document, "occurrences", Json::object());
     for (const auto &[key, steps] : occurrences.items()) {
+        if (!steps.is_array()) {
+            continue;
+        }
         OccurrenceState &occurrence = createOccurrence(job, std::strtoll(key.c_str(), nullptr, 10));
         for (std::size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
             StepState &step = occurrence.steps[i];
