Tenure: Gather what nobody waits for before it is written; split large files by duty

Change: JobJournal knows two urgencies, 20 and 60 ms; a full transaction is followed at once. Delegation, room, loading and inbox have files of their own; no change of behaviour.

--- /dev/null
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -0,0 +1,105 @@
+// The part of JobScheduler that leaves lasting tasks to other partitions and runs theirs.
+#include "scheduling/JobScheduler.h"
+#include "scheduling/PlacementSurvey.h"
+
+namespace Wagtail
+{
+
+void JobScheduler::restoreGuest(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
+    const Json &progress, const std::vector<DelegatedTask> &tasks)
+{
+    if (m_jobs.contains(specification.id)) {
+        return;
+    }
+    JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
+    job.guest = true;
+    job.inherited = true;
+    job.phase = jobPhaseFromName(memberOr(progress, "phase", std::string()));
+    job.recordedPhase = job.phase;
+    if (job.isFinished()) {
+        job.finishedAt = m_environment.clock.now();
+        return;
+    }
+    openGuest(job, tasks);
+}
+
+void JobScheduler::addGuest(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
+    const std::vector<DelegatedTask> &tasks)
+{
+    const std::string id = specification.id;
+    const auto known = m_jobs.find(id);
+    if (known != m_jobs.end()) {
+        JobState &job = *known->second;
+        if (job.guest && !job.isFinished()) {
+            takeDelegated(job, tasks);
+            dispatchSoon();
+        }
+        return;
+    }
+    JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
+    job.guest = true;
+    openGuest(job, tasks);
+    m_environment.listener.progressChanged(id);
+}
+
+void JobScheduler::openGuest(JobState &job, const std::vector<DelegatedTask> &tasks)
+{
+    m_open.push_back(&job);
+    createDueOccurrences(job);
+    leaveToOthers(job);
+    takeDelegated(job, tasks);
+    dispatchSoon();
+}
+
+std::vector<UnplacedStep> JobScheduler::unplacedLasting(Milliseconds longerThan) const
+{
+    const Instant now = m_environment.clock.now();
+    std::vector<UnplacedStep> steps;
+    for (const JobState *job : m_open) {
+        const bool unknownRuns = job->inherited && isRecovering();
+        if (job->guest || unknownRuns || job->specification.repeatCount > 0) {
+            continue;
+        }
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                const StepSpecification &specification = step.specification();
+                const bool movable = specification.lasting && !specification.gang && specification.after.empty();
+                const bool waits
+                    = step.waitingCount > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
+                if (movable && waits && surveyPlacement(m_workers, step, now).open == 0) {
+                    steps.push_back({job->specification.id, step.number, step.waitingCount});
+                }
+            }
+        }
+    }
+    return steps;
+}
+
+std::vector<DelegatedTask> JobScheduler::delegate(const UnplacedStep &unplaced, const std::string &partition, int count)
+{
+    const auto found = m_jobs.find(unplaced.job);
+    if (found == m_jobs.end() || found->second->isFinished()) {
+        return {};
+    }
+    JobState &job = *found->second;
+    std::vector<DelegatedTask> all;
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (StepState &step : occurrence.steps) {
+            for (TaskState &task : step.tasks) {
+                if (step.number == unplaced.step && task.phase == RunPhase::Waiting && count > 0) {
+                    --count;
+                    --step.waitingCount;
+                    task.phase = RunPhase::Delegated;
+                    task.delegatedTo = partition;
+                }
+                if (task.delegatedTo == partition) {
+                    all.push_back({nameOf(task), task.run});
+                }
+            }
+        }
+    }
+    m_environment.listener.progressChanged(unplaced.job);
+    return all;
+}
+
+}
--- /dev/null
+++ b/source/scheduling/JobSchedulerRoom.cpp
@@ -0,0 +1,81 @@
+// The part of JobScheduler that tells what its workers can take.
+#include "scheduling/JobScheduler.h"
+#include "scheduling/WorkerChoice.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+PassingDemand JobScheduler::passingDemand(const std::string &pool) const
+{
+    const auto found = m_passing.find(pool);
+    return found == m_passing.end() ? PassingDemand(m_beganAt) : found->second;
+}
+
+void JobScheduler::observePassingWork()
+{
+    std::map<std::string, PassingSample> samples;
+    for (const JobState *job : m_open) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                const StepSpecification &specification = step.specification();
+                const int open = static_cast<int>(step.tasks.size()) - step.doneCount;
+                if (!specification.lasting && !specification.backfills && occurrence.isEligible(step)) {
+                    samples[job->policy.pool].add(open, specification.demand.milliCores);
+                }
+            }
+        }
+    }
+    for (const auto &[name, worker] : m_workers) {
+        m_passing.try_emplace(worker.listing.pool, m_beganAt);
+    }
+    for (auto &[pool, demand] : m_passing) {
+        demand.observe(samples[pool]);
+    }
+}
+
+PoolRooms JobScheduler::rooms() const
+{
+    const Instant now = m_environment.clock.now();
+    PoolRooms rooms;
+    for (const auto &[name, worker] : m_workers) {
+        if (!worker.listed) {
+            continue;
+        }
+        PoolRoom &room = rooms[worker.listing.pool];
+        room.largestWorker = room.largestWorker.maximum(worker.listing.capacity);
+        room.labels.insert(worker.listing.labels.begin(), worker.listing.labels.end());
+        room.racks.insert(worker.listing.rack);
+    }
+    for (const auto &[name, worker] : m_workers) {
+        if (worker.listed && (isUsable(worker, now) || !worker.contacted)) {
+            PoolRoom &room = rooms[worker.listing.pool];
+            const std::int64_t typical = passingDemand(worker.listing.pool).typicalTask(room.largestWorker.milliCores);
+            const Resources gapOfWorker = worker.roomBesideLasting();
+            const std::int64_t gap = std::max<std::int64_t>(0, gapOfWorker.milliCores);
+            if (gapOfWorker.milliCores > room.largestGap.milliCores) {
+                room.largestGap = gapOfWorker;
+            }
+            room.capacity += worker.listing.capacity.milliCores;
+            room.freeBesideLasting += gap;
+            room.freeForPassing += gap / typical * typical;
+        }
+    }
+    for (const JobState *job : m_open) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                if (step.specification().lasting && occurrence.isEligible(step)) {
+                    const Resources demand = WorkerState::countedDemand(step.specification());
+                    rooms[job->policy.pool].takeForLasting(step.waitingCount * demand.milliCores);
+                }
+            }
+        }
+    }
+    for (auto &[pool, room] : rooms) {
+        room.passing = passingDemand(pool).expected(now, room.capacity);
+    }
+    return rooms;
+}
+
+}
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -11,7 +11,8 @@
 {
 
 // Changes gather for this long before they are written: each call to the store is paid for.
-constexpr Milliseconds GatherTime {20};
+constexpr Milliseconds UrgentGatherTime {20};
+constexpr Milliseconds GatherTime {60};
 // A transaction without a definite answer is sent again after this time.
 constexpr Milliseconds RetryPeriod {150};
 // The platform takes at most 32 conditions, writes and erasures in a transaction.
@@ -50,43 +51,43 @@
         return;
     }
     m_accepts.push_back({std::move(record), std::move(handler)});
-    schedule(GatherTime);
+    schedule(Urgency::High);
 }
 
-void JobJournal::progressChanged(const std::string &job)
+void JobJournal::progressChanged(const std::string &job, Urgency urgency)
 {
     m_changed.insert(job);
-    schedule(GatherTime);
+    schedule(urgency);
 }
 
 void JobJournal::delegate(const std::string &job, std::vector<StoreWrite> writes)
 {
     m_delegations.push_back({job, std::move(writes)});
-    schedule(GatherTime);
+    schedule(Urgency::High);
 }
 
 void JobJournal::requestCoverage()
 {
     m_coverageWanted = true;
-    schedule(GatherTime);
+    schedule(Urgency::Low);
 }
 
 void JobJournal::put(const std::string &key, std::string value)
 {
     m_puts[key] = std::move(value);
-    schedule(GatherTime);
+    schedule(Urgency::Low);
 }
 
 void JobJournal::erase(const std::string &key)
 {
     m_erasures.insert(key);
-    schedule(GatherTime);
+    schedule(Urgency::Low);
 }
 
 void JobJournal::flush(std::function<void()> handler)
 {
     m_flushHandlers.push_back(std::move(handler));
-    schedule(Milliseconds(0));
+    schedule(Urgency::High);
 }
 
 bool JobJournal::isStoreAway() const
@@ -100,15 +101,28 @@
         && !m_coverageWanted;
 }
 
-void JobJournal::schedule(Milliseconds delay)
+void JobJournal::schedule(Urgency urgency)
 {
-    if (m_scheduled || m_batch) {
+    m_urgent = m_urgent || urgency == Urgency::High;
+    if (m_batch) {
+        return;
+    }
+    if (m_urgent) {
+        writeAfter(UrgentGatherTime, m_scheduledSoon);
+    } else {
+        writeAfter(GatherTime, m_scheduledLater);
+    }
+}
+
+void JobJournal::writeAfter(Milliseconds delay, bool &scheduled)
+{
+    if (scheduled) {
         return;
     }
-    m_scheduled = true;
-    m_scheduler.after(delay, [this, alive = m_alive] {
+    scheduled = true;
+    m_scheduler.after(delay, [this, alive = m_alive, &scheduled] {
         if (*alive) {
-            m_scheduled = false;
+            scheduled = false;
             write();
         }
     });
@@ -133,6 +147,8 @@
     }
     m_batch = Batch();
     fill(*m_batch);
+    // What a full transaction leaves behind has waited once already.
+    m_urgent = !isIdle();
     send();
 }
 
@@ -287,7 +303,7 @@
     if (isIdle()) {
         notifyFlushed();
     } else {
-        schedule(GatherTime);
+        schedule(Urgency::Low);
     }
 }
 
@@ -329,7 +345,7 @@
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
     m_coverageWanted = m_coverageWanted || batch.covers;
     std::move(batch.flushHandlers.begin(), batch.flushHandlers.end(), std::back_inserter(m_flushHandlers));
-    schedule(Milliseconds(0));
+    schedule(Urgency::High);
 }
 
 void JobJournal::notifyFlushed()
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -78,8 +78,16 @@
 
     void accept(JobRecord record, AcceptHandler handler);
 
+    // How soon a change has to be in the store.
+    enum class Urgency {
+        // A caller waits for it.
+        High,
+        // Nobody waits for it, so that more may gather: each call to the store is paid for.
+        Low,
+    };
+
     // Has the job's progress written with the next transaction.
-    void progressChanged(const std::string &job);
+    void progressChanged(const std::string &job, Urgency urgency);
 
     // Has the job's progress written together with the given keys of another partition, in one transaction.
     void delegate(const std::string &job, std::vector<StoreWrite> writes);
@@ -125,7 +133,8 @@
         bool uncertain = false;
     };
 
-    void schedule(Milliseconds delay);
+    void schedule(Urgency urgency);
+    void writeAfter(Milliseconds delay, bool &scheduled);
     void write();
     void fill(Batch &batch);
     void fillDelegations(Batch &batch, std::size_t &entries);
@@ -148,7 +157,10 @@
     std::set<std::string> m_erasures;
     bool m_coverageWanted = false;
     std::optional<Batch> m_batch;
-    bool m_scheduled = false;
+    // Whether a change that waits is urgent, and which of the two delays run.
+    bool m_urgent = false;
+    bool m_scheduledSoon = false;
+    bool m_scheduledLater = false;
     bool m_storeAway = false;
     std::vector<std::function<void()>> m_flushHandlers;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/source/tenure/JobKeeper.cpp
+++ b/source/tenure/JobKeeper.cpp
@@ -8,40 +8,12 @@
 namespace
 {
 
-constexpr Milliseconds LoadRetryPeriod {200};
 // A cancellation must reach the workers within three seconds, also when the store's history lost it.
 constexpr Milliseconds InboxWait {1'000};
 constexpr Milliseconds ForgettingPeriod {5'000};
-// Lasting tasks should be back at work within some seconds of any end, and a worker may free itself meanwhile.
-constexpr Milliseconds DelegationAfter {1'500};
 constexpr Milliseconds DelegationPeriod {500};
 // A pair of images is learned within a few reports; what is lost of it at a take-over is learned again as fast.
 constexpr Milliseconds PressurePeriod {3'000};
-// Returns how long leases of an earlier tenure may last on the slowest worker's clock.
-Milliseconds longestForeignLease(const JobKeeper::Limits &limits)
-{
-    const double lease = static_cast<double>(limits.scheduling.lease.count()) / WorkerClock::SlowestRate;
-    return limits.ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
-}
-
-std::vector<WorkerListing> parseLeaseHolders(const std::string &text)
-{
-    std::vector<WorkerListing> holders;
-    const Result<Json> document = parseJson(text, "the lease holders");
-    const Json *members = std::get_if<Json>(&document);
-    if (members == nullptr || !members->is_object()) {
-        return holders;
-    }
-    for (const auto &[name, item] : members->items()) {
-        WorkerListing worker;
-        worker.name = name;
-        worker.address = memberOr(item, "address", std::string());
-        worker.pool = memberOr(item, "pool", std::string());
-        worker.incarnation = memberOr(item, "incarnation", std::int64_t {0});
-        holders.push_back(std::move(worker));
-    }
-    return holders;
-}
 
 }
 
@@ -64,94 +36,6 @@
     *m_alive = false;
 }
 
-void JobKeeper::load()
-{
-    m_environment.store.list(
-        JobKeys::partition(m_position.partition), [this, alive = m_alive](const Result<StoreListing> &result) {
-            if (!*alive) {
-                return;
-            }
-            if (const auto *listing = std::get_if<StoreListing>(&result)) {
-                restore(*listing);
-                return;
-            }
-            m_environment.scheduler.after(LoadRetryPeriod, [this, stillAlive = m_alive] {
-                if (*stillAlive) {
-                    load();
-                }
-            });
-        });
-}
-
-void JobKeeper::restore(const StoreListing &listing)
-{
-    const std::string jobsPrefix = JobKeys::jobs(m_position.partition);
-    const std::string progressPrefix = JobKeys::progress(m_position.partition);
-    std::map<std::string, const std::string *> progress;
-    std::vector<WorkerListing> holders;
-    for (const StoreEntry &entry : listing.entries) {
-        if (entry.key.starts_with(progressPrefix)) {
-            progress[entry.key.substr(progressPrefix.size())] = &entry.value;
-        } else if (entry.key == JobKeys::leaseHolders(m_position.partition)) {
-            holders = parseLeaseHolders(entry.value);
-        } else if (entry.key == JobKeys::pressure(m_position.partition)) {
-            restorePressure(entry.value);
-        }
-    }
-    // A worker that the last owner met just before it ended may not be recorded yet, so all listed ones count.
-    for (const auto &[name, worker] : m_listed) {
-        holders.push_back(worker);
-    }
-    m_jobs.inherit(holders, m_beganAt + longestForeignLease(m_limits));
-    std::size_t count = 0;
-    for (const StoreEntry &entry : listing.entries) {
-        if (!entry.key.starts_with(jobsPrefix)) {
-            continue;
-        }
-        const auto found = progress.find(entry.key.substr(jobsPrefix.size()));
-        restoreJob(entry, found == progress.end() ? nullptr : found->second);
-        ++count;
-    }
-    m_loaded = true;
-    for (const auto &[name, worker] : m_listed) {
-        m_jobs.updateWorker(worker);
-    }
-    m_environment.log("partition-loaded", m_position.partition,
-        {{"jobs", count}, {"lease_holders", holders.size()}, {"token", m_position.ownerRevision}});
-    m_inboxFeed.start();
-}
-
-void JobKeeper::restoreJob(const StoreEntry &entry, const std::string *progress)
-{
-    Result<JobRecord> parsed = parseJobRecord(entry.value);
-    if (const Error *error = errorOf(parsed)) {
-        m_environment.log("job-unreadable", entry.key, {{"error", error->detail}});
-        return;
-    }
-    JobRecord record = std::get<JobRecord>(std::move(parsed));
-    Json document = Json::object();
-    if (progress != nullptr) {
-        const Result<Json> state = parseJson(*progress, "the job's progress");
-        if (const Json *read = std::get_if<Json>(&state)) {
-            document = *read;
-        } else {
-            m_environment.log("progress-unreadable", entry.key, {{"error", errorOf(state)->detail}});
-        }
-    }
-    const std::string id = record.specification.id;
-    if (!record.delegated.empty()) {
-        m_jobs.restoreGuest(
-            std::move(record.specification), std::move(record.policy), record.acceptedWall, document, record.delegated);
-        return;
-    }
-    m_jobs.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
-    const JobState *job = m_jobs.find(id);
-    if (job != nullptr && job->isFinished()) {
-        // The last owner may have ended before it told them.
-        cancelDelegated(*job);
-    }
-}
-
 bool JobKeeper::isLoaded() const
 {
     return m_loaded;
@@ -266,42 +150,6 @@
     m_jobs.cancel(id);
 }
 
-void JobKeeper::cancelDelegated(const JobState &job)
-{
-    const std::string &id = job.specification.id;
-    for (const std::string &partition : job.delegates()) {
-        m_journal.put(
-            JobKeys::inboxCancellation(partition, id), serialize(InboxEntry {InboxRequest::Cancel, id, std::nullopt}));
-    }
-}
-
-void JobKeeper::delegateUnplaced()
-{
-    if (m_rooms.empty()) {
-        return;
-    }
-    for (const UnplacedStep &unplaced : m_jobs.unplacedLasting(DelegationAfter)) {
-        const JobState &job = *m_jobs.find(unplaced.job);
-        const StepSpecification &step = job.specification.steps[static_cast<std::size_t>(unplaced.step)];
-        const std::optional<DelegationChoice> choice
-            = chooseDelegate(step, job.policy.pool, unplaced.waiting, m_position.partition, m_rooms);
-        if (!choice) {
-            continue;
-        }
-        m_rooms[choice->partition][job.policy.pool].takeForLasting(
-            choice->count * WorkerState::countedDemand(step).milliCores);
-        JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
-        record.delegated = m_jobs.delegate(unplaced, choice->partition, choice->count);
-        m_environment.log("tasks-delegated", unplaced.job,
-            {{"partition", choice->partition}, {"step", unplaced.step}, {"count", choice->count},
-                {"waiting", unplaced.waiting}});
-        const InboxEntry entry {InboxRequest::Delegate, unplaced.job, record};
-        m_journal.delegate(unplaced.job,
-            {{JobKeys::jobs(choice->partition) + unplaced.job, serialize(record), std::nullopt, 0},
-                {JobKeys::inboxDelegation(choice->partition, unplaced.job), serialize(entry), std::nullopt, 0}});
-    }
-}
-
 std::optional<JobPhase> JobKeeper::phaseOf(const std::string &id) const
 {
     const JobState *job = m_jobs.find(id);
@@ -397,17 +245,6 @@
     m_journal.put(JobKeys::pressure(m_position.partition), std::move(text));
 }
 
-void JobKeeper::restorePressure(const std::string &text)
-{
-    const Result<Json> document = parseJson(text, "the learned pressure");
-    if (const Error *error = errorOf(document)) {
-        m_environment.log("pressure-unreadable", m_position.partition, {{"error", error->detail}});
-        return;
-    }
-    m_jobs.pressure().restore(std::get<Json>(document));
-    m_recordedPressure = text;
-}
-
 void JobKeeper::flush(std::function<void()> handler)
 {
     m_journal.flush(std::move(handler));
@@ -420,7 +257,10 @@
 
 void JobKeeper::progressChanged(const std::string &job)
 {
-    m_journal.progressChanged(job);
+    const JobState *state = m_jobs.find(job);
+    const bool ends = state != nullptr && state->isFinished() && state->recordedPhase != state->phase;
+    // Callers ask for a job's end; of single tasks nobody hears.
+    m_journal.progressChanged(job, ends ? JobJournal::Urgency::High : JobJournal::Urgency::Low);
 }
 
 void JobKeeper::endsListed()
@@ -496,42 +336,4 @@
     m_environment.onDeposed();
 }
 
-void JobKeeper::onInboxChanged(const std::string &key)
-{
-    const StoreEntry *entry = m_inbox.find(key);
-    if (entry == nullptr) {
-        return;
-    }
-    const Result<InboxEntry> parsed = parseInboxEntry(entry->value);
-    if (const Error *error = errorOf(parsed)) {
-        m_environment.log("inbox-unreadable", key, {{"error", error->detail}});
-        m_journal.erase(key);
-        return;
-    }
-    applyInbox(key, std::get<InboxEntry>(parsed));
-}
-
-void JobKeeper::applyInbox(const std::string &key, const InboxEntry &entry)
-{
-    m_environment.log("inbox-applied", entry.job, {{"request", nameOf(entry.request)}});
-    if (entry.request == InboxRequest::Submit) {
-        const JobRecord &record = *entry.record;
-        m_jobs.add(record.specification, record.policy, record.acceptedWall);
-        m_journal.erase(key);
-        return;
-    }
-    if (entry.request == InboxRequest::Delegate) {
-        const JobRecord &record = *entry.record;
-        m_jobs.addGuest(record.specification, record.policy, record.acceptedWall, record.delegated);
-        m_journal.erase(key);
-        return;
-    }
-    const JobState *job = m_jobs.find(entry.job);
-    if (job == nullptr) {
-        m_journal.erase(key);
-        return;
-    }
-    cancelHere(*job, [this, key](bool) { m_journal.erase(key); });
-}
-
 }
