--- a/source/configuration/ClusterFeed.cpp
+++ b/source/configuration/ClusterFeed.cpp
@@ -10,9 +10,14 @@
 
 }
 
-ClusterFeed::ClusterFeed(
-    Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix, Milliseconds watchWait)
-    : m_store(store), m_scheduler(scheduler), m_entries(entries), m_prefix(std::move(prefix)), m_watchWait(watchWait)
+ClusterFeed::ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
+    Milliseconds watchWait, Milliseconds gatherTime)
+    : m_store(store)
+    , m_scheduler(scheduler)
+    , m_entries(entries)
+    , m_prefix(std::move(prefix))
+    , m_watchWait(watchWait)
+    , m_gatherTime(gatherTime)
 {
 }
 
@@ -40,7 +45,7 @@
         const StoreListing *listing = std::get_if<StoreListing>(&result);
         if (listing == nullptr) {
             m_following = false;
-            retry([this] { list(); });
+            runAfter(RetryDelay, [this] { list(); });
             return;
         }
         m_following = true;
@@ -62,19 +67,24 @@
                     // The store no longer has the changes since then.
                     list();
                 } else {
-                    retry([this] { watch(); });
+                    runAfter(RetryDelay, [this] { watch(); });
                 }
                 return;
             }
             m_following = true;
-            m_entries.applyEvents(std::get<StoreEvents>(result));
-            watch();
+            const StoreEvents &events = std::get<StoreEvents>(result);
+            m_entries.applyEvents(events);
+            if (events.events.empty() || m_gatherTime.count() == 0) {
+                watch();
+            } else {
+                runAfter(m_gatherTime, [this] { watch(); });
+            }
         });
 }
 
-void ClusterFeed::retry(std::function<void()> action)
+void ClusterFeed::runAfter(Milliseconds delay, std::function<void()> action)
 {
-    m_scheduler.after(RetryDelay, [alive = m_alive, action = std::move(action)] {
+    m_scheduler.after(delay, [alive = m_alive, action = std::move(action)] {
         if (*alive) {
             action();
         }
--- a/source/configuration/ClusterFeed.h
+++ b/source/configuration/ClusterFeed.h
@@ -15,8 +15,9 @@
 {
 public:
     // Each watch waits for at most the given time, so that a change which the store's history lost is noticed by then.
+    // After events the next watch begins once the gather time is over, so that many changes share a call.
     ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
-        Milliseconds watchWait = LongestWatchWait);
+        Milliseconds watchWait = LongestWatchWait, Milliseconds gatherTime = Milliseconds(0));
     ~ClusterFeed();
     ClusterFeed(const ClusterFeed &) = delete;
     ClusterFeed &operator=(const ClusterFeed &) = delete;
@@ -31,13 +32,14 @@
 private:
     void list();
     void watch();
-    void retry(std::function<void()> action);
+    void runAfter(Milliseconds delay, std::function<void()> action);
 
     Store &m_store;
     Scheduler &m_scheduler;
     VersionedEntries &m_entries;
     std::string m_prefix;
     Milliseconds m_watchWait;
+    Milliseconds m_gatherTime;
     bool m_following = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/source/testing/FaultyStore.h
+++ b/source/testing/FaultyStore.h
@@ -19,6 +19,8 @@
     bool down = false;
     int loseAnswers = 0;
     Milliseconds delay {1};
+    // How many watches were asked for.
+    int watches = 0;
 
     void read(const std::string &key, Handler<std::optional<StoreEntry>> handler) override
     {
@@ -80,6 +82,7 @@
 
     void watch(const std::string &prefix, StoreRevision after, Milliseconds wait, Handler<StoreEvents> handler) override
     {
+        ++watches;
         if (down) {
             fail<StoreEvents>(std::move(handler));
             return;
