--- a/source/tenure/tests/TenureWorld.h
+++ b/source/tenure/tests/TenureWorld.h
@@ -123,6 +123,7 @@
         : scheduler(clock), state(clock), workers(clock), peers(scheduler), advisor(scheduler), plan(regions)
     {
         std::vector<std::string> dataCentres;
+        dataCentres.reserve(regions.size());
         for (const auto &[dataCentre, region] : regions) {
             dataCentres.push_back(dataCentre);
         }
