--- a/source/configuration/ClusterFeed.cpp
+++ b/source/configuration/ClusterFeed.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr Milliseconds RetryDelay {500};
+// A store answers a watch with some hundred events at most; as many as this mean that more are waiting.
+constexpr std::size_t ManyEvents = 200;
 
 }
 
@@ -74,7 +76,8 @@
             m_following = true;
             const StoreEvents &events = std::get<StoreEvents>(result);
             m_entries.applyEvents(events);
-            if (events.events.empty() || m_gatherTime.count() == 0) {
+            const bool behind = events.events.size() >= ManyEvents;
+            if (events.events.empty() || behind || m_gatherTime.count() == 0) {
                 watch();
             } else {
                 runAfter(m_gatherTime, [this] { watch(); });
--- a/source/configuration/ClusterFeed.h
+++ b/source/configuration/ClusterFeed.h
@@ -15,7 +15,8 @@
 {
 public:
     // Each watch waits for at most the given time, so that a change which the store's history lost is noticed by then.
-    // After events the next watch begins once the gather time is over, so that many changes share a call.
+    // After events the next watch begins once the gather time is over, so that many changes share a call;
+    // at once when there were so many that the store may hold more back.
     ClusterFeed(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
         Milliseconds watchWait = LongestWatchWait, Milliseconds gatherTime = Milliseconds(0));
     ~ClusterFeed();
--- a/source/configuration/tests/ClusterFeedTest.cpp
+++ b/source/configuration/tests/ClusterFeedTest.cpp
@@ -57,6 +57,29 @@
     EXPECT_LE(follow(Milliseconds(300)), 6);
 }
 
+// Load: thousands of workers, whose changes within the gather time are more than the store gives in one answer.
+TEST_F(ClusterFeedTest, doesNotFallBehindMoreChangesThanOneAnswerHolds)
+{
+    constexpr Milliseconds GatherTime {300};
+    constexpr int Workers = 250;
+    ClusterFeed feed(m_store, m_scheduler, m_entries, "servers/", ClusterFeed::LongestWatchWait, GatherTime);
+    feed.start();
+    m_scheduler.advance(Milliseconds(10), Milliseconds(10));
+    const auto writeAll = [this](const std::string &value) {
+        StoreTransaction transaction;
+        for (int i = 0; i < Workers; ++i) {
+            transaction.writes.push_back({"servers/" + std::to_string(i), value, std::nullopt, 0});
+        }
+        EXPECT_EQ(errorOf(m_state.commit(transaction)), nullptr);
+    };
+    writeAll("first");
+    m_scheduler.advance(Milliseconds(20), Milliseconds(5));
+    ASSERT_EQ(m_entries.find("servers/0")->value, "first");
+    writeAll("second");
+    m_scheduler.advance(Milliseconds(20), Milliseconds(5));
+    EXPECT_EQ(m_entries.find("servers/0")->value, "second");
+}
+
 TEST_F(ClusterFeedTest, followsEachChangeWhenNothingIsToBeGathered)
 {
     EXPECT_GE(follow(Milliseconds(0)), 50);
