Tenure, Scheduling: Read instances and rooms once, not at each review

Cause: PartitionSeats parsed the cards of all instances at every review, ten times a second on an owner, though they change seldom; rooms() copied the demand of a pool for each of its workers; JobJournal listed its pending changes twice; WorkerState returned results that nobody used. Change: cards are read again only when the cluster's revision moved, the typical task is worked out once for each pool, JobJournal has hasChanges(), hold() and drop() return nothing.

--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -209,7 +209,7 @@
     WorkerState *best = nullptr;
     double least = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
-        const bool keptFree = !step.specification().lasting && !m_reserved.empty() && m_reserved.contains(name);
+        const bool keptFree = !step.specification().lasting && m_reserved.contains(name);
         if (keptFree || !mayRun(step, worker)) {
             continue;
         }
--- a/source/scheduling/JobSchedulerRoom.cpp
+++ b/source/scheduling/JobSchedulerRoom.cpp
@@ -48,10 +48,14 @@
         room.labels.insert(worker.listing.labels.begin(), worker.listing.labels.end());
         room.racks.insert(worker.listing.rack);
     }
+    std::map<std::string, std::int64_t> typicalTasks;
+    for (auto &[pool, room] : rooms) {
+        typicalTasks[pool] = passingDemand(pool).typicalTask(room.largestWorker.milliCores);
+    }
     for (const auto &[name, worker] : m_workers) {
         if (worker.listed && (isUsable(worker, now) || !worker.contacted)) {
             PoolRoom &room = rooms[worker.listing.pool];
-            const std::int64_t typical = passingDemand(worker.listing.pool).typicalTask(room.largestWorker.milliCores);
+            const std::int64_t typical = typicalTasks[worker.listing.pool];
             const Resources gapOfWorker = worker.roomBesideLasting();
             const std::int64_t gap = std::max<std::int64_t>(0, gapOfWorker.milliCores);
             if (gapOfWorker.milliCores > room.largestGap.milliCores) {
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -36,22 +36,18 @@
     return listing.capacity - usedByLasting;
 }
 
-bool WorkerState::hold(TaskState &task)
+void WorkerState::hold(TaskState &task)
 {
-    if (!tasks.insert(&task).second) {
-        return false;
+    if (tasks.insert(&task).second) {
+        count(*task.step, 1);
     }
-    count(*task.step, 1);
-    return true;
 }
 
-bool WorkerState::drop(TaskState &task)
+void WorkerState::drop(TaskState &task)
 {
-    if (tasks.erase(&task) == 0) {
-        return false;
+    if (tasks.erase(&task) > 0) {
+        count(*task.step, -1);
     }
-    count(*task.step, -1);
-    return true;
 }
 
 void WorkerState::count(const StepState &step, int sign)
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -60,9 +60,9 @@
     // Returns what lasting tasks leave; everything else ends by itself before long.
     [[nodiscard]] Resources roomBesideLasting() const;
 
-    // Counts a task in, or out. Returns whether that changed anything.
-    bool hold(TaskState &task);
-    bool drop(TaskState &task);
+    // Counts a task in, or out; a task that is counted already, or is not there, changes nothing.
+    void hold(TaskState &task);
+    void drop(TaskState &task);
 
     // Returns the share of the worker's processors that a task of the step asks for.
     [[nodiscard]] double shareOf(const StepSpecification &step) const;
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -95,10 +95,14 @@
     return m_storeAway;
 }
 
+bool JobJournal::hasChanges() const
+{
+    return !m_accepts.empty() || !m_delegations.empty() || !m_changed.empty() || !m_puts.empty() || !m_erasures.empty();
+}
+
 bool JobJournal::isIdle() const
 {
-    return m_accepts.empty() && m_delegations.empty() && m_changed.empty() && m_puts.empty() && m_erasures.empty()
-        && !m_coverageWanted;
+    return !hasChanges() && !m_coverageWanted;
 }
 
 void JobJournal::schedule(Urgency urgency)
@@ -133,9 +137,7 @@
     if (m_batch) {
         return;
     }
-    const bool onlyCoverage = m_accepts.empty() && m_delegations.empty() && m_changed.empty() && m_puts.empty()
-        && m_erasures.empty() && m_coverageWanted;
-    if (onlyCoverage) {
+    if (!hasChanges() && m_coverageWanted) {
         // Nothing has changed since the last transaction, so it covers the present.
         m_coverageWanted = false;
         m_owner.onCoverageBegins();
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -144,6 +144,7 @@
     void onCommitted(StoreRevision revision);
     void onRefused(const StoreCommit &commit);
     void notifyFlushed();
+    [[nodiscard]] bool hasChanges() const;
     [[nodiscard]] bool isIdle() const;
 
     Store &m_store;
--- a/source/tenure/PartitionSeats.cpp
+++ b/source/tenure/PartitionSeats.cpp
@@ -113,14 +113,18 @@
     if (!m_environment.lease.isHeld()) {
         m_instances.noteLeaseMissing(now);
     }
-    std::vector<InstanceCard> listed;
-    for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
-        Result<InstanceCard> parsed = parseInstanceCard(entry->value);
-        if (auto *card = std::get_if<InstanceCard>(&parsed)) {
-            listed.push_back(std::move(*card));
+    // Reviews come many times a second, changes of the cluster seldom.
+    if (m_listedRevision != m_environment.cluster.revision()) {
+        m_listedRevision = m_environment.cluster.revision();
+        m_listedInstances.clear();
+        for (const StoreEntry *entry : m_environment.cluster.withPrefix(JobKeys::Instances)) {
+            Result<InstanceCard> parsed = parseInstanceCard(entry->value);
+            if (auto *card = std::get_if<InstanceCard>(&parsed)) {
+                m_listedInstances.push_back(std::move(*card));
+            }
         }
     }
-    m_instances.observe(listed, now);
+    m_instances.observe(m_listedInstances, now);
 }
 
 int PartitionSeats::ownedHere() const
--- a/source/tenure/PartitionSeats.h
+++ b/source/tenure/PartitionSeats.h
@@ -83,6 +83,9 @@
     JobKeeper::Limits m_limits;
     Instant m_beganAt;
     KnownInstances m_instances;
+    // The listed instances, and the revision of the cluster's entries at which they were read.
+    std::vector<InstanceCard> m_listedInstances;
+    StoreRevision m_listedRevision = 0;
     std::map<std::string, Seat> m_seats;
     std::map<std::string, WorkerListing> m_workers;
     std::map<std::string, QueuePolicy> m_policies;
--- /dev/null
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -0,0 +1,107 @@
+#include "TenureWorld.h"
+
+#include "tenure/StoreRelay.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+
+// Answers calls as a test says; calls to the store and to peers are told apart by their host.
+class ScriptedClient final : public HttpClient
+{
+public:
+    void send(HttpCall call, Handler handler) override
+    {
+        const bool direct = call.url.starts_with("http://store/");
+        calls.push_back(std::move(call));
+        handler(direct ? toStore : toPeer);
+    }
+
+    std::vector<HttpCall> calls;
+    HttpAnswer toStore;
+    HttpAnswer toPeer;
+};
+
+HttpAnswer answered(int status)
+{
+    HttpAnswer answer;
+    answer.delivery = Delivery::Answered;
+    answer.status = status;
+    return answer;
+}
+
+HttpAnswer lost()
+{
+    HttpAnswer answer;
+    answer.delivery = Delivery::Lost;
+    return answer;
+}
+
+class RelayTest : public testing::Test
+{
+protected:
+    RelayTest()
+        : m_scheduler(m_clock)
+        , m_relay({m_clock, m_scheduler, m_client,
+              [] {
+                  return HttpCall {"GET", "http://store/probe", {}, {}, 100};
+              },
+              [] { return std::vector<std::string> {"peer:1"}; },
+              [](std::string_view, const std::string &, const Json &) {
+              }})
+    {
+    }
+
+    HttpAnswer send()
+    {
+        HttpAnswer result;
+        m_relay.send(
+            {"POST", "http://store/write", {}, {}, 100}, [&result](HttpAnswer answer) { result = std::move(answer); });
+        return result;
+    }
+
+    ManualClock m_clock;
+    ManualScheduler m_scheduler;
+    ScriptedClient m_client;
+    StoreRelay m_relay;
+};
+
+}
+
+TEST_F(RelayTest, takesTheWayThroughANeighbour)
+{
+    m_client.toStore = answered(503);
+    m_client.toPeer = answered(200);
+    EXPECT_EQ(send().status, 200);
+    EXPECT_EQ(m_client.calls.back().url, "http://peer:1/v1/store-relay");
+}
+
+// An unanswered write may still arrive, whatever a neighbour's attempt was told.
+TEST_F(RelayTest, keepsAnUnansweredCallUncertain)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(503);
+    EXPECT_EQ(send().delivery, Delivery::Lost);
+}
+
+TEST_F(RelayTest, confirmsAnOutageOnlyWithTheOthers)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(200);
+    m_relay.survey();
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+    m_clock.advance(Second);
+    m_client.toPeer = answered(502);
+    m_relay.survey();
+    EXPECT_TRUE(m_relay.isOutageConfirmed());
+    m_clock.advance(Second * 5);
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+}
+
+}
