--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -42,7 +42,7 @@
 // Time limits of one scheduler.
 struct SchedulingLimits
 {
-    // Duration of each lease on the runs of a worker. The default is the longest lease that the platform allows.
+    // Duration of each lease on the runs of a worker, at most the longest one that workers accept.
     Milliseconds lease {6'000};
     // Minimum time between the moment a worker starts to drain and its exit.
     Milliseconds drain {3'000};
--- /dev/null
+++ b/source/tenure/LeaseHolderRecord.cpp
@@ -0,0 +1,49 @@
+#include "tenure/LeaseHolderRecord.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+std::string serialize(const LeaseHolderRecord &record)
+{
+    Json holders = Json::object();
+    for (const WorkerListing &worker : record.workers) {
+        Json &holder = holders[worker.name];
+        holder = {{"address", worker.address}, {"pool", worker.pool}, {"incarnation", worker.incarnation}};
+        // The duration stands with each worker, because earlier versions read every member of the record as a worker.
+        if (record.leaseDuration) {
+            holder["lease_ms"] = record.leaseDuration->count();
+        }
+    }
+    return writeJson(holders);
+}
+
+LeaseHolderRecord parseLeaseHolderRecord(const std::string &text)
+{
+    LeaseHolderRecord record;
+    const Result<Json> document = parseJson(text, "the lease holders");
+    const Json *members = std::get_if<Json>(&document);
+    if (members == nullptr || !members->is_object()) {
+        return record;
+    }
+    bool complete = !members->empty();
+    Milliseconds longest {0};
+    for (const auto &[name, item] : members->items()) {
+        WorkerListing worker;
+        worker.name = name;
+        worker.address = memberOr(item, "address", std::string());
+        worker.pool = memberOr(item, "pool", std::string());
+        worker.incarnation = memberOr(item, "incarnation", std::int64_t {0});
+        record.workers.push_back(std::move(worker));
+        const auto duration = memberOr(item, "lease_ms", std::int64_t {0});
+        complete = complete && duration > 0;
+        longest = std::max(longest, Milliseconds(duration));
+    }
+    if (complete) {
+        record.leaseDuration = longest;
+    }
+    return record;
+}
+
+}
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -1,6 +1,7 @@
 #include "tenure/PartitionLeader.h"
 
 #include "tenure/JobKeys.h"
+#include "tenure/LeaseHolderRecord.h"
 
 namespace Wagtail
 {
@@ -201,10 +202,14 @@
         return;
     }
     m_jobScheduler.tick();
+    const Instant now = m_environment.clock.now();
+    if (m_recordedLeaseDuration > m_limits.scheduling.lease && now >= m_earlierLeasesExpireAt) {
+        m_recordedLeaseDuration = m_limits.scheduling.lease;
+        m_leaseHoldersDirty = true;
+    }
     if (m_leaseHoldersDirty) {
         writeLeaseHolders();
     }
-    const Instant now = m_environment.clock.now();
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
         delegateUnplacedTasks();
@@ -229,12 +234,8 @@
 void PartitionLeader::writeLeaseHolders()
 {
     m_leaseHoldersDirty = false;
-    Json holders = Json::object();
-    for (const WorkerListing &worker : m_jobScheduler.leaseHolders()) {
-        holders[worker.name]
-            = {{"address", worker.address}, {"pool", worker.pool}, {"incarnation", worker.incarnation}};
-    }
-    m_journal.put(JobKeys::leaseHolders(m_position.partition), writeJson(holders));
+    m_journal.put(JobKeys::leaseHolders(m_position.partition),
+        serialize(LeaseHolderRecord {m_jobScheduler.leaseHolders(), m_recordedLeaseDuration}));
 }
 
 void PartitionLeader::writeInterferenceModel()
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -31,6 +31,8 @@
         SchedulingLimits scheduling;
         // How long an earlier owner may have granted leases to workers after its owner key expired.
         Milliseconds ownerLease {3'000};
+        // The longest lease that workers accept. Owners of earlier versions may have granted it.
+        Milliseconds longestWorkerLease {6'000};
         // How long the status of a finished job is available.
         Milliseconds statusRetention {120'000};
     };
@@ -131,6 +133,10 @@
     std::map<std::string, RunEndPosition> m_endsBeingRecorded;
     std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
     bool m_leaseHoldersDirty = false;
+    // When the last lease of an earlier term has surely expired. Until then, a successor has to wait for the longest
+    // lease of all terms, which is recorded with the lease holders.
+    Instant m_earlierLeasesExpireAt;
+    Milliseconds m_recordedLeaseDuration {0};
     // The headroom of the other partitions. Jobs redirected and tasks delegated there are deducted until the next
     // update.
     PartitionHeadrooms m_headrooms;
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -1,7 +1,10 @@
 // The part of PartitionLeader that reads the state that earlier terms recorded.
 #include "tenure/JobKeys.h"
+#include "tenure/LeaseHolderRecord.h"
 #include "tenure/PartitionLeader.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -10,30 +13,11 @@
 
 constexpr Milliseconds LoadRetryPeriod {200};
 
-// Returns how long leases of earlier terms may last by the slowest worker clock.
-Milliseconds longestEarlierLease(const PartitionLeader::Limits &limits)
-{
-    const double lease = static_cast<double>(limits.scheduling.lease.count()) / WorkerClock::SlowestRate;
-    return limits.ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
-}
-
-std::vector<WorkerListing> parseLeaseHolders(const std::string &text)
+// Returns for how long after the start of a term leases of earlier terms may last by the slowest worker clock.
+Milliseconds longestEarlierLease(Milliseconds ownerLease, Milliseconds workerLease)
 {
-    std::vector<WorkerListing> holders;
-    const Result<Json> document = parseJson(text, "the lease holders");
-    const Json *members = std::get_if<Json>(&document);
-    if (members == nullptr || !members->is_object()) {
-        return holders;
-    }
-    for (const auto &[name, item] : members->items()) {
-        WorkerListing worker;
-        worker.name = name;
-        worker.address = memberOr(item, "address", std::string());
-        worker.pool = memberOr(item, "pool", std::string());
-        worker.incarnation = memberOr(item, "incarnation", std::int64_t {0});
-        holders.push_back(std::move(worker));
-    }
-    return holders;
+    const double lease = static_cast<double>(workerLease.count()) / WorkerClock::SlowestRate;
+    return ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
 }
 
 }
@@ -62,21 +46,27 @@
     const std::string jobsPrefix = JobKeys::jobs(m_position.partition);
     const std::string progressPrefix = JobKeys::progress(m_position.partition);
     std::map<std::string, const std::string *> progress;
-    std::vector<WorkerListing> holders;
+    LeaseHolderRecord record;
     for (const StoreEntry &entry : listing.entries) {
         if (entry.key.starts_with(progressPrefix)) {
             progress[entry.key.substr(progressPrefix.size())] = &entry.value;
         } else if (entry.key == JobKeys::leaseHolders(m_position.partition)) {
-            holders = parseLeaseHolders(entry.value);
+            record = parseLeaseHolderRecord(entry.value);
         } else if (entry.key == JobKeys::interferenceModel(m_position.partition)) {
             restoreInterferenceModel(entry.value);
         }
     }
+    const bool isFirstTerm = m_position.term == 0;
+    const Milliseconds unrecordedLease = isFirstTerm ? m_limits.scheduling.lease : m_limits.longestWorkerLease;
+    const Milliseconds earlierLease = record.leaseDuration.value_or(unrecordedLease);
+    m_earlierLeasesExpireAt = m_startedAt + longestEarlierLease(m_limits.ownerLease, earlierLease);
+    m_recordedLeaseDuration = std::max(earlierLease, m_limits.scheduling.lease);
+    std::vector<WorkerListing> &holders = record.workers;
     // The last owner may have ended before it recorded a new lease holder, so all listed workers are included.
     for (const auto &[name, worker] : m_listedWorkers) {
         holders.push_back(worker);
     }
-    m_jobScheduler.beginRecovery(holders, m_startedAt + longestEarlierLease(m_limits));
+    m_jobScheduler.beginRecovery(holders, m_earlierLeasesExpireAt);
     std::size_t count = 0;
     for (const StoreEntry &entry : listing.entries) {
         if (!entry.key.starts_with(jobsPrefix)) {
@@ -91,7 +81,8 @@
         m_jobScheduler.updateWorker(worker);
     }
     m_environment.log("partition-loaded", m_position.partition,
-        {{"jobs", count}, {"lease_holders", holders.size()}, {"token", m_position.ownerRevision}});
+        {{"jobs", count}, {"lease_holders", holders.size()}, {"earlier_lease_ms", earlierLease.count()},
+            {"token", m_position.ownerRevision}});
     m_inboxFeed.start();
 }
 
--- /dev/null
+++ b/source/tenure/tests/LeaseHolderRecordTest.cpp
@@ -0,0 +1,86 @@
+#include "tenure/LeaseHolderRecord.h"
+
+#include "TestCluster.h"
+#include "scheduling/WorkerLeasePolicy.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+
+WorkerListing workerNamed(const std::string &name)
+{
+    WorkerListing worker;
+    worker.name = name;
+    worker.address = name + ":1";
+    worker.pool = "pool";
+    worker.incarnation = 7;
+    return worker;
+}
+
+}
+
+TEST(LeaseHolderRecord, isReadAsItWasWritten)
+{
+    const LeaseHolderRecord record {{workerNamed("a"), workerNamed("b")}, Milliseconds(6'000)};
+    EXPECT_EQ(parseLeaseHolderRecord(serialize(record)), record);
+}
+
+// During an upgrade, the owner of the earlier term may be of a version that granted longer leases than this one.
+TEST(LeaseHolderRecord, hasNoLeaseDurationIfAnyWorkerLacksIt)
+{
+    const std::string text = R"({"a": {"address": "a:1", "pool": "pool", "incarnation": 7, "lease_ms": 6000},
+        "b": {"address": "b:1", "pool": "pool", "incarnation": 7}})";
+    const LeaseHolderRecord record = parseLeaseHolderRecord(text);
+    EXPECT_EQ(record.workers, (std::vector<WorkerListing> {workerNamed("a"), workerNamed("b")}));
+    EXPECT_EQ(record.leaseDuration, std::nullopt);
+}
+
+TEST(LeaseHolderRecord, isEmptyIfMalformed)
+{
+    for (const std::string text : {"", "[]", "{", "7", R"({"a": 1})", R"({"a": {"lease_ms": "long"}})"}) {
+        EXPECT_EQ(parseLeaseHolderRecord(text).leaseDuration, std::nullopt) << text;
+    }
+}
+
+// A worker is lost, and its owner soon after. The successor restarts the worker's long-running task once the leases
+// that were granted have expired, not once the longest leases that the platform allows would have.
+TEST(PartitionLeader, restartsTasksOfALostWorkerOnceTheGrantedLeasesHaveExpired)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    cluster.workers.setBehaviour("job", {Milliseconds(100), 0, true});
+    TestInstance *owner = cluster.owner();
+    ASSERT_NE(owner, nullptr);
+    JobRecord record = TestCluster::job("job", 1, 1);
+    record.specification.steps[0].longRunning = true;
+    owner->router.submit(record, cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    cluster.advance(Second * 2);
+    const JobScheduler &jobs = owner->ownership.leader("fleet")->jobScheduler();
+    const std::string worker = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    for (const auto &[number, instance] : cluster.instances) {
+        instance->gateway.cutWorkers.insert(worker);
+    }
+    cluster.listAllWorkersExcept({worker});
+    cluster.advance(Milliseconds(500));
+    cluster.kill(owner->self.name.back() - '0');
+    // Three seconds until the owner's lease expires, three more in which it might have renewed leases, and two for the
+    // leases of the workers.
+    cluster.advance(Second * 9);
+    EXPECT_EQ(cluster.workers.startCount({"job", 0, 0, 0}), 2U);
+    EXPECT_EQ(cluster.workers.violations(), std::vector<std::string>());
+}
+
+// Leases that outlast any take-over would only delay a successor.
+TEST(WorkerLeasePolicy, grantsNoMoreThanATakeOverNeeds)
+{
+    EXPECT_EQ(workerLeaseDuration(Second * 10), Second * 6);
+    EXPECT_EQ(workerLeaseDuration(Second * 4), Second * 4);
+}
+
+}
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -93,6 +93,7 @@
     {
         PartitionLeader::Limits limits;
         limits.scheduling.lease = Milliseconds(2'000);
+        limits.longestWorkerLease = Milliseconds(10'000);
         return limits;
     }
 
