--- a/source/scheduling/BackfillThrottle.cpp
+++ b/source/scheduling/BackfillThrottle.cpp
@@ -20,6 +20,7 @@
 // If a serving task stays over its target this long, all backfilling tasks on the worker are stopped, whatever the
 // model predicts. It is half of the time after which the interference counts as a violation.
 constexpr std::int64_t MaximumOverTargetMilliseconds = 1'500;
+// The result of predictedExcessLoad() for workers that take no further backfilling tasks.
 constexpr double MaximumExcessLoad = 1.0;
 // Backfilling tasks that add less than this to the load of a serving task are not throttled for it, however high that
 // load is.
--- a/source/scheduling/JobRank.cpp
+++ b/source/scheduling/JobRank.cpp
@@ -11,6 +11,13 @@
 
 // The result of a job is of use until three times its latency objective.
 constexpr int LateFactor = 3;
+// Submitters may declare any run time. Longer ones than this count as this.
+constexpr Milliseconds LongestEstimate {24 * 3'600'000};
+
+Milliseconds limitedEstimate(const StepSpecification &step)
+{
+    return std::clamp(step.estimate, Milliseconds(0), LongestEstimate);
+}
 
 // Returns the length of the longest path through the dependencies of the steps, given the length of each step.
 template<typename Length> Milliseconds longestPath(const std::vector<StepSpecification> &steps, Length length)
@@ -36,13 +43,13 @@
     return longestPath(steps, [&](std::size_t i) {
         const StepState &step = occurrence.steps[i];
         const bool done = step.doneCount == static_cast<int>(step.tasks.size());
-        return done ? Milliseconds(0) : steps[i].estimate;
+        return done ? Milliseconds(0) : limitedEstimate(steps[i]);
     });
 }
 
 Milliseconds criticalPath(const JobSpecification &job)
 {
-    return longestPath(job.steps, [&](std::size_t i) { return job.steps[i].estimate; });
+    return longestPath(job.steps, [&](std::size_t i) { return limitedEstimate(job.steps[i]); });
 }
 
 Milliseconds latencyObjective(const JobState &job)
@@ -54,7 +61,8 @@
 double workOfTask(const StepSpecification &step)
 {
     constexpr double MilliCoresPerCore = 1'000.0;
-    return static_cast<double>(step.demand.milliCores) / MilliCoresPerCore * static_cast<double>(step.estimate.count());
+    const double cores = static_cast<double>(step.demand.milliCores) / MilliCoresPerCore;
+    return cores * static_cast<double>(limitedEstimate(step).count());
 }
 
 double workOf(const JobSpecification &job)
--- a/source/scheduling/JobRank.h
+++ b/source/scheduling/JobRank.h
@@ -7,7 +7,7 @@
 namespace Wagtail
 {
 
-// What a job can still achieve.
+// What a job can still achieve. Jobs of earlier tiers are placed first.
 enum class JobTier {
     // The job runs until it is cancelled.
     LongRunning,
@@ -32,7 +32,8 @@
     auto operator<=>(const JobRank &) const = default;
 };
 
-// Returns the estimated work of one task of the step, in core-milliseconds.
+// Returns the estimated work of one task of the step, in core-milliseconds. Estimates below 0 or above a day are
+// limited.
 [[nodiscard]] double workOfTask(const StepSpecification &step);
 
 // Returns the estimated work of all tasks of one occurrence of the job, in core-milliseconds.
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -86,6 +86,7 @@
     std::optional<Instant> slowedSince;
     // The task is not placed before this time.
     Instant notBefore;
+    // Where the time of the task went under this leader term.
     TaskTimes times;
     // How often the task has been placed under this leader term.
     int placements = 0;
--- a/source/scheduling/RemainingWorkOrder.cpp
+++ b/source/scheduling/RemainingWorkOrder.cpp
@@ -9,14 +9,16 @@
 {
 
 constexpr double FullPercent = 100.0;
-// A job whose value is not known yet counts like a typical one.
+// Lower values would make the work per value meaninglessly large.
 constexpr double MinimumValue = 0.01;
 
 // Returns the part of a task's work that remains. A paused or stopped task resumes from its checkpoint.
 double remainingShare(const TaskState &task, const StepSpecification &step)
 {
     const bool keepsProgress = task.phase == RunPhase::Running || step.checkpoints;
-    return keepsProgress ? 1.0 - static_cast<double>(task.percent) / FullPercent : 1.0;
+    // Workers may report any number.
+    const double doneShare = std::clamp(static_cast<double>(task.percent) / FullPercent, 0.0, 1.0);
+    return keepsProgress ? 1.0 - doneShare : 1.0;
 }
 
 // Returns the estimated work of the unfinished tasks, in core-milliseconds.
--- a/source/scheduling/tests/OverloadTest.cpp
+++ b/source/scheduling/tests/OverloadTest.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace Wagtail
 {
 
@@ -152,6 +154,22 @@
     EXPECT_LT(order.rankOf(begun, now), order.rankOf(typical, now));
 }
 
+TEST(RemainingWorkOrder, limitsImplausibleEstimatesAndProgress)
+{
+    JobState job;
+    job.specification.steps = {backfillingStep(1, Milliseconds(std::numeric_limits<std::int64_t>::max()))};
+    job.acceptedAt = Instant(Second * 100);
+    createOccurrence(job, 0);
+    const RemainingWorkOrder order;
+    const Instant now = Instant(Second * 100);
+    EXPECT_GT(order.rankOf(job, now).position, 0);
+    job.specification.steps = {backfillingStep(1, -Second)};
+    EXPECT_EQ(order.rankOf(job, now).position, 0);
+    job.specification.steps = {backfillingStep(1, Second)};
+    job.occurrences.at(0).steps[0].tasks[0].percent = 700;
+    EXPECT_EQ(order.rankOf(job, now).position, 0);
+}
+
 // A serving task is over its target although the model predicts that no backfilling task disturbs it.
 TEST(BackfillThrottle, placesNothingBesideATaskThatStaysOverItsTarget)
 {
--- a/source/tenure/tests/LeaseHolderRecordTest.cpp
+++ b/source/tenure/tests/LeaseHolderRecordTest.cpp
@@ -54,15 +54,9 @@
 {
     TestCluster cluster;
     cluster.advance(Second * 2);
-    cluster.workers.setBehaviour("job", {Milliseconds(100), 0, true});
     TestInstance *owner = cluster.owner();
     ASSERT_NE(owner, nullptr);
-    JobRecord record = TestCluster::job("job", 1, 1);
-    record.specification.steps[0].longRunning = true;
-    owner->router.submit(record, cluster.clock.now() + Second * 3, [](RouteOutcome) {});
-    cluster.advance(Second * 2);
-    const JobScheduler &jobs = owner->ownership.leader("fleet")->jobScheduler();
-    const std::string worker = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    const std::string worker = cluster.startLongRunning("job");
     for (const auto &[number, instance] : cluster.instances) {
         instance->gateway.cutWorkers.insert(worker);
     }
--- a/source/tenure/tests/PartitionLeaderTest.cpp
+++ b/source/tenure/tests/PartitionLeaderTest.cpp
@@ -92,15 +92,9 @@
 {
     TestCluster cluster;
     cluster.advance(Second * 2);
-    cluster.workers.setBehaviour("job", {Milliseconds(100), 0, true});
     TestInstance *owner = cluster.owner();
     ASSERT_NE(owner, nullptr);
-    JobRecord record = TestCluster::job("job", 1, 1);
-    record.specification.steps[0].longRunning = true;
-    owner->router.submit(record, cluster.clock.now() + Second * 3, [](RouteOutcome) {});
-    cluster.advance(Second * 2);
-    const JobScheduler &jobs = owner->ownership.leader("fleet")->jobScheduler();
-    const std::string worker = jobs.find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    const std::string worker = cluster.startLongRunning("job");
     owner->store.down = true;
     // Any other worker would reject its calls because of the successor's higher fencing token.
     for (const auto &[name, listing] : cluster.workers.listings()) {
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -211,6 +211,21 @@
         return record;
     }
 
+    // Submits a job with one long-running task through the owner of the first partition. Returns the worker on which
+    // the task runs two seconds later.
+    std::string startLongRunning(const std::string &id)
+    {
+        constexpr Milliseconds Deadline {3'000};
+        workers.setBehaviour(id, {Milliseconds(100), 0, true});
+        JobRecord record = job(id, 1, 1);
+        record.specification.steps[0].longRunning = true;
+        TestInstance *instance = owner();
+        instance->router.submit(record, clock.now() + Deadline, [](RouteOutcome) {});
+        advance(Milliseconds(2'000));
+        const JobScheduler &jobs = instance->ownership.leader(plan.partitions().front())->jobScheduler();
+        return jobs.find(id)->occurrences.at(0).steps[0].tasks[0].worker;
+    }
+
     // Returns the job's phase according to the first running instance, or nothing.
     std::optional<JobPhase> phaseOf(const std::string &id)
     {
