--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -375,8 +375,11 @@
 {
     std::vector<WorkerListing> holders;
     for (const auto &[name, worker] : m_workers) {
-        // Workers that have not answered yet may hold leases of earlier leader terms.
-        if (worker.leaseGrantedUntil > 0 || m_unconfirmedWorkers.contains(name)) {
+        // Workers that have not answered yet may hold leases of earlier leader terms. So do workers whose runs are
+        // known but not renewed yet, because run ends that they listed are not recorded.
+        const bool mayRunEarlierTerms
+            = m_unconfirmedWorkers.contains(name) || !worker.tasks.empty() || !worker.orphanRuns.empty();
+        if (worker.leaseGrantedUntil > 0 || mayRunEarlierTerms) {
             holders.push_back(worker.listing);
         }
     }
--- a/source/tenure/tests/PartitionLeaderTest.cpp
+++ b/source/tenure/tests/PartitionLeaderTest.cpp
@@ -170,6 +170,45 @@
     EXPECT_EQ(cluster.workers.startCount({"second", 0, 0, 0}), 1U);
 }
 
+// A successor adopts a run on a worker that also lists an end. It renews the worker's leases only once the end is
+// recorded. If the successor is lost before then, the next one must know that the worker still runs the task.
+TEST(JobScheduler, recordsWorkersWithAdoptedRunsAsLeaseHolders)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance *owner = cluster.owner();
+    ASSERT_NE(owner, nullptr);
+    const std::string worker = cluster.startLongRunning("job");
+    for (int i = 0; i < TestCluster::WorkerCount; ++i) {
+        const std::string id = "short-" + std::to_string(i);
+        cluster.workers.setBehaviour(id, {Milliseconds(600), 0, false});
+        owner->router.submit(TestCluster::job(id, 1, 2), cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    }
+    cluster.advance(Milliseconds(500));
+    // An instance takes over from its former process at once, so that the worker's leases have not expired.
+    const int number = owner->self.name.back() - '0';
+    cluster.kill(number);
+    cluster.start(number);
+    bool adopted = false;
+    for (int i = 0; i < 300; ++i) {
+        cluster.advance(Milliseconds(20));
+        TestInstance *successor = cluster.owner();
+        if (successor == nullptr) {
+            continue;
+        }
+        const JobScheduler &jobs = successor->ownership.leader("fleet")->jobScheduler();
+        std::set<std::string> holders;
+        for (const WorkerListing &holder : jobs.leaseHolders()) {
+            holders.insert(holder.name);
+        }
+        for (const auto &[name, state] : jobs.workers()) {
+            adopted = adopted || (name == worker && state.leaseGrantedUntil == 0 && !state.tasks.empty());
+            EXPECT_TRUE(state.tasks.empty() || holders.contains(name)) << name;
+        }
+    }
+    EXPECT_TRUE(adopted);
+}
+
 // If a worker refuses to start a task, the job still counts as waiting.
 TEST(JobScheduler, countsAJobAsWaitingUntilATaskHasStarted)
 {
