--- a/source/scheduling/TaskTimes.cpp
+++ b/source/scheduling/TaskTimes.cpp
@@ -1,23 +1,8 @@
 #include "scheduling/TaskTimes.h"
 
-#include "base/NameTable.h"
-
 namespace Wagtail
 {
 
-namespace
-{
-
-constexpr NameTable<TaskActivity, 5> ActivityNames {{{{TaskActivity::None, "none"}, {TaskActivity::Waiting, "waiting"},
-    {TaskActivity::Ordering, "ordering"}, {TaskActivity::Running, "running"}, {TaskActivity::Paused, "paused"}}}};
-
-}
-
-std::string_view nameOf(TaskActivity activity)
-{
-    return ActivityNames.nameOf(activity);
-}
-
 void TaskTimes::begin(TaskActivity activity, Instant now)
 {
     if (m_current != TaskActivity::None) {
--- a/source/scheduling/TaskTimes.h
+++ b/source/scheduling/TaskTimes.h
@@ -3,7 +3,6 @@
 #include "base/Clock.h"
 
 #include <array>
-#include <string_view>
 
 namespace Wagtail
 {
@@ -21,8 +20,6 @@
     Paused,
 };
 
-[[nodiscard]] std::string_view nameOf(TaskActivity activity);
-
 // Adds up how long a task has spent in each activity, to explain afterwards why a job was late.
 class TaskTimes
 {
--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -77,4 +77,5 @@
         GTest::gtest_main)
     gtest_discover_tests(wagtail-platform-tests DISCOVERY_TIMEOUT 60
         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
+    add_test(NAME platform.losses COMMAND python3 ${CMAKE_SOURCE_DIR}/platform/tests/losses_test.py)
 endif()
