Scheduling: Log which workers a take-over waits for and how many tasks it holds back

TakeOverRecovery takes over the unconfirmed workers and the deadline from JobScheduler, which logs recovery-pending once a second and recovery-ended.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-// How long after the expiry of earlier leases a new owner waits for live workers that have not answered yet.
-constexpr Milliseconds MaximumExtraRecovery {10'000};
+// Tasks that a take-over holds back are logged this often.
+constexpr Milliseconds RecoveryLogInterval {1'000};
 // Number of run numbers in one leader term. No task is expected to need that many starts within a term.
 constexpr std::uint64_t RunsPerTerm = 100'000;
 
@@ -42,9 +42,9 @@
 
 void JobScheduler::beginRecovery(const std::vector<WorkerListing> &workers, Instant priorLeasesExpireAt)
 {
-    m_priorLeasesExpireAt = priorLeasesExpireAt;
+    m_recovery.begin(m_environment.clock.now(), priorLeasesExpireAt);
     for (const WorkerListing &listing : workers) {
-        m_unconfirmedWorkers.insert(listing.name);
+        m_recovery.expect(listing.name);
         WorkerState &worker = m_workers[listing.name];
         if (!worker.listed) {
             worker.listing = listing;
@@ -55,18 +55,39 @@
 
 bool JobScheduler::isRecovering() const
 {
+    return m_recovery.isPending(m_environment.clock.now(), m_workers);
+}
+
+void JobScheduler::reviewRecovery()
+{
+    if (!m_recovery.isActive()) {
+        return;
+    }
     const Instant now = m_environment.clock.now();
-    if (m_unconfirmedWorkers.empty() || now < m_priorLeasesExpireAt) {
-        return !m_unconfirmedWorkers.empty();
+    const bool pending = m_recovery.isPending(now, m_workers);
+    if (pending && now - m_recoveryLoggedAt < RecoveryLogInterval) {
+        return;
+    }
+    m_recoveryLoggedAt = now;
+    Json inputs = m_recovery.describe(now, m_workers);
+    inputs["held_tasks"] = heldTaskCount();
+    m_environment.listener.logDecision(pending ? "recovery-pending" : "recovery-ended", {}, inputs);
+    if (!pending) {
+        m_recovery.end();
+    }
+}
+
+int JobScheduler::heldTaskCount() const
+{
+    int count = 0;
+    for (const JobState *job : m_unfinishedJobs) {
+        for (const auto &[number, occurrence] : job->occurrences) {
+            for (const StepState &step : occurrence.steps) {
+                count += job->fromEarlierTerm && occurrence.isEligible(step) ? step.waitingCount : 0;
+            }
+        }
     }
-    // An owner that is short of processor time may not yet have processed the reports of live workers, which list runs
-    // that ended long ago.
-    return now < m_priorLeasesExpireAt + MaximumExtraRecovery
-        && std::any_of(m_unconfirmedWorkers.begin(), m_unconfirmedWorkers.end(), [this](const std::string &name) {
-               const auto worker = m_workers.find(name);
-               return worker != m_workers.end() && worker->second.listed
-                   && worker->second.consecutiveUnanswered < UnansweredBeforeUnreachable;
-           });
+    return count;
 }
 
 JobState &JobScheduler::insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall)
@@ -261,9 +282,7 @@
     for (JobState *job : unfinished) {
         createDueOccurrences(*job);
     }
-    if (!isRecovering()) {
-        m_unconfirmedWorkers.clear();
-    }
+    reviewRecovery();
     sampleBatchDemand();
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         WorkerState &worker = entry->second;
@@ -363,7 +382,7 @@
 
 bool JobScheduler::isRemovable(const WorkerState &worker) const
 {
-    if (worker.listed || !worker.tasks.empty() || m_unconfirmedWorkers.contains(worker.listing.name)) {
+    if (worker.listed || !worker.tasks.empty() || m_recovery.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     return worker.leaseGrantedUntil == 0
@@ -378,7 +397,7 @@
         // Workers that have not answered yet may hold leases of earlier leader terms. So do workers whose runs are
         // known but not renewed yet, because run ends that they listed are not recorded.
         const bool mayRunEarlierTerms
-            = m_unconfirmedWorkers.contains(name) || !worker.tasks.empty() || !worker.orphanRuns.empty();
+            = m_recovery.isUnconfirmed(name) || !worker.tasks.empty() || !worker.orphanRuns.empty();
         if (worker.leaseGrantedUntil > 0 || mayRunEarlierTerms) {
             holders.push_back(worker.listing);
         }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -7,6 +7,7 @@
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/SchedulingPolicies.h"
+#include "scheduling/TakeOverRecovery.h"
 #include "scheduling/WorkerState.h"
 
 #include <functional>
@@ -185,8 +186,6 @@
 private:
     // A run whose progress is below this percentage is cheap to restart elsewhere.
     static constexpr int CheapRestartPercent = 40;
-    // A worker that left this many consecutive report requests unanswered counts as unreachable.
-    static constexpr int UnansweredBeforeUnreachable = 3;
 
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
@@ -271,6 +270,9 @@
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
+    // Ends the recovery when no task has to wait for it any longer. Until then, logs at intervals what it waits for.
+    void reviewRecovery();
+    [[nodiscard]] int heldTaskCount() const;
 
     // Returns whether a worker is no longer listed and can't run any task of this leader term any more.
     [[nodiscard]] bool isRemovable(const WorkerState &worker) const;
@@ -288,9 +290,8 @@
     std::set<std::string> m_reservedWorkers;
     FailedPlacements m_failedPlacements;
     Instant m_startedAt;
-    Instant m_priorLeasesExpireAt;
-    // Workers that may hold leases of an earlier leader term and have not answered under this one.
-    std::set<std::string> m_unconfirmedWorkers;
+    TakeOverRecovery m_recovery;
+    Instant m_recoveryLoggedAt;
     std::unordered_map<std::string, std::unique_ptr<JobState>> m_jobs;
     // Jobs that are not finished, in the order in which they were added.
     std::vector<JobState *> m_unfinishedJobs;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -131,7 +131,7 @@
         onReportFailed(*worker, *outcome);
         return;
     }
-    if (worker->consecutiveUnanswered >= UnansweredBeforeUnreachable) {
+    if (worker->isUnreachable()) {
         m_environment.listener.logDecision(
             "worker-reachable-again", name, {{"unanswered", worker->consecutiveUnanswered}});
     }
@@ -147,7 +147,7 @@
         m_environment.listener.tokenRefused(worker.listing.name);
     }
     ++worker.consecutiveUnanswered;
-    if (worker.consecutiveUnanswered == UnansweredBeforeUnreachable) {
+    if (worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
         m_environment.listener.logDecision(
             "worker-unreachable", worker.listing.name, {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
     }
@@ -169,7 +169,7 @@
     worker.refusedForCapacity = false;
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
-        m_unconfirmedWorkers.erase(worker.listing.name);
+        m_recovery.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
         if (ended.number > worker.appliedEnd) {
--- /dev/null
+++ b/source/scheduling/TakeOverRecovery.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/JsonReader.h"
+#include "scheduling/WorkerState.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace Wagtail
+{
+
+// Tracks which workers may still run tasks of earlier leader terms that this term does not know of. Starts are not
+// recorded in the store, so the owner of a new term learns where tasks run only from the workers themselves.
+class TakeOverRecovery
+{
+public:
+    // Sets the time at which the last lease of an earlier term has surely expired.
+    void begin(Instant now, Instant priorLeasesExpireAt);
+
+    // Adds a worker that may run tasks of earlier terms.
+    void expect(const std::string &worker);
+
+    // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
+    void confirm(const std::string &worker);
+
+    [[nodiscard]] bool isUnconfirmed(const std::string &worker) const;
+
+    // Returns whether a task whose worker is unknown may still run on an unconfirmed worker.
+    [[nodiscard]] bool isPending(Instant now, const std::map<std::string, WorkerState> &workers) const;
+
+    // Whether begin() was called and end() was not.
+    [[nodiscard]] bool isActive() const;
+
+    // Forgets the unconfirmed workers.
+    void end();
+
+    // Describes, for the log, for how long the recovery has lasted and which workers it waits for.
+    [[nodiscard]] Json describe(Instant now, const std::map<std::string, WorkerState> &workers) const;
+
+private:
+    std::set<std::string> m_unconfirmedWorkers;
+    Instant m_beganAt;
+    Instant m_priorLeasesExpireAt;
+    bool m_active = false;
+};
+
+}
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -11,6 +11,11 @@
 
 }
 
+bool WorkerState::isUnreachable() const
+{
+    return consecutiveUnanswered >= UnansweredBeforeUnreachable;
+}
+
 Resources WorkerState::countedDemand(const StepSpecification &step)
 {
     Resources demand = step.demand;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -55,6 +55,10 @@
     BackfillUse backfillUse;
     Instant sampledAt;
 
+    // A worker that left this many consecutive report requests unanswered counts as unreachable.
+    static constexpr int UnansweredBeforeUnreachable = 3;
+    [[nodiscard]] bool isUnreachable() const;
+
     // Returns the resources that a task of the step takes on a worker. The processors of backfilling tasks do not
     // count.
     [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
