--- /dev/null
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -0,0 +1,194 @@
+#include "TestCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+
+const TaskName FirstTask {"job", 0, 0, 0};
+
+// A cluster in which workers leave or are lost and owners hand over or are killed.
+class HandOver : public testing::Test
+{
+protected:
+    HandOver()
+    {
+        m_cluster.advance(Second * 2);
+    }
+
+    // Starts a job with one long-running task on each worker, so that each holds leases.
+    void occupyAllWorkers()
+    {
+        m_cluster.workers.setBehaviour("wide", {Milliseconds(100), 0, true});
+        JobRecord wide = TestCluster::job("wide", 1, TestCluster::WorkerCount);
+        wide.specification.steps[0].perWorkerLimit = 1;
+        wide.specification.steps[0].longRunning = true;
+        m_cluster.owner()->router.submit(wide, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+        m_cluster.advance(Second);
+    }
+
+    // Cuts the worker off from all instances, present and future, and no longer lists it.
+    void lose(const std::string &worker)
+    {
+        m_missing.insert(worker);
+        applyWorkers();
+    }
+
+    void drain(const std::string &worker)
+    {
+        m_draining.insert(worker);
+        applyWorkers();
+    }
+
+    // Hands the partition over as in a planned stop and starts the instance again.
+    void restartOwner()
+    {
+        TestInstance *owner = m_cluster.owner();
+        ASSERT_NE(owner, nullptr);
+        const int number = owner->self.name.back() - '0';
+        owner->ownership.release([] {});
+        m_cluster.advance(Milliseconds(200));
+        m_cluster.kill(number);
+        m_cluster.start(number);
+        applyWorkers();
+        m_cluster.advance(Milliseconds(800));
+    }
+
+    // Ends the owner without notice and starts it again. It takes the partition over from its former process at once.
+    void killOwner()
+    {
+        TestInstance *owner = m_cluster.owner();
+        ASSERT_NE(owner, nullptr);
+        const int number = owner->self.name.back() - '0';
+        m_cluster.kill(number);
+        m_cluster.start(number);
+        applyWorkers();
+        m_cluster.advance(Milliseconds(800));
+    }
+
+    [[nodiscard]] const JobScheduler &jobs()
+    {
+        return m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+    }
+
+    [[nodiscard]] std::set<std::string> leaseHolders()
+    {
+        std::set<std::string> names;
+        for (const WorkerListing &holder : jobs().leaseHolders()) {
+            names.insert(holder.name);
+        }
+        return names;
+    }
+
+    // Lists the workers to all instances and cuts the lost ones off.
+    void applyWorkers()
+    {
+        std::map<std::string, WorkerListing> listings = m_cluster.workers.listings();
+        for (const std::string &name : m_missing) {
+            listings.erase(name);
+        }
+        for (const std::string &name : m_draining) {
+            if (listings.contains(name)) {
+                listings.at(name).draining = true;
+            }
+        }
+        for (const auto &[number, instance] : m_cluster.instances) {
+            if (instance) {
+                instance->gateway.cutWorkers = m_missing;
+                instance->ownership.updateWorkers(listings);
+            }
+        }
+    }
+
+    TestCluster m_cluster;
+    std::set<std::string> m_missing;
+    std::set<std::string> m_draining;
+};
+
+}
+
+// The new owner has adopted the task's run and seen its end, so the task can't run on the worker that is still unheard.
+TEST_F(HandOver, restartsAnEvacuatedTaskWhileAnotherWorkerIsUnheard)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    occupyAllWorkers();
+    const std::string unheard = worker == "worker-3" ? "worker-2" : "worker-3";
+    lose(unheard);
+    killOwner();
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    drain(worker);
+    m_cluster.advance(Second * 2);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// A later step can't have started under an earlier owner if a task of a step before it still ran when this one began.
+TEST_F(HandOver, startsStepsThatOpenUnderTheNewOwnerWhileAWorkerIsUnheard)
+{
+    occupyAllWorkers();
+    m_cluster.workers.setBehaviour("job", {Milliseconds(1'600), 0, false});
+    m_cluster.owner()->router.submit(
+        TestCluster::job("job", 2, 1), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Milliseconds(500));
+    const std::string worker = jobs().find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    lose(worker == "worker-3" ? "worker-2" : "worker-3");
+    killOwner();
+    m_cluster.advance(Milliseconds(1'000));
+    EXPECT_EQ(m_cluster.workers.startCount({"job", 0, 1, 0}), 1U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// Nothing can run on a worker that has left and whose runs have all ended, although its lease has not expired yet. A
+// successor would wait in vain for its answer.
+TEST_F(HandOver, doesNotRecordWorkersThatLeftWithNothingRunning)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    ASSERT_TRUE(leaseHolders().contains(worker));
+    drain(worker);
+    m_cluster.advance(Second);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    lose(worker);
+    m_cluster.advance(Milliseconds(200));
+    EXPECT_FALSE(leaseHolders().contains(worker));
+}
+
+// A worker that is lost with a task must not delay the task by a whole wait after each of several hand-overs.
+TEST_F(HandOver, doesNotBeginTheWaitForALostWorkerAnewAtEachHandOver)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    lose(worker);
+    m_cluster.advance(Second);
+    for (int i = 0; i < 6 && m_cluster.workers.startCount(FirstTask) == 1; ++i) {
+        restartOwner();
+    }
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// Instances are restarted one after the other while workers leave, as during an upgrade. No task may be away for
+// longer than an evacuation and one hand-over take.
+TEST_F(HandOver, restartsEvacuatedTasksDuringARollingRestartWithLeavingWorkers)
+{
+    std::string worker = m_cluster.startLongRunning("job");
+    int next = TestCluster::WorkerCount;
+    for (std::size_t round = 1; round <= 6; ++round) {
+        const std::string name = "worker-" + std::to_string(next++);
+        m_cluster.workers.add(
+            {name, name + ":1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, static_cast<int>(round) + 1, false});
+        drain(worker);
+        restartOwner();
+        m_cluster.advance(Second);
+        ASSERT_EQ(m_cluster.workers.startCount(FirstTask), round + 1) << "round " << round;
+        const std::string left = worker;
+        worker = jobs().find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+        lose(left);
+    }
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+}
