Scheduling: Hold back only tasks whose place is unknown after a take-over

Cause: a new owner held back every waiting task of every inherited job until all recorded lease holders had answered or all earlier leases had expired (9.12 s), also tasks whose run it had itself adopted and stopped. A worker that has left never answers, and the next hand-over 6 s later began the wait anew. Change: a task is held back only while a run of it may exist that this term has not seen. It is not once this term has adopted or started a run of it (the worker that listed it has rejected all earlier owners' orders since, and an earlier owner starts a task again only after its last run has surely ended), nor if a task of a step before it ran under this term, so that no earlier term can have opened its step. Delegation follows the same rule. Ruled out: shorter worker leases, which running tasks need to survive a take-over; recording each start, which adds a store transaction to each and stops all starts while the store is away.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -77,13 +77,24 @@
     }
 }
 
+int JobScheduler::readyCount(const StepState &step, bool recovering)
+{
+    if (!recovering || !step.occurrence->job->fromEarlierTerm) {
+        return step.waitingCount;
+    }
+    return static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
+        [](const TaskState &task) { return task.phase == RunPhase::Waiting && !mayRunUnknown(task); }));
+}
+
 int JobScheduler::heldTaskCount() const
 {
     int count = 0;
     for (const JobState *job : m_unfinishedJobs) {
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
-                count += job->fromEarlierTerm && occurrence.isEligible(step) ? step.waitingCount : 0;
+                if (step.waitingCount > 0 && occurrence.isEligible(step)) {
+                    count += step.waitingCount - readyCount(step, true);
+                }
             }
         }
     }
@@ -237,6 +248,7 @@
     OccurrenceState &occurrence = *step.occurrence;
     JobState &job = *occurrence.job;
     ++occurrence.stepsDone;
+    markDependentsUnstarted(step);
     if (occurrence.stepsDone < static_cast<int>(occurrence.steps.size())) {
         return;
     }
@@ -246,6 +258,24 @@
     }
 }
 
+void JobScheduler::markDependentsUnstarted(const StepState &step)
+{
+    const bool endedUnderThisTerm
+        = std::any_of(step.tasks.begin(), step.tasks.end(), [](const TaskState &task) { return task.isPlaceKnown; });
+    if (!endedUnderThisTerm) {
+        return;
+    }
+    for (StepState &other : step.occurrence->steps) {
+        const std::vector<int> &after = other.specification().after;
+        if (std::find(after.begin(), after.end(), step.number) == after.end()) {
+            continue;
+        }
+        for (TaskState &task : other.tasks) {
+            task.isPlaceKnown = true;
+        }
+    }
+}
+
 TaskState *JobScheduler::findTask(const TaskName &name)
 {
     const auto found = m_jobs.find(name.job);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -196,6 +196,8 @@
     void finish(JobState &job, JobPhase phase);
     void completeTask(TaskState &task);
     void completeStep(StepState &step);
+    // If tasks of the completed step ran under this leader term, no earlier term can have started the steps after it.
+    static void markDependentsUnstarted(const StepState &step);
     // Logs where the time of the task that finished last went.
     void logFinishedStep(const StepState &step, const TaskState &last);
     [[nodiscard]] TaskState *findTask(const TaskName &name);
@@ -262,9 +264,10 @@
     void dispatch();
     // Notes that the tasks of a step begin to wait for workers.
     void openStep(StepState &step);
-    void placeStep(StepState &step);
+    void placeStep(StepState &step, bool recovering);
     void placeGang(StepState &step);
-    void reserveWorkers(const StepState &step);
+    // Reserves up to the given number of workers for a long-running step.
+    void reserveWorkers(const StepState &step, int count);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
@@ -273,6 +276,8 @@
     // Ends the recovery when no task has to wait for it any longer. Until then, logs at intervals what it waits for.
     void reviewRecovery();
     [[nodiscard]] int heldTaskCount() const;
+    // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
+    [[nodiscard]] static int readyCount(const StepState &step, bool recovering);
 
     // Returns whether a worker is no longer listed and can't run any task of this leader term any more.
     [[nodiscard]] bool isRemovable(const WorkerState &worker) const;
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -54,20 +54,20 @@
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
 {
     const Instant now = m_environment.clock.now();
+    const bool recovering = isRecovering();
     std::vector<UnplacedStep> steps;
     for (const JobState *job : m_unfinishedJobs) {
-        const bool mayHaveUnknownRuns = job->fromEarlierTerm && isRecovering();
-        if (job->ownedElsewhere || mayHaveUnknownRuns || job->specification.repeatCount > 0) {
+        if (job->ownedElsewhere || job->specification.repeatCount > 0) {
             continue;
         }
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
                 const StepSpecification &specification = step.specification();
                 const bool movable = specification.longRunning && !specification.gang && specification.after.empty();
-                const bool waits
-                    = step.waitingCount > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
+                const int ready = readyCount(step, recovering);
+                const bool waits = ready > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
                 if (movable && waits && surveyPlacement(m_workers, step, now).available == 0) {
-                    steps.push_back({job->specification.id, step.number, step.waitingCount});
+                    steps.push_back({job->specification.id, step.number, ready});
                 }
             }
         }
@@ -82,11 +82,13 @@
         return {};
     }
     JobState &job = *found->second;
+    const bool recovering = isRecovering();
     std::vector<DelegatedTask> all;
     for (auto &[number, occurrence] : job.occurrences) {
         for (StepState &step : occurrence.steps) {
             for (TaskState &task : step.tasks) {
-                if (step.number == unplaced.step && task.phase == RunPhase::Waiting && count > 0) {
+                const bool ready = task.phase == RunPhase::Waiting && !(recovering && mayRunUnknown(task));
+                if (step.number == unplaced.step && ready && count > 0) {
                     --count;
                     --step.waitingCount;
                     task.phase = RunPhase::Delegated;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -41,14 +41,13 @@
     const bool recovering = isRecovering();
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
-        const bool mustWait = recovering && job->fromEarlierTerm;
         bool waits = false;
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
-                waits = waits || (step.waitingCount > 0 && occurrence.isEligible(step));
+                waits = waits || (readyCount(step, recovering) > 0 && occurrence.isEligible(step));
             }
         }
-        if (waits && !mustWait) {
+        if (waits) {
             queue.emplace_back(m_environment.policies.order->rankOf(*job, now), job);
         }
     }
@@ -59,21 +58,22 @@
     for (const auto &[rank, job] : queue) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (StepState &step : occurrence.steps) {
-                if (step.waitingCount == 0 || job->isFinished() || !occurrence.isEligible(step)) {
+                if (readyCount(step, recovering) == 0 || job->isFinished() || !occurrence.isEligible(step)) {
                     continue;
                 }
                 openStep(step);
-                placeStep(step);
-                if (step.waitingCount > 0) {
-                    recordWaiting(step);
-                } else {
+                placeStep(step, recovering);
+                const int unplaced = readyCount(step, recovering);
+                if (unplaced == 0) {
                     step.unplacedSince.reset();
+                    continue;
                 }
-                if (step.waitingCount > 0 && job->policy.advised) {
+                recordWaiting(step);
+                if (job->policy.advised) {
                     queryAdvisor(step);
                 }
-                if (step.specification().longRunning && step.waitingCount > 0) {
-                    reserveWorkers(step);
+                if (step.specification().longRunning) {
+                    reserveWorkers(step, unplaced);
                 }
             }
         }
@@ -114,7 +114,7 @@
     m_environment.listener.logDecision("tasks-waiting", step.occurrence->job->specification.id, inputs);
 }
 
-void JobScheduler::reserveWorkers(const StepState &step)
+void JobScheduler::reserveWorkers(const StepState &step, int count)
 {
     const StepSpecification &specification = step.specification();
     const std::string &pool = step.occurrence->job->policy.pool;
@@ -128,16 +128,19 @@
         }
     }
     std::sort(candidates.begin(), candidates.end());
-    const std::size_t wanted = std::min(candidates.size(), static_cast<std::size_t>(step.waitingCount));
+    const std::size_t wanted = std::min(candidates.size(), static_cast<std::size_t>(count));
     for (std::size_t i = 0; i < wanted; ++i) {
         m_reservedWorkers.insert(candidates[i].second);
     }
 }
 
-void JobScheduler::placeStep(StepState &step)
+void JobScheduler::placeStep(StepState &step, bool recovering)
 {
     if (step.specification().gang) {
-        placeGang(step);
+        // The members start together, so all of them have to be ready.
+        if (readyCount(step, recovering) == static_cast<int>(step.tasks.size())) {
+            placeGang(step);
+        }
         return;
     }
     if (m_failedPlacements.covers(step)) {
@@ -146,7 +149,7 @@
     const Instant now = m_environment.clock.now();
     std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
-        if (task.phase != RunPhase::Waiting || task.notBefore > now) {
+        if (task.phase != RunPhase::Waiting || task.notBefore > now || (recovering && mayRunUnknown(task))) {
             continue;
         }
         WorkerState *worker = choose(step, task);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -30,6 +30,7 @@
     task.run = run;
     step.highestRun = std::max(step.highestRun, run);
     task.phase = RunPhase::Starting;
+    task.isPlaceKnown = true;
     task.worker = worker.listing.name;
     task.deliveryUncertain = false;
     task.percent = 0;
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -142,6 +142,11 @@
     return {occurrence.job->specification.id, occurrence.number, task.step->number, task.index};
 }
 
+bool mayRunUnknown(const TaskState &task)
+{
+    return task.step->occurrence->job->fromEarlierTerm && !task.isPlaceKnown;
+}
+
 OccurrenceState &createOccurrence(JobState &job, std::int64_t number)
 {
     OccurrenceState &occurrence = job.occurrences[number];
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -51,6 +51,9 @@
     RunPhase phase = RunPhase::Waiting;
     // Number of the current run, or of the last one.
     std::uint64_t run = 0;
+    // Whether this leader term has started or adopted a run of the task, or no earlier term can have started one. Then
+    // the task runs nowhere but on its worker.
+    bool isPlaceKnown = false;
     // Number of the last run in the partition that delegated the task to this one. Runs here get higher numbers.
     std::uint64_t delegatorLastRun = 0;
     // Worker of the current run, or empty.
@@ -188,6 +191,9 @@
 // Returns the full name of a task.
 [[nodiscard]] TaskName nameOf(const TaskState &task);
 
+// Returns whether a run of the task that an earlier leader term started may exist without this term knowing its worker.
+[[nodiscard]] bool mayRunUnknown(const TaskState &task);
+
 // Creates an occurrence whose tasks all wait for workers. The occurrence points to the job, which must not move in
 // memory afterwards.
 OccurrenceState &createOccurrence(JobState &job, std::int64_t number);
