Scheduling: Drop workers that can run nothing from the record of lease holders

Cause: a worker stayed in the record until its last lease had surely expired, also when it was no longer listed and all of its runs had ended; it never answers a successor, which waits for it in vain. A worker that only held leases of an earlier term was removed without a new record, so that each successor waited for it again. And an owner that hands over did not write a record that was due. Change: an unlisted worker on which nothing runs and for which no start order is open is removed at once, each removal is recorded, and a hand-over writes the record first. Ruled out: dropping workers once they drain, because they may still run tasks.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -318,11 +318,9 @@
         WorkerState &worker = entry->second;
         expireLeases(worker);
         if (isRemovable(worker)) {
-            const bool heldLease = worker.leaseGrantedUntil > 0;
+            // The record may name the worker, also if it only held leases of an earlier leader term.
             entry = m_workers.erase(entry);
-            if (heldLease) {
-                m_environment.listener.leaseHoldersChanged();
-            }
+            m_environment.listener.leaseHoldersChanged();
             continue;
         }
         retryOrders(worker);
@@ -415,20 +413,20 @@
     if (worker.listed || !worker.tasks.empty() || m_recovery.isUnconfirmed(worker.listing.name)) {
         return false;
     }
-    return worker.leaseGrantedUntil == 0
-        || (worker.clock.isKnown()
-            && m_environment.clock.now() >= worker.clock.expiryUpperBound(worker.leaseGrantedUntil));
+    const bool leaseExpired = worker.clock.isKnown()
+        && m_environment.clock.now() >= worker.clock.expiryUpperBound(worker.leaseGrantedUntil);
+    return !worker.mayRunTasks() || worker.leaseGrantedUntil == 0 || leaseExpired;
 }
 
 std::vector<WorkerListing> JobScheduler::leaseHolders() const
 {
     std::vector<WorkerListing> holders;
     for (const auto &[name, worker] : m_workers) {
-        // Workers that have not answered yet may hold leases of earlier leader terms. So do workers whose runs are
-        // known but not renewed yet, because run ends that they listed are not recorded.
-        const bool mayRunEarlierTerms
-            = m_recovery.isUnconfirmed(name) || !worker.tasks.empty() || !worker.orphanRuns.empty();
-        if (worker.leaseGrantedUntil > 0 || mayRunEarlierTerms) {
+        // Workers that have not answered yet may hold leases of earlier leader terms. Workers whose runs are known but
+        // not renewed yet, because run ends that they listed are not recorded, hold them as well. Listed workers
+        // without tasks may get some before the next record.
+        const bool mayGetTasks = worker.listed && worker.leaseGrantedUntil > 0;
+        if (m_recovery.isUnconfirmed(name) || worker.mayRunTasks() || mayGetTasks) {
             holders.push_back(worker.listing);
         }
     }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -269,8 +269,10 @@
         // An earlier run has completed the task, so the current one is no longer needed.
         WorkerState *other = findWorker(task->worker);
         const RunName obsolete {ended.run.task, task->run};
+        const bool mayStillStart = task->deliveryUncertain || task->orderPending;
         detach(*task);
         if (other != nullptr) {
+            other->mayReceiveObsoleteStart = other->mayReceiveObsoleteStart || mayStillStart;
             other->orphanRuns.insert(obsolete);
             stopOrphan(*other, obsolete);
         }
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -334,6 +334,7 @@
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
     worker.orphanRuns.clear();
+    worker.mayReceiveObsoleteStart = false;
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
     worker.hasAnswered = false;
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -16,6 +16,12 @@
     return consecutiveUnanswered >= UnansweredBeforeUnreachable;
 }
 
+bool WorkerState::mayRunTasks() const
+{
+    const bool mayBeObsolete = !orphanRuns.empty() || (mayReceiveObsoleteStart && leaseGrantedUntil > 0);
+    return !tasks.empty() || mayBeObsolete;
+}
+
 Resources WorkerState::countedDemand(const StepSpecification &step)
 {
     Resources demand = step.demand;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -35,6 +35,8 @@
     // Runs that the last report listed and that are not the current run of any task. The resources that they use are
     // not known.
     std::set<RunName> orphanRuns;
+    // Whether an order to start a run that is no longer any task's current one may still arrive at the worker.
+    bool mayReceiveObsoleteStart = false;
     Resources used;
     // The part of the used resources that long-running tasks hold.
     Resources usedByLongRunning;
@@ -59,6 +61,9 @@
     static constexpr int UnansweredBeforeUnreachable = 3;
     [[nodiscard]] bool isUnreachable() const;
 
+    // Returns whether anything may run on the worker now or without a further start order of this leader term.
+    [[nodiscard]] bool mayRunTasks() const;
+
     // Returns the resources that a task of the step takes on a worker. The processors of backfilling tasks do not
     // count.
     [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -250,6 +250,9 @@
 
 void PartitionLeader::flush(std::function<void()> handler)
 {
+    if (m_leaseHoldersDirty) {
+        writeLeaseHolders();
+    }
     m_journal.flush(std::move(handler));
 }
 
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -1,4 +1,5 @@
 #include "TestCluster.h"
+#include "tenure/LeaseHolderRecord.h"
 
 #include <gtest/gtest.h>
 
@@ -157,6 +158,22 @@
     EXPECT_FALSE(leaseHolders().contains(worker));
 }
 
+// A worker that only held leases of an earlier owner is dropped from the record as well once it can run nothing.
+TEST_F(HandOver, dropsInheritedWorkersFromTheRecordOnceTheirLeasesHaveExpired)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    occupyAllWorkers();
+    lose(worker);
+    killOwner();
+    m_cluster.advance(Second * 8);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    const auto entry = m_cluster.state.read(JobKeys::leaseHolders("fleet"));
+    ASSERT_TRUE(entry.has_value());
+    for (const WorkerListing &holder : parseLeaseHolderRecord(entry->value).workers) {
+        EXPECT_NE(holder.name, worker);
+    }
+}
+
 // A worker that is lost with a task must not delay the task by a whole wait after each of several hand-overs.
 TEST_F(HandOver, doesNotBeginTheWaitForALostWorkerAnewAtEachHandOver)
 {
