Scheduling: Don't begin a new placement round when a gang finds too few workers

Cause: placeGang() took its members back with requeue(), which posts another round of placement. That round fails in the same way, so rounds follow each other without end and use all of the owner's processor time until the missing worker is free. A worker whose capacity shrinks makes this more likely.

Change: the members are taken back by undoPlacement(), which posts nothing and also removes the sample of a backfilling member and its count of placements.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -265,6 +265,8 @@
     void openStep(StepState &step);
     void placeStep(StepState &step);
     void placeGang(StepState &step);
+    // Undoes the last placement on a worker, for which no start order was sent.
+    void undoPlacement(TaskState &task);
     void reserveWorkers(const StepState &step);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -194,8 +194,8 @@
         WorkerState *worker = choose(step, task);
         if (worker == nullptr) {
             // No start order was sent yet, so the run number can be reused.
-            for (TaskState *member : placed) {
-                requeue(*member, Milliseconds(0));
+            for (auto member = placed.rbegin(); member != placed.rend(); ++member) {
+                undoPlacement(**member);
             }
             step.highestRun = run - 1;
             return;
@@ -209,6 +209,21 @@
     logPlacement(step, {placed.begin(), placed.end()});
 }
 
+void JobScheduler::undoPlacement(TaskState &task)
+{
+    // Nothing has changed since the round of placement began, so it must not lead to another round.
+    WorkerState &worker = m_workers.at(task.worker);
+    worker.removeTask(task);
+    if (task.step->specification().backfills) {
+        worker.backfilling.pop_back();
+    }
+    task.worker.clear();
+    task.phase = RunPhase::Waiting;
+    task.times.begin(TaskActivity::Waiting, m_environment.clock.now());
+    --task.placements;
+    ++task.step->waitingCount;
+}
+
 WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task)
 {
     PlacementQuery query;
