Scheduling: Follow workers whose capacity changes while they run

Cause: an unanswered start was sent again for as long as the worker answered reports, although its capacity had shrunk since the task was placed. A worker that starts whatever it is told to then came over its capacity. Headroom counted the free processors of a worker whose long-running tasks need more memory or accelerators than it has. Shares of different capacities were compared to learn interference, and placement beside serving tasks went by shares of the former capacity until the next report.

Change: mayRepeatStart() decides whether a start is sent again; otherwise the run is stopped by name (start-withdrawn), a gang as a whole, and stays counted until the worker has confirmed that. A worker that lacks any resource has no headroom. WorkerState::updateListing() rescales the samples and forgets the time of the last one. worker-capacity-changed is logged with what is in use.

Examined and left as it was: nothing is placed on a worker over its capacity in any resource, backfilling tasks included; runs being stopped count; a successor starts nothing on a worker known from the record of lease holders only, and counts inherited runs against the present listing. Tasks on a worker that stays over its capacity go on: moving them costs their progress and a step's disruption budget, and no rule asks for it.

On the former code failed: withdrawsAnUnansweredStartThatNoLongerFits, keepsALateStartFromRunningBesideItsReplacement, withdrawsAGangAsAWhole, countsNoHeadroomOnAWorkerThatLacksAnyResource; the tests of samples and of the log concern what is new. The others of CapacityChange passed before.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -212,6 +212,9 @@
     void markRunning(TaskState &task, Instant answeredAt);
     void onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome);
     void beginStop(TaskState &task);
+    // Stops a run whose start the worker may not have carried out, together with the other members of its gang, which
+    // would wait for it in vain.
+    void withdrawStart(TaskState &task);
     void sendStop(TaskState &task);
     void onStopAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
     void stopOrphan(WorkerState &worker, const RunName &run);
@@ -221,6 +224,7 @@
 
     // Workers
     void sampleBatchDemand();
+    void logCapacityChange(const WorkerState &worker, const Resources &formerCapacity);
     void requestReport(WorkerState &worker);
     void onReport(const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result);
     void onReportFailed(WorkerState &worker, OrderOutcome outcome);
--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -57,8 +57,9 @@
             PoolHeadroom &headroom = headrooms[worker.listing.pool];
             const std::int64_t typical = typicalTasks[worker.listing.pool];
             const Resources gapOfWorker = worker.freeBesideLongRunning();
-            const std::int64_t gap = std::max<std::int64_t>(0, gapOfWorker.milliCores);
-            if (gapOfWorker.milliCores > headroom.largestGap.milliCores) {
+            // Nothing starts on a worker that lacks any resource for what runs there.
+            const std::int64_t gap = Resources().fitsInto(gapOfWorker) ? gapOfWorker.milliCores : 0;
+            if (gap > headroom.largestGap.milliCores) {
                 headroom.largestGap = gapOfWorker;
             }
             headroom.capacity += worker.listing.capacity.milliCores;
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -41,7 +41,7 @@
     for (const auto &[image, share] : worker.backfillUse) {
         change[image] -= share;
     }
-    const bool comparable = now - worker.sampledAt <= MaximumSampleInterval;
+    const bool comparable = worker.sampledAt && now - *worker.sampledAt <= MaximumSampleInterval;
     worker.serving.clear();
     for (TaskState *task : worker.tasks) {
         const StepSpecification &step = task->step->specification();
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -156,6 +156,23 @@
     sendStop(task);
 }
 
+void JobScheduler::withdrawStart(TaskState &task)
+{
+    const WorkerState *worker = findWorker(task.worker);
+    m_environment.listener.logDecision("start-withdrawn", nameOf(task).text(),
+        {{"worker", task.worker}, {"run", task.run}, {"over_capacity", worker != nullptr && worker->isOverCapacity()}});
+    if (!task.step->specification().gang) {
+        beginStop(task);
+        return;
+    }
+    for (TaskState &member : task.step->tasks) {
+        const bool active = member.phase == RunPhase::Starting || member.phase == RunPhase::Running;
+        if (active && member.run == task.run) {
+            beginStop(member);
+        }
+    }
+}
+
 void JobScheduler::sendStop(TaskState &task)
 {
     WorkerState *worker = findWorker(task.worker);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -1,5 +1,7 @@
 // JobScheduler: reports, leases and health of the workers.
 #include "scheduling/JobScheduler.h"
+#include "scheduling/WorkerChoice.h"
+#include "workers/WorkerCodec.h"
 
 #include <algorithm>
 
@@ -60,8 +62,14 @@
     const bool addressChanged = !worker.listing.address.empty() && worker.listing.address != listing.address;
     const bool newlyListed = !worker.listed;
     const bool startsDraining = listing.draining && !worker.listing.draining;
-    worker.listing = listing;
+    const Resources formerCapacity = worker.listing.capacity;
+    const bool capacityChanged
+        = worker.listed && worker.listing.incarnation == listing.incarnation && formerCapacity != listing.capacity;
+    worker.updateListing(listing);
     worker.listed = true;
+    if (capacityChanged) {
+        logCapacityChange(worker, formerCapacity);
+    }
     if (addressChanged || (worker.incarnation != 0 && listing.incarnation > worker.incarnation)) {
         onWorkerRestarted(worker, listing.incarnation);
     }
@@ -73,6 +81,14 @@
     dispatchSoon();
 }
 
+void JobScheduler::logCapacityChange(const WorkerState &worker, const Resources &formerCapacity)
+{
+    m_environment.listener.logDecision("worker-capacity-changed", worker.listing.name,
+        {{"previous", describe(formerCapacity)}, {"capacity", describe(worker.listing.capacity)},
+            {"used", describe(worker.used)}, {"tasks", worker.tasks.size()},
+            {"over_capacity", worker.isOverCapacity()}});
+}
+
 void JobScheduler::removeWorker(const std::string &name)
 {
     WorkerState *worker = findWorker(name);
@@ -377,7 +393,11 @@
         }
         const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0;
         if (task->phase == RunPhase::Starting && mayStart) {
-            sendStart(*task);
+            if (mayRepeatStart(worker, *task->step)) {
+                sendStart(*task);
+            } else {
+                withdrawStart(*task);
+            }
         } else if (task->phase == RunPhase::Stopping) {
             sendStop(*task);
         }
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -46,6 +46,12 @@
         && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty() && worker.quarantinedUntil <= now;
 }
 
+bool mayRepeatStart(const WorkerState &worker, const StepState &step)
+{
+    return meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool)
+        && !worker.isOverCapacity();
+}
+
 bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step)
 {
     const int limit = step.specification().perWorkerLimit;
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -20,6 +20,10 @@
 // Returns whether a worker may get any new tasks now.
 [[nodiscard]] bool acceptsTasks(const WorkerState &worker, Instant now);
 
+// Returns whether a start order that the worker left unanswered may be sent again. Since the task was placed, the
+// worker may have lost some of its capacity, so that its tasks, this one included, no longer fit.
+[[nodiscard]] bool mayRepeatStart(const WorkerState &worker, const StepState &step);
+
 // Returns whether a worker already has as many tasks of a step as StepSpecification::perWorkerLimit allows.
 [[nodiscard]] bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step);
 
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/WorkerState.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -26,11 +28,33 @@
     return capacity <= 0 ? 0.0 : static_cast<double>(step.demand.milliCores) / static_cast<double>(capacity);
 }
 
+void WorkerState::updateListing(const WorkerListing &present)
+{
+    const std::int64_t former = listing.capacity.milliCores;
+    listing = present;
+    if (former == listing.capacity.milliCores) {
+        return;
+    }
+    // The next shares differ from the last ones although the tasks may use the same processors as before.
+    sampledAt.reset();
+    const double scale
+        = static_cast<double>(former) / static_cast<double>(std::max<std::int64_t>(1, listing.capacity.milliCores));
+    for (BackfillSample &sample : backfilling) {
+        sample.demand *= scale;
+        sample.use *= scale;
+    }
+}
+
 Resources WorkerState::freeResources() const
 {
     return listing.capacity - used;
 }
 
+bool WorkerState::isOverCapacity() const
+{
+    return !used.fitsInto(listing.capacity);
+}
+
 Resources WorkerState::freeBesideLongRunning() const
 {
     return listing.capacity - usedByLongRunning;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -49,17 +49,27 @@
     int quarantineCount = 0;
     // Set when the worker rejected a start for lack of resources, until its next report.
     bool refusedForCapacity = false;
-    // Serving tasks, backfilling tasks and the processors in use by the latter, as of the last report at sampledAt.
+    // Serving tasks, backfilling tasks and the processors in use by the latter, as of the last report at sampledAt. The
+    // time is missing if no report has arrived since the worker's capacity last changed.
     std::vector<ServingSample> serving;
     std::vector<BackfillSample> backfilling;
     BackfillUse backfillUse;
-    Instant sampledAt;
+    std::optional<Instant> sampledAt;
 
     // Returns the resources that a task of the step takes on a worker. The processors of backfilling tasks do not
     // count.
     [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
+
+    // Replaces the listing. If the worker has other processors now, the shares in its samples change accordingly.
+    void updateListing(const WorkerListing &present);
+
+    // Returns the capacity less the resources in use. Members are negative while a worker whose capacity has shrunk
+    // still runs more than fits into it.
     [[nodiscard]] Resources freeResources() const;
 
+    // Returns whether the assigned tasks need more of any resource than the worker has.
+    [[nodiscard]] bool isOverCapacity() const;
+
     // Returns the resources that long-running tasks leave free. All other tasks end by themselves.
     [[nodiscard]] Resources freeBesideLongRunning() const;
 
