Scheduling: Withdraw an unanswered start from a worker that drains or has left

Cause: retryOrders() sent an unanswered start again although the worker had begun to drain or was no longer listed in the meantime, while it still answered reports. A start much later than the announcement breaks the rule about draining workers, and the run would soon be moved anyway.

Change: mayRepeatStart() also requires a listed worker that isn't draining.

CapacityChange.withdrawsAnUnansweredStartFromADrainingWorker failed before.

--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -48,8 +48,8 @@
 
 bool mayRepeatStart(const WorkerState &worker, const StepState &step)
 {
-    return meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool)
-        && !worker.isOverCapacity();
+    return worker.listed && !worker.listing.draining && !worker.isOverCapacity()
+        && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool);
 }
 
 bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step)
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -263,6 +263,21 @@
     EXPECT_EQ(harness.workers.runningCount(), 2U);
 }
 
+// Guards against repeated starts on a worker that began to drain after the start was sent.
+TEST(CapacityChange, withdrawsAnUnansweredStartFromADrainingWorker)
+{
+    CapacityHarness harness;
+    harness.addWorker("worker", {4'000, 8'000, 0});
+    harness.gateway.cutWorkers = {"worker"};
+    harness.submit("job", stepWith({2'000, 1'000, 0}), Short);
+    harness.advance(ShortWhile);
+    harness.beginDrain("worker");
+    harness.advance(Second);
+    harness.gateway.cutWorkers.clear();
+    harness.advance(Second * 2);
+    EXPECT_EQ(harness.startsOf("job"), 0U);
+}
+
 // Guards against a new owner that starts tasks on a worker before it counts what runs there, or by an earlier capacity.
 TEST(CapacityChange, countsInheritedRunsAgainstThePresentCapacity)
 {
