--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -46,6 +46,12 @@
         && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty() && worker.quarantinedUntil <= now;
 }
 
+bool mayRepeatStart(const WorkerState &worker, const StepState &step)
+{
+    return worker.listed && !worker.listing.draining && !worker.isOverCapacity()
+        && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool);
+}
+
 bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step)
 {
     const int limit = step.specification().perWorkerLimit;
