Testing: Let fake workers crash, come back and change their capacity

The fakes could only restart a worker in an instant, which the instances saw in their next report, and had no capacity. Tasks that crash their workers and capacity that shrinks need more:

- Runs of a job, or of one task of each step, crash their worker some time after the start.
A crash ends everything silently; the worker answers nothing while it is down, leaves the listings after 3 s, and comes back under its name with a higher incarnation or under a new name at its address.
Calls to its former name then end with OtherIncarnation.
With a time of zero even the answer to the start is missing.
- Crashes are counted per task.
The third start of a crashing task after three crashes under it is a violation. mayFail() says whether a job has a task with two crashes or three failed runs.
- The capacity of a worker may change while it runs.
Guarding workers refuse what does not fit; on others it is a violation, where a shrunk capacity counts after 5 s (contact time and a heartbeat).
Runs that are being stopped count until they end, and may take a time to stop.
- TestCluster passes changes of the listings on to all instances after 1 s.
A test that lists by hand takes precedence: what it listed counts as delivered.

An instance that starts gets the listings that the others have, no newer ones, so that no delayed listing takes it back.

No product code changes.

--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -8,6 +8,8 @@
 #include "testing/FakeWorkers.h"
 #include "testing/FaultyStore.h"
 
+#include <deque>
+
 namespace Wagtail
 {
 
@@ -68,12 +70,15 @@
     FakeWorkerGateway gateway;
 };
 
+// What the platform lists, by the names of the workers.
+using WorkerListings = std::map<std::string, WorkerListing>;
+
 // One instance of the daemon with its ownership of partitions, its API and its router.
 struct TestInstance
 {
-    TestInstance(ManualClock &clock, ManualScheduler &scheduler, InstanceConnections &connections, FakeWorkers &workers,
-        HttpClient &peers, PlacementAdvisor &advisor, const PartitionPlan &plan, const std::string &name,
-        int incarnation)
+    TestInstance(ManualClock &clock, ManualScheduler &scheduler, InstanceConnections &connections,
+        const WorkerListings &workers, HttpClient &peers, PlacementAdvisor &advisor, const PartitionPlan &plan,
+        const std::string &name, int incarnation)
         : store(connections.store)
         , gateway(connections.gateway)
         , lease(store, scheduler, clock, {}, JobKeys::Instances + name)
@@ -86,7 +91,7 @@
     {
         lease.start(serialize(self));
         feed.start();
-        ownership.updateWorkers(workers.listings());
+        ownership.updateWorkers(workers);
     }
 
     static PartitionLeader::Limits limits()
@@ -136,6 +141,8 @@
                 = dataCentres[static_cast<std::size_t>(i) % WorkerDataCentres % dataCentres.size()];
             workers.add({name, name + ":1", "pool", dataCentre, "rack", {}, {4'000, 8'000, 0}, 1, false});
         }
+        m_seenListings = workers.listings();
+        m_deliveredListings = m_seenListings;
         for (int i = 0; i < InstanceCount; ++i) {
             start(i);
         }
@@ -146,7 +153,7 @@
         const std::string name = "instance-" + std::to_string(number);
         m_connections.push_back(std::make_unique<InstanceConnections>(scheduler, state, workers));
         instances[number] = std::make_unique<TestInstance>(
-            clock, scheduler, *m_connections.back(), workers, peers, advisor, plan, name, ++m_incarnations);
+            clock, scheduler, *m_connections.back(), m_deliveredListings, peers, advisor, plan, name, ++m_incarnations);
         TestInstance *instance = instances[number].get();
         peers.servers[name] = [instance](const HttpRequest &request, const HttpServer::Responder &respond) {
             return instance->api.handle(request, respond);
@@ -159,14 +166,17 @@
         instances[number].reset();
     }
 
+    // Restarts a worker in an instant, and lists it at once.
     void restartWorker(int number)
     {
-        workers.restart("worker-" + std::to_string(number));
-        for (const auto &[id, instance] : instances) {
-            if (instance) {
-                instance->ownership.updateWorkers(workers.listings());
-            }
-        }
+        workers.restart(workerName(number));
+        listAllWorkersExcept({});
+    }
+
+    // Returns the present name of a worker, which may change when it crashes.
+    [[nodiscard]] std::string workerName(int number) const
+    {
+        return workers.nameAt("worker-" + std::to_string(number) + ":1");
     }
 
     void advance(Milliseconds duration)
@@ -176,6 +186,7 @@
             scheduler.advance(Step, Step);
             state.advance();
             workers.advance();
+            deliverListings();
             m_untilTick -= Step;
             if (m_untilTick.count() > 0) {
                 continue;
@@ -263,18 +274,17 @@
         return nullptr;
     }
 
-    // Lists to all instances the workers except the missing ones.
+    // Lists to all instances the workers except the missing ones, without the usual delay.
     void listAllWorkersExcept(const std::set<std::string> &missing)
     {
-        std::map<std::string, WorkerListing> listings = workers.listings();
+        m_seenListings = workers.listings();
+        m_deliveredListings = m_seenListings;
+        m_listingsUnderway.clear();
+        WorkerListings listings = m_seenListings;
         for (const std::string &name : missing) {
             listings.erase(name);
         }
-        for (const auto &[id, instance] : instances) {
-            if (instance) {
-                instance->ownership.updateWorkers(listings);
-            }
-        }
+        list(listings);
     }
 
     // Sends each partition's headroom to all instances.
@@ -305,7 +315,37 @@
     std::map<int, std::unique_ptr<TestInstance>> instances;
 
 private:
+    // Time from a change of the workers' listings until the instances have them.
+    static constexpr Milliseconds ListingDelay {1'000};
+
+    void list(const WorkerListings &listings)
+    {
+        for (const auto &[id, instance] : instances) {
+            if (instance) {
+                instance->ownership.updateWorkers(listings);
+            }
+        }
+    }
+
+    // Passes changes of what the platform lists on to all instances after a delay.
+    void deliverListings()
+    {
+        const WorkerListings listings = workers.listings();
+        if (listings != m_seenListings) {
+            m_seenListings = listings;
+            m_listingsUnderway.emplace_back(clock.now() + ListingDelay, listings);
+        }
+        while (!m_listingsUnderway.empty() && m_listingsUnderway.front().first <= clock.now()) {
+            m_deliveredListings = m_listingsUnderway.front().second;
+            m_listingsUnderway.pop_front();
+            list(m_deliveredListings);
+        }
+    }
+
     int m_incarnations = 0;
+    WorkerListings m_seenListings;
+    WorkerListings m_deliveredListings;
+    std::deque<std::pair<Instant, WorkerListings>> m_listingsUnderway;
     std::vector<std::unique_ptr<InstanceConnections>> m_connections;
     Milliseconds m_untilTick {0};
 };
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "scheduling/WorkerGateway.h"
+#include "testing/CapacityHistory.h"
+#include "testing/CrashRecord.h"
 #include "testing/ManualScheduler.h"
 
 #include <algorithm>
@@ -16,6 +18,33 @@
 class FakeWorkers
 {
 public:
+    // How runs crash the worker that they run on.
+    struct Crash
+    {
+        // Time from the start of the run to the crash. If it is zero, the worker does not even answer the start.
+        Milliseconds after {10};
+        // The index of the only task of a step that crashes its workers. All do if it is missing.
+        std::optional<int> index;
+    };
+
+    // How a worker comes back after a crash.
+    struct Recovery
+    {
+        enum class Identity {
+            SameName,
+            NewName,
+        };
+
+        Identity identity = Identity::SameName;
+        Milliseconds downtime {3'500};
+    };
+
+    // What a worker does with starts for which it has no room.
+    enum class CapacityGuard {
+        None,
+        RefusesStarts,
+    };
+
     // How the tasks of a job behave.
     struct Behaviour
     {
@@ -27,6 +56,11 @@
         std::function<std::int64_t(Instant)> usage = [](Instant) {
             return std::int64_t {0};
         };
+        std::optional<Crash> crash = {};
+        // The room that each run takes until its end is listed.
+        Resources demand = {};
+        // How long a run goes on after it was told to stop.
+        Milliseconds stopDuration {0};
     };
 
     explicit FakeWorkers(ManualClock &clock) : m_clock(clock)
@@ -38,31 +72,85 @@
         Worker &worker = m_workers[listing.name];
         worker.listing = listing;
         worker.bornAt = m_clock.now();
+        worker.capacities.change(m_clock.now(), listing.capacity);
     }
 
     // Ends everything that runs on the worker and begins a new incarnation of it under its name.
     void restart(const std::string &name)
     {
         Worker &worker = m_workers.at(name);
-        const WorkerListing listing = worker.listing;
-        worker = Worker();
-        worker.listing = listing;
-        worker.listing.incarnation = listing.incarnation + 1;
-        worker.bornAt = m_clock.now();
+        if (!worker.downUntil) {
+            recordCrashes(worker);
+        }
+        beginLife(worker);
     }
 
+    // Ends everything that runs on the worker without any notice. The worker answers nothing until it is back.
+    void crash(const std::string &name)
+    {
+        Worker &worker = m_workers.at(name);
+        if (worker.downUntil) {
+            return;
+        }
+        recordCrashes(worker);
+        worker.running.clear();
+        worker.ended.clear();
+        worker.crashedAt = m_clock.now();
+        worker.downUntil = m_clock.now() + worker.recovery.downtime;
+    }
+
+    void setRecovery(const std::string &name, Recovery recovery)
+    {
+        m_workers.at(name).recovery = recovery;
+    }
+
+    void setCapacityGuard(const std::string &name, CapacityGuard guard)
+    {
+        m_workers.at(name).guard = guard;
+    }
+
+    // Changes the capacity of a worker while it runs. Nothing that runs ends.
+    void setCapacity(const std::string &name, const Resources &capacity)
+    {
+        Worker &worker = m_workers.at(name);
+        worker.listing.capacity = capacity;
+        worker.capacities.change(m_clock.now(), capacity);
+    }
+
+    // Returns the name of the latest worker at the address, which may be down.
+    [[nodiscard]] std::string nameAt(const std::string &address) const
+    {
+        for (const auto &[name, worker] : m_workers) {
+            if (worker.listing.address == address) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    // Returns the name that a worker had before it came back under others.
+    [[nodiscard]] static std::string firstNameOf(const std::string &name)
+    {
+        return name.substr(0, name.find('.'));
+    }
+
+    // Returns what the platform lists. A worker that has crashed stays listed for a while.
     [[nodiscard]] std::map<std::string, WorkerListing> listings() const
     {
         std::map<std::string, WorkerListing> listings;
         for (const auto &[name, worker] : m_workers) {
-            listings.emplace(name, worker.listing);
+            if (!worker.downUntil || m_clock.now() - worker.crashedAt < SilenceBeforeUnlisted) {
+                listings.emplace(name, worker.listing);
+            }
         }
         return listings;
     }
 
+    // Returns the incarnation of a worker, or 0 if no worker has the name.
     [[nodiscard]] std::int64_t incarnationOf(const std::string &name) const
     {
-        return m_workers.at(name).listing.incarnation;
+        const auto found = m_workers.find(name);
+        return found == m_workers.end() ? 0 : found->second.listing.incarnation;
     }
 
     void setBehaviour(const std::string &job, Behaviour behaviour)
@@ -76,29 +164,22 @@
         m_advisedJobs.insert(job);
     }
 
-    // Lets time pass: tasks end, leases run out.
+    // Lets time pass: tasks end, leases run out, workers crash and come back.
     void advance()
     {
         for (auto &[name, worker] : m_workers) {
-            if (worker.leaseUntil > 0 && worker.leaseUntil < clockOf(worker)) {
-                worker.leaseUntil = 0;
-                ++worker.lapses;
-            }
-            const std::vector<Run> running = worker.running;
-            for (const Run &run : running) {
-                if (run.leaseUntil < clockOf(worker)) {
-                    end(worker, run, RunEnd::LeaseExpired);
-                } else if (!run.behaviour.lasting && workedFor(run) >= run.behaviour.duration) {
-                    end(worker, run, run.fails ? RunEnd::Failed : RunEnd::Done);
-                }
-            }
+            advance(worker);
         }
+        reviveWorkers();
     }
 
     OrderAnswer start(const std::string &name, FencingToken token, const StartOrder &order)
     {
-        Worker &worker = m_workers.at(name);
         advance();
+        if (!isUp(name)) {
+            return {outcomeOfAbsent(name), std::nullopt};
+        }
+        Worker &worker = m_workers.at(name);
         if (token < worker.token) {
             return {OrderOutcome::Fenced, clockOf(worker)};
         }
@@ -120,34 +201,45 @@
             return {OrderOutcome::Expired, clockOf(worker)};
         }
         worker.leaseUntil = std::max(worker.leaseUntil, shortened(worker, order.leaseUntil));
+        const Resources demandAfter = demandOn(worker) + m_behaviours[order.run.task.job].demand;
+        if (worker.guard == CapacityGuard::RefusesStarts && !demandAfter.fitsInto(worker.listing.capacity)) {
+            return {OrderOutcome::NoRoom, clockOf(worker)};
+        }
         begin(worker, order);
-        return {OrderOutcome::Accepted, clockOf(worker)};
+        advance(worker);
+        return worker.downUntil ? OrderAnswer() : OrderAnswer {OrderOutcome::Accepted, clockOf(worker)};
     }
 
     OrderAnswer stop(const std::string &name, FencingToken token, const RunName &runName)
     {
-        Worker &worker = m_workers.at(name);
         advance();
+        if (!isUp(name)) {
+            return {outcomeOfAbsent(name), std::nullopt};
+        }
+        Worker &worker = m_workers.at(name);
         if (token < worker.token) {
             return {OrderOutcome::Fenced, clockOf(worker)};
         }
         worker.token = token;
         std::uint64_t &closed = worker.closed[runName.task];
         closed = std::max(closed, runName.run);
-        const std::vector<Run> running = worker.running;
-        for (const Run &run : running) {
-            if (run.name == runName) {
-                end(worker, run, RunEnd::Stopped);
+        for (Run &run : worker.running) {
+            if (run.name == runName && !run.stopsAt) {
+                run.stopsAt = m_clock.now() + run.behaviour.stopDuration;
             }
         }
+        advance(worker);
         return {OrderOutcome::Accepted, clockOf(worker)};
     }
 
     // Pauses a run if it may work at no speed. Any other speed counts as full speed.
     OrderAnswer throttle(const std::string &name, FencingToken token, const RunName &runName, int percent)
     {
-        Worker &worker = m_workers.at(name);
         advance();
+        if (!isUp(name)) {
+            return {outcomeOfAbsent(name), std::nullopt};
+        }
+        Worker &worker = m_workers.at(name);
         if (token < worker.token) {
             return {OrderOutcome::Fenced, clockOf(worker)};
         }
@@ -164,8 +256,11 @@
     std::variant<RunReport, OrderOutcome> report(
         const std::string &name, FencingToken token, const ReportRequest &request)
     {
-        Worker &worker = m_workers.at(name);
         advance();
+        if (!isUp(name)) {
+            return outcomeOfAbsent(name);
+        }
+        Worker &worker = m_workers.at(name);
         if (token < worker.token) {
             return OrderOutcome::Fenced;
         }
@@ -197,6 +292,8 @@
     [[nodiscard]] std::vector<std::string> violations() const
     {
         std::vector<std::string> found = m_violations;
+        const std::vector<std::string> crashViolations = m_crashRecord.violations();
+        found.insert(found.end(), crashViolations.begin(), crashViolations.end());
         for (const auto &[task, starts] : m_starts) {
             const auto done = m_notedDone.find(task);
             if (done == m_notedDone.end()) {
@@ -226,6 +323,24 @@
         return found == m_starts.end() ? 0 : found->second.size();
     }
 
+    // Returns how many workers have crashed while they ran the task.
+    [[nodiscard]] int crashesUnder(const TaskName &task) const
+    {
+        return m_crashRecord.crashesUnder(task);
+    }
+
+    // Returns whether the job may be shown as failed: two workers have crashed under one of its tasks, or as many runs
+    // of one of its tasks as allowed have failed.
+    [[nodiscard]] bool mayFail(const std::string &job) const
+    {
+        const auto &crashes = m_crashRecord.crashes();
+        const bool crashed = std::any_of(crashes.begin(), crashes.end(),
+            [&job](const auto &entry) { return entry.first.job == job && entry.second >= CrashesBeforeGivingUp; });
+        const bool failed = std::any_of(m_failedRuns.begin(), m_failedRuns.end(),
+            [&job](const auto &entry) { return entry.first.job == job && entry.second.size() >= MostAttempts; });
+        return crashed || failed;
+    }
+
 private:
     struct Run
     {
@@ -237,6 +352,8 @@
         bool fails = false;
         bool paused = false;
         Milliseconds workedBefore {0};
+        std::optional<Instant> stopsAt = {};
+        std::optional<Instant> crashesAt = {};
     };
 
     struct Worker
@@ -252,8 +369,110 @@
         std::int64_t leaseUntil = 0;
         int lapses = 0;
         std::map<std::uint64_t, int> lapsesAtEnd;
+        // The actual capacity; the listing shows the present one.
+        CapacityHistory capacities;
+        CapacityGuard guard = CapacityGuard::None;
+        Recovery recovery;
+        Instant crashedAt;
+        // Has a value while the worker is down.
+        std::optional<Instant> downUntil;
     };
 
+    [[nodiscard]] bool isUp(const std::string &name) const
+    {
+        const auto found = m_workers.find(name);
+        return found != m_workers.end() && !found->second.downUntil;
+    }
+
+    // Returns how a call ends whose target is down, or has come back under another name.
+    [[nodiscard]] OrderOutcome outcomeOfAbsent(const std::string &name) const
+    {
+        const auto former = m_formerAddresses.find(name);
+        const bool replaced = former != m_formerAddresses.end() && isUp(nameAt(former->second));
+        return replaced ? OrderOutcome::OtherIncarnation : OrderOutcome::Unknown;
+    }
+
+    void advance(Worker &worker)
+    {
+        if (worker.leaseUntil > 0 && worker.leaseUntil < clockOf(worker)) {
+            worker.leaseUntil = 0;
+            ++worker.lapses;
+        }
+        const std::vector<Run> running = worker.running;
+        for (const Run &run : running) {
+            if (run.leaseUntil < clockOf(worker)) {
+                end(worker, run, RunEnd::LeaseExpired);
+            } else if (run.crashesAt && m_clock.now() >= *run.crashesAt) {
+                crash(worker.listing.name);
+                return;
+            } else if (run.stopsAt) {
+                if (m_clock.now() >= *run.stopsAt) {
+                    end(worker, run, RunEnd::Stopped);
+                }
+            } else if (!run.behaviour.lasting && workedFor(run) >= run.behaviour.duration) {
+                end(worker, run, run.fails ? RunEnd::Failed : RunEnd::Done);
+            }
+        }
+    }
+
+    void recordCrashes(const Worker &worker)
+    {
+        for (const Run &run : worker.running) {
+            m_crashRecord.recordCrash(run.name.task);
+        }
+    }
+
+    // Replaces what the worker runs and knows by that of a new incarnation.
+    void beginLife(Worker &worker)
+    {
+        const Worker former = std::move(worker);
+        worker = Worker();
+        worker.listing = former.listing;
+        worker.listing.incarnation = former.listing.incarnation + 1;
+        worker.bornAt = m_clock.now();
+        worker.capacities = former.capacities;
+        worker.guard = former.guard;
+        worker.recovery = former.recovery;
+    }
+
+    void reviveWorkers()
+    {
+        std::vector<std::string> due;
+        for (const auto &[name, worker] : m_workers) {
+            if (worker.downUntil && m_clock.now() >= *worker.downUntil) {
+                due.push_back(name);
+            }
+        }
+        for (const std::string &name : due) {
+            Worker &worker = m_workers.at(name);
+            beginLife(worker);
+            if (worker.recovery.identity == Recovery::Identity::NewName) {
+                rename(name);
+            }
+        }
+    }
+
+    // Gives the worker a new name, which contains the incarnation.
+    void rename(const std::string &name)
+    {
+        auto node = m_workers.extract(name);
+        WorkerListing &listing = node.mapped().listing;
+        m_formerAddresses[name] = listing.address;
+        listing.name = firstNameOf(name) + "." + std::to_string(listing.incarnation);
+        node.key() = listing.name;
+        m_workers.insert(std::move(node));
+    }
+
+    // Returns the room that runs take on the worker, including those that are being stopped.
+    [[nodiscard]] static Resources demandOn(const Worker &worker)
+    {
+        Resources sum;
+        for (const Run &run : worker.running) {
+            sum = sum + run.behaviour.demand;
+        }
+        return sum;
+    }
+
     [[nodiscard]] std::int64_t clockOf(const Worker &worker) const
     {
         return std::chrono::duration_cast<Milliseconds>(m_clock.now() - worker.bornAt).count();
@@ -292,9 +511,19 @@
         if (behaviour.failures > 0 && m_notedFailures[task].size() >= MostAttempts) {
             m_violations.push_back(task.text() + " was started after its last attempt");
         }
+        const Resources permitted = worker.capacities.permitted(m_clock.now());
+        if (worker.guard == CapacityGuard::None && !(demandOn(worker) + behaviour.demand).fitsInto(permitted)) {
+            m_violations.push_back(task.text() + " was started on " + worker.listing.name + " over its capacity");
+        }
         m_starts[task].push_back(m_clock.now());
         const bool fails = failureCount(task) < static_cast<std::size_t>(behaviour.failures);
-        worker.running.push_back({order.run, shortened(worker, order.leaseUntil), m_clock.now(), behaviour, fails});
+        Run run {order.run, shortened(worker, order.leaseUntil), m_clock.now(), behaviour, fails};
+        const bool crashes = behaviour.crash && behaviour.crash->index.value_or(task.index) == task.index;
+        if (crashes) {
+            run.crashesAt = m_clock.now() + behaviour.crash->after;
+        }
+        m_crashRecord.recordStart(task, crashes ? CrashRecord::Kind::CrashesWorkers : CrashRecord::Kind::Innocent);
+        worker.running.push_back(std::move(run));
     }
 
     // Returns how many failures of a task have been acknowledged or are still listed by a worker.
@@ -321,6 +550,9 @@
         worker.lapsesAtEnd[worker.nextEnd] = worker.lapses;
         ++worker.nextEnd;
         m_endedAt[run.name] = m_clock.now();
+        if (how == RunEnd::Failed) {
+            m_failedRuns[run.name.task].insert(run.name.run);
+        }
         std::erase_if(worker.running, [&run](const Run &other) { return other.name == run.name; });
     }
 
@@ -345,10 +577,16 @@
     }
 
     static constexpr std::size_t MostAttempts = 3;
+    static constexpr int CrashesBeforeGivingUp = 2;
     static constexpr Milliseconds LongestLease {2'000};
+    // Time after a crash until the platform removes a worker that is still down from its list.
+    static constexpr Milliseconds SilenceBeforeUnlisted {3'000};
 
     ManualClock &m_clock;
     std::map<std::string, Worker> m_workers;
+    // The addresses of workers that came back under another name, by their former name.
+    std::map<std::string, std::string> m_formerAddresses;
+    CrashRecord m_crashRecord;
     std::map<std::string, Behaviour> m_behaviours;
     std::set<std::string> m_advisedJobs;
     std::map<TaskName, std::vector<Instant>> m_starts;
@@ -356,6 +594,8 @@
     std::map<TaskName, Instant> m_notedDone;
     std::map<TaskName, std::set<std::uint64_t>> m_notedFailures;
     std::map<TaskName, std::set<std::uint64_t>> m_acknowledgedFailures;
+    // All failures, even those that nobody has read.
+    std::map<TaskName, std::set<std::uint64_t>> m_failedRuns;
     std::vector<std::string> m_violations;
 };
 
@@ -368,6 +608,7 @@
     }
 
     bool cut = false;
+    // Workers by the name that they had at first. They stay cut off when they come back under another name.
     std::set<std::string> cutWorkers;
     int loseAnswers = 0;
     int lateOrders = 0;
@@ -403,7 +644,10 @@
             std::variant<RunReport, OrderOutcome> result = m_workers.report(target.worker, target.token, request);
             const auto slow = reportDelays.find(target.worker);
             const Milliseconds readingDelay = slow == reportDelays.end() ? Milliseconds(0) : slow->second;
-            m_scheduler.after(Delay + readingDelay, [handler, result = std::move(result)] { handler(result); });
+            const auto *outcome = std::get_if<OrderOutcome>(&result);
+            const bool unanswered = outcome != nullptr && *outcome == OrderOutcome::Unknown;
+            m_scheduler.after(unanswered ? Timeout : Delay + readingDelay,
+                [handler, result = std::move(result)] { handler(result); });
         });
     }
 
@@ -415,7 +659,7 @@
 
     [[nodiscard]] bool isCut(const OrderTarget &target) const
     {
-        return cut || cutWorkers.contains(target.worker);
+        return cut || cutWorkers.contains(FakeWorkers::firstNameOf(target.worker));
     }
 
     template<typename Work> void carry(const OrderTarget &target, AnswerHandler handler, Work work)
@@ -439,9 +683,10 @@
         const bool lost = loseAnswers > 0;
         loseAnswers -= lost ? 1 : 0;
         m_scheduler.after(Delay, [this, lost, work, handler = std::move(handler)] {
-            const OrderAnswer answer = work();
-            m_scheduler.after(
-                lost ? Timeout : Delay, [handler, answer, lost] { handler(lost ? OrderAnswer() : answer); });
+            const OrderAnswer given = work();
+            const OrderAnswer answer = lost ? OrderAnswer() : given;
+            const bool unanswered = answer.outcome == OrderOutcome::Unknown;
+            m_scheduler.after(unanswered ? Timeout : Delay, [handler, answer] { handler(answer); });
         });
     }
 
