--- /dev/null
+++ b/source/scheduling/CrashVerdict.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "scheduling/CrashHistory.h"
+
+namespace Wagtail
+{
+
+enum class CrashVerdict {
+    // The task is started again.
+    Retry,
+    // The task must not be started before it is known whether workers have crashed under its lost runs.
+    Wait,
+    // The task crashes its workers and must not be started any more.
+    GiveUp,
+};
+
+// Decides whether a task is given up because workers crashed under it. Two crashes suffice if both were prompt,
+// otherwise three are needed, because tasks that merely ran on the same worker share its crashes. If a start was not
+// confirmed, the worker may have crashed before it, so that crash counts only towards four.
+// Load pattern: a single poison task among thousands that run beside it, on workers that also crash by chance.
+[[nodiscard]] CrashVerdict judge(const CrashHistory &history);
+
+}
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -101,6 +101,7 @@
     }
     m_unfinishedJobs.push_back(&job);
     createDueOccurrences(job);
+    awaitOpenRuns(job);
     dispatchSoon();
 }
 
@@ -268,6 +269,7 @@
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         WorkerState &worker = entry->second;
         expireLeases(worker);
+        forgetLostRuns(worker);
         if (isRemovable(worker)) {
             const bool heldLease = worker.leaseGrantedUntil > 0;
             entry = m_workers.erase(entry);
@@ -276,6 +278,7 @@
             }
             continue;
         }
+        withdrawHeldStarts(worker);
         retryOrders(worker);
         requestReport(worker);
         ++entry;
@@ -363,7 +366,8 @@
 
 bool JobScheduler::isRemovable(const WorkerState &worker) const
 {
-    if (worker.listed || !worker.tasks.empty() || m_unconfirmedWorkers.contains(worker.listing.name)) {
+    if (worker.listed || !worker.tasks.empty() || !worker.lostRuns.empty()
+        || m_unconfirmedWorkers.contains(worker.listing.name)) {
         return false;
     }
     return worker.leaseGrantedUntil == 0
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -28,6 +28,9 @@
     // The progress of the job differs from what the store has.
     virtual void progressChanged(const std::string &job) = 0;
 
+    // A start order is held back until the store has the progress of the job. See JobScheduler::heldStarts().
+    virtual void startHeldBack(const std::string &job) = 0;
+
     // A worker reported run ends that are not recorded in the store yet, even if they changed no job.
     virtual void runEndsReported() = 0;
 
@@ -164,6 +167,11 @@
     [[nodiscard]] std::map<std::string, RunEndPosition> appliedRunEnds() const;
     void onRunEndsRecorded(const std::map<std::string, RunEndPosition> &positions);
 
+    // Returns the runs whose start orders are held back until the store has the progress of their jobs. They are passed
+    // to onStartsRecorded() once the store has all progress up to now.
+    [[nodiscard]] std::set<RunName> heldStarts() const;
+    void onStartsRecorded(const std::set<RunName> &runs);
+
     // Tells that the store has the phase of a job, so that callers may see it.
     void phaseRecorded(const std::string &job, JobPhase phase);
 
@@ -204,6 +212,8 @@
     // Runs
     [[nodiscard]] std::uint64_t nextRun(const StepState &step, const TaskState &task) const;
     void place(TaskState &task, WorkerState &worker, std::uint64_t run);
+    // Sends the start orders of tasks that were just placed, or holds them back until the store has their open runs.
+    void startPlaced(const std::vector<TaskState *> &tasks);
     void sendStart(TaskState &task);
     void onStartAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
     // Moves the job to JobPhase::Running when the first of its tasks has started.
@@ -222,8 +232,9 @@
     // Workers
     void sampleBatchDemand();
     void requestReport(WorkerState &worker);
-    void onReport(const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result);
-    void onReportFailed(WorkerState &worker, OrderOutcome outcome);
+    void onReport(const std::string &name, const std::string &address, Instant sentAt,
+        const std::variant<RunReport, OrderOutcome> &result);
+    void onReportFailed(WorkerState &worker, const std::string &address, OrderOutcome outcome);
     void applyReport(WorkerState &worker, const RunReport &report, Instant sentAt);
     void applyEnd(WorkerState &worker, const EndedTask &ended);
     void applyFailure(TaskState &task, WorkerState &worker, const RunName &run, bool current);
@@ -250,6 +261,42 @@
     [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
 
+    // Crashes
+    // A run under which a worker crashed.
+    struct CrashEvidence
+    {
+        RunName run;
+        CrashTiming timing = CrashTiming::Unknown;
+    };
+
+    // Whether a run of the task may have crashed its worker without the store knowing of the run.
+    [[nodiscard]] static bool needsOpenRun(const TaskState &task);
+    [[nodiscard]] bool mayPlace(const TaskState &task) const;
+    void holdStart(TaskState &task);
+    [[nodiscard]] bool maySendHeldStart(const TaskState &task);
+    // Requeues tasks whose start orders are held back and whose worker takes no tasks any more.
+    void withdrawHeldStarts(WorkerState &worker);
+    void withdrawHeldStart(TaskState &task);
+    // Returns the timing of a crash of the worker now as it counts for its task, or nothing if it doesn't count.
+    [[nodiscard]] static std::optional<CrashTiming> crashTiming(const TaskState &task, const WorkerState &worker);
+    // Ends the incarnation of a worker whose address another worker has taken.
+    void onWorkerReplaced(WorkerState &worker);
+    // Returns the runs that a worker has lost by a crash.
+    [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
+    void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
+    void giveUp(TaskState &task);
+    void noteLostRun(WorkerState &worker, TaskState &task);
+    // Explains the lost runs of a worker by an answer of the given incarnation.
+    void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
+    void forgetLostRuns(WorkerState &worker);
+    // Closes the open runs on a worker that starts to drain, whose exit is no crash for a successor either.
+    void closeOpenRuns(const WorkerState &worker);
+    // Clears a task of suspicion whose run has lived long enough.
+    void clearSuspicion(TaskState &task);
+    // Asks the workers that may have run tasks of a restored job whether they have crashed.
+    void awaitOpenRuns(JobState &job);
+    void awaitOpenRuns(TaskState &task);
+
     // Advice
     [[nodiscard]] bool isPermitted(const StepState &step, const WorkerState &worker) const;
     [[nodiscard]] static std::string ticketFor(const StepState &step, const std::string &worker);
@@ -291,6 +338,7 @@
     Instant m_priorLeasesExpireAt;
     // Workers that may hold leases of an earlier leader term and have not answered under this one.
     std::set<std::string> m_unconfirmedWorkers;
+    std::set<RunName> m_heldStarts;
     std::unordered_map<std::string, std::unique_ptr<JobState>> m_jobs;
     // Jobs that are not finished, in the order in which they were added.
     std::vector<JobState *> m_unfinishedJobs;
--- /dev/null
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -0,0 +1,344 @@
+// JobScheduler: workers that crash, and tasks that crash them.
+#include "scheduling/CrashVerdict.h"
+#include "scheduling/JobScheduler.h"
+#include "scheduling/WorkerChoice.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// How long after the expiry of its leases a worker is asked whether it has crashed. It covers the restart of a worker.
+constexpr Milliseconds LostRunRetention {15'000};
+
+}
+
+bool JobScheduler::needsOpenRun(const TaskState &task)
+{
+    const bool mayHaveUnknownRuns = task.step->occurrence->job->fromEarlierTerm && !task.runsKnown;
+    return task.crashes.isSuspect() || task.endUnknown || mayHaveUnknownRuns;
+}
+
+bool JobScheduler::mayPlace(const TaskState &task) const
+{
+    if (task.phase != RunPhase::Waiting || task.notBefore > m_environment.clock.now()) {
+        return false;
+    }
+    const bool isUnsuspected = task.crashes.isEmpty() || task.step->occurrence->job->ownedElsewhere;
+    return isUnsuspected || judge(task.crashes) == CrashVerdict::Retry;
+}
+
+void JobScheduler::startPlaced(const std::vector<TaskState *> &tasks)
+{
+    // The members of a gang start together, or the first ones would wait for the others on their workers.
+    const bool hold
+        = std::any_of(tasks.begin(), tasks.end(), [](const TaskState *task) { return needsOpenRun(*task); });
+    for (TaskState *task : tasks) {
+        if (hold) {
+            holdStart(*task);
+        } else {
+            sendStart(*task);
+        }
+    }
+}
+
+void JobScheduler::holdStart(TaskState &task)
+{
+    const WorkerState &worker = m_workers.at(task.worker);
+    task.awaitsRecording = true;
+    task.crashes.open(task.run, {task.worker, worker.listing.address, worker.incarnation, {}});
+    m_heldStarts.insert({nameOf(task), task.run});
+    m_environment.listener.startHeldBack(task.step->occurrence->job->specification.id);
+}
+
+std::set<RunName> JobScheduler::heldStarts() const
+{
+    return m_heldStarts;
+}
+
+void JobScheduler::onStartsRecorded(const std::set<RunName> &runs)
+{
+    for (const RunName &run : runs) {
+        m_heldStarts.erase(run);
+        TaskState *task = findTask(run.task);
+        if (task == nullptr || task->run != run.run || !task->awaitsRecording || task->phase != RunPhase::Starting) {
+            continue;
+        }
+        if (!maySendHeldStart(*task)) {
+            withdrawHeldStart(*task);
+            continue;
+        }
+        task->awaitsRecording = false;
+        sendStart(*task);
+    }
+}
+
+bool JobScheduler::maySendHeldStart(const TaskState &task)
+{
+    if (m_authority != SchedulingAuthority::Full) {
+        return false;
+    }
+    const Instant now = m_environment.clock.now();
+    const auto isReady = [&](const TaskState &member) {
+        const WorkerState *worker = findWorker(member.worker);
+        return member.phase == RunPhase::Starting && member.run == task.run && worker != nullptr
+            && acceptsTasks(*worker, now);
+    };
+    const StepState &step = *task.step;
+    return step.specification().gang ? std::all_of(step.tasks.begin(), step.tasks.end(), isReady) : isReady(task);
+}
+
+void JobScheduler::withdrawHeldStarts(WorkerState &worker)
+{
+    const bool acceptsStarts = worker.listed && !worker.listing.draining && worker.consecutiveUnanswered == 0;
+    if (acceptsStarts) {
+        return;
+    }
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        if (task->awaitsRecording && task->phase == RunPhase::Starting) {
+            withdrawHeldStart(*task);
+        }
+    }
+}
+
+void JobScheduler::withdrawHeldStart(TaskState &task)
+{
+    StepState &step = *task.step;
+    std::vector<TaskState *> withdrawn {&task};
+    if (step.specification().gang) {
+        for (TaskState &member : step.tasks) {
+            if (&member != &task && member.awaitsRecording) {
+                withdrawn.push_back(&member);
+            }
+        }
+    }
+    for (TaskState *member : withdrawn) {
+        m_heldStarts.erase({nameOf(*member), member->run});
+        requeue(*member, Milliseconds(0));
+    }
+    m_environment.listener.progressChanged(step.occurrence->job->specification.id);
+}
+
+std::optional<CrashTiming> JobScheduler::crashTiming(const TaskState &task, const WorkerState &worker)
+{
+    if (!task.runStartedAt || worker.listing.draining) {
+        return std::nullopt;
+    }
+    if (!task.runConfirmed) {
+        return CrashTiming::Unconfirmed;
+    }
+    const auto lived = worker.lastContact - *task.runStartedAt;
+    if (task.step->specification().longRunning && lived > CrashHistory::LongestSuspicion) {
+        return std::nullopt;
+    }
+    if (lived > CrashHistory::PromptLimit) {
+        return CrashTiming::Late;
+    }
+    return task.runAdopted ? CrashTiming::Unknown : CrashTiming::Prompt;
+}
+
+void JobScheduler::onWorkerReplaced(WorkerState &worker)
+{
+    const std::string &name = worker.listing.name;
+    const bool isKnown = worker.hasAnswered || !worker.tasks.empty() || !worker.lostRuns.empty()
+        || m_unconfirmedWorkers.contains(name);
+    if (!isKnown) {
+        return;
+    }
+    m_environment.listener.logDecision("worker-replaced", name,
+        {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"tasks", worker.tasks.size()}});
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
+    m_unconfirmedWorkers.erase(name);
+    worker.orphanRuns.clear();
+    worker.clock.reset(m_environment.clock.now());
+    worker.leaseGrantedUntil = 0;
+    worker.hasAnswered = false;
+    // Orders that are still on their way name this incarnation, so whichever worker has the address refuses them.
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        requeue(*task, Milliseconds(0));
+    }
+    m_environment.listener.leaseHoldersChanged();
+    countCrashes(worker, evidence);
+}
+
+std::vector<JobScheduler::CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker)
+{
+    std::vector<CrashEvidence> evidence;
+    for (TaskState *task : worker.tasks) {
+        if (task->awaitsRecording) {
+            continue;
+        }
+        const std::optional<CrashTiming> timing = crashTiming(*task, worker);
+        if (timing) {
+            evidence.push_back({{nameOf(*task), task->run}, *timing});
+        } else {
+            task->endUnknown = task->endUnknown || !worker.listing.draining;
+        }
+    }
+    if (!worker.listing.draining) {
+        for (const LostRun &lost : worker.lostRuns) {
+            evidence.push_back({lost.run, lost.timing});
+        }
+    }
+    worker.lostRuns.clear();
+    return evidence;
+}
+
+void JobScheduler::countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence)
+{
+    if (evidence.empty()) {
+        return;
+    }
+    Json runs = Json::array();
+    std::vector<TaskState *> suspects;
+    for (const CrashEvidence &item : evidence) {
+        TaskState *task = findTask(item.run.task);
+        if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()) {
+            continue;
+        }
+        if (!task->crashes.addCrash(item.run.run, {worker.listing.name, item.timing})) {
+            continue;
+        }
+        suspects.push_back(task);
+        runs.push_back({{"task", item.run.task.text()}, {"run", item.run.run}, {"timing", nameOf(item.timing)},
+            {"crashes", task->crashes.crashes().size()}});
+        m_environment.listener.progressChanged(item.run.task.job);
+    }
+    m_environment.listener.logDecision("worker-crashed", worker.listing.name,
+        {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"runs", std::move(runs)}});
+    for (TaskState *task : suspects) {
+        if (judge(task->crashes) == CrashVerdict::GiveUp) {
+            giveUp(*task);
+        }
+    }
+}
+
+void JobScheduler::giveUp(TaskState &task)
+{
+    JobState &job = *task.step->occurrence->job;
+    // Only the partition that owns the job may end it, and it does not learn of crashes elsewhere.
+    if (job.isFinished() || job.ownedElsewhere) {
+        return;
+    }
+    Json crashes = Json::array();
+    for (const auto &[run, crash] : task.crashes.crashes()) {
+        crashes.push_back({{"run", run}, {"worker", crash.worker}, {"timing", nameOf(crash.timing)}});
+    }
+    m_environment.listener.logDecision("task-given-up", nameOf(task).text(), {{"crashes", std::move(crashes)}});
+    finish(job, JobPhase::Failed);
+}
+
+void JobScheduler::noteLostRun(WorkerState &worker, TaskState &task)
+{
+    const bool wasSent = !task.awaitsRecording;
+    const std::optional<CrashTiming> timing = crashTiming(task, worker);
+    const RunName run {nameOf(task), task.run};
+    requeue(task, Milliseconds(0));
+    if (!wasSent || worker.listing.draining) {
+        return;
+    }
+    task.endUnknown = true;
+    if (timing && task.phase != RunPhase::Done) {
+        worker.lostRuns.push_back({run, worker.incarnation, *timing, m_environment.clock.now()});
+        task.crashes.open(run.run, {worker.listing.name, worker.listing.address, worker.incarnation, *timing});
+    }
+}
+
+void JobScheduler::explainLostRuns(WorkerState &worker, std::int64_t incarnation)
+{
+    std::vector<CrashEvidence> evidence;
+    for (const LostRun &lost : worker.lostRuns) {
+        if (lost.incarnation < incarnation) {
+            evidence.push_back({lost.run, lost.timing});
+            continue;
+        }
+        TaskState *task = findTask(lost.run.task);
+        const bool isAdopted = task != nullptr && task->worker == worker.listing.name && task->run == lost.run.run;
+        if (task != nullptr && lost.incarnation == incarnation && !isAdopted) {
+            task->crashes.close(lost.run.run);
+        }
+    }
+    std::erase_if(worker.lostRuns, [incarnation](const LostRun &lost) { return lost.incarnation <= incarnation; });
+    countCrashes(worker, evidence);
+}
+
+void JobScheduler::forgetLostRuns(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    std::erase_if(worker.lostRuns, [&](const LostRun &lost) {
+        const bool isOld = now > lost.lostAt + LostRunRetention;
+        TaskState *task = isOld ? findTask(lost.run.task) : nullptr;
+        if (task != nullptr) {
+            task->crashes.close(lost.run.run);
+        }
+        return isOld;
+    });
+}
+
+void JobScheduler::closeOpenRuns(const WorkerState &worker)
+{
+    for (TaskState *task : worker.tasks) {
+        if (task->crashes.openRuns().contains(task->run) && !task->awaitsRecording) {
+            task->crashes.close(task->run);
+            m_environment.listener.progressChanged(task->step->occurrence->job->specification.id);
+        }
+    }
+}
+
+void JobScheduler::clearSuspicion(TaskState &task)
+{
+    const bool hasLivedLong = task.phase == RunPhase::Running && task.runStartedAt
+        && m_environment.clock.now() - *task.runStartedAt > CrashHistory::LongestSuspicion;
+    if (!hasLivedLong) {
+        return;
+    }
+    task.endUnknown = false;
+    if (task.step->specification().longRunning && !task.crashes.isEmpty()) {
+        task.crashes.clear();
+        m_environment.listener.progressChanged(task.step->occurrence->job->specification.id);
+    }
+}
+
+void JobScheduler::awaitOpenRuns(JobState &job)
+{
+    for (auto &[number, occurrence] : job.occurrences) {
+        for (StepState &step : occurrence.steps) {
+            for (TaskState &task : step.tasks) {
+                awaitOpenRuns(task);
+                if (task.phase == RunPhase::Waiting && judge(task.crashes) == CrashVerdict::GiveUp) {
+                    giveUp(task);
+                }
+                if (job.isFinished()) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+void JobScheduler::awaitOpenRuns(TaskState &task)
+{
+    const Instant lostAt = std::max(m_environment.clock.now(), m_priorLeasesExpireAt);
+    const std::map<std::uint64_t, OpenRun> openRuns = task.crashes.openRuns();
+    for (const auto &[run, openRun] : openRuns) {
+        WorkerState &worker = m_workers[openRun.worker];
+        if (worker.listing.name.empty()) {
+            worker.listing.name = openRun.worker;
+            worker.listing.address = openRun.address;
+            worker.listing.incarnation = openRun.incarnation;
+        }
+        if (!worker.hasAnswered) {
+            m_unconfirmedWorkers.insert(openRun.worker);
+        }
+        worker.lostRuns.push_back({{nameOf(task), run}, openRun.incarnation, CrashTiming::Unknown, lostAt});
+        task.crashes.markLost(run, CrashTiming::Unknown);
+        requestReport(worker);
+    }
+}
+
+}
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -21,6 +21,8 @@
         return;
     }
     openDelegated(job, tasks);
+    restoreCrashHistories(job, progress);
+    awaitOpenRuns(job);
 }
 
 void JobScheduler::addDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/JobRank.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/PlacementSurvey.h"
+#include "scheduling/SuspectIsolation.h"
 #include "scheduling/WorkerChoice.h"
 
 #include <algorithm>
@@ -15,6 +16,9 @@
 
 // Steps that wait this long are logged. Long-running tasks should run again within one or two seconds of any end.
 constexpr Milliseconds WaitLogInterval {2'000};
+// A task that may crash its worker shares one with another such task after it has found none for this long, because
+// long-running tasks should run again within a few seconds of any end.
+constexpr Milliseconds LongestIsolationWait {1'500};
 
 }
 
@@ -146,16 +150,21 @@
     const Instant now = m_environment.clock.now();
     std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
-        if (task.phase != RunPhase::Waiting || task.notBefore > now) {
+        if (!mayPlace(task)) {
             continue;
         }
         WorkerState *worker = choose(step, task);
+        if (worker == nullptr && task.crashes.isSuspect()) {
+            // Other tasks may still find a worker, because they need not be kept apart.
+            task.isolatedSince = task.isolatedSince.value_or(now);
+            continue;
+        }
         if (worker == nullptr) {
             m_failedPlacements.add(step);
             break;
         }
         place(task, *worker, nextRun(step, task));
-        sendStart(task);
+        startPlaced({&task});
         placed.push_back(&task);
     }
     if (step.waitingCount == 0) {
@@ -182,9 +191,8 @@
 
 void JobScheduler::placeGang(StepState &step)
 {
-    const Instant now = m_environment.clock.now();
     for (const TaskState &task : step.tasks) {
-        if (task.phase != RunPhase::Waiting || task.notBefore > now) {
+        if (!mayPlace(task)) {
             return;
         }
     }
@@ -203,9 +211,7 @@
         place(task, *worker, run);
         placed.push_back(&task);
     }
-    for (TaskState *member : placed) {
-        sendStart(*member);
-    }
+    startPlaced(placed);
     logPlacement(step, {placed.begin(), placed.end()});
 }
 
@@ -220,6 +226,8 @@
     if (step.specification().sameRack) {
         query.preferredRack = preferredRack(step);
     }
+    const bool hasWaited = task.isolatedSince && query.now - *task.isolatedSince > LongestIsolationWait;
+    const auto strictness = hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
     WorkerState *best = nullptr;
     double lowestCost = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
@@ -228,8 +236,9 @@
             continue;
         }
         const std::optional<double> cost = placementCost(worker, query);
-        if (cost && *cost < lowestCost) {
-            lowestCost = *cost;
+        const std::optional<double> isolation = cost ? isolationCost(task, worker, strictness) : std::nullopt;
+        if (isolation && *cost + *isolation < lowestCost) {
+            lowestCost = *cost + *isolation;
             best = &worker;
         }
     }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -32,6 +32,10 @@
     task.phase = RunPhase::Starting;
     task.worker = worker.listing.name;
     task.deliveryUncertain = false;
+    task.runStartedAt.reset();
+    task.runConfirmed = false;
+    task.runAdopted = false;
+    task.isolatedSince.reset();
     task.percent = 0;
     task.speedPercent = 100;
     task.usage = 0;
@@ -69,8 +73,10 @@
     order.ticket = ticketFor(*task.step, task.worker);
     order.leaseUntil = grantLease(*worker);
     task.orderPending = true;
+    task.runsKnown = true;
     const Instant sentAt = m_environment.clock.now();
     task.lastOrderSent = sentAt;
+    task.runStartedAt = task.runStartedAt.value_or(sentAt);
     m_environment.gateway.start(target(*worker), order,
         [weak = std::weak_ptr(m_self), name, workerName = worker->listing.name, sentAt](const OrderAnswer &answer) {
             if (const auto self = weak.lock()) {
@@ -85,6 +91,7 @@
     WorkerState *worker = findWorker(workerName);
     if (worker != nullptr && answer.workerClock) {
         worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
+        worker->lastContact = m_environment.clock.now();
     }
     TaskState *task = findTask(run.task);
     if (worker == nullptr || task == nullptr || task->run != run.run || task->worker != workerName) {
@@ -119,6 +126,8 @@
     task.progressedAt = m_environment.clock.now();
     task.times.begin(TaskActivity::Running, task.progressedAt);
     task.lastOrderAnswered = answeredAt;
+    task.runStartedAt = task.runStartedAt.value_or(task.progressedAt);
+    task.runConfirmed = true;
     markJobStarted(*task.step->occurrence->job);
 }
 
@@ -180,6 +189,7 @@
     WorkerState *worker = findWorker(workerName);
     if (worker != nullptr && answer.workerClock) {
         worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
+        worker->lastContact = m_environment.clock.now();
     }
     if (answer.outcome == OrderOutcome::Fenced) {
         m_environment.listener.tokenRefused(workerName);
@@ -216,6 +226,8 @@
         worker->removeTask(task);
     }
     task.worker.clear();
+    task.crashes.close(task.run);
+    task.awaitsRecording = false;
     task.orderPending = false;
     task.deliveryUncertain = false;
     dispatchSoon();
@@ -242,6 +254,7 @@
         return;
     }
     const bool current = task->worker == worker.listing.name && task->run == ended.run.run;
+    task->crashes.close(ended.run.run);
     JobState &job = *task->step->occurrence->job;
     markJobStarted(job);
     if (current && !ended.checkpoint.empty() && ended.end != RunEnd::Done) {
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -11,6 +11,9 @@
 
 // Delay before a worker that left a report request unanswered is asked again.
 constexpr Milliseconds ReportRetryDelay {250};
+// The same for a worker that is not listed any more and whose leases have expired. It is asked only to find out whether
+// it has crashed.
+constexpr Milliseconds LostWorkerRetryDelay {1'000};
 // Report interval for workers with both serving and backfilling tasks. It gives several reports within the time for
 // which a tail latency may stay over its target.
 constexpr Milliseconds InterferenceWait {400};
@@ -65,6 +68,9 @@
     if (addressChanged || (worker.incarnation != 0 && listing.incarnation > worker.incarnation)) {
         onWorkerRestarted(worker, listing.incarnation);
     }
+    if (startsDraining) {
+        closeOpenRuns(worker);
+    }
     if (newlyListed || startsDraining) {
         m_environment.listener.logDecision(startsDraining ? "worker-draining" : "worker-listed", listing.name,
             {{"address", listing.address}, {"pool", listing.pool}, {"rack", listing.rack}});
@@ -88,7 +94,9 @@
     if (worker.reportPending || worker.listing.address.empty()) {
         return;
     }
-    if (worker.consecutiveUnanswered > 0 && now - worker.lastAnswer < ReportRetryDelay) {
+    const bool isLost = !worker.listed && worker.tasks.empty() && !worker.lostRuns.empty();
+    const Milliseconds retryDelay = isLost ? LostWorkerRetryDelay : ReportRetryDelay;
+    if (worker.consecutiveUnanswered > 0 && now - worker.lastAnswer < retryDelay) {
         return;
     }
     const bool unrecorded = worker.appliedEnd > worker.recordedEnd;
@@ -110,16 +118,16 @@
     }
     worker.reportPending = true;
     m_environment.gateway.report(target(worker), request,
-        [weak = std::weak_ptr(m_self), name = worker.listing.name, sentAt = now](
+        [weak = std::weak_ptr(m_self), name = worker.listing.name, address = worker.listing.address, sentAt = now](
             const std::variant<RunReport, OrderOutcome> &result) {
             if (const auto self = weak.lock()) {
-                (*self)->onReport(name, sentAt, result);
+                (*self)->onReport(name, address, sentAt, result);
             }
         });
 }
 
-void JobScheduler::onReport(
-    const std::string &name, Instant sentAt, const std::variant<RunReport, OrderOutcome> &result)
+void JobScheduler::onReport(const std::string &name, const std::string &address, Instant sentAt,
+    const std::variant<RunReport, OrderOutcome> &result)
 {
     WorkerState *worker = findWorker(name);
     if (worker == nullptr) {
@@ -128,7 +136,7 @@
     worker->reportPending = false;
     worker->lastAnswer = m_environment.clock.now();
     if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
-        onReportFailed(*worker, *outcome);
+        onReportFailed(*worker, address, *outcome);
         return;
     }
     if (worker->consecutiveUnanswered >= UnansweredBeforeUnreachable) {
@@ -137,15 +145,19 @@
     }
     worker->consecutiveUnanswered = 0;
     applyReport(*worker, std::get<RunReport>(result), sentAt);
+    worker->lastContact = m_environment.clock.now();
     dispatchSoon();
     requestReport(*worker);
 }
 
-void JobScheduler::onReportFailed(WorkerState &worker, OrderOutcome outcome)
+void JobScheduler::onReportFailed(WorkerState &worker, const std::string &address, OrderOutcome outcome)
 {
     if (outcome == OrderOutcome::Fenced) {
         m_environment.listener.tokenRefused(worker.listing.name);
     }
+    if (outcome == OrderOutcome::OtherIncarnation && address == worker.listing.address) {
+        onWorkerReplaced(worker);
+    }
     ++worker.consecutiveUnanswered;
     if (worker.consecutiveUnanswered == UnansweredBeforeUnreachable) {
         m_environment.listener.logDecision(
@@ -183,6 +195,7 @@
         applyRunning(worker, running, sentAt);
     }
     std::erase_if(worker.orphanRuns, [&listed](const RunName &run) { return !listed.contains(run); });
+    explainLostRuns(worker, report.incarnation);
     if (!report.truncated) {
         requeueMissingRuns(worker, listed, sentAt);
     }
@@ -204,6 +217,7 @@
             markRunning(*task, sentAt);
         }
         updateProgress(*task, running);
+        clearSuspicion(*task);
         return;
     }
     if (adoptRun(worker, running, sentAt)) {
@@ -229,6 +243,8 @@
         return false;
     }
     place(*task, worker, running.run.run);
+    task->runAdopted = true;
+    task->runsKnown = true;
     markRunning(*task, sentAt);
     updateProgress(*task, running);
     return true;
@@ -330,6 +346,7 @@
 {
     m_environment.listener.logDecision("worker-restarted", worker.listing.name,
         {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()}});
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
@@ -349,6 +366,7 @@
             requeue(*task, Milliseconds(0));
         }
     }
+    countCrashes(worker, evidence);
 }
 
 void JobScheduler::expireLeases(WorkerState &worker)
@@ -364,7 +382,7 @@
     m_environment.listener.logDecision("worker-leases-expired", worker.listing.name, {{"tasks", worker.tasks.size()}});
     const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
     for (TaskState *task : tasks) {
-        requeue(*task, Milliseconds(0));
+        noteLostRun(worker, *task);
     }
 }
 
@@ -372,7 +390,7 @@
 {
     const Instant now = m_environment.clock.now();
     for (TaskState *task : worker.tasks) {
-        if (task->orderPending || now - task->lastOrderSent < OrderRetryDelay) {
+        if (task->orderPending || task->awaitsRecording || now - task->lastOrderSent < OrderRetryDelay) {
             continue;
         }
         const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0;
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -16,11 +16,13 @@
 // Returns the progress of a task that the store keeps besides its completion, or null if there is none.
 Json describeTask(const TaskState &task)
 {
-    const bool isEmpty = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty();
+    const bool isEmpty
+        = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty() && task.crashes.isEmpty();
     if (task.phase == RunPhase::Done || isEmpty) {
         return nullptr;
     }
     Json document = {{"index", task.index}, {"failed_runs", task.failedRuns}, {"checkpoint", task.checkpoint}};
+    task.crashes.describe(document);
     if (!task.delegatedTo.empty()) {
         document["delegated_to"] = task.delegatedTo;
         document["last_run"] = task.run;
@@ -66,6 +68,7 @@
         }
         TaskState &task = step.tasks[static_cast<std::size_t>(index)];
         task.failedRuns = memberOr(entry, "failed_runs", std::set<std::uint64_t>());
+        task.crashes = CrashHistory::parse(entry);
         task.checkpoint = memberOr(entry, "checkpoint", std::string());
         task.delegatedTo = memberOr(entry, "delegated_to", std::string());
         if (!task.delegatedTo.empty() && task.phase == RunPhase::Waiting) {
@@ -233,4 +236,21 @@
     }
 }
 
+void restoreCrashHistories(JobState &job, const Json &document)
+{
+    const Json occurrences = memberOr(document, "occurrences", Json::object());
+    for (auto &[number, occurrence] : job.occurrences) {
+        const Json steps = memberOr(occurrences, std::to_string(number).c_str(), Json::array());
+        for (std::size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
+            std::vector<TaskState> &tasks = occurrence.steps[i].tasks;
+            for (const Json &entry : memberOr(steps[i], "tasks", Json::array())) {
+                const int index = memberOr(entry, "index", -1);
+                if (index >= 0 && static_cast<std::size_t>(index) < tasks.size()) {
+                    tasks[static_cast<std::size_t>(index)].crashes = CrashHistory::parse(entry);
+                }
+            }
+        }
+    }
+}
+
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/BackfillInterferenceModel.h"
+#include "scheduling/CrashHistory.h"
 #include "scheduling/JobSpecification.h"
 #include "scheduling/QueuePolicy.h"
 #include "scheduling/TaskName.h"
@@ -58,6 +59,22 @@
     // Numbers of the failed runs. After a take-over, run ends are reported again and in any order, so a mere count
     // would be wrong.
     std::set<std::uint64_t> failedRuns;
+    // Runs under which workers crashed, and runs whose end is not known.
+    CrashHistory crashes;
+    // When the first start order of the current run was sent, or when the run was adopted.
+    std::optional<Instant> runStartedAt;
+    // Whether a worker has confirmed that it runs the current run or did so.
+    bool runConfirmed = false;
+    // Whether the current run began under an earlier leader term.
+    bool runAdopted = false;
+    // Whether the start order of the current run is held back until the store has its open run.
+    bool awaitsRecording = false;
+    // Whether the task has been started or a run of it adopted under this leader term.
+    bool runsKnown = false;
+    // Whether an earlier run may have crashed its worker without having been counted.
+    bool endUnknown = false;
+    // Since when the task has found no worker, if it must be kept away from other tasks.
+    std::optional<Instant> isolatedSince;
     std::string checkpoint;
     // Workers on which the task failed or stalled.
     std::set<std::string> avoidedWorkers;
@@ -199,11 +216,14 @@
 // Marks all tasks of a job that another partition owns as run elsewhere. acceptDelegated() then takes some of them.
 void markAllDelegated(JobState &job);
 
-// Returns the progress that must survive a take-over: the phase, finished tasks, failed runs, checkpoints and
-// delegations.
+// Returns the progress that must survive a take-over: the phase, finished tasks, failed runs, crashes and open runs,
+// checkpoints and delegations.
 [[nodiscard]] Json describeProgress(const JobState &job);
 
 // Applies the document that describeProgress() returned to a job that has no occurrences yet.
 void restoreProgress(JobState &job, const Json &document);
 
+// Applies only the crash histories of that document, to a job whose occurrences exist already.
+void restoreCrashHistories(JobState &job, const Json &document);
+
 }
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -11,6 +11,17 @@
 namespace Wagtail
 {
 
+// A run whose worker stopped answering until its lease had expired. It counts as crashed if the worker is proven to
+// have crashed, and does not if the worker answers again.
+struct LostRun
+{
+    RunName run;
+    // The incarnation of the worker that ran it.
+    std::int64_t incarnation = 0;
+    CrashTiming timing = CrashTiming::Unknown;
+    Instant lostAt;
+};
+
 // What the scheduler knows about one worker.
 struct WorkerState
 {
@@ -23,7 +34,10 @@
     std::int64_t incarnation = 0;
     // The latest lease expiry, on the worker's clock, of any run of this leader term.
     std::int64_t leaseGrantedUntil = 0;
+    // When the worker last answered a report request, or when such a request failed.
     Instant lastAnswer;
+    // When the worker last gave an answer of any kind.
+    Instant lastContact;
     int consecutiveUnanswered = 0;
     bool reportPending = false;
     std::optional<Instant> drainingSince;
@@ -35,6 +49,7 @@
     // Runs that the last report listed and that are not the current run of any task. The resources that they use are
     // not known.
     std::set<RunName> orphanRuns;
+    std::vector<LostRun> lostRuns;
     Resources used;
     // The part of the used resources that long-running tasks hold.
     Resources usedByLongRunning;
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -262,10 +262,18 @@
 {
     const JobState *state = m_jobScheduler.find(job);
     const bool hasEnded = state != nullptr && state->isFinished() && state->recordedPhase != state->phase;
+    if (hasEnded && state->phase == JobPhase::Failed && !state->ownedElsewhere) {
+        cancelDelegated(*state);
+    }
     // Callers wait for the end of a job, but not for progress of its tasks.
     m_journal.progressChanged(job, hasEnded ? JobJournal::Urgency::High : JobJournal::Urgency::Low);
 }
 
+void PartitionLeader::startHeldBack(const std::string &job)
+{
+    m_journal.progressChanged(job, JobJournal::Urgency::High);
+}
+
 void PartitionLeader::runEndsReported()
 {
     m_journal.requestSync();
@@ -298,11 +306,13 @@
 void PartitionLeader::onSyncStarting()
 {
     m_endsBeingRecorded = m_jobScheduler.appliedRunEnds();
+    m_startsBeingRecorded = m_jobScheduler.heldStarts();
 }
 
 void PartitionLeader::onSynced()
 {
     m_jobScheduler.onRunEndsRecorded(m_endsBeingRecorded);
+    m_jobScheduler.onStartsRecorded(m_startsBeingRecorded);
 }
 
 void PartitionLeader::onPhaseRecorded(const std::string &job, JobPhase phase)
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -81,6 +81,7 @@
 
     // JobSchedulerListener
     void progressChanged(const std::string &job) override;
+    void startHeldBack(const std::string &job) override;
     void runEndsReported() override;
     void leaseHoldersChanged() override;
     void tokenRefused(const std::string &worker) override;
@@ -132,6 +133,7 @@
     bool m_termEnded = false;
     std::map<std::string, WorkerListing> m_listedWorkers;
     std::map<std::string, RunEndPosition> m_endsBeingRecorded;
+    std::set<RunName> m_startsBeingRecorded;
     std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
     bool m_leaseHoldersDirty = false;
     // When the last lease of an earlier term has surely expired. Until then, a successor has to wait for the longest
--- /dev/null
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -0,0 +1,223 @@
+#include "TestCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+constexpr Milliseconds ShortDelay {10};
+using Identity = FakeWorkers::Recovery::Identity;
+
+// A cluster whose workers come back after a crash under the given identity.
+class CrashingTask : public testing::TestWithParam<Identity>
+{
+protected:
+    CrashingTask()
+    {
+        for (int i = 0; i < TestCluster::WorkerCount; ++i) {
+            m_cluster.workers.setRecovery(m_cluster.workerName(i), {GetParam(), Milliseconds(3'500)});
+        }
+        m_cluster.advance(Second * 2);
+    }
+
+    void submit(const JobRecord &record)
+    {
+        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    }
+
+    // Submits a job of one task that crashes each worker so long after its start.
+    void submitCrashing(Milliseconds after)
+    {
+        FakeWorkers::Behaviour behaviour;
+        behaviour.duration = Second * 60;
+        behaviour.crash = FakeWorkers::Crash {after, {}};
+        m_cluster.workers.setBehaviour("crashing", behaviour);
+        submit(TestCluster::job("crashing", 1, 1));
+    }
+
+    [[nodiscard]] const JobScheduler &jobs()
+    {
+        return m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+    }
+
+    [[nodiscard]] const TaskState &task(const std::string &id)
+    {
+        return jobs().find(id)->occurrences.at(0).steps[0].tasks[0];
+    }
+
+    [[nodiscard]] JobPhase phase(const std::string &id)
+    {
+        return jobs().find(id)->phase;
+    }
+
+    // Crashes the worker of a job's only task by chance.
+    void crashWorkerOf(const std::string &id)
+    {
+        m_cluster.workers.crash(task(id).worker);
+    }
+
+    [[nodiscard]] std::size_t starts(const std::string &id) const
+    {
+        return m_cluster.workers.startCount({id, 0, 0, 0});
+    }
+
+    TestCluster m_cluster;
+};
+
+const TaskName Crashing {"crashing", 0, 0, 0};
+
+}
+
+TEST_P(CrashingTask, isGivenUpAfterTwoPromptCrashes)
+{
+    submitCrashing(ShortDelay);
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.phaseOf("crashing"), JobPhase::Failed);
+    EXPECT_EQ(m_cluster.workers.crashesUnder(Crashing), 2);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_P(CrashingTask, isGivenUpAfterThreeCrashesIfItCrashesLate)
+{
+    submitCrashing(Second * 3);
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.phaseOf("crashing"), JobPhase::Failed);
+    EXPECT_EQ(m_cluster.workers.crashesUnder(Crashing), 3);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// The worker crashes before it can confirm the start.
+TEST_P(CrashingTask, isGivenUpIfNoStartIsEverConfirmed)
+{
+    submitCrashing(Milliseconds(0));
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.phaseOf("crashing"), JobPhase::Failed);
+    EXPECT_LE(m_cluster.workers.crashesUnder(Crashing), 4);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// Each owner is killed right after a crash, before it can learn of the crash.
+TEST_P(CrashingTask, isGivenUpAlthoughEachOwnerIsKilledAfterACrash)
+{
+    submitCrashing(ShortDelay);
+    std::size_t crashes = 0;
+    for (int i = 0; i < 6'000; ++i) {
+        m_cluster.advance(Milliseconds(20));
+        const auto now = static_cast<std::size_t>(m_cluster.workers.crashesUnder(Crashing));
+        TestInstance *owner = m_cluster.owner();
+        if (now > crashes && owner != nullptr) {
+            crashes = now;
+            const int number = owner->self.name.back() - '0';
+            m_cluster.kill(number);
+            m_cluster.start(number);
+        }
+    }
+    EXPECT_EQ(m_cluster.phaseOf("crashing"), JobPhase::Failed);
+    // The first start is not recorded, so its crash may go unnoticed.
+    EXPECT_LE(m_cluster.workers.crashesUnder(Crashing), 4);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_P(CrashingTask, doesNotTakeItsNeighboursDownWithItsJob)
+{
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = "neighbour-" + std::to_string(i);
+        m_cluster.workers.setBehaviour(id, {Second * 2, 0, false});
+        submit(TestCluster::job(id, 1, 2));
+    }
+    submitCrashing(ShortDelay);
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.phaseOf("crashing"), JobPhase::Failed);
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(m_cluster.phaseOf("neighbour-" + std::to_string(i)), JobPhase::Done) << i;
+    }
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// A long-running task may run for weeks on machines that break now and then.
+TEST_P(CrashingTask, isNotSuspectedForChanceCrashesFarApart)
+{
+    (void)m_cluster.startLongRunning("watcher");
+    for (int i = 0; i < 4; ++i) {
+        crashWorkerOf("watcher");
+        m_cluster.advance(Second * 45);
+        EXPECT_EQ(phase("watcher"), JobPhase::Running) << i;
+        EXPECT_EQ(task("watcher").phase, RunPhase::Running) << i;
+        EXPECT_TRUE(task("watcher").crashes.crashes().empty()) << i;
+    }
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_P(CrashingTask, isNotSuspectedIfItsWorkersAreOnlyCutOff)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    m_cluster.advance(Second);
+    for (int i = 0; i < 5; ++i) {
+        const std::string worker = task("job").worker;
+        ASSERT_FALSE(worker.empty()) << i;
+        m_cluster.owner()->gateway.cutWorkers = {worker};
+        m_cluster.advance(Second * 6);
+        m_cluster.owner()->gateway.cutWorkers.clear();
+        m_cluster.advance(Second * 2);
+        EXPECT_EQ(phase("job"), JobPhase::Running) << i;
+        EXPECT_TRUE(task("job").crashes.crashes().empty()) << i;
+    }
+    EXPECT_EQ(starts("job"), 6U);
+}
+
+TEST_P(CrashingTask, isNotSuspectedIfItsWorkersDrainAndLeave)
+{
+    // A gang's task is not moved off a draining worker.
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    JobRecord record = TestCluster::job("job", 1, 1);
+    record.specification.steps[0].gang = true;
+    submit(record);
+    m_cluster.advance(Second);
+    for (int i = 0; i < 4; ++i) {
+        const std::string worker = task("job").worker;
+        ASSERT_FALSE(worker.empty()) << i;
+        std::map<std::string, WorkerListing> listings = m_cluster.workers.listings();
+        listings.at(worker).draining = true;
+        m_cluster.owner()->ownership.updateWorkers(listings);
+        m_cluster.advance(Second);
+        m_cluster.workers.crash(worker);
+        m_cluster.advance(Second * 10);
+        EXPECT_EQ(phase("job"), JobPhase::Running) << i;
+        EXPECT_TRUE(task("job").crashes.crashes().empty()) << i;
+    }
+}
+
+// While the store is away a first start goes on, but a task that lost its worker waits for its start to be recorded.
+TEST_P(CrashingTask, isNotStartedAgainBeforeTheStoreKnowsOfTheStart)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    m_cluster.advance(Second);
+    crashWorkerOf("job");
+    m_cluster.advance(Second / 2);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = true;
+    }
+    m_cluster.advance(Second * 3);
+    EXPECT_EQ(starts("job"), 1U);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = false;
+    }
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(starts("job"), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Recoveries, CrashingTask, testing::Values(Identity::SameName, Identity::NewName));
+
+}
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -45,6 +45,7 @@
             m_scheduler.advance(Step, Step);
             workers.advance();
             m_jobs.onRunEndsRecorded(m_jobs.appliedRunEnds());
+            m_jobs.onStartsRecorded(m_jobs.heldStarts());
             m_untilTick -= Step;
             if (m_untilTick.count() <= 0) {
                 m_untilTick = JobScheduler::TickPeriod;
@@ -87,6 +88,10 @@
         }
     }
 
+    void startHeldBack(const std::string &) override
+    {
+    }
+
     void runEndsReported() override
     {
     }
