Testing: Add a model of tasks that crash their workers and of changing capacity

CrashModel.givesUpTasksThatCrashTheirWorkers plays the faults of PartitionOwnershipModel together with jobs of which one task crashes its workers, crashes by chance, capacity that shrinks and grows, and ends and restarts of the owner, with waits down to 20 ms. Workers come back under their names or under new ones, after 0.5 to 4.5 s, and guard their capacity or not. It checks that there is no violation, that a job with a crashing task ends as failed, that nothing fails without two crashes or three failures of one of its tasks, that all else ends as done, and that nothing runs at the end.

The faults move into FaultHistory, which both models use. The histories, bounds and checks of keepsItsGuaranteesUnderFaults stay the same.

Red on the code before: nothing gives up a task that crashes its workers.

--- /dev/null
+++ b/source/tenure/tests/FaultHistory.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "TestCluster.h"
+
+#include <rapidcheck.h>
+
+namespace Wagtail
+{
+
+// A step of a random history. The test waits after each.
+enum class FaultEvent {
+    Submit,
+    Cancel,
+    KillInstance,
+    StartInstance,
+    CutStore,
+    HealStore,
+    LoseStoreAnswers,
+    CutWorkers,
+    CutOneWorker,
+    HealWorkers,
+    LoseOrderAnswers,
+    DelayOrders,
+    RestartWorker,
+    Count,
+};
+
+// Submits and cancels jobs, injects faults, and checks the results of the jobs.
+class FaultHistory
+{
+public:
+    FaultHistory() = default;
+    FaultHistory(const FaultHistory &) = delete;
+    FaultHistory &operator=(const FaultHistory &) = delete;
+    virtual ~FaultHistory() = default;
+
+    void apply(FaultEvent event, int choice)
+    {
+        TestInstance *instance = m_cluster.instances[choice % TestCluster::InstanceCount].get();
+        switch (event) {
+        case FaultEvent::Submit:
+            submit(instance, choice);
+            return;
+        case FaultEvent::Cancel:
+            cancel(instance, choice);
+            return;
+        case FaultEvent::KillInstance:
+            m_cluster.kill(choice % TestCluster::InstanceCount);
+            return;
+        case FaultEvent::StartInstance:
+            if (instance == nullptr) {
+                m_cluster.start(choice % TestCluster::InstanceCount);
+            }
+            return;
+        case FaultEvent::RestartWorker:
+            m_cluster.restartWorker(choice % TestCluster::WorkerCount);
+            return;
+        default:
+            break;
+        }
+        if (instance != nullptr) {
+            injectFault(*instance, event, choice);
+        }
+    }
+
+    // Removes all faults and gives the jobs time to finish.
+    virtual void settle()
+    {
+        removeFaults();
+        m_cluster.advance(Milliseconds(40'000));
+    }
+
+    void check()
+    {
+        const std::vector<std::string> violations = m_cluster.workers.violations();
+        RC_ASSERT(violations == std::vector<std::string>());
+        for (const auto &[id, job] : m_jobs) {
+            if (!job.acknowledged) {
+                continue;
+            }
+            const std::optional<JobPhase> phase = m_cluster.phaseOf(id);
+            RC_ASSERT(phase.has_value());
+            RC_LOG() << id << " is " << nameOf(*phase) << "\n";
+            RC_ASSERT(mayEnd(id, job, *phase) || (job.cancelled && *phase == JobPhase::Cancelled));
+        }
+        RC_ASSERT(m_cluster.workers.runningCount() == 0U);
+    }
+
+    void wait(Milliseconds duration)
+    {
+        m_cluster.advance(duration);
+    }
+
+protected:
+    struct Submitted
+    {
+        bool acknowledged = false;
+        bool cancelled = false;
+        int failures = 0;
+        bool crashes = false;
+    };
+
+    // Returns whether the job, unless it is cancelled, may have this phase in the end.
+    [[nodiscard]] virtual bool mayEnd(const std::string &, const Submitted &job, JobPhase phase) const
+    {
+        return phase == (job.failures >= Attempts ? JobPhase::Failed : JobPhase::Done);
+    }
+
+    // Returns what the next job is to be called.
+    [[nodiscard]] std::string nextJobName() const
+    {
+        return "job-" + std::to_string(m_jobs.size());
+    }
+
+    // Hands a job in to the instance, with the behaviour of its tasks.
+    virtual void submit(TestInstance &instance, const JobRecord &record, FakeWorkers::Behaviour behaviour)
+    {
+        const std::string &id = record.specification.id;
+        Submitted &job = m_jobs[id];
+        job.failures = behaviour.failures;
+        job.crashes = behaviour.crash.has_value();
+        m_cluster.workers.setBehaviour(id, std::move(behaviour));
+        instance.router.submit(record, m_cluster.clock.now() + Milliseconds(3'000),
+            [&job](RouteOutcome outcome) { job.acknowledged = job.acknowledged || outcome == RouteOutcome::Done; });
+    }
+
+    void removeFaults()
+    {
+        for (int i = 0; i < TestCluster::InstanceCount; ++i) {
+            if (!m_cluster.instances[i]) {
+                m_cluster.start(i);
+            }
+            TestInstance &instance = *m_cluster.instances[i];
+            instance.store.down = false;
+            instance.gateway.cut = false;
+            instance.gateway.cutWorkers.clear();
+            instance.gateway.lateOrders = 0;
+        }
+    }
+
+    static constexpr int Attempts = 3;
+    static constexpr int AllAttempts = 1'000;
+
+    TestCluster m_cluster;
+    std::map<std::string, Submitted> m_jobs;
+
+private:
+    void submit(TestInstance *instance, int choice)
+    {
+        if (instance == nullptr) {
+            return;
+        }
+        // Most jobs succeed, some fail once, and a few fail in every attempt.
+        const int failures = choice % 7 == 0 ? 1 : choice % 11 == 0 ? AllAttempts : 0;
+        submit(*instance, TestCluster::job(nextJobName(), 1 + choice % 3, 1 + choice % 4),
+            {Milliseconds(200 + choice % 600), failures, false});
+    }
+
+    void cancel(TestInstance *instance, int choice)
+    {
+        if (instance == nullptr || m_jobs.empty()) {
+            return;
+        }
+        const std::string id = "job-" + std::to_string(static_cast<std::size_t>(choice) % m_jobs.size());
+        m_jobs[id].cancelled = true;
+        instance->router.cancel(id, m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+    }
+
+    static void injectFault(TestInstance &instance, FaultEvent event, int choice)
+    {
+        if (event == FaultEvent::CutStore) {
+            instance.store.down = true;
+        } else if (event == FaultEvent::HealStore) {
+            instance.store.down = false;
+        } else if (event == FaultEvent::LoseStoreAnswers) {
+            instance.store.loseAnswers = 1 + choice % 3;
+        } else if (event == FaultEvent::CutWorkers) {
+            instance.gateway.cut = true;
+        } else if (event == FaultEvent::CutOneWorker) {
+            instance.gateway.cutWorkers.insert("worker-" + std::to_string(choice % TestCluster::WorkerCount));
+        } else if (event == FaultEvent::HealWorkers) {
+            instance.gateway.cut = false;
+            instance.gateway.cutWorkers.clear();
+        } else if (event == FaultEvent::LoseOrderAnswers) {
+            instance.gateway.loseAnswers = 1 + choice % 4;
+        } else if (event == FaultEvent::DelayOrders) {
+            instance.gateway.lateOrders = 1 + choice % 4;
+        }
+    }
+};
+
+}
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -330,10 +330,9 @@
     // Passes changes of what the platform lists on to all instances after a delay.
     void deliverListings()
     {
-        const WorkerListings listings = workers.listings();
-        if (listings != m_seenListings) {
-            m_seenListings = listings;
-            m_listingsUnderway.emplace_back(clock.now() + ListingDelay, listings);
+        if (!workers.areListed(m_seenListings)) {
+            m_seenListings = workers.listings();
+            m_listingsUnderway.emplace_back(clock.now() + ListingDelay, m_seenListings);
         }
         while (!m_listingsUnderway.empty() && m_listingsUnderway.front().first <= clock.now()) {
             m_deliveredListings = m_listingsUnderway.front().second;
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -139,13 +139,30 @@
     {
         std::map<std::string, WorkerListing> listings;
         for (const auto &[name, worker] : m_workers) {
-            if (!worker.downUntil || m_clock.now() - worker.crashedAt < SilenceBeforeUnlisted) {
+            if (isListed(worker)) {
                 listings.emplace(name, worker.listing);
             }
         }
         return listings;
     }
 
+    // Returns whether listings() would return the given listings.
+    [[nodiscard]] bool areListed(const std::map<std::string, WorkerListing> &listings) const
+    {
+        std::size_t listed = 0;
+        for (const auto &[name, worker] : m_workers) {
+            if (!isListed(worker)) {
+                continue;
+            }
+            const auto found = listings.find(name);
+            if (found == listings.end() || found->second != worker.listing) {
+                return false;
+            }
+            ++listed;
+        }
+        return listed == listings.size();
+    }
+
     // Returns the incarnation of a worker, or 0 if no worker has the name.
     [[nodiscard]] std::int64_t incarnationOf(const std::string &name) const
     {
@@ -378,6 +395,11 @@
         std::optional<Instant> downUntil;
     };
 
+    [[nodiscard]] bool isListed(const Worker &worker) const
+    {
+        return !worker.downUntil || m_clock.now() - worker.crashedAt < SilenceBeforeUnlisted;
+    }
+
     [[nodiscard]] bool isUp(const std::string &name) const
     {
         const auto found = m_workers.find(name);
