Testing: Fill the workers of the crash model, and ask for all phases at once

The jobs of the crash model were so small that workers seldom held more than one task, so that a scheduler that ignores changes of capacity stayed green. Now they need one to three cores of four, some take up to 0.3 s to stop, and histories have up to 60 events.

The check of both models asked for one job after the other, 1.5 s each, which gave the later ones more time to end and comes close to the time for which a finished job is kept. It asks for all at once.

--- a/source/tenure/tests/CrashModelTest.cpp
+++ b/source/tenure/tests/CrashModelTest.cpp
@@ -91,11 +91,16 @@
         return phase == JobPhase::Done && job.failures < Attempts && !job.crashes;
     }
 
-    // All jobs of TestCluster::job() have this demand.
-    void submit(TestInstance &instance, const JobRecord &record, FakeWorkers::Behaviour behaviour) override
+    // Some jobs leave no room for others on a worker whose capacity has shrunk, and some take a while to stop.
+    void submit(TestInstance &instance, JobRecord record, FakeWorkers::Behaviour behaviour) override
     {
-        behaviour.demand = record.specification.steps.front().demand;
-        FaultHistory::submit(instance, record, behaviour);
+        const auto number = static_cast<std::int64_t>(m_jobs.size());
+        behaviour.demand = {1'000 + number % 3 * 1'000, 500, 0};
+        behaviour.stopDuration = Milliseconds(number % 4 * 100);
+        for (StepSpecification &step : record.specification.steps) {
+            step.demand = behaviour.demand;
+        }
+        FaultHistory::submit(instance, std::move(record), std::move(behaviour));
     }
 
 private:
@@ -141,7 +146,7 @@
 {
     CrashFaultHistory history;
     history.setUpWorkers(*rc::gen::inRange(0, 1'000));
-    const int length = *rc::gen::inRange(5, 40);
+    const int length = *rc::gen::inRange(5, 60);
     for (int i = 0; i < length; ++i) {
         constexpr int FaultCount = static_cast<int>(FaultEvent::Count);
         constexpr int CrashCount = static_cast<int>(CrashEvent::Count);
--- a/source/tenure/tests/FaultHistory.h
+++ b/source/tenure/tests/FaultHistory.h
@@ -74,14 +74,18 @@
     {
         const std::vector<std::string> violations = m_cluster.workers.violations();
         RC_ASSERT(violations == std::vector<std::string>());
+        std::vector<std::string> acknowledged;
         for (const auto &[id, job] : m_jobs) {
-            if (!job.acknowledged) {
-                continue;
+            if (job.acknowledged) {
+                acknowledged.push_back(id);
             }
-            const std::optional<JobPhase> phase = m_cluster.phaseOf(id);
-            RC_ASSERT(phase.has_value());
-            RC_LOG() << id << " is " << nameOf(*phase) << "\n";
-            RC_ASSERT(mayEnd(id, job, *phase) || (job.cancelled && *phase == JobPhase::Cancelled));
+        }
+        const std::map<std::string, JobPhase> phases = m_cluster.phasesOf(acknowledged);
+        RC_ASSERT(phases.size() == acknowledged.size());
+        for (const auto &[id, phase] : phases) {
+            const Submitted &job = m_jobs.at(id);
+            RC_LOG() << id << " is " << nameOf(phase) << "\n";
+            RC_ASSERT(mayEnd(id, job, phase) || (job.cancelled && phase == JobPhase::Cancelled));
         }
         RC_ASSERT(m_cluster.workers.runningCount() == 0U);
     }
@@ -113,14 +117,14 @@
     }
 
     // Hands a job in to the instance, with the behaviour of its tasks.
-    virtual void submit(TestInstance &instance, const JobRecord &record, FakeWorkers::Behaviour behaviour)
+    virtual void submit(TestInstance &instance, JobRecord record, FakeWorkers::Behaviour behaviour)
     {
-        const std::string &id = record.specification.id;
+        const std::string id = record.specification.id;
         Submitted &job = m_jobs[id];
         job.failures = behaviour.failures;
         job.crashes = behaviour.crash.has_value();
         m_cluster.workers.setBehaviour(id, std::move(behaviour));
-        instance.router.submit(record, m_cluster.clock.now() + Milliseconds(3'000),
+        instance.router.submit(std::move(record), m_cluster.clock.now() + Milliseconds(3'000),
             [&job](RouteOutcome outcome) { job.acknowledged = job.acknowledged || outcome == RouteOutcome::Done; });
     }
 
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -240,20 +240,29 @@
     // Returns the job's phase according to the first running instance, or nothing.
     std::optional<JobPhase> phaseOf(const std::string &id)
     {
-        std::optional<JobPhase> found;
-        for (const auto &[number, instance] : instances) {
-            if (!instance) {
-                continue;
-            }
-            instance->router.status(
-                id, clock.now() + Milliseconds(3'000), [&found](RouteOutcome outcome, JobPhase phase) {
+        const std::map<std::string, JobPhase> found = phasesOf({id});
+        return found.empty() ? std::nullopt : std::optional(found.begin()->second);
+    }
+
+    // Returns the phases of the jobs according to the first running instance, which is asked for all at once. Jobs
+    // that it does not know are missing.
+    std::map<std::string, JobPhase> phasesOf(const std::vector<std::string> &ids)
+    {
+        std::map<std::string, JobPhase> found;
+        const auto running = std::find_if(
+            instances.begin(), instances.end(), [](const auto &entry) { return entry.second != nullptr; });
+        if (running == instances.end()) {
+            return found;
+        }
+        for (const std::string &id : ids) {
+            running->second->router.status(
+                id, clock.now() + Milliseconds(3'000), [&found, id](RouteOutcome outcome, JobPhase phase) {
                     if (outcome == RouteOutcome::Done) {
-                        found = phase;
+                        found[id] = phase;
                     }
                 });
-            advance(Milliseconds(1'500));
-            return found;
         }
+        advance(Milliseconds(1'500));
         return found;
     }
 
