Scheduling: Give up tasks that crash their workers

A task that crashes each worker was started again for ever: tasks of a worker that vanished were requeued when their leases expired, and nothing counted the crashes. Each crash ended all other tasks of the worker as well.

- A run whose start was never confirmed counts only if its worker had no other task: the model found an innocent task that was placed four times together with one that crashed its worker before it answered.

Ruled out: counting every run of a vanished worker; a worker that was merely cut off, or that drained, would convict its tasks.

Not kept: tasks that another partition delegated are not given up.

--- a/source/scheduling/CrashHistory.h
+++ b/source/scheduling/CrashHistory.h
@@ -19,8 +19,10 @@
     Late,
     // The run began under an earlier leader term, so its start is not known well enough.
     Unknown,
-    // The worker did not confirm the start, so it may have crashed before.
+    // The worker did not confirm the start, so it may have crashed before. No other task was assigned to it.
     Unconfirmed,
+    // The worker did not confirm the start, and another task may have crashed it before.
+    Ambiguous,
 };
 
 [[nodiscard]] std::string_view nameOf(CrashTiming timing);
@@ -72,10 +74,10 @@
     [[nodiscard]] const std::map<std::uint64_t, CrashedRun> &crashes() const;
     [[nodiscard]] const std::map<std::uint64_t, OpenRun> &openRuns() const;
 
-    // Returns whether any crash has been counted.
+    // Returns whether a crash has been counted, or may be counted as one that was not late.
     [[nodiscard]] bool isSuspect() const;
 
-    // Returns whether a crash has been counted that was not late, so that the task may well have caused it.
+    // Returns whether a crash has been or may be counted that was not late, so that the task may well have caused it.
     [[nodiscard]] bool mayBeCause() const;
     [[nodiscard]] bool isEmpty() const;
 
--- a/source/scheduling/CrashVerdict.cpp
+++ b/source/scheduling/CrashVerdict.cpp
@@ -10,8 +10,7 @@
 {
 
 constexpr std::size_t PromptCrashesToGiveUp = 2;
-constexpr std::size_t ConfirmedCrashesToGiveUp = 3;
-constexpr std::size_t CrashesToGiveUp = 4;
+constexpr std::size_t CrashesToGiveUp = 3;
 
 // Returns whether so many crashes, by their timing, prove that the task is their cause.
 bool isProof(const std::vector<CrashTiming> &crashes)
@@ -20,9 +19,8 @@
         return static_cast<std::size_t>(std::count(crashes.begin(), crashes.end(), timing));
     };
     const bool allPrompt = count(CrashTiming::Prompt) == crashes.size();
-    const std::size_t confirmed = crashes.size() - count(CrashTiming::Unconfirmed);
-    return (allPrompt && crashes.size() >= PromptCrashesToGiveUp) || confirmed >= ConfirmedCrashesToGiveUp
-        || crashes.size() >= CrashesToGiveUp;
+    const std::size_t counted = crashes.size() - count(CrashTiming::Ambiguous);
+    return counted >= CrashesToGiveUp || (allPrompt && counted >= PromptCrashesToGiveUp);
 }
 
 }
--- a/source/scheduling/CrashVerdict.h
+++ b/source/scheduling/CrashVerdict.h
@@ -16,7 +16,8 @@
 
 // Decides whether a task is given up because workers crashed under it. Two crashes suffice if both were prompt,
 // otherwise three are needed, because tasks that merely ran on the same worker share its crashes. If a start was not
-// confirmed, the worker may have crashed before it, so that crash counts only towards four.
+// confirmed and another task was assigned to the worker, that task may have crashed it before, so the crash does not
+// count.
 // Load pattern: a single poison task among thousands that run beside it, on workers that also crash by chance.
 [[nodiscard]] CrashVerdict judge(const CrashHistory &history);
 
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -278,14 +278,15 @@
     void withdrawHeldStarts(WorkerState &worker);
     void withdrawHeldStart(TaskState &task);
     // Returns the timing of a crash of the worker now as it counts for its task, or nothing if it doesn't count.
-    [[nodiscard]] static std::optional<CrashTiming> crashTiming(const TaskState &task, const WorkerState &worker);
+    [[nodiscard]] static std::optional<CrashTiming> crashTiming(
+        const TaskState &task, const WorkerState &worker, std::size_t tasksOnWorker);
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
     // Returns the runs that a worker has lost by a crash.
     [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
-    void noteLostRun(WorkerState &worker, TaskState &task);
+    void noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker);
     // Explains the lost runs of a worker by an answer of the given incarnation.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
     void forgetLostRuns(WorkerState &worker);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -123,13 +123,14 @@
     m_environment.listener.progressChanged(step.occurrence->job->specification.id);
 }
 
-std::optional<CrashTiming> JobScheduler::crashTiming(const TaskState &task, const WorkerState &worker)
+std::optional<CrashTiming> JobScheduler::crashTiming(
+    const TaskState &task, const WorkerState &worker, std::size_t tasksOnWorker)
 {
     if (!task.runStartedAt || worker.listing.draining) {
         return std::nullopt;
     }
     if (!task.runConfirmed) {
-        return CrashTiming::Unconfirmed;
+        return tasksOnWorker > 1 ? CrashTiming::Ambiguous : CrashTiming::Unconfirmed;
     }
     const auto lived = worker.lastContact - *task.runStartedAt;
     if (task.step->specification().longRunning && lived > CrashHistory::LongestSuspicion) {
@@ -173,7 +174,7 @@
         if (task->awaitsRecording) {
             continue;
         }
-        const std::optional<CrashTiming> timing = crashTiming(*task, worker);
+        const std::optional<CrashTiming> timing = crashTiming(*task, worker, worker.tasks.size());
         if (timing) {
             evidence.push_back({{nameOf(*task), task->run}, *timing});
         } else {
@@ -233,10 +234,10 @@
     finish(job, JobPhase::Failed);
 }
 
-void JobScheduler::noteLostRun(WorkerState &worker, TaskState &task)
+void JobScheduler::noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker)
 {
     const bool wasSent = !task.awaitsRecording;
-    const std::optional<CrashTiming> timing = crashTiming(task, worker);
+    const std::optional<CrashTiming> timing = crashTiming(task, worker, tasksOnWorker);
     const RunName run {nameOf(task), task.run};
     requeue(task, Milliseconds(0));
     if (!wasSent || worker.listing.draining) {
