--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -40,9 +40,10 @@
 
 JobScheduler::~JobScheduler() = default;
 
-void JobScheduler::beginRecovery(const std::vector<std::pair<WorkerListing, Instant>> &workers)
+void JobScheduler::beginRecovery(
+    const std::vector<std::pair<WorkerListing, Instant>> &workers, Instant priorLeasesExpireAt)
 {
-    m_recovery.begin(m_environment.clock.now());
+    m_recovery.begin(m_environment.clock.now(), priorLeasesExpireAt);
     for (const auto &[listing, leaseExpiresAt] : workers) {
         m_recovery.expect(listing.name, leaseExpiresAt);
         WorkerState &worker = m_workers[listing.name];
@@ -133,6 +134,7 @@
     }
     m_unfinishedJobs.push_back(&job);
     createDueOccurrences(job);
+    awaitOpenRuns(job);
     dispatchSoon();
 }
 
@@ -317,12 +319,14 @@
     for (auto entry = m_workers.begin(); entry != m_workers.end();) {
         WorkerState &worker = entry->second;
         expireLeases(worker);
+        forgetLostRuns(worker);
         if (isRemovable(worker)) {
             // The record may name the worker, also if it only held leases of an earlier leader term.
             entry = m_workers.erase(entry);
             m_environment.listener.leaseHoldersChanged();
             continue;
         }
+        withdrawHeldStarts(worker);
         retryOrders(worker);
         requestReport(worker);
         ++entry;
@@ -410,7 +414,8 @@
 
 bool JobScheduler::isRemovable(const WorkerState &worker) const
 {
-    if (worker.listed || !worker.tasks.empty() || m_recovery.isUnconfirmed(worker.listing.name)) {
+    if (worker.listed || !worker.tasks.empty() || !worker.lostRuns.empty()
+        || m_recovery.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     const std::optional<Instant> expiry = worker.leaseExpiry();
--- a/source/scheduling/TakeOverRecovery.cpp
+++ b/source/scheduling/TakeOverRecovery.cpp
@@ -15,12 +15,18 @@
 
 }
 
-void TakeOverRecovery::begin(Instant now)
+void TakeOverRecovery::begin(Instant now, Instant priorLeasesExpireAt)
 {
     m_beganAt = now;
+    m_priorLeasesExpireAt = priorLeasesExpireAt;
     m_active = true;
 }
 
+Instant TakeOverRecovery::priorLeasesExpireAt() const
+{
+    return m_priorLeasesExpireAt;
+}
+
 void TakeOverRecovery::expect(const std::string &worker, Instant leaseExpiresAt)
 {
     m_unconfirmedWorkers.emplace(worker, leaseExpiresAt);
--- a/source/scheduling/TakeOverRecovery.h
+++ b/source/scheduling/TakeOverRecovery.h
@@ -14,7 +14,10 @@
 class TakeOverRecovery
 {
 public:
-    void begin(Instant now);
+    // Takes the time at which all leases of earlier terms have surely expired.
+    void begin(Instant now, Instant priorLeasesExpireAt);
+
+    [[nodiscard]] Instant priorLeasesExpireAt() const;
 
     // Adds a worker that may run tasks of earlier terms, with the time at which its last lease of them has surely
     // expired. A worker that was added before keeps its time.
@@ -46,6 +49,7 @@
     // The expiry of their last leases by worker.
     std::map<std::string, Instant> m_unconfirmedWorkers;
     Instant m_beganAt;
+    Instant m_priorLeasesExpireAt;
     bool m_active = false;
 };
 
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -11,6 +11,17 @@
 namespace Wagtail
 {
 
+// A run whose worker stopped answering until its lease had expired. It counts as crashed if the worker is proven to
+// have crashed, and does not if the worker answers again.
+struct LostRun
+{
+    RunName run;
+    // The incarnation of the worker that ran it.
+    std::int64_t incarnation = 0;
+    CrashTiming timing = CrashTiming::Unknown;
+    Instant lostAt;
+};
+
 // What the scheduler knows about one worker.
 struct WorkerState
 {
@@ -25,7 +36,10 @@
     std::int64_t leaseGrantedUntil = 0;
     // By when the leases that owners of earlier leader terms granted have surely expired.
     Instant priorLeaseExpiresAt;
+    // When the worker last answered a report request, or when such a request failed.
     Instant lastAnswer;
+    // When the worker last gave an answer of any kind.
+    Instant lastContact;
     int consecutiveUnanswered = 0;
     bool reportPending = false;
     std::optional<Instant> drainingSince;
@@ -39,6 +53,7 @@
     std::set<RunName> orphanRuns;
     // Whether an order to start a run that is no longer any task's current one may still arrive at the worker.
     bool mayReceiveObsoleteStart = false;
+    std::vector<LostRun> lostRuns;
     Resources used;
     // The part of the used resources that long-running tasks hold.
     Resources usedByLongRunning;
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -80,6 +80,7 @@
             m_scheduler.advance(Step, Step);
             workers.advance();
             jobs.onRunEndsRecorded(jobs.appliedRunEnds());
+            jobs.onStartsRecorded(jobs.heldStarts());
             m_untilTick -= Step;
             if (m_untilTick.count() <= 0) {
                 m_untilTick = JobScheduler::TickPeriod;
@@ -124,6 +125,10 @@
     {
     }
 
+    void startHeldBack(const std::string &) override
+    {
+    }
+
     void leaseHoldersChanged() override
     {
     }
@@ -299,6 +304,9 @@
         void runEndsReported() override
         {
         }
+        void startHeldBack(const std::string &) override
+        {
+        }
         void leaseHoldersChanged() override
         {
         }
@@ -313,7 +321,9 @@
     limits.lease = Second * 2;
     JobScheduler jobs({former.clock, scheduler, gateway, listener}, limits, 2, 1);
     // The record of lease holders has no capacity.
-    jobs.beginRecovery({{"worker", "worker:1", "pool", {}, {}, {}, {}, 1, false}}, former.clock.now() + Second * 2);
+    const Instant leaseExpiresAt = former.clock.now() + Second * 2;
+    const WorkerListing recorded {"worker", "worker:1", "pool", {}, {}, {}, {}, 1, false};
+    jobs.beginRecovery({{recorded, leaseExpiresAt}}, leaseExpiresAt);
     const QueuePolicy policy {"queue", "pool", 0, 3, 2.0, Second, false};
     JobSpecification watch;
     watch.id = "watch";
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -72,7 +72,7 @@
     for (const auto &[name, worker] : m_listedWorkers) {
         holders.emplace_back(worker, m_earlierLeasesExpireAt);
     }
-    m_jobScheduler.beginRecovery(holders);
+    m_jobScheduler.beginRecovery(holders, m_earlierLeasesExpireAt);
     // The next owner relies only on expiry times that this one has recorded.
     m_leaseHoldersDirty = true;
     std::size_t count = 0;
