--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -222,6 +222,9 @@
     void markRunning(TaskState &task, Instant answeredAt);
     void onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome);
     void beginStop(TaskState &task);
+    // Stops a run whose start the worker may not have carried out, together with the other members of its gang, which
+    // would wait for it in vain.
+    void withdrawStart(TaskState &task);
     void sendStop(TaskState &task);
     void onStopAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
     void stopOrphan(WorkerState &worker, const RunName &run);
@@ -231,6 +234,7 @@
 
     // Workers
     void sampleBatchDemand();
+    void logCapacityChange(const WorkerState &worker, const Resources &formerCapacity);
     void requestReport(WorkerState &worker);
     void onReport(const std::string &name, const std::string &address, Instant sentAt,
         const std::variant<RunReport, OrderOutcome> &result);
@@ -312,6 +316,8 @@
     void openStep(StepState &step);
     void placeStep(StepState &step);
     void placeGang(StepState &step);
+    // Undoes the last placement on a worker, for which no start order was sent.
+    void undoPlacement(TaskState &task);
     void reserveWorkers(const StepState &step);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
