--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -346,16 +346,21 @@
         return m_crashRecord.crashesUnder(task);
     }
 
-    // Returns whether the job may be shown as failed: two workers have crashed under one of its tasks, or as many runs
-    // of one of its tasks as allowed have failed.
-    [[nodiscard]] bool mayFail(const std::string &job) const
+    // Returns whether the job may be given up, because two workers have crashed under one of its tasks.
+    [[nodiscard]] bool mayBeGivenUp(const std::string &job) const
     {
         const auto &crashes = m_crashRecord.crashes();
-        const bool crashed = std::any_of(crashes.begin(), crashes.end(),
+        return std::any_of(crashes.begin(), crashes.end(),
             [&job](const auto &entry) { return entry.first.job == job && entry.second >= CrashesBeforeGivingUp; });
+    }
+
+    // Returns whether the job may be shown as failed: it may be given up, or as many runs of one of its tasks as
+    // allowed have failed.
+    [[nodiscard]] bool mayFail(const std::string &job) const
+    {
         const bool failed = std::any_of(m_failedRuns.begin(), m_failedRuns.end(),
             [&job](const auto &entry) { return entry.first.job == job && entry.second.size() >= MostAttempts; });
-        return crashed || failed;
+        return failed || mayBeGivenUp(job);
     }
 
 private:
