Scheduling: Keep tasks apart as soon as they may have crashed a worker

Two tasks that were started together on a worker that crashed at once, before it answered, were placed together on the next workers as long as the crash of the first was not proven: isolation counted proven crashes only, while the worker is still down when the leases run out. The start of the second task never reached any worker, but the crashes counted as unconfirmed under it, so that it was given up although only one worker had crashed under it.

Lost runs whose worker may have crashed make a task suspect too.

--- a/source/scheduling/CrashHistory.cpp
+++ b/source/scheduling/CrashHistory.cpp
@@ -73,7 +73,9 @@
 
 bool CrashHistory::isSuspect() const
 {
-    return !m_crashes.empty();
+    return !m_crashes.empty() || std::any_of(m_openRuns.begin(), m_openRuns.end(), [](const auto &entry) {
+        return entry.second.timingIfCrashed.has_value();
+    });
 }
 
 bool CrashHistory::mayBeCause() const
@@ -83,7 +85,9 @@
             return true;
         }
     }
-    return false;
+    return std::any_of(m_openRuns.begin(), m_openRuns.end(), [](const auto &entry) {
+        return entry.second.timingIfCrashed && *entry.second.timingIfCrashed != CrashTiming::Late;
+    });
 }
 
 bool CrashHistory::isEmpty() const
--- a/source/scheduling/CrashHistory.h
+++ b/source/scheduling/CrashHistory.h
@@ -72,10 +72,10 @@
     [[nodiscard]] const std::map<std::uint64_t, CrashedRun> &crashes() const;
     [[nodiscard]] const std::map<std::uint64_t, OpenRun> &openRuns() const;
 
-    // Returns whether any crash has been counted.
+    // Returns whether any crash has been counted, or the worker of a lost run may have crashed.
     [[nodiscard]] bool isSuspect() const;
 
-    // Returns whether a crash has been counted that was not late, so that the task may well have caused it.
+    // Returns whether one of these crashes was or may have been not late, so that the task may well have caused it.
     [[nodiscard]] bool mayBeCause() const;
     [[nodiscard]] bool isEmpty() const;
 
