Tenure: End a flush only when all values are stored

What callers could see: after a hand-over in which many jobs had changed, tasks held back for workers that the next owner needn't wait for, or not held back for one that it must wait for. Cause: JobJournal ended a flush with the transaction that took the last changed job. If these jobs filled it, the values that were put, among them the record of the lease holders, remained for a later one, and PartitionOwnership released the partition before that. The successor read the record as it was before the hand-over. Change: a flush ends with the transaction after which nothing remains to be written. Evidence: JobJournalTest.endsAFlushOnlyWhenAllValuesAreStored failed before.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -193,9 +193,6 @@
         batch.accepts.push_back(std::move(accept));
         entries += EntriesPerAccept;
     }
-    if (batch.includesAllChanges && m_accepts.empty()) {
-        batch.flushHandlers.swap(m_flushHandlers);
-    }
     while (!m_puts.empty() && entries < MaxTransactionEntries) {
         auto node = m_puts.extract(m_puts.begin());
         transaction.writes.push_back({node.key(), node.mapped(), std::nullopt, 0});
@@ -207,6 +204,9 @@
         m_erasures.erase(m_erasures.begin());
         ++entries;
     }
+    if (!hasChanges()) {
+        batch.flushHandlers.swap(m_flushHandlers);
+    }
 }
 
 void JobJournal::writeProgress(Batch &batch, const std::string &job, std::size_t &entries)
--- a/source/tenure/tests/JobJournalTest.cpp
+++ b/source/tenure/tests/JobJournalTest.cpp
@@ -140,4 +140,18 @@
     EXPECT_EQ(revisionOf("wagtail/partitions/other/jobs/zz"), revisionOf(JobKeys::progress("fleet") + "zz"));
 }
 
+// A hand-over needs the record of the lease holders, even if the changed jobs alone fill a transaction.
+TEST_F(JobJournalTest, endsAFlushOnlyWhenAllValuesAreStored)
+{
+    constexpr int Jobs = 29;
+    for (int i = 0; i < Jobs; ++i) {
+        m_journal->progressChanged("job-" + std::to_string(i), JobJournal::Urgency::Low);
+    }
+    m_journal->put(JobKeys::leaseHolders("fleet"), "{}");
+    std::optional<bool> storedAtEnd;
+    m_journal->flush([this, &storedAtEnd] { storedAtEnd = m_state.read(JobKeys::leaseHolders("fleet")).has_value(); });
+    static_cast<void>(countTransactions(Milliseconds(200)));
+    EXPECT_EQ(storedAtEnd, true);
+}
+
 }
