Scheduling: Draw no conclusion from a step that another run completed

What callers could see: a task of a later step runs twice at the same time after the owner was killed (TWICE). Cause: since a new owner takes the tasks of a step for unstarted if a task of the step before ran under its own term. That is wrong if the task was completed by another run than the one adopted: a run on a worker that was taken for lost, ended, and came back with the end. The last owner may have noted that end and started the later step, and the run that it told to stop is still listed and adopted. Change: a task that another run than its current one has completed is no evidence any more. Evidence: HandOver.startsAStepOnceIfARunThatWasTakenForLostCompletedTheOneBeforeIt failed before ("job.0.1.0 runs on worker-2 and worker-3").

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -313,6 +313,8 @@
         return;
     }
     StepState &step = *task->step;
+    // The last owner may have noted the end of another run than the current one and opened the steps after this one.
+    task->isPlaceKnown = task->isPlaceKnown && current;
     completeTask(*task);
     if (!step.specification().gang) {
         return;
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -40,6 +40,39 @@
         applyWorkers();
     }
 
+    // Cuts a worker off that the platform still lists.
+    void cutOff(const std::string &worker)
+    {
+        m_cut.insert(worker);
+        applyWorkers();
+    }
+
+    // Hands in a job with tasks that fill a worker each.
+    void submitFullSize(const std::string &id, int width)
+    {
+        m_cluster.workers.setBehaviour(id, {Second * 60, 0, false});
+        JobRecord record = TestCluster::job(id, 1, width);
+        record.specification.steps[0].demand = {4'000, 500, 0};
+        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+        m_cluster.advance(Milliseconds(500));
+    }
+
+    // Hands in a job with one task for each worker.
+    void submitToEachWorker(const std::string &id, Milliseconds duration)
+    {
+        m_cluster.workers.setBehaviour(id, {duration, 0, false});
+        JobRecord record = TestCluster::job(id, 1, TestCluster::WorkerCount);
+        record.specification.steps[0].perWorkerLimit = 1;
+        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    }
+
+    // Lists another worker to all instances.
+    void addWorker(const std::string &name)
+    {
+        m_cluster.workers.add({name, name + ":1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+        applyWorkers();
+    }
+
     void drain(const std::string &worker)
     {
         m_draining.insert(worker);
@@ -72,6 +105,24 @@
         m_cluster.advance(Milliseconds(800));
     }
 
+    // Ends the owner without notice and starts it again. The new process knows no workers before it owns the partition.
+    // It takes the given time until it has read the worker's reports, and reports may wait for the other one.
+    void killOwnerAndDelayListings(const std::string &worker, Milliseconds delay, Milliseconds longestWait)
+    {
+        TestInstance *owner = m_cluster.owner();
+        ASSERT_NE(owner, nullptr);
+        const int number = owner->self.name.back() - '0';
+        m_cluster.kill(number);
+        m_cluster.start(number);
+        TestInstance &successor = *m_cluster.instances.at(number);
+        successor.ownership.updateWorkers({});
+        successor.gateway.cutWorkers = m_missing;
+        successor.gateway.reportDelays[worker] = delay;
+        successor.gateway.longestWait = longestWait;
+        m_cluster.advance(Milliseconds(600));
+        applyWorkers();
+    }
+
     [[nodiscard]] const JobScheduler &jobs()
     {
         return m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
@@ -86,6 +137,17 @@
         return names;
     }
 
+    // Returns the names of the lease holders that the store has.
+    [[nodiscard]] std::set<std::string> recordedLeaseHolders()
+    {
+        std::set<std::string> names;
+        const auto entry = m_cluster.state.read(JobKeys::leaseHolders("fleet"));
+        for (const WorkerListing &holder : parseLeaseHolderRecord(entry ? entry->value : std::string()).workers) {
+            names.insert(holder.name);
+        }
+        return names;
+    }
+
     // Lists the workers to all instances and cuts the lost ones off.
     void applyWorkers()
     {
@@ -101,6 +163,7 @@
         for (const auto &[number, instance] : m_cluster.instances) {
             if (instance) {
                 instance->gateway.cutWorkers = m_missing;
+                instance->gateway.cutWorkers.insert(m_cut.begin(), m_cut.end());
                 instance->ownership.updateWorkers(listings);
             }
         }
@@ -108,6 +171,7 @@
 
     TestCluster m_cluster;
     std::set<std::string> m_missing;
+    std::set<std::string> m_cut;
     std::set<std::string> m_draining;
 };
 
@@ -144,6 +208,40 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A run that was taken for lost has completed the first step. The last owner has seen its end and has started the
+// second step, so the new owner can't conclude from the first step's other run, which it adopts, that it opens the
+// second.
+TEST_F(HandOver, startsAStepOnceIfARunThatWasTakenForLostCompletedTheOneBeforeIt)
+{
+    const TaskName second {"job", 0, 1, 0};
+    occupyAllWorkers();
+    FakeWorkers::Behaviour behaviour {Milliseconds(1'500), 0, false};
+    behaviour.stopDuration = Second * 2;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    m_cluster.owner()->router.submit(
+        TestCluster::job("job", 2, 1), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Milliseconds(400));
+    const std::string first = jobs().find("job")->occurrences.at(0).steps[0].tasks[0].worker;
+    cutOff(first);
+    for (int i = 0; i < 400 && m_cluster.workers.startCount(FirstTask) == 1; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    // The store is too slow to record the end before the owner is killed.
+    m_cluster.owner()->store.down = true;
+    m_cut.clear();
+    drain(first);
+    for (int i = 0; i < 50 && m_cluster.workers.startCount(second) == 0; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_EQ(m_cluster.workers.startCount(second), 1U);
+    m_missing.insert(jobs().find("job")->occurrences.at(0).steps[1].tasks[0].worker);
+    ASSERT_FALSE(m_missing.contains(first));
+    killOwnerAndDelayListings(first, Milliseconds(200), Milliseconds(100));
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // Nothing can run on a worker that has left and whose runs have all ended, although its lease has not expired yet. A
 // successor would wait in vain for its answer.
 TEST_F(HandOver, doesNotRecordWorkersThatLeftWithNothingRunning)
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -641,6 +641,8 @@
     int lateOrders = 0;
     // How long the instance takes until it reads a worker's answer to a report request.
     std::map<std::string, Milliseconds> reportDelays;
+    // How long a worker waits for run ends before it answers a report request at most.
+    Milliseconds longestWait {100};
 
     void start(const OrderTarget &target, const StartOrder &order, AnswerHandler handler) override
     {
@@ -666,7 +668,7 @@
             m_scheduler.after(Timeout, [handler = std::move(handler)] { handler(OrderOutcome::Unknown); });
             return;
         }
-        const Milliseconds wait = std::min(request.wait, LongestWait);
+        const Milliseconds wait = std::min(request.wait, longestWait);
         m_scheduler.after(Delay + wait, [this, target, request, handler = std::move(handler)] {
             std::variant<RunReport, OrderOutcome> result = m_workers.report(target.worker, target.token, request);
             const auto slow = reportDelays.find(target.worker);
@@ -682,7 +684,6 @@
     static constexpr Milliseconds Delay {2};
     static constexpr Milliseconds Timeout {400};
     static constexpr Milliseconds LateDelay {3'000};
-    static constexpr Milliseconds LongestWait {100};
 
     [[nodiscard]] bool isCut(const OrderTarget &target) const
     {
