Scheduling: Await the answers of workers that are listed only after a take-over

What callers could see: a task runs twice at the same time after the owner was killed (TWICE). Cause: a worker's first lease is recorded up to a quarter of a second after it was granted. PartitionLeader allows for that by expecting an answer of all listed workers besides the recorded ones. But an instance begins to read the list of workers only when it owns a partition, so a new owner often knows none of them while it loads. When the list arrives, all recorded workers have answered, the recovery is over, and a task that has just been started on a new worker is placed at once, before that worker's first answer. Change: until all leases of earlier terms have expired, a worker that is newly listed and has not answered yet is expected to. Evidence: HandOver.runsTasksOnceIfTheOwnerIsKilledBeforeItRecordsANewWorker failed before ("job.0.0.0 runs on worker-4 and worker-5"). Open: a worker whose first lease is not recorded and that is not listed when its successor loads, for example because its entry has lapsed with a cut of its data centre.

--- a/source/scheduling/TakeOverRecovery.cpp
+++ b/source/scheduling/TakeOverRecovery.cpp
@@ -30,6 +30,7 @@
 void TakeOverRecovery::expect(const std::string &worker, Instant leaseExpiresAt)
 {
     m_unconfirmedWorkers.emplace(worker, leaseExpiresAt);
+    m_active = true;
 }
 
 void TakeOverRecovery::confirm(const std::string &worker)
--- a/source/scheduling/TakeOverRecovery.h
+++ b/source/scheduling/TakeOverRecovery.h
@@ -34,7 +34,7 @@
     // Returns whether a task whose worker is unknown may still run on an unconfirmed worker.
     [[nodiscard]] bool isPending(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
-    // Whether begin() was called and end() was not.
+    // Whether workers have been added since the last call of end().
     [[nodiscard]] bool isActive() const;
 
     // Forgets the unconfirmed workers.
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -326,6 +326,27 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// The last owner has started a task on a new worker and has not recorded it yet. The new owner learns of that worker
+// only after all recorded ones have answered.
+TEST_F(HandOver, runsTasksOnceIfTheOwnerIsKilledBeforeItRecordsANewWorker)
+{
+    submitFullSize("wide", TestCluster::WorkerCount);
+    m_cluster.workers.setBehaviour("job", {Second * 5, 0, false});
+    m_cluster.owner()->router.submit(
+        TestCluster::job("job", 1, 1), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 0U);
+    addWorker("worker-4");
+    for (int i = 0; i < 100 && m_cluster.workers.startCount(FirstTask) == 0; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    m_cluster.workers.add({"worker-5", "worker-5:1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+    killOwnerAndDelayListings("worker-4", Milliseconds(500), Milliseconds(100));
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 class HandOverAfterReturn : public HandOver, public testing::WithParamInterface<int>
 {
 };
