Scheduling: Record lease holders that are listed again

Cause: since the record leaves out an unlisted worker that can run nothing. While the worker's state is kept, because it is being found out whether the worker has crashed, the time of its former lease is kept as well. When the worker returns and gets tasks, this is not its first lease, so that no new record is written, and a successor to which the worker is not listed doesn't know of it. Change: a worker with a former lease that is listed again leads to a new record. Evidence: HandOver.recordsAWorkerThatIsListedAgainAfterItsLeasesHaveExpired failed before. No double run was provoked: so far the open run in the task's progress, which stays there after it was closed, makes the successor wait for the worker all the same.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -70,6 +70,10 @@
         = worker.listed && worker.listing.incarnation == listing.incarnation && formerCapacity != listing.capacity;
     worker.updateListing(listing);
     worker.listed = true;
+    if (newlyListed && worker.leaseGrantedUntil > 0) {
+        // The record names only listed workers and those that may run tasks.
+        m_environment.listener.leaseHoldersChanged();
+    }
     if (newlyListed && !worker.hasAnswered && m_environment.clock.now() < m_recovery.priorLeasesExpireAt()) {
         // The last owner may have granted leases to a worker that it had not recorded yet.
         m_recovery.expect(listing.name, m_recovery.priorLeasesExpireAt());
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -326,6 +326,24 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A worker whose leases have expired is dropped from the record. It has to be named again when it returns.
+TEST_F(HandOver, recordsAWorkerThatIsListedAgainAfterItsLeasesHaveExpired)
+{
+    submitToEachWorker("first", Milliseconds(300));
+    const std::string worker = m_cluster.startLongRunning("job");
+    lose(worker);
+    m_cluster.advance(Second * 6);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    ASSERT_FALSE(recordedLeaseHolders().contains(worker));
+    m_missing.clear();
+    applyWorkers();
+    m_cluster.advance(Milliseconds(500));
+    submitToEachWorker("second", Second * 5);
+    m_cluster.advance(Milliseconds(500));
+    ASSERT_FALSE(jobs().workers().at(worker).tasks.empty());
+    EXPECT_TRUE(recordedLeaseHolders().contains(worker));
+}
+
 // The last owner has started a task on a new worker and has not recorded it yet. The new owner learns of that worker
 // only after all recorded ones have answered.
 TEST_F(HandOver, runsTasksOnceIfTheOwnerIsKilledBeforeItRecordsANewWorker)
