Tenure: Carry the expiry of listed workers' leases over hand-overs as well

What callers could see: (a) a task is away for as long as owners hand over in a row, if the way to its worker is cut while the platform still lists the worker; and each hand-over holds tasks back for 9.12 s because of a listed worker that has been out of reach for long. (b) Tasks of distant workers lapse after a take-over although nothing ails the worker. Cause: (a) states the expiry of leases for unlisted workers only, and a successor waits for all listed workers, for up to 10 s more if they don't answer. (b) A new owner often doesn't know the listed workers yet when it writes its first record (they are read only then), so it stated the expiry for all workers whose first report was still under way. It then had to replace that record before it could renew their leases, and asked them for a report only after the long wait of 2 s. Change: the record states the expiry for each worker that left a request unanswered, listed or not: an expected one from the first failure on, one of this term when it counts as unreachable. What the last owner stated is carried on, and a successor waits for such a worker no longer than that. At a hand-over the expiry is stated for all workers that are still expected. A worker whose leases are not renewed is asked again after 0.2 s. No such record is begun while the store is unavailable, because it would keep workers that return from getting leases until the store is back. Evidence: HandOver.doesNotBeginTheWaitForAnUnreachableListedWorkerAnewAtEachHandOver, doesNotWaitForAListedWorkerThatHoldsNoLease and renewsLeasesAtTheFirstReportAfterATakeOver failed before. Ruled out: stating the expiry for all expected workers at once, which is (b).

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -428,9 +428,10 @@
     for (const auto &[name, worker] : m_workers) {
         // Workers that have not answered yet may hold leases of earlier leader terms. Workers whose runs are known but
         // not renewed yet, because run ends that they listed are not recorded, hold them as well. Listed workers
-        // without tasks may get some before the next record.
-        const bool mayGetTasks = worker.listed && worker.leaseGrantedUntil > 0;
-        if (m_recovery.isUnconfirmed(name) || worker.mayRunTasks() || mayGetTasks) {
+        // without tasks may get some before the next record. A successor waits for all listed workers, so the record
+        // tells when the leases of those that do not answer have expired.
+        const bool isAwaited = worker.listed && (worker.leaseGrantedUntil > 0 || worker.isUnreachable());
+        if (m_recovery.isUnconfirmed(name) || worker.mayRunTasks() || isAwaited) {
             holders.push_back(worker.listing);
         }
     }
@@ -442,20 +443,35 @@
     const Instant now = m_environment.clock.now();
     std::map<std::string, Milliseconds> remaining;
     std::set<std::string> names;
-    for (const auto &[name, worker] : m_workers) {
-        const bool unconfirmed = m_recovery.isUnconfirmed(name);
-        const bool lostUnderThisTerm = worker.isUnreachable() && worker.mayRunTasks();
-        const std::optional<Instant> expiry = unconfirmed ? m_recovery.leaseExpiryOf(name) : worker.leaseExpiry();
-        if (worker.listed || !expiry || (!unconfirmed && !lostUnderThisTerm)) {
-            continue;
+    for (const WorkerListing &holder : leaseHolders()) {
+        const std::optional<Instant> expiry = finalLeaseExpiry(m_workers.at(holder.name));
+        if (expiry) {
+            remaining[holder.name] = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*expiry - now));
+            names.insert(holder.name);
         }
-        remaining[name] = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*expiry - now));
-        names.insert(name);
     }
     m_recordedExpiries.beginRecord(std::move(names));
     return remaining;
 }
 
+std::optional<Instant> JobScheduler::finalLeaseExpiry(const WorkerState &worker) const
+{
+    const std::string &name = worker.listing.name;
+    if (m_recovery.isUnconfirmed(name)) {
+        const Instant expiry = m_recovery.leaseExpiryOf(name);
+        // The first report of a worker that is not lost may still be under way.
+        const bool wasLostBefore = expiry < m_recovery.priorLeasesExpireAt();
+        const bool seemsLost = wasLostBefore || worker.consecutiveUnanswered > 0;
+        return seemsLost || m_authority != SchedulingAuthority::Full ? std::optional(expiry) : std::nullopt;
+    }
+    if (!worker.isUnreachable()) {
+        return std::nullopt;
+    }
+    const std::optional<Instant> expiry = worker.leaseExpiry();
+    // A worker without a lease of this leader term may still hold one of an earlier term.
+    return expiry || worker.mayRunTasks() ? expiry : m_recovery.priorLeasesExpireAt();
+}
+
 void JobScheduler::leaseRecordStored()
 {
     m_recordedExpiries.commitRecord();
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -183,7 +183,8 @@
     // their phase or one of their tasks is still assigned to a worker.
     [[nodiscard]] std::vector<RemovedJob> removeFinished(Instant endedBefore);
 
-    // Returns the workers that may hold a lease of this leader term or an earlier one.
+    // Returns the workers that may hold a lease of this leader term or an earlier one, and the listed workers that do
+    // not answer.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
 
     // Begins a record of the lease holders. Returns, by worker, after how long the last lease has surely expired, for
@@ -343,6 +344,9 @@
     // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
     [[nodiscard]] static int readyCount(const StepState &step, bool recovering);
 
+    // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
+    [[nodiscard]] std::optional<Instant> finalLeaseExpiry(const WorkerState &worker) const;
+
     // Returns whether a worker is no longer listed and can't run any task of this leader term any more.
     [[nodiscard]] bool isRemovable(const WorkerState &worker) const;
 
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -24,6 +24,8 @@
 // Report interval while run ends are not recorded yet. The worker lists them again, but the leases of its running tasks
 // are renewed even if the store is unavailable.
 constexpr Milliseconds UnrecordedInterval {500};
+// Longest report interval for workers whose leases are not renewed before the store has another record of them.
+constexpr Milliseconds LeaseRecordWait {200};
 // Delay before an unanswered order is sent again, a few round trips between regions.
 constexpr Milliseconds OrderRetryDelay {250};
 constexpr int FailuresBeforeQuarantine = 3;
@@ -137,6 +139,9 @@
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
+    if (m_recordedExpiries.contains(worker.listing.name)) {
+        request.wait = std::min(request.wait, LeaseRecordWait);
+    }
     // The leases of a worker that may be down are not renewed, so that its tasks can soon be placed elsewhere.
     const bool renew = m_authority != SchedulingAuthority::Observe && worker.clock.isKnown() && worker.hasAnswered
         && !worker.tasks.empty() && worker.consecutiveUnanswered == 0
@@ -190,10 +195,11 @@
         onWorkerReplaced(worker);
     }
     ++worker.consecutiveUnanswered;
+    const bool isFirstFailure = worker.consecutiveUnanswered == 1 && m_recovery.isUnconfirmed(worker.listing.name);
+    if (isFirstFailure || worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
+        m_environment.listener.leaseHoldersChanged();
+    }
     if (worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
-        if (!worker.listed) {
-            m_environment.listener.leaseHoldersChanged();
-        }
         m_environment.listener.logDecision(
             "worker-unreachable", worker.listing.name, {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
     }
--- a/source/scheduling/TakeOverRecovery.cpp
+++ b/source/scheduling/TakeOverRecovery.cpp
@@ -62,9 +62,12 @@
 
 bool TakeOverRecovery::isPending(Instant now, const std::map<std::string, WorkerState> &workers) const
 {
-    return std::any_of(m_unconfirmedWorkers.begin(), m_unconfirmedWorkers.end(), [&workers, now](const auto &entry) {
+    return std::any_of(m_unconfirmedWorkers.begin(), m_unconfirmedWorkers.end(), [&, now](const auto &entry) {
         const auto worker = workers.find(entry.first);
-        return mayRunTasks(worker == workers.end() ? nullptr : &worker->second, entry.second, now);
+        // The last owner has got no answer from workers whose leases expire sooner than all others.
+        const bool wasLostBefore = entry.second < m_priorLeasesExpireAt;
+        const bool mayBeAlive = worker != workers.end() && !wasLostBefore;
+        return mayRunTasks(mayBeAlive ? &worker->second : nullptr, entry.second, now);
     });
 }
 
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -3,6 +3,8 @@
 #include "tenure/JobKeys.h"
 #include "tenure/LeaseHolderRecord.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -211,7 +213,8 @@
         m_leaseHoldersDirty = true;
     }
     const bool expiriesOutdated = m_leaseRecordHasExpiries && now - m_lastLeaseRecord >= LeaseExpiryRecordPeriod;
-    if (m_leaseHoldersDirty || expiriesOutdated) {
+    // A record that can't be stored yet would only keep its workers from getting leases.
+    if ((m_leaseHoldersDirty || expiriesOutdated) && !m_journal.isStoreUnavailable()) {
         writeLeaseHolders();
     }
     if (now - m_lastDelegation >= DelegationPeriod) {
@@ -240,7 +243,8 @@
     m_leaseHoldersDirty = false;
     LeaseHolderRecord record {m_jobScheduler.leaseHolders(), m_recordedLeaseDuration, m_position.term, {}};
     record.finalExpiries = m_jobScheduler.beginLeaseRecord();
-    m_leaseRecordHasExpiries = !record.finalExpiries.empty();
+    m_leaseRecordHasExpiries = std::any_of(record.finalExpiries.begin(), record.finalExpiries.end(),
+        [](const auto &expiry) { return expiry.second > Milliseconds(0); });
     m_lastLeaseRecord = m_environment.clock.now();
     m_leaseHolderRecord = serialize(record);
     m_journal.put(JobKeys::leaseHolders(m_position.partition), m_leaseHolderRecord);
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -326,6 +326,36 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// The way to a worker may be cut although the worker still tells the platform that it is alive.
+TEST_F(HandOver, doesNotBeginTheWaitForAnUnreachableListedWorkerAnewAtEachHandOver)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    cutOff(worker);
+    m_cluster.advance(Second);
+    for (int i = 0; i < 10 && m_cluster.workers.startCount(FirstTask) == 1; ++i) {
+        restartOwner();
+    }
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// A worker that has been unreachable for longer than any lease lasts must not delay tasks after each hand-over.
+TEST_F(HandOver, doesNotWaitForAListedWorkerThatHoldsNoLease)
+{
+    cutOff("worker-3");
+    m_cluster.advance(Second * 10);
+    submitFullSize("wide", 3);
+    restartOwner();
+    m_cluster.advance(Second * 8);
+    submitFullSize("job", 1);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 0U);
+    restartOwner();
+    addWorker("worker-4");
+    m_cluster.advance(Second * 2);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // A worker whose leases have expired is dropped from the record. It has to be named again when it returns.
 TEST_F(HandOver, recordsAWorkerThatIsListedAgainAfterItsLeasesHaveExpired)
 {
@@ -365,6 +395,16 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A new owner that does not know the listed workers yet must not treat them as lost, or it could not renew their leases
+// before it has recorded that they are not.
+TEST_F(HandOver, renewsLeasesAtTheFirstReportAfterATakeOver)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    killOwnerAndDelayListings(worker, Milliseconds(300), Milliseconds(600));
+    m_cluster.advance(Second * 4);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+}
+
 class HandOverAfterReturn : public HandOver, public testing::WithParamInterface<int>
 {
 };
