Tenure: Reproduce a wait for workers that are named in open runs only

Cause: open runs are a second record of where tasks may run. JobScheduler::awaitOpenRuns expects an answer of their workers by the time at which all leases of earlier terms have expired, also if the last owner has seen the worker's leases expire and keeps the run open only to find out whether the worker has crashed. When such a run is closed (forgetLostRuns, explainLostRuns, detach), the progress isn't written again, so that every later owner waits once more.

--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -356,6 +356,29 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+class HandOverAfterLoss : public HandOver, public testing::WithParamInterface<int>
+{
+};
+
+// The former owner has seen the leases of the lost worker expire and has started its task elsewhere, so the worker can
+// delay no other task.
+TEST_P(HandOverAfterLoss, doesNotWaitForAWorkerWhoseLeasesHadExpired)
+{
+    submitFullSize("wide", 3);
+    const std::string worker = jobs().find("wide")->occurrences.at(0).steps[0].tasks[0].worker;
+    lose(worker);
+    m_cluster.advance(Second * GetParam());
+    ASSERT_EQ(m_cluster.workers.startCount({"wide", 0, 0, 0}), 2U);
+    submitFullSize("job", 1);
+    restartOwner();
+    addWorker("worker-4");
+    m_cluster.advance(Second);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seconds, HandOverAfterLoss, testing::Values(8, 30));
+
 // A worker whose leases have expired is dropped from the record. It has to be named again when it returns.
 TEST_F(HandOver, recordsAWorkerThatIsListedAgainAfterItsLeasesHaveExpired)
 {
