Scheduling: Give up tasks whose starts are never confirmed, and spare those beside them

Cause: whether another task could have caused a crash was decided by its presence alone, and only for unconfirmed starts. Tasks without a crash were also placed on a worker on which a suspect had just been started.

Change: another task is a possible cause only if it was sent and had been started in the 5 s before the last contact. This holds for prompt and late crashes too (prompt-shared, late-shared). Two prompt crashes decide if one was not shared, otherwise three crashes that were not shared, or four of any kind, which leaves five starts with a first one that was not counted. Tasks keep off a worker until a suspect that was just placed there has run for 250 ms, for 1 s at most. When a task is given up, its crashes count as late and shared for the others on the same worker and incarnation.

--- a/source/scheduling/CrashHistory.h
+++ b/source/scheduling/CrashHistory.h
@@ -15,13 +15,17 @@
 enum class CrashTiming {
     // The worker gave no answer later than CrashHistory::PromptLimit after the start.
     Prompt,
+    // The same, but another task on the worker that had been started lately may have crashed it.
+    PromptShared,
     // The worker was still alive at that time.
     Late,
+    // The same, but another task on the worker that had been started lately may have crashed it, or is known to have.
+    LateShared,
     // The run began under an earlier leader term, so its start is not known well enough.
     Unknown,
-    // The worker did not confirm the start, so it may have crashed before. No other task was assigned to it.
+    // The worker did not confirm the start, so it may have crashed before. No other task on it had been started lately.
     Unconfirmed,
-    // The worker did not confirm the start, and another task may have crashed it before.
+    // The worker did not confirm the start, and another task that had been started lately may have crashed it before.
     Ambiguous,
 };
 
@@ -32,6 +36,8 @@
 {
     std::string worker;
     CrashTiming timing = CrashTiming::Unknown;
+    // The incarnation of the worker that crashed, or 0 if it is not known.
+    std::int64_t incarnation = 0;
 
     bool operator==(const CrashedRun &) const = default;
 };
@@ -55,6 +61,8 @@
 public:
     // A worker that crashes this soon after a run's start has probably been crashed by it.
     static constexpr Milliseconds PromptLimit {250};
+    // A worker that crashes later after a run's start was probably not crashed by it, if there is another cause.
+    static constexpr Milliseconds LikelyLimit {5'000};
     // A long-running task that has run for longer than this does not crash its workers.
     static constexpr Milliseconds LongestSuspicion {30'000};
 
@@ -68,6 +76,9 @@
     // Notes that the worker of an open run may have crashed, and how that would count.
     void markLost(std::uint64_t run, CrashTiming timing);
 
+    // Notes that another task is known to have caused a crash. Returns whether the crash was counted for this one.
+    bool explain(const CrashedRun &cause);
+
     // Discards all evidence.
     void clear();
 
--- a/source/scheduling/CrashVerdict.cpp
+++ b/source/scheduling/CrashVerdict.cpp
@@ -10,7 +10,9 @@
 {
 
 constexpr std::size_t PromptCrashesToGiveUp = 2;
-constexpr std::size_t CrashesToGiveUp = 3;
+constexpr std::size_t SoleCrashesToGiveUp = 3;
+// Together with a first start whose crash was not counted, a task that crashes its workers is started five times.
+constexpr std::size_t CrashesToGiveUp = 4;
 
 // Returns whether so many crashes, by their timing, prove that the task is their cause.
 bool isProof(const std::vector<CrashTiming> &crashes)
@@ -18,9 +20,12 @@
     const auto count = [&crashes](CrashTiming timing) {
         return static_cast<std::size_t>(std::count(crashes.begin(), crashes.end(), timing));
     };
-    const bool allPrompt = count(CrashTiming::Prompt) == crashes.size();
-    const std::size_t counted = crashes.size() - count(CrashTiming::Ambiguous);
-    return counted >= CrashesToGiveUp || (allPrompt && counted >= PromptCrashesToGiveUp);
+    const std::size_t solePrompt = count(CrashTiming::Prompt);
+    const std::size_t promptShared = count(CrashTiming::PromptShared);
+    const std::size_t sole
+        = crashes.size() - promptShared - count(CrashTiming::LateShared) - count(CrashTiming::Ambiguous);
+    const bool isPromptProof = solePrompt > 0 && solePrompt + promptShared >= PromptCrashesToGiveUp;
+    return isPromptProof || sole >= SoleCrashesToGiveUp || crashes.size() >= CrashesToGiveUp;
 }
 
 }
--- a/source/scheduling/CrashVerdict.h
+++ b/source/scheduling/CrashVerdict.h
@@ -14,10 +14,9 @@
     GiveUp,
 };
 
-// Decides whether a task is given up because workers crashed under it. Two crashes suffice if both were prompt,
-// otherwise three are needed, because tasks that merely ran on the same worker share its crashes. If a start was not
-// confirmed and another task was assigned to the worker, that task may have crashed it before, so the crash does not
-// count.
+// Decides whether a task is given up because workers crashed under it. Two crashes suffice if both were prompt and no
+// other task may have caused one of them. Otherwise three are needed, and four if other tasks may have caused
+// them, because tasks on the same worker share its crashes, and a run may have ended before the crash unnoticed.
 // Load pattern: a single poison task among thousands that run beside it, on workers that also crash by chance.
 [[nodiscard]] CrashVerdict judge(const CrashHistory &history);
 
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -2,12 +2,14 @@
 
 #include "base/Scheduler.h"
 #include "scheduling/BatchDemandEstimator.h"
+#include "scheduling/CrashEvidence.h"
 #include "scheduling/FailedPlacements.h"
 #include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/RecordedLeaseExpiries.h"
 #include "scheduling/SchedulingPolicies.h"
+#include "scheduling/SuspectIsolation.h"
 #include "scheduling/TakeOverRecovery.h"
 #include "scheduling/WorkerState.h"
 
@@ -277,13 +279,6 @@
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
 
     // Crashes
-    // A run under which a worker crashed.
-    struct CrashEvidence
-    {
-        RunName run;
-        CrashTiming timing = CrashTiming::Unknown;
-    };
-
     // Whether a run of the task may have crashed its worker without the store knowing of the run.
     [[nodiscard]] static bool needsOpenRun(const TaskState &task);
     [[nodiscard]] bool mayPlace(const TaskState &task) const;
@@ -292,16 +287,16 @@
     // Requeues tasks whose start orders are held back and whose worker takes no tasks any more.
     void withdrawHeldStarts(WorkerState &worker);
     void withdrawHeldStart(TaskState &task);
-    // Returns the timing of a crash of the worker now as it counts for its task, or nothing if it doesn't count.
-    [[nodiscard]] static std::optional<CrashTiming> crashTiming(
-        const TaskState &task, const WorkerState &worker, std::size_t tasksOnWorker);
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
     // Returns the runs that a worker has lost by a crash.
     [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
-    void noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker);
+    // Lets the crashes under a task that was given up count less for the others on the same workers.
+    void explainCrashes(const TaskState &cause);
+    // Requeues the tasks of a worker that is lost. How a crash of it would count is noted until that is known.
+    void noteLostRuns(WorkerState &worker);
     // Explains the lost runs of a worker by an answer of the given incarnation.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
     void forgetLostRuns(WorkerState &worker);
@@ -334,6 +329,7 @@
     void reserveWorkers(const StepState &step, int count);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
+    [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -122,25 +122,6 @@
     m_environment.listener.progressChanged(step.occurrence->job->specification.id);
 }
 
-std::optional<CrashTiming> JobScheduler::crashTiming(
-    const TaskState &task, const WorkerState &worker, std::size_t tasksOnWorker)
-{
-    if (!task.runStartedAt || worker.listing.draining) {
-        return std::nullopt;
-    }
-    if (!task.runConfirmed) {
-        return tasksOnWorker > 1 ? CrashTiming::Ambiguous : CrashTiming::Unconfirmed;
-    }
-    const auto lived = worker.lastContact - *task.runStartedAt;
-    if (task.step->specification().longRunning && lived > CrashHistory::LongestSuspicion) {
-        return std::nullopt;
-    }
-    if (lived > CrashHistory::PromptLimit) {
-        return CrashTiming::Late;
-    }
-    return task.runAdopted ? CrashTiming::Unknown : CrashTiming::Prompt;
-}
-
 void JobScheduler::onWorkerReplaced(WorkerState &worker)
 {
     const std::string &name = worker.listing.name;
@@ -168,23 +149,17 @@
     countCrashes(worker, evidence);
 }
 
-std::vector<JobScheduler::CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker)
+std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker)
 {
-    std::vector<CrashEvidence> evidence;
-    for (TaskState *task : worker.tasks) {
-        if (task->awaitsRecording) {
-            continue;
-        }
-        const std::optional<CrashTiming> timing = crashTiming(*task, worker, worker.tasks.size());
-        if (timing) {
-            evidence.push_back({{nameOf(*task), task->run}, *timing});
-        } else {
-            task->endUnknown = task->endUnknown || !worker.listing.draining;
-        }
-    }
+    std::vector<CrashEvidence> evidence = crashEvidence(worker);
     if (!worker.listing.draining) {
+        for (TaskState *task : worker.tasks) {
+            const bool counts = std::any_of(evidence.begin(), evidence.end(),
+                [task](const CrashEvidence &item) { return item.run.task == nameOf(*task); });
+            task->endUnknown = task->endUnknown || (!task->awaitsRecording && !counts);
+        }
         for (const LostRun &lost : worker.lostRuns) {
-            evidence.push_back({lost.run, lost.timing});
+            evidence.push_back({lost.run, lost.incarnation, lost.timing});
         }
     }
     worker.lostRuns.clear();
@@ -203,7 +178,7 @@
         if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()) {
             continue;
         }
-        if (!task->crashes.addCrash(item.run.run, {worker.listing.name, item.timing})) {
+        if (!task->crashes.addCrash(item.run.run, {worker.listing.name, item.timing, item.incarnation})) {
             continue;
         }
         suspects.push_back(task);
@@ -213,6 +188,10 @@
     }
     m_environment.listener.logDecision("worker-crashed", worker.listing.name,
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"runs", std::move(runs)}});
+    // The conviction of one task may explain the crashes under the others.
+    std::stable_sort(suspects.begin(), suspects.end(), [](const TaskState *left, const TaskState *right) {
+        return left->crashes.crashes().size() > right->crashes.crashes().size();
+    });
     for (TaskState *task : suspects) {
         if (judge(task->crashes) == CrashVerdict::GiveUp) {
             giveUp(*task);
@@ -232,22 +211,49 @@
         crashes.push_back({{"run", run}, {"worker", crash.worker}, {"timing", nameOf(crash.timing)}});
     }
     m_environment.listener.logDecision("task-given-up", nameOf(task).text(), {{"crashes", std::move(crashes)}});
+    explainCrashes(task);
     finish(job, JobPhase::Failed);
 }
 
-void JobScheduler::noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker)
+void JobScheduler::explainCrashes(const TaskState &cause)
 {
-    const bool wasSent = !task.awaitsRecording;
-    const std::optional<CrashTiming> timing = crashTiming(task, worker, tasksOnWorker);
-    const RunName run {nameOf(task), task.run};
-    requeue(task, Milliseconds(0));
-    if (!wasSent || worker.listing.draining) {
-        return;
+    const auto explain = [&cause](TaskState &task) {
+        bool isExplained = false;
+        for (const auto &[run, crash] : cause.crashes.crashes()) {
+            isExplained = task.crashes.explain(crash) || isExplained;
+        }
+        return isExplained;
+    };
+    for (JobState *job : m_unfinishedJobs) {
+        bool isExplained = false;
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (StepState &step : occurrence.steps) {
+                for (TaskState &task : step.tasks) {
+                    isExplained = (&task != &cause && explain(task)) || isExplained;
+                }
+            }
+        }
+        if (isExplained) {
+            m_environment.listener.progressChanged(job->specification.id);
+        }
+    }
+}
+
+void JobScheduler::noteLostRuns(WorkerState &worker)
+{
+    const std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        const bool wasSent = !task->awaitsRecording;
+        requeue(*task, Milliseconds(0));
+        task->endUnknown = task->endUnknown || (wasSent && !worker.listing.draining);
     }
-    task.endUnknown = true;
-    if (timing && task.phase != RunPhase::Done) {
-        worker.lostRuns.push_back({run, worker.incarnation, *timing, m_environment.clock.now()});
-        task.crashes.open(run.run, {worker.listing.name, worker.listing.address, worker.incarnation, *timing});
+    for (const auto &[run, incarnation, timing] : evidence) {
+        TaskState *task = findTask(run.task);
+        if (task != nullptr && task->phase != RunPhase::Done) {
+            worker.lostRuns.push_back({run, incarnation, timing, m_environment.clock.now()});
+            task->crashes.open(run.run, {worker.listing.name, worker.listing.address, incarnation, timing});
+        }
     }
 }
 
@@ -256,7 +262,7 @@
     std::vector<CrashEvidence> evidence;
     for (const LostRun &lost : worker.lostRuns) {
         if (lost.incarnation < incarnation) {
-            evidence.push_back({lost.run, lost.timing});
+            evidence.push_back({lost.run, lost.incarnation, lost.timing});
             continue;
         }
         TaskState *task = findTask(lost.run.task);
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -233,6 +233,15 @@
     ++task.step->waitingCount;
 }
 
+IsolationStrictness JobScheduler::isolationStrictness(const TaskState &task) const
+{
+    // Long-running tasks that are no suspects themselves don't wait.
+    const bool hasWaited = task.crashes.isSuspect()
+        ? task.isolatedSince && m_environment.clock.now() - *task.isolatedSince > LongestIsolationWait
+        : task.step->specification().longRunning;
+    return hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
+}
+
 WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task)
 {
     PlacementQuery query;
@@ -244,8 +253,7 @@
     if (step.specification().sameRack) {
         query.preferredRack = preferredRack(step);
     }
-    const bool hasWaited = task.isolatedSince && query.now - *task.isolatedSince > LongestIsolationWait;
-    const auto strictness = hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
+    const IsolationQuery isolationQuery {isolationStrictness(task), query.now};
     WorkerState *best = nullptr;
     double lowestCost = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
@@ -254,7 +262,7 @@
             continue;
         }
         const std::optional<double> cost = placementCost(worker, query);
-        const std::optional<double> isolation = cost ? isolationCost(task, worker, strictness) : std::nullopt;
+        const std::optional<double> isolation = cost ? isolationCost(task, worker, isolationQuery) : std::nullopt;
         if (isolation && *cost + *isolation < lowestCost) {
             lowestCost = *cost + *isolation;
             best = &worker;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -406,10 +406,7 @@
         return;
     }
     m_environment.listener.logDecision("worker-leases-expired", worker.listing.name, {{"tasks", worker.tasks.size()}});
-    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
-    for (TaskState *task : tasks) {
-        noteLostRun(worker, *task, tasks.size());
-    }
+    noteLostRuns(worker);
 }
 
 void JobScheduler::retryOrders(WorkerState &worker)
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -64,6 +64,8 @@
     std::set<std::uint64_t> failedRuns;
     // Runs under which workers crashed, and runs whose end is not known.
     CrashHistory crashes;
+    // When the task was last placed on a worker.
+    Instant placedAt;
     // When the first start order of the current run was sent, or when the run was adopted.
     std::optional<Instant> runStartedAt;
     // Whether a worker has confirmed that it runs the current run or did so.
--- a/source/scheduling/SuspectIsolation.h
+++ b/source/scheduling/SuspectIsolation.h
@@ -13,12 +13,17 @@
     Preferred,
 };
 
+struct IsolationQuery
+{
+    IsolationStrictness strictness = IsolationStrictness::Required;
+    Instant now;
+};
+
 // Keeps tasks under which workers have crashed away from each other and from other tasks, so that the next crash takes
-// few tasks along and shows which task is the cause.
-// Load pattern: a crash that ends up to twenty tasks, one of which crashes the next worker as well.
-// Returns what is added to the cost of placing the task on the worker, or nothing if it must not be placed there. Tasks
-// without a counted crash may be placed anywhere at no cost.
+// few tasks along and shows which task is the cause. Other tasks keep off a worker on which such a task was just
+// placed. Load pattern: a crash that ends up to twenty tasks, one of which crashes the next worker as well. Returns
+// what is added to the cost of placing the task on the worker, or nothing if it must not be placed there.
 [[nodiscard]] std::optional<double> isolationCost(
-    const TaskState &task, const WorkerState &worker, IsolationStrictness strictness);
+    const TaskState &task, const WorkerState &worker, const IsolationQuery &query);
 
 }
