Scheduling: Grant no lease before a late tick has reviewed the authority

What callers could see: a task runs twice at the same time, if an owner's process is paused for longer than its lease while its successor can't reach one of the workers (TWICE). Cause: JobScheduler is told by ticks whether the owner's lease is still held. After a pause, answers of workers that are waiting on the sockets are handled before the next tick: they lead to renewals and starts for 6 s from then on, while the successor reckons with leases granted within the owner's lease of 3 s. Change: no lease is granted and nothing is placed if the last tick was more than 1 s ago. Workers are then asked for a report after 0.2 s, so that the renewal follows soon after the tick. Evidence: JobScheduler.runsATaskOnceWhenTheCutOffOwnerIsHeldUp fails with a limit of 1000 s ("job.0.0.0 runs on worker-0 and worker-1"). Test: the cut of runsATaskOnceWhenOnlyTheCutOffOwnerReachesItsWorker has become a function that both tests call; its checks are as before.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -15,6 +15,9 @@
 
 // Tasks that a take-over holds back are logged this often.
 constexpr Milliseconds RecoveryLogInterval {1'000};
+// If no tick comes for this long, the process was held up. This is less than the owner's lease, by which a successor's
+// bound on earlier leases exceeds the length of a lease.
+constexpr Milliseconds LongestTickDelay {1'000};
 // Number of run numbers in one leader term. No task is expected to need that many starts within a term.
 constexpr std::uint64_t RunsPerTerm = 100'000;
 
@@ -36,6 +39,7 @@
     , m_startedAt(environment.clock.now())
     , m_self(std::make_shared<JobScheduler *>(this))
 {
+    m_authorityReviewedAt = m_startedAt;
 }
 
 JobScheduler::~JobScheduler() = default;
@@ -43,7 +47,8 @@
 void JobScheduler::beginRecovery(
     const std::vector<std::pair<WorkerListing, Instant>> &workers, Instant priorLeasesExpireAt)
 {
-    m_recovery.begin(m_environment.clock.now(), priorLeasesExpireAt);
+    m_authorityReviewedAt = m_environment.clock.now();
+    m_recovery.begin(m_authorityReviewedAt, priorLeasesExpireAt);
     for (const auto &[listing, leaseExpiresAt] : workers) {
         m_recovery.expect(listing.name, leaseExpiresAt);
         WorkerState &worker = m_workers[listing.name];
@@ -308,8 +313,14 @@
     }
 }
 
+bool JobScheduler::isAuthorityCurrent() const
+{
+    return m_environment.clock.now() - m_authorityReviewedAt <= LongestTickDelay;
+}
+
 void JobScheduler::tick()
 {
+    m_authorityReviewedAt = m_environment.clock.now();
     const std::vector<JobState *> unfinished = m_unfinishedJobs;
     for (JobState *job : unfinished) {
         createDueOccurrences(*job);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -274,6 +274,8 @@
     void recordFailure(WorkerState &worker, const std::string &job);
     [[nodiscard]] WorkerState *findWorker(const std::string &name);
     [[nodiscard]] OrderTarget target(const WorkerState &worker) const;
+    // Returns whether the worker may get a lease as far as the stored record and the owner's authority are concerned.
+    [[nodiscard]] bool mayGrantLease(const WorkerState &worker) const;
     [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
 
@@ -344,6 +346,9 @@
     // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
     [[nodiscard]] static int readyCount(const StepState &step, bool recovering);
 
+    // Returns whether the authority is up to date. It may have run out while the process was held up.
+    [[nodiscard]] bool isAuthorityCurrent() const;
+
     // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(const WorkerState &worker) const;
 
@@ -355,6 +360,8 @@
     FencingToken m_token;
     std::uint64_t m_firstRunNumber;
     SchedulingAuthority m_authority = SchedulingAuthority::Full;
+    // When the authority was last known to be up to date.
+    Instant m_authorityReviewedAt;
     bool m_dispatchPosted = false;
     // Whether a query to the advisor is open. The advisor handles one at a time.
     bool m_advicePending = false;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -38,7 +38,7 @@
 void JobScheduler::dispatch()
 {
     m_dispatchPosted = false;
-    if (m_authority != SchedulingAuthority::Full) {
+    if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent()) {
         return;
     }
     const Instant now = m_environment.clock.now();
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -62,7 +62,7 @@
 void JobScheduler::sendStart(TaskState &task)
 {
     WorkerState *worker = findWorker(task.worker);
-    if (worker == nullptr || !worker->clock.isKnown() || m_recordedExpiries.contains(task.worker)) {
+    if (worker == nullptr || !worker->clock.isKnown() || !mayGrantLease(*worker)) {
         return;
     }
     const RunName name {nameOf(task), task.run};
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -24,8 +24,8 @@
 // Report interval while run ends are not recorded yet. The worker lists them again, but the leases of its running tasks
 // are renewed even if the store is unavailable.
 constexpr Milliseconds UnrecordedInterval {500};
-// Longest report interval for workers whose leases are not renewed before the store has another record of them.
-constexpr Milliseconds LeaseRecordWait {200};
+// Longest report interval for workers that may get no lease for the moment. See JobScheduler::mayGrantLease().
+constexpr Milliseconds WithheldLeaseWait {200};
 // Delay before an unanswered order is sent again, a few round trips between regions.
 constexpr Milliseconds OrderRetryDelay {250};
 constexpr int FailuresBeforeQuarantine = 3;
@@ -50,6 +50,11 @@
     return found == m_workers.end() ? nullptr : &found->second;
 }
 
+bool JobScheduler::mayGrantLease(const WorkerState &worker) const
+{
+    return isAuthorityCurrent() && !m_recordedExpiries.contains(worker.listing.name);
+}
+
 std::int64_t JobScheduler::grantLease(WorkerState &worker)
 {
     const bool first = worker.leaseGrantedUntil == 0;
@@ -139,13 +144,12 @@
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
-    if (m_recordedExpiries.contains(worker.listing.name)) {
-        request.wait = std::min(request.wait, LeaseRecordWait);
+    if (!mayGrantLease(worker)) {
+        request.wait = std::min(request.wait, WithheldLeaseWait);
     }
     // The leases of a worker that may be down are not renewed, so that its tasks can soon be placed elsewhere.
     const bool renew = m_authority != SchedulingAuthority::Observe && worker.clock.isKnown() && worker.hasAnswered
-        && !worker.tasks.empty() && worker.consecutiveUnanswered == 0
-        && !m_recordedExpiries.contains(worker.listing.name);
+        && !worker.tasks.empty() && worker.consecutiveUnanswered == 0 && mayGrantLease(worker);
     if (renew) {
         request.leaseUntil = grantLease(worker);
     }
--- a/source/tenure/tests/PartitionLeaderTest.cpp
+++ b/source/tenure/tests/PartitionLeaderTest.cpp
@@ -10,6 +10,23 @@
 
 constexpr Milliseconds Second {1'000};
 
+// Leaves the owner only the way to one worker, which no other instance reaches.
+void cutOff(TestCluster &cluster, TestInstance &owner, const std::string &worker)
+{
+    owner.store.down = true;
+    // Any other worker would reject its calls because of the successor's higher fencing token.
+    for (const auto &[name, listing] : cluster.workers.listings()) {
+        if (name != worker) {
+            owner.gateway.cutWorkers.insert(name);
+        }
+    }
+    for (const auto &[number, instance] : cluster.instances) {
+        if (instance.get() != &owner) {
+            instance->gateway.cutWorkers.insert(worker);
+        }
+    }
+}
+
 }
 
 // An owner that lists its inbox applies a job's submission before its cancellation.
@@ -95,18 +112,22 @@
     TestInstance *owner = cluster.owner();
     ASSERT_NE(owner, nullptr);
     const std::string worker = cluster.startLongRunning("job");
-    owner->store.down = true;
-    // Any other worker would reject its calls because of the successor's higher fencing token.
-    for (const auto &[name, listing] : cluster.workers.listings()) {
-        if (name != worker) {
-            owner->gateway.cutWorkers.insert(name);
-        }
-    }
-    for (const auto &[number, instance] : cluster.instances) {
-        if (instance.get() != owner) {
-            instance->gateway.cutWorkers.insert(worker);
-        }
-    }
+    cutOff(cluster, *owner, worker);
+    cluster.advance(Second * 20);
+    EXPECT_EQ(cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(cluster.workers.startCount({"job", 0, 0, 0}), 2U);
+}
+
+// The same if the owner is held up and handles the worker's reports before it notices that its lease has run out.
+TEST(JobScheduler, runsATaskOnceWhenTheCutOffOwnerIsHeldUp)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance *owner = cluster.owner();
+    ASSERT_NE(owner, nullptr);
+    const std::string worker = cluster.startLongRunning("job");
+    cutOff(cluster, *owner, worker);
+    cluster.heldUp.insert(owner->self.name.back() - '0');
     cluster.advance(Second * 20);
     EXPECT_EQ(cluster.workers.violations(), std::vector<std::string>());
     EXPECT_EQ(cluster.workers.startCount({"job", 0, 0, 0}), 2U);
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -194,7 +194,7 @@
             m_untilTick = JobScheduler::TickPeriod;
             shareHeadrooms();
             for (const auto &[id, instance] : instances) {
-                if (instance) {
+                if (instance && !heldUp.contains(id)) {
                     instance->ownership.tick();
                 }
             }
@@ -322,6 +322,8 @@
     FakeAdvisor advisor;
     PartitionPlan plan;
     std::map<int, std::unique_ptr<TestInstance>> instances;
+    // Instances that handle answers but do not come to what is due at a certain time.
+    std::set<int> heldUp;
 
 private:
     // Time from a change of the workers' listings until the instances have them.
