Testing: Show watches all changes of a transaction

The stand-in answered a waiting watch after the first write of a transaction, with the revision of the whole transaction, so that the caller went on after it and never saw the other writes. It now applies the whole transaction before it answers. The platform's store applies transactions as a whole, so the daemons were not at fault.

PrefixWatcherTest.noticesAllChangesOfOneTransaction fails before.

--- a/source/configuration/tests/PrefixWatcherTest.cpp
+++ b/source/configuration/tests/PrefixWatcherTest.cpp
@@ -57,6 +57,21 @@
     EXPECT_LE(follow(Milliseconds(300)), 6);
 }
 
+// The watch waits already when a transaction changes two entries.
+TEST_F(PrefixWatcherTest, noticesAllChangesOfOneTransaction)
+{
+    PrefixWatcher watcher(m_store, m_scheduler, m_entries, "servers/");
+    watcher.start();
+    m_scheduler.advance(Milliseconds(20), Milliseconds(5));
+    ASSERT_EQ(m_store.watches, 1);
+    StoreTransaction transaction;
+    transaction.writes = {{"servers/0", "up", std::nullopt, 0}, {"servers/1", "up", std::nullopt, 0}};
+    ASSERT_EQ(errorOf(m_state.commit(transaction)), nullptr);
+    m_scheduler.advance(Milliseconds(20), Milliseconds(5));
+    EXPECT_NE(m_entries.find("servers/0"), nullptr);
+    EXPECT_NE(m_entries.find("servers/1"), nullptr);
+}
+
 // Guards against a growing backlog when thousands of workers change more entries within the batch delay than the store
 // returns in one answer.
 TEST_F(PrefixWatcherTest, watchesAgainAtOnceAfterLargeBatch)
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -40,6 +40,7 @@
     }
     ++m_revision;
     put({write.key, write.value, m_revision, write.lease});
+    notifyWatches({write.key});
     return m_revision;
 }
 
@@ -71,14 +72,19 @@
     result.committed = true;
     result.currentEntries.clear();
     result.revision = ++m_revision;
+    std::vector<std::string> changed;
     for (const StoreWrite &write : transaction.writes) {
         put({write.key, write.value, m_revision, write.lease});
+        changed.push_back(write.key);
     }
     for (const std::string &key : transaction.erasures) {
         if (m_entries.erase(key) > 0) {
             record({key, {}, m_revision, 0}, true);
+            changed.push_back(key);
         }
     }
+    // A watch returns all changes of a transaction or none, because its caller goes on after their revision.
+    notifyWatches(changed);
     return result;
 }
 
@@ -112,6 +118,7 @@
     ++m_revision;
     m_entries.erase(key);
     record({key, {}, m_revision, 0}, true);
+    notifyWatches({key});
 }
 
 LeaseIdentifier StandinStore::grantLease(Milliseconds duration)
@@ -191,20 +198,19 @@
 
 void StandinStore::record(StoreEntry entry, bool erased)
 {
-    const std::string key = entry.key;
     m_history.push_back({std::move(entry), erased});
     if (m_history.size() > HistoryLength) {
         m_compacted = m_history.front().entry.revision;
         m_history.pop_front();
     }
-    notifyWatches(key);
 }
 
-void StandinStore::notifyWatches(const std::string &key)
+void StandinStore::notifyWatches(const std::vector<std::string> &changed)
 {
     std::vector<Watch> concerned;
-    const auto matches = [&key](const Watch &watch) {
-        return key.starts_with(watch.prefix);
+    const auto matches = [&changed](const Watch &watch) {
+        return std::any_of(
+            changed.begin(), changed.end(), [&watch](const std::string &key) { return key.starts_with(watch.prefix); });
     };
     std::copy_if(m_watches.begin(), m_watches.end(), std::back_inserter(concerned), matches);
     std::erase_if(m_watches, matches);
--- a/standins/StandinStore.h
+++ b/standins/StandinStore.h
@@ -60,7 +60,7 @@
     void record(StoreEntry entry, bool erased);
     void eraseKey(const std::string &key);
     void put(StoreEntry entry);
-    void notifyWatches(const std::string &key);
+    void notifyWatches(const std::vector<std::string> &changed);
     [[nodiscard]] StoreEvents eventsAfter(const std::string &prefix, StoreRevision after) const;
 
     static constexpr std::size_t HistoryLength = 20'000;
