Tenure: Give up delegated tasks that crash their workers

A long-running task that crashes its workers and was delegated to another partition was started without end: that partition did not judge it, its home never heard of crashes elsewhere, and the crashes from before the delegation were forgotten.

The counted crashes now move with the task, in the transaction that delegates it. Open runs stay at home, because only the partition of a worker may ask it: a task is not delegated while they might decide its verdict, and a crash that is proven later is sent after it together with the progress that shows it. Runs of the other partition have numbers above all runs at home, also of earlier terms, so that none is taken for another. Crashes up to a run that lived for 30 s count no more, even if they arrive again (cleared_run).

The partition in which the proof is complete stops starting the task and leaves the verdict in the inbox of the job's home, repeated every 5 s until the job ends (GivenUpTaskReporter), and after a take-over. The home fails the job, which ends its other tasks as any failure does, and erases the verdict once the end is stored. Verdicts that are late, that come twice or that name no delegated task do nothing. Records without the new members are read as before.

A pending delegation that a later one of the same job to the same partition includes is replaced, so that no transaction has a key twice. The code that moves tasks is now in TaskDelegation.

Ruled out: to let the other partition ask the workers of open runs (fencing tokens of two partitions don't compare); to count open runs as crashes (convicts tasks of workers that were merely cut off); to let it end the job itself.

TestCluster keeps lost workers unlisted when another worker crashes or an instance starts.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/RecordedLeaseExpiries.h"
 #include "scheduling/SchedulingPolicies.h"
 #include "scheduling/TakeOverRecovery.h"
+#include "scheduling/TaskDelegation.h"
 #include "scheduling/WorkerState.h"
 
 #include <functional>
@@ -42,6 +43,13 @@
     // A worker rejected an order because it has seen a higher fencing token, so this leader term is over.
     virtual void tokenRefused(const std::string &worker) = 0;
 
+    // A worker of this partition is proven to have crashed under a task before it was delegated to the other one, which
+    // has to know of it.
+    virtual void delegatedTaskCrashed(const std::string &job, const std::string &partition) = 0;
+
+    // A task of a job that another partition owns is given up. Only that partition may end the job.
+    virtual void delegatedTaskGivenUp(const std::string &job) = 0;
+
     // Logs a decision with the job, task or worker that it concerns and the inputs that led to it.
     virtual void logDecision(std::string_view event, const std::string &subject, const Json &inputs) = 0;
 };
@@ -129,7 +137,7 @@
     void restoreDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
         const Json &progress, const std::vector<DelegatedTask> &tasks);
 
-    // Takes tasks that another partition has newly delegated.
+    // Takes tasks that another partition has newly delegated, and what it has found out about those delegated before.
     void addDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
         const std::vector<DelegatedTask> &tasks);
 
@@ -137,10 +145,13 @@
     // has room now.
     [[nodiscard]] std::vector<UnplacedStep> unplacedLongRunning(Milliseconds longerThan) const;
 
-    // Delegates up to the given number of waiting tasks of a step to another partition. Returns all tasks of the job
-    // that are delegated to that partition. They must not be sent there before the progress of the job is recorded.
-    [[nodiscard]] std::vector<DelegatedTask> delegate(
-        const UnplacedStep &unplaced, const std::string &partition, int count);
+    // Delegates up to the given number of waiting tasks of a step to another partition. They must not be sent there
+    // before the progress of the job is recorded.
+    void delegate(const UnplacedStep &unplaced, const std::string &partition, int count);
+
+    // Fails a job because another partition has given up one of the named tasks, which were delegated to it. Returns
+    // false if the job has ended or none of them is one of its delegated tasks.
+    bool failDelegated(const std::string &id, const std::vector<DelegatedTask> &tasks);
 
     // Adds a newly accepted job.
     void add(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
@@ -208,7 +219,8 @@
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
-    void openDelegated(JobState &job, const std::vector<DelegatedTask> &tasks);
+    void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
+    [[nodiscard]] static bool isDelegable(const TaskState &task, bool recovering);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
@@ -301,6 +313,7 @@
     [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
+    void logGivenUp(const TaskName &task, const CrashHistory &history);
     void noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker);
     // Explains the lost runs of a worker by an answer of the given incarnation.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -26,8 +26,7 @@
     if (task.phase != RunPhase::Waiting || task.notBefore > m_environment.clock.now()) {
         return false;
     }
-    const bool isUnsuspected = task.crashes.isEmpty() || task.step->occurrence->job->ownedElsewhere;
-    return isUnsuspected || judge(task.crashes) == CrashVerdict::Retry;
+    return task.crashes.isEmpty() || judge(task.crashes) == CrashVerdict::Retry;
 }
 
 void JobScheduler::startPlaced(const std::vector<TaskState *> &tasks)
@@ -214,8 +213,11 @@
     m_environment.listener.logDecision("worker-crashed", worker.listing.name,
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"runs", std::move(runs)}});
     for (TaskState *task : suspects) {
+        const JobState &job = *task->step->occurrence->job;
         if (judge(task->crashes) == CrashVerdict::GiveUp) {
             giveUp(*task);
+        } else if (task->phase == RunPhase::Delegated && !task->delegatedTo.empty() && !job.isFinished()) {
+            m_environment.listener.delegatedTaskCrashed(job.specification.id, task->delegatedTo);
         }
     }
 }
@@ -223,16 +225,24 @@
 void JobScheduler::giveUp(TaskState &task)
 {
     JobState &job = *task.step->occurrence->job;
-    // Only the partition that owns the job may end it, and it does not learn of crashes elsewhere.
-    if (job.isFinished() || job.ownedElsewhere) {
+    if (job.isFinished()) {
         return;
     }
+    logGivenUp(nameOf(task), task.crashes);
+    if (job.ownedElsewhere) {
+        m_environment.listener.delegatedTaskGivenUp(job.specification.id);
+        return;
+    }
+    finish(job, JobPhase::Failed);
+}
+
+void JobScheduler::logGivenUp(const TaskName &task, const CrashHistory &history)
+{
     Json crashes = Json::array();
-    for (const auto &[run, crash] : task.crashes.crashes()) {
+    for (const auto &[run, crash] : history.crashes()) {
         crashes.push_back({{"run", run}, {"worker", crash.worker}, {"timing", nameOf(crash.timing)}});
     }
-    m_environment.listener.logDecision("task-given-up", nameOf(task).text(), {{"crashes", std::move(crashes)}});
-    finish(job, JobPhase::Failed);
+    m_environment.listener.logDecision("task-given-up", task.text(), {{"crashes", std::move(crashes)}});
 }
 
 void JobScheduler::noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker)
@@ -302,6 +312,7 @@
     task.endUnknown = false;
     if (task.step->specification().longRunning && !task.crashes.isEmpty()) {
         task.crashes.clear();
+        task.clearedRun = task.run;
         m_environment.listener.progressChanged(task.step->occurrence->job->specification.id);
     }
 }
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -1,7 +1,10 @@
 // JobScheduler: delegation of long-running tasks to other partitions, and tasks that they delegated to this one.
+#include "scheduling/CrashVerdict.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/PlacementSurvey.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -20,8 +23,7 @@
         job.finishedAt = m_environment.clock.now();
         return;
     }
-    openDelegated(job, tasks);
-    restoreCrashHistories(job, progress);
+    openDelegated(job, progress, tasks);
     awaitOpenRuns(job);
 }
 
@@ -32,27 +34,41 @@
     const auto known = m_jobs.find(id);
     if (known != m_jobs.end()) {
         JobState &job = *known->second;
-        if (job.ownedElsewhere && !job.isFinished()) {
-            acceptDelegated(job, tasks);
-            dispatchSoon();
+        if (!job.ownedElsewhere || job.isFinished()) {
+            return;
         }
+        for (TaskState *task : acceptDelegated(job, tasks)) {
+            if (judge(task->crashes) == CrashVerdict::GiveUp) {
+                giveUp(*task);
+            }
+        }
+        m_environment.listener.progressChanged(id);
+        dispatchSoon();
         return;
     }
     JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
     job.ownedElsewhere = true;
-    openDelegated(job, tasks);
+    openDelegated(job, Json::object(), tasks);
     m_environment.listener.progressChanged(id);
 }
 
-void JobScheduler::openDelegated(JobState &job, const std::vector<DelegatedTask> &tasks)
+void JobScheduler::openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks)
 {
     m_unfinishedJobs.push_back(&job);
     createDueOccurrences(job);
     markAllDelegated(job);
+    restoreCrashHistories(job, progress);
     acceptDelegated(job, tasks);
     dispatchSoon();
 }
 
+bool JobScheduler::isDelegable(const TaskState &task, bool recovering)
+{
+    // A task whose open runs may still decide its verdict waits for it here, because only this partition can ask.
+    return task.phase == RunPhase::Waiting && !(recovering && mayRunUnknown(task))
+        && judge(task.crashes) == CrashVerdict::Retry;
+}
+
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
 {
     const Instant now = m_environment.clock.now();
@@ -66,7 +82,8 @@
             for (const StepState &step : occurrence.steps) {
                 const StepSpecification &specification = step.specification();
                 const bool movable = specification.longRunning && !specification.gang && specification.after.empty();
-                const int ready = readyCount(step, recovering);
+                const auto ready = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
+                    [recovering](const TaskState &task) { return isDelegable(task, recovering); }));
                 const bool waits = ready > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
                 if (movable && waits && surveyPlacement(m_workers, step, now).available == 0) {
                     steps.push_back({job->specification.id, step.number, ready});
@@ -77,33 +94,48 @@
     return steps;
 }
 
-std::vector<DelegatedTask> JobScheduler::delegate(const UnplacedStep &unplaced, const std::string &partition, int count)
+void JobScheduler::delegate(const UnplacedStep &unplaced, const std::string &partition, int count)
 {
     const auto found = m_jobs.find(unplaced.job);
     if (found == m_jobs.end() || found->second->isFinished()) {
-        return {};
+        return;
     }
-    JobState &job = *found->second;
     const bool recovering = isRecovering();
-    std::vector<DelegatedTask> all;
-    for (auto &[number, occurrence] : job.occurrences) {
+    for (auto &[number, occurrence] : found->second->occurrences) {
         for (StepState &step : occurrence.steps) {
             for (TaskState &task : step.tasks) {
-                const bool ready = task.phase == RunPhase::Waiting && !(recovering && mayRunUnknown(task));
-                if (step.number == unplaced.step && ready && count > 0) {
-                    --count;
-                    --step.waitingCount;
-                    task.phase = RunPhase::Delegated;
-                    task.delegatedTo = partition;
-                }
-                if (task.delegatedTo == partition) {
-                    all.push_back({nameOf(task), task.run});
+                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, recovering)) {
+                    continue;
                 }
+                --count;
+                --step.waitingCount;
+                task.phase = RunPhase::Delegated;
+                task.delegatedTo = partition;
+                // Runs of earlier terms are not known to this one, and the other partition must use none of their
+                // numbers, because crashes are kept by run.
+                task.run = std::max(task.run, m_firstRunNumber - 1);
             }
         }
     }
     m_environment.listener.progressChanged(unplaced.job);
-    return all;
+}
+
+bool JobScheduler::failDelegated(const std::string &id, const std::vector<DelegatedTask> &tasks)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->isFinished() || found->second->ownedElsewhere) {
+        return false;
+    }
+    JobState &job = *found->second;
+    for (const DelegatedTask &delegated : tasks) {
+        const TaskState *task = delegated.task.job == id ? job.find(delegated.task) : nullptr;
+        if (task != nullptr && task->phase == RunPhase::Delegated) {
+            logGivenUp(delegated.task, delegated.crashes);
+            finish(job, JobPhase::Failed);
+            return true;
+        }
+    }
+    return false;
 }
 
 }
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -16,13 +16,16 @@
 // Returns the progress of a task that the store keeps besides its completion, or null if there is none.
 Json describeTask(const TaskState &task)
 {
-    const bool isEmpty
-        = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty() && task.crashes.isEmpty();
+    const bool isEmpty = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty()
+        && task.crashes.isEmpty() && task.clearedRun == 0;
     if (task.phase == RunPhase::Done || isEmpty) {
         return nullptr;
     }
     Json document = {{"index", task.index}, {"failed_runs", task.failedRuns}, {"checkpoint", task.checkpoint}};
     task.crashes.describe(document);
+    if (task.clearedRun > 0) {
+        document["cleared_run"] = task.clearedRun;
+    }
     if (!task.delegatedTo.empty()) {
         document["delegated_to"] = task.delegatedTo;
         document["last_run"] = task.run;
@@ -30,6 +33,13 @@
     return document;
 }
 
+void restoreCrashes(TaskState &task, const Json &entry)
+{
+    task.crashes = CrashHistory::parse(entry);
+    const std::int64_t cleared = memberOr(entry, "cleared_run", std::int64_t {0});
+    task.clearedRun = static_cast<std::uint64_t>(std::max(std::int64_t {0}, cleared));
+}
+
 Json describeStep(const StepState &step)
 {
     std::string completed(step.tasks.size(), '0');
@@ -68,7 +78,7 @@
         }
         TaskState &task = step.tasks[static_cast<std::size_t>(index)];
         task.failedRuns = memberOr(entry, "failed_runs", std::set<std::uint64_t>());
-        task.crashes = CrashHistory::parse(entry);
+        restoreCrashes(task, entry);
         task.checkpoint = memberOr(entry, "checkpoint", std::string());
         task.delegatedTo = memberOr(entry, "delegated_to", std::string());
         if (!task.delegatedTo.empty() && task.phase == RunPhase::Waiting) {
@@ -170,30 +180,6 @@
     return occurrence;
 }
 
-void acceptDelegated(JobState &job, const std::vector<DelegatedTask> &tasks)
-{
-    for (const DelegatedTask &delegated : tasks) {
-        TaskState *task = job.find(delegated.task);
-        if (task != nullptr && task->phase == RunPhase::Delegated) {
-            task->phase = RunPhase::Waiting;
-            task->delegatorLastRun = delegated.lastRun;
-            ++task->step->waitingCount;
-        }
-    }
-}
-
-void markAllDelegated(JobState &job)
-{
-    for (auto &[number, occurrence] : job.occurrences) {
-        for (StepState &step : occurrence.steps) {
-            for (TaskState &task : step.tasks) {
-                task.phase = RunPhase::Delegated;
-            }
-            step.waitingCount = 0;
-        }
-    }
-}
-
 Json describeProgress(const JobState &job)
 {
     Json document = {{"phase", nameOf(job.phase)}};
@@ -251,7 +237,7 @@
             for (const Json &entry : memberOr(steps[i], "tasks", Json::array())) {
                 const int index = memberOr(entry, "index", -1);
                 if (index >= 0 && static_cast<std::size_t>(index) < tasks.size()) {
-                    tasks[static_cast<std::size_t>(index)].crashes = CrashHistory::parse(entry);
+                    restoreCrashes(tasks[static_cast<std::size_t>(index)], entry);
                 }
             }
         }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -64,6 +64,8 @@
     std::set<std::uint64_t> failedRuns;
     // Runs under which workers crashed, and runs whose end is not known.
     CrashHistory crashes;
+    // A run that lived so long that crashes under it and earlier runs count no more, or 0.
+    std::uint64_t clearedRun = 0;
     // When the first start order of the current run was sent, or when the run was adopted.
     std::optional<Instant> runStartedAt;
     // Whether a worker has confirmed that it runs the current run or did so.
@@ -193,16 +195,6 @@
     std::set<std::string> formerDelegates;
 };
 
-// A task that one partition delegates to another one.
-struct DelegatedTask
-{
-    TaskName task;
-    // Number of its last run in the delegating partition.
-    std::uint64_t lastRun = 0;
-
-    bool operator==(const DelegatedTask &) const = default;
-};
-
 // Returns the full name of a task.
 [[nodiscard]] TaskName nameOf(const TaskState &task);
 
@@ -213,13 +205,6 @@
 // memory afterwards.
 OccurrenceState &createOccurrence(JobState &job, std::int64_t number);
 
-// Makes the named tasks of a job that another partition owns wait for workers of this one. Tasks that were delegated to
-// this partition before are left unchanged.
-void acceptDelegated(JobState &job, const std::vector<DelegatedTask> &tasks);
-
-// Marks all tasks of a job that another partition owns as run elsewhere. acceptDelegated() then takes some of them.
-void markAllDelegated(JobState &job);
-
 // Returns the progress that must survive a take-over: the phase, finished tasks, failed runs, crashes and open runs,
 // checkpoints and delegations.
 [[nodiscard]] Json describeProgress(const JobState &job);
@@ -227,7 +212,7 @@
 // Applies the document that describeProgress() returned to a job that has no occurrences yet.
 void restoreProgress(JobState &job, const Json &document);
 
-// Applies only the crash histories of that document, to a job whose occurrences exist already.
+// Adds only the crash histories of that document, to a job whose occurrences exist already.
 void restoreCrashHistories(JobState &job, const Json &document);
 
 }
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -137,6 +137,14 @@
     {
     }
 
+    void delegatedTaskCrashed(const std::string &, const std::string &) override
+    {
+    }
+
+    void delegatedTaskGivenUp(const std::string &) override
+    {
+    }
+
     void logDecision(std::string_view event, const std::string &, const Json &inputs) override
     {
         m_decisions[std::string(event)].push_back(inputs);
@@ -313,6 +321,12 @@
         void tokenRefused(const std::string &) override
         {
         }
+        void delegatedTaskCrashed(const std::string &, const std::string &) override
+        {
+        }
+        void delegatedTaskGivenUp(const std::string &) override
+        {
+        }
         void logDecision(std::string_view, const std::string &, const Json &) override
         {
         }
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -62,10 +62,18 @@
 
 void JobJournal::delegate(const std::string &job, std::vector<StoreWrite> writes)
 {
-    m_delegations.push_back({job, std::move(writes)});
+    PendingDelegation delegation {job, std::move(writes)};
+    std::erase_if(
+        m_delegations, [&delegation](const PendingDelegation &earlier) { return delegation.replaces(earlier); });
+    m_delegations.push_back(std::move(delegation));
     schedule(Urgency::High);
 }
 
+bool JobJournal::PendingDelegation::replaces(const PendingDelegation &earlier) const
+{
+    return job == earlier.job && writes.front().key == earlier.writes.front().key;
+}
+
 void JobJournal::requestSync()
 {
     m_syncRequested = true;
@@ -345,6 +353,10 @@
     }
     // Keeps values that were put in the meantime, because they are newer.
     m_puts.merge(batch.puts);
+    std::erase_if(batch.delegations, [this](const PendingDelegation &earlier) {
+        return std::any_of(m_delegations.begin(), m_delegations.end(),
+            [&earlier](const PendingDelegation &delegation) { return delegation.replaces(earlier); });
+    });
     m_delegations.insert(m_delegations.begin(), std::make_move_iterator(batch.delegations.begin()),
         std::make_move_iterator(batch.delegations.end()));
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -95,7 +95,8 @@
     // Schedules the job's progress to be written.
     void progressChanged(const std::string &job, Urgency urgency);
 
-    // Schedules the job's progress to be written in one transaction with the given keys of another partition.
+    // Schedules the job's progress to be written in one transaction with the given keys of another partition. Replaces
+    // a pending delegation whose first key is the same.
     void delegate(const std::string &job, std::vector<StoreWrite> writes);
 
     // Requests onSyncStarting() and onSynced() even if no job has changed.
@@ -122,6 +123,8 @@
     {
         std::string job;
         std::vector<StoreWrite> writes;
+
+        [[nodiscard]] bool replaces(const PendingDelegation &earlier) const;
     };
 
     // A transaction in flight and what to do once it has been committed.
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -73,6 +73,12 @@
     return inbox(partition) + "2-cancel-" + job;
 }
 
+// Returns the key of the request to fail a job because another partition has given up a delegated task of it.
+[[nodiscard]] inline std::string inboxGivenUp(const std::string &partition, const std::string &job)
+{
+    return inbox(partition) + "3-give-up-" + job;
+}
+
 // Returns the prefix of everything that an owner reads at the start of its leader term.
 [[nodiscard]] inline std::string partition(const std::string &partition)
 {
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -8,12 +8,44 @@
 namespace
 {
 
+Json describe(const std::vector<DelegatedTask> &tasks)
+{
+    Json document = Json::array();
+    for (const DelegatedTask &delegated : tasks) {
+        Json entry = {{"task", delegated.task.text()}, {"last_run", delegated.lastRun}};
+        delegated.crashes.describe(entry);
+        document.push_back(std::move(entry));
+    }
+    return document;
+}
+
+// Returns nothing if the task has no valid name.
+std::optional<DelegatedTask> parseDelegatedTask(const Json &entry)
+{
+    const std::optional<TaskName> task = TaskName::parse(memberOr(entry, "task", std::string()));
+    if (!task) {
+        return std::nullopt;
+    }
+    return DelegatedTask {*task, memberOr(entry, "last_run", std::uint64_t {0}), CrashHistory::parse(entry)};
+}
+
+std::vector<DelegatedTask> parseGivenUpTasks(const Json &entries)
+{
+    std::vector<DelegatedTask> tasks;
+    for (const Json &entry : entries) {
+        if (std::optional<DelegatedTask> task = parseDelegatedTask(entry)) {
+            tasks.push_back(*std::move(task));
+        }
+    }
+    return tasks;
+}
+
 Json describe(const JobRecord &record)
 {
     Json document = {{"job", describe(record.specification)}, {"policy", describe(record.policy)},
         {"accepted_ms", record.acceptedWall}};
-    for (const DelegatedTask &delegated : record.delegated) {
-        document["delegated"].push_back({{"task", delegated.task.text()}, {"last_run", delegated.lastRun}});
+    if (!record.delegated.empty()) {
+        document["delegated"] = describe(record.delegated);
     }
     return document;
 }
@@ -29,18 +61,18 @@
     record.policy = parseQueuePolicy(memberOr(document, "policy", Json::object()));
     record.acceptedWall = memberOr(document, "accepted_ms", std::int64_t {0});
     for (const Json &member : memberOr(document, "delegated", Json::array())) {
-        const std::optional<TaskName> task = TaskName::parse(memberOr(member, "task", std::string()));
+        std::optional<DelegatedTask> task = parseDelegatedTask(member);
         if (!task) {
             return Error {ErrorKind::InvalidInput, "a delegated task in the job record has an invalid name",
                 "run the same version on all instances"};
         }
-        record.delegated.push_back({*task, memberOr(member, "last_run", std::uint64_t {0})});
+        record.delegated.push_back(*std::move(task));
     }
     return record;
 }
 
-constexpr NameTable<InboxRequest, 3> RequestNames {
-    {{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"}, {InboxRequest::Delegate, "delegate"}}}};
+constexpr NameTable<InboxRequest, 4> RequestNames {{{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"},
+    {InboxRequest::Delegate, "delegate"}, {InboxRequest::GiveUp, "give-up"}}}};
 
 }
 
@@ -69,6 +101,9 @@
     if (entry.record) {
         document["record"] = describe(*entry.record);
     }
+    if (!entry.givenUp.empty()) {
+        document["given_up"] = describe(entry.givenUp);
+    }
     return writeJson(document);
 }
 
@@ -90,6 +125,10 @@
     if (entry.request == InboxRequest::Cancel) {
         return entry;
     }
+    if (entry.request == InboxRequest::GiveUp) {
+        entry.givenUp = parseGivenUpTasks(memberOr(document, "given_up", Json::array()));
+        return entry;
+    }
     Result<JobRecord> record = parseRecord(memberOr(document, "record", Json()));
     if (const Error *error = errorOf(record)) {
         return *error;
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/JobState.h"
 #include "scheduling/QueuePolicy.h"
+#include "scheduling/TaskDelegation.h"
 
 #include <optional>
 
@@ -33,6 +34,8 @@
     Cancel,
     // Runs some tasks of a job whose home is another partition.
     Delegate,
+    // Fails a job because the partition to which some of its tasks were delegated has given them up.
+    GiveUp,
 };
 
 [[nodiscard]] std::string_view nameOf(InboxRequest request);
@@ -42,8 +45,10 @@
 {
     InboxRequest request = InboxRequest::Submit;
     std::string job;
-    // Not set in cancellations.
+    // Set in submissions and delegations only.
     std::optional<JobRecord> record;
+    // The tasks that were given up.
+    std::vector<DelegatedTask> givenUp = {};
 };
 
 [[nodiscard]] std::string serialize(const InboxEntry &entry);
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -31,6 +31,7 @@
                          m_environment.policies},
           limits.scheduling, m_position.ownerRevision, m_position.term)
     , m_journal(m_environment.store, m_environment.scheduler, *this, m_position)
+    , m_givenUpReporter(m_environment.clock, m_environment.store, m_jobScheduler, m_journal)
     , m_inbox([this](const std::string &key) { onInboxChanged(key); })
     , m_inboxFeed(
           m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWatchTime)
@@ -143,17 +144,21 @@
 
 void PartitionLeader::cancelLocally(const JobState &job, std::function<void(bool)> handler)
 {
-    const std::string id = job.specification.id;
-    const bool recorded = job.isFinished() && job.recordedPhase == job.phase;
-    if (recorded) {
-        handler(true);
-        return;
-    }
-    m_cancelHandlers.emplace(id, std::move(handler));
-    if (!job.isFinished()) {
+    const bool isNew = !job.isFinished();
+    if (isNew) {
         cancelDelegated(job);
+        m_jobScheduler.cancel(job.specification.id);
+    }
+    whenEndRecorded(job, std::move(handler));
+}
+
+void PartitionLeader::whenEndRecorded(const JobState &job, std::function<void(bool)> handler)
+{
+    if (job.recordedPhase == job.phase) {
+        handler(true);
+    } else {
+        m_endHandlers.emplace(job.specification.id, std::move(handler));
     }
-    m_jobScheduler.cancel(id);
 }
 
 std::optional<JobPhase> PartitionLeader::phaseOf(const std::string &id) const
@@ -205,6 +210,7 @@
         return;
     }
     m_jobScheduler.tick();
+    m_givenUpReporter.tick();
     const Instant now = m_environment.clock.now();
     if (m_recordedLeaseDuration > m_limits.scheduling.lease && now >= m_earlierLeasesExpireAt) {
         m_recordedLeaseDuration = m_limits.scheduling.lease;
@@ -333,12 +339,12 @@
     if (state == nullptr || !state->isFinished() || state->recordedPhase != state->phase) {
         return;
     }
-    const auto [first, last] = m_cancelHandlers.equal_range(job);
+    const auto [first, last] = m_endHandlers.equal_range(job);
     std::vector<std::function<void(bool)>> handlers;
     for (auto entry = first; entry != last; ++entry) {
         handlers.push_back(std::move(entry->second));
     }
-    m_cancelHandlers.erase(first, last);
+    m_endHandlers.erase(first, last);
     for (const auto &handler : handlers) {
         handler(true);
     }
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -2,6 +2,7 @@
 
 #include "configuration/PrefixWatcher.h"
 #include "scheduling/JobScheduler.h"
+#include "tenure/GivenUpTaskReporter.h"
 #include "tenure/JobJournal.h"
 #include "tenure/PartitionChoice.h"
 
@@ -85,6 +86,8 @@
     void runEndsReported() override;
     void leaseHoldersChanged() override;
     void tokenRefused(const std::string &worker) override;
+    void delegatedTaskCrashed(const std::string &job, const std::string &partition) override;
+    void delegatedTaskGivenUp(const std::string &job) override;
     void logDecision(std::string_view what, const std::string &subject, const Json &inputs) override;
 
     // JobJournalClient
@@ -102,11 +105,20 @@
     void restoreJob(const StoreEntry &entry, const std::string *progress);
     void cancelLocally(const JobState &job, std::function<void(bool)> handler);
 
+    // Fails a job by the verdict of another partition. Erases the verdict's key once the store has the end of the job.
+    void failDelegated(const JobState &job, const std::string &key, const InboxEntry &verdict);
+
+    // Calls the handler with true once the store has the end of a job that has ended.
+    void whenEndRecorded(const JobState &job, std::function<void(bool)> handler);
+
     // Sends the cancellation to the partitions that run some of the job's tasks.
     void cancelDelegated(const JobState &job);
 
     // Delegates long-running tasks that find no worker to partitions with headroom.
     void delegateUnplacedTasks();
+
+    // Sends all tasks of the job that are delegated to the partition there, with the crashes under them.
+    void sendDelegated(const JobState &job, const std::string &partition);
     void endTerm(const std::string &reason);
     void writeLeaseHolders();
     void writeInterferenceModel();
@@ -128,6 +140,7 @@
     std::map<std::string, std::int64_t> m_pendingLongRunningMilliCores;
     JobScheduler m_jobScheduler;
     JobJournal m_journal;
+    GivenUpTaskReporter m_givenUpReporter;
     VersionedEntries m_inbox;
     PrefixWatcher m_inboxFeed;
     bool m_loaded = false;
@@ -135,7 +148,7 @@
     std::map<std::string, WorkerListing> m_listedWorkers;
     std::map<std::string, RunEndPosition> m_endsBeingRecorded;
     std::set<RunName> m_startsBeingRecorded;
-    std::multimap<std::string, std::function<void(bool)>> m_cancelHandlers;
+    std::multimap<std::string, std::function<void(bool)>> m_endHandlers;
     bool m_leaseHoldersDirty = false;
     // The last record of the lease holders that was put into the journal.
     std::string m_leaseHolderRecord;
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -38,18 +38,35 @@
         }
         m_headrooms[choice->partition][job.policy.pool].reserveForLongRunning(
             choice->count * WorkerState::countedDemand(step).milliCores);
-        JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
-        record.delegated = m_jobScheduler.delegate(unplaced, choice->partition, choice->count);
+        m_jobScheduler.delegate(unplaced, choice->partition, choice->count);
         m_environment.log("tasks-delegated", unplaced.job,
             {{"partition", choice->partition}, {"step", unplaced.step}, {"count", choice->count},
                 {"waiting", unplaced.waiting}});
-        const InboxEntry entry {InboxRequest::Delegate, unplaced.job, record};
-        m_journal.delegate(unplaced.job,
-            {{JobKeys::jobs(choice->partition) + unplaced.job, serialize(record), std::nullopt, 0},
-                {JobKeys::inboxDelegation(choice->partition, unplaced.job), serialize(entry), std::nullopt, 0}});
+        sendDelegated(job, choice->partition);
     }
 }
 
+void PartitionLeader::sendDelegated(const JobState &job, const std::string &partition)
+{
+    const std::string &id = job.specification.id;
+    const JobRecord record {job.specification, job.policy, job.acceptedWall, tasksDelegatedTo(job, partition)};
+    const InboxEntry entry {InboxRequest::Delegate, id, record};
+    m_journal.delegate(id,
+        {{JobKeys::jobs(partition) + id, serialize(record), std::nullopt, 0},
+            {JobKeys::inboxDelegation(partition, id), serialize(entry), std::nullopt, 0}});
+}
+
+void PartitionLeader::delegatedTaskCrashed(const std::string &job, const std::string &partition)
+{
+    m_environment.log("crash-forwarded", job, {{"partition", partition}});
+    sendDelegated(*m_jobScheduler.find(job), partition);
+}
+
+void PartitionLeader::delegatedTaskGivenUp(const std::string &job)
+{
+    m_givenUpReporter.add(job);
+}
+
 void PartitionLeader::onInboxChanged(const std::string &key)
 {
     const StoreEntry *entry = m_inbox.find(key);
@@ -85,7 +102,25 @@
         m_journal.erase(key);
         return;
     }
+    if (entry.request == InboxRequest::GiveUp) {
+        failDelegated(*job, key, entry);
+        return;
+    }
     cancelLocally(*job, [this, key](bool) { m_journal.erase(key); });
 }
 
+void PartitionLeader::failDelegated(const JobState &job, const std::string &key, const InboxEntry &verdict)
+{
+    const bool concernsJob = m_jobScheduler.failDelegated(verdict.job, verdict.givenUp);
+    if (!concernsJob && !job.isFinished()) {
+        m_environment.log("verdict-ignored", verdict.job, {{"tasks", verdict.givenUp.size()}});
+    }
+    if (job.isFinished()) {
+        // The verdict must not be lost before the store has the end of the job.
+        whenEndRecorded(job, [this, key](bool) { m_journal.erase(key); });
+    } else {
+        m_journal.erase(key);
+    }
+}
+
 }
--- a/source/tenure/tests/DelegationTest.cpp
+++ b/source/tenure/tests/DelegationTest.cpp
@@ -139,6 +139,183 @@
 namespace
 {
 
+constexpr Milliseconds ShortDelay {10};
+const TaskName Crashing {"job", 0, 0, 0};
+
+// A long-running task crashes its worker. The worker comes back without room for it, so that the task is delegated.
+class DelegatedCrash : public testing::Test
+{
+protected:
+    DelegatedCrash() : m_cluster(Regions)
+    {
+        m_cluster.advance(Second * 3);
+    }
+
+    // Submits a job whose first task crashes each worker so long after its start, and waits for the first crash.
+    void submitCrashing(Milliseconds after, Milliseconds downtimeAtHome)
+    {
+        setBehaviour(FakeWorkers::Crash {after, 0});
+        m_cluster.owner()->router.submit(
+            longRunningJob("job"), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+        for (int i = 0; i < 500 && crashes() == 0; ++i) {
+            m_cluster.advance(Milliseconds(20));
+            for (const std::string name : {"worker-0", "worker-2"}) {
+                m_cluster.workers.setRecovery(name, {FakeWorkers::Recovery::Identity::SameName, downtimeAtHome});
+            }
+        }
+        ASSERT_EQ(crashes(), 1);
+        for (const std::string name : {"worker-0", "worker-2"}) {
+            m_cluster.workers.setCapacity(name, {500, 8'000, 0});
+        }
+    }
+
+    void setBehaviour(std::optional<FakeWorkers::Crash> crash)
+    {
+        FakeWorkers::Behaviour behaviour;
+        behaviour.lasting = true;
+        behaviour.crash = crash;
+        m_cluster.workers.setBehaviour("job", behaviour);
+    }
+
+    [[nodiscard]] int crashes() const
+    {
+        return m_cluster.workers.crashesUnder(Crashing);
+    }
+
+    [[nodiscard]] const TaskState &taskIn(const std::string &partition)
+    {
+        const JobScheduler &jobs = m_cluster.ownerOf(partition)->ownership.leader(partition)->jobScheduler();
+        return jobs.find("job")->occurrences.at(0).steps[0].tasks[0];
+    }
+
+    void restart(const std::string &partition)
+    {
+        const TestInstance *owner = m_cluster.ownerOf(partition);
+        if (owner != nullptr) {
+            const int number = owner->self.name.back() - '0';
+            m_cluster.kill(number);
+            m_cluster.start(number);
+        }
+    }
+
+    void putIntoInbox(const std::string &partition, const std::string &value)
+    {
+        StoreTransaction transaction;
+        transaction.writes = {{JobKeys::inboxGivenUp(partition, "job"), value, {}, 0}};
+        ASSERT_EQ(errorOf(m_cluster.state.commit(transaction)), nullptr);
+    }
+
+    void expectGivenUp(std::size_t starts)
+    {
+        EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Failed);
+        EXPECT_EQ(m_cluster.workers.startCount(Crashing), starts);
+        EXPECT_EQ(m_cluster.workers.runningCount(), 0U);
+        EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+        EXPECT_TRUE(m_cluster.state.list(JobKeys::inbox("a")).entries.empty());
+        EXPECT_TRUE(m_cluster.state.list(JobKeys::inbox("b")).entries.empty());
+    }
+
+    TestCluster m_cluster;
+};
+
+}
+
+TEST_F(DelegatedCrash, isGivenUpByTheOtherPartitionAndEndsTheJob)
+{
+    submitCrashing(ShortDelay, Second);
+    m_cluster.advance(Second * 60);
+    expectGivenUp(2);
+}
+
+// Three late crashes prove that the task is the cause, wherever they happened.
+TEST_F(DelegatedCrash, countsCrashesBeforeTheDelegation)
+{
+    submitCrashing(Second * 3, Second);
+    m_cluster.advance(Second * 60);
+    expectGivenUp(3);
+}
+
+// The worker at home comes back after the task was delegated, and only then it is known that it had crashed.
+TEST_F(DelegatedCrash, countsACrashThatIsProvenAfterTheDelegation)
+{
+    submitCrashing(Second * 3, Second * 8);
+    m_cluster.advance(Second * 60);
+    expectGivenUp(3);
+}
+
+TEST_F(DelegatedCrash, isGivenUpAlthoughTheOtherOwnerIsKilledAfterEachCrash)
+{
+    submitCrashing(ShortDelay, Second);
+    for (int seen = crashes(), i = 0; i < 3'000; ++i) {
+        m_cluster.advance(Milliseconds(20));
+        if (crashes() > seen) {
+            seen = crashes();
+            restart("b");
+        }
+    }
+    expectGivenUp(3);
+}
+
+TEST_F(DelegatedCrash, isGivenUpAlthoughTheHomeOwnerIsKilledAfterEachCrash)
+{
+    submitCrashing(Second * 3, Second * 8);
+    for (int seen = crashes(), i = 0; i < 3'000; ++i) {
+        m_cluster.advance(Milliseconds(20));
+        if (crashes() > seen) {
+            seen = crashes();
+            restart("a");
+        }
+    }
+    expectGivenUp(3);
+}
+
+// The task has stopped to crash its workers. What is known of the time before must not count against it for ever.
+TEST_F(DelegatedCrash, staysClearedAfterATakeOverOfTheOtherPartition)
+{
+    submitCrashing(Second * 3, Second);
+    setBehaviour({});
+    m_cluster.advance(Second * 60);
+    ASSERT_EQ(taskIn("b").phase, RunPhase::Running);
+    EXPECT_TRUE(taskIn("b").crashes.isEmpty());
+    restart("b");
+    m_cluster.advance(Second * 6);
+    EXPECT_EQ(taskIn("b").phase, RunPhase::Running);
+    EXPECT_TRUE(taskIn("b").crashes.isEmpty());
+    EXPECT_EQ(m_cluster.workers.startCount(Crashing), 2U);
+}
+
+TEST_F(DelegatedCrash, doesNotEndAJobByAVerdictThatNamesNoneOfItsTasks)
+{
+    submitCrashing(Second * 3, Second);
+    setBehaviour({});
+    m_cluster.advance(Second * 10);
+    putIntoInbox(
+        "a", R"({"request":"give-up","job":"job","given_up":[7,{"task":"other.0.0.0"},{"task":"job.0.0.9"}]})");
+    m_cluster.advance(Second * 2);
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Running);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    EXPECT_TRUE(m_cluster.state.list(JobKeys::inbox("a")).entries.empty());
+}
+
+TEST_F(DelegatedCrash, doesNotChangeTheEndOfACancelledJobByALateVerdict)
+{
+    submitCrashing(Second * 3, Second);
+    setBehaviour({});
+    m_cluster.advance(Second * 10);
+    m_cluster.owner()->router.cancel("job", m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second * 3);
+    for (int i = 0; i < 2; ++i) {
+        putIntoInbox("a", R"({"request":"give-up","job":"job","given_up":[{"task":"job.0.0.0"}]})");
+        m_cluster.advance(Second * 2);
+        EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Cancelled);
+        EXPECT_TRUE(m_cluster.state.list(JobKeys::inbox("a")).entries.empty());
+    }
+    EXPECT_EQ(m_cluster.workers.runningCount(), 0U);
+}
+
+namespace
+{
+
 enum class Event {
     Kill,
     Start,
@@ -151,24 +328,41 @@
     LoseWorker,
     ReturnWorkers,
     Cancel,
+    CrashWorker,
+    // The process of a partition's owner starts anew, or does not.
+    RestartOwner,
+    KillOwner,
     Count,
 };
 
 // Applies cancellations, faults and losses of workers to long-running jobs whose tasks are delegated between
-// partitions.
+// partitions. A task of a further job may crash its workers.
 class DelegationHistory
 {
 public:
-    DelegationHistory() : m_cluster(Regions)
+    explicit DelegationHistory(std::optional<FakeWorkers::Crash> crash = {}) : m_cluster(Regions), m_crash(crash)
     {
         wait(Milliseconds(3'000));
-        for (int i = 0; i < JobCount; ++i) {
-            const std::string id = jobName(i);
-            m_cluster.workers.setBehaviour(id, {Milliseconds(100), 0, true});
-            m_cluster.owner()->router.submit(
-                longRunningJob(id), m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+        for (int i = 0; i < InnocentJobs; ++i) {
+            submit(i, {});
         }
         wait(Milliseconds(1'000));
+        if (crash) {
+            submit(InnocentJobs, crash);
+            wait(Milliseconds(100));
+        }
+    }
+
+    // The workers come back under their names or under new ones, sooner or later.
+    void setUpWorkers(int choice)
+    {
+        for (int i = 0; i < TestCluster::WorkerCount; ++i, choice /= 2) {
+            FakeWorkers::Recovery recovery;
+            recovery.identity = choice % 2 == 0 ? FakeWorkers::Recovery::Identity::SameName
+                                                : FakeWorkers::Recovery::Identity::NewName;
+            recovery.downtime = Milliseconds(500 + choice % 5 * 2'000);
+            m_cluster.workers.setRecovery(m_cluster.workerName(i), recovery);
+        }
     }
 
     void apply(Event event, int choice)
@@ -185,6 +379,10 @@
             m_lostWorkers.insert("worker-" + std::to_string(choice % TestCluster::WorkerCount));
         } else if (event == Event::ReturnWorkers) {
             m_lostWorkers.clear();
+        } else if (event == Event::CrashWorker) {
+            m_cluster.workers.crash(m_cluster.workerName(choice % TestCluster::WorkerCount));
+        } else if (event == Event::RestartOwner || event == Event::KillOwner) {
+            endOwner(choice % 2 == 0 ? "a" : "b", event);
         } else if (instance != nullptr) {
             injectFault(*instance, event, choice);
         }
@@ -203,19 +401,28 @@
         }
         applyWorkerLoss();
         wait(Milliseconds(30'000));
+        constexpr int MostPauses = 12;
+        const std::string crashing = jobName(InnocentJobs);
+        for (int i = 0; m_crash && i < MostPauses && isUnfinished(m_cluster.phaseOf(crashing)); ++i) {
+            wait(Milliseconds(5'000));
+        }
     }
 
-    // Checks that all tasks of every accepted job that was not cancelled run, and no others.
+    // Checks that all tasks of every accepted job that has not ended run, and no others. A job fails if one of its
+    // tasks crashes its workers, and none does without two crashes of workers under a task of it.
     void check()
     {
         RC_ASSERT(m_cluster.workers.violations() == std::vector<std::string>());
         std::size_t expected = 0;
-        for (int i = 0; i < JobCount; ++i) {
+        for (int i = 0; i < jobCount(); ++i) {
             const std::optional<JobPhase> phase = m_cluster.phaseOf(jobName(i));
-            expected += phase == JobPhase::Running || phase == JobPhase::Pending ? TasksPerJob : 0U;
+            const bool isUnfinishedJob = isUnfinished(phase);
+            expected += isUnfinishedJob ? TasksPerJob : 0U;
+            RC_ASSERT(!isUnfinishedJob || i < InnocentJobs);
+            RC_ASSERT(phase != JobPhase::Failed || m_cluster.workers.mayFail(jobName(i)));
         }
         RC_ASSERT(m_cluster.workers.runningCount() == expected);
-        for (int i = 0; i < JobCount; ++i) {
+        for (int i = 0; i < jobCount(); ++i) {
             m_cluster.instances[0]->router.cancel(
                 jobName(i), m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
         }
@@ -230,14 +437,47 @@
     }
 
 private:
-    static constexpr int JobCount = 2;
+    static constexpr int InnocentJobs = 2;
     static constexpr std::size_t TasksPerJob = 2;
 
+    [[nodiscard]] int jobCount() const
+    {
+        return InnocentJobs + (m_crash ? 1 : 0);
+    }
+
+    void submit(int number, std::optional<FakeWorkers::Crash> crash)
+    {
+        FakeWorkers::Behaviour behaviour;
+        behaviour.lasting = true;
+        behaviour.crash = crash;
+        m_cluster.workers.setBehaviour(jobName(number), behaviour);
+        m_cluster.owner()->router.submit(
+            longRunningJob(jobName(number)), m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+    }
+
     [[nodiscard]] static std::string jobName(int number)
     {
         return "job-" + std::to_string(number);
     }
 
+    [[nodiscard]] static bool isUnfinished(const std::optional<JobPhase> &phase)
+    {
+        return phase == JobPhase::Running || phase == JobPhase::Pending;
+    }
+
+    void endOwner(const std::string &partition, Event event)
+    {
+        const TestInstance *owner = m_cluster.ownerOf(partition);
+        if (owner == nullptr) {
+            return;
+        }
+        const int number = owner->self.name.back() - '0';
+        m_cluster.kill(number);
+        if (event == Event::RestartOwner) {
+            m_cluster.start(number);
+        }
+    }
+
     void applyWorkerLoss()
     {
         for (const auto &[number, instance] : m_cluster.instances) {
@@ -262,11 +502,12 @@
             instance.gateway.lateOrders = 1 + choice % 4;
         } else if (event == Event::Cancel && choice % 5 == 0) {
             instance.router.cancel(
-                jobName(choice % JobCount), m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+                jobName(choice % jobCount()), m_cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
         }
     }
 
     TestCluster m_cluster;
+    std::optional<FakeWorkers::Crash> m_crash;
     std::set<std::string> m_lostWorkers;
 };
 
@@ -288,4 +529,38 @@
     history.check();
 }
 
+namespace
+{
+
+void checkCrashingHistory(Milliseconds crashAfter)
+{
+    DelegationHistory history(FakeWorkers::Crash {crashAfter, *rc::gen::inRange(0, 2)});
+    history.setUpWorkers(*rc::gen::inRange(0, 1'000));
+    const int length = *rc::gen::inRange(3, 40);
+    for (int i = 0; i < length; ++i) {
+        constexpr int EventCount = static_cast<int>(Event::Count);
+        const int kind = *rc::gen::inRange(0, EventCount + 4);
+        history.apply(kind < EventCount ? static_cast<Event>(kind) : Event::LoseWorker, *rc::gen::inRange(0, 1'000));
+        const int unit = *rc::gen::element(20, 20, 50, 50, 100, 200);
+        history.wait(Milliseconds(*rc::gen::inRange(1, 20) * unit));
+    }
+    history.settle();
+    history.check();
+}
+
+}
+
+// The same with a task that crashes each worker that starts it. It is given up before it has been started too often,
+// whichever partitions start it, and its job ends everywhere.
+RC_GTEST_PROP(DelegationModel, givesUpDelegatedTasksThatCrashTheirWorkers, ())
+{
+    checkCrashingHistory(Milliseconds(*rc::gen::element(10, 300, 1'500, 3'000)));
+}
+
+// The workers crash before they can confirm a start, and run other tasks beside it.
+RC_GTEST_PROP(DelegationModel, givesUpDelegatedTasksThatCrashTheirWorkersAtOnce, ())
+{
+    checkCrashingHistory(Milliseconds(0));
+}
+
 }
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -15,7 +15,9 @@
 Json recordOfAJob()
 {
     JobRecord record = TestCluster::job("job", 2, 2);
-    record.delegated = {{{"job", 0, 0, 1}, 7}};
+    CrashHistory crashes;
+    crashes.addCrash(3, {"worker", CrashTiming::Late});
+    record.delegated = {{{"job", 0, 0, 1}, 7, crashes}};
     return Json::parse(serialize(record));
 }
 
@@ -27,6 +29,8 @@
     static_cast<void>(parseJobRecord(corruptedText(recordOfAJob())));
     const Json entry {{"request", "delegate"}, {"job", "job"}, {"record", recordOfAJob()}};
     static_cast<void>(parseInboxEntry(corruptedText(entry)));
+    const Json verdict {{"request", "give-up"}, {"job", "job"}, {"given_up", recordOfAJob()["delegated"]}};
+    static_cast<void>(parseInboxEntry(corruptedText(verdict)));
     const InstanceEntry instance {"instance", "10.0.0.1:1", "depot", "wheatbelt", "life", 250};
     static_cast<void>(parseInstanceEntry(corruptedText(Json::parse(serialize(instance)))));
     static_cast<void>(parseOwnerEntry(corruptedText(Json::parse(serialize(OwnerEntry {instance, 3})))));
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -152,8 +152,8 @@
     {
         const std::string name = "instance-" + std::to_string(number);
         m_connections.push_back(std::make_unique<InstanceConnections>(scheduler, state, workers));
-        instances[number] = std::make_unique<TestInstance>(
-            clock, scheduler, *m_connections.back(), m_deliveredListings, peers, advisor, plan, name, ++m_incarnations);
+        instances[number] = std::make_unique<TestInstance>(clock, scheduler, *m_connections.back(),
+            withoutMissing(m_deliveredListings), peers, advisor, plan, name, ++m_incarnations);
         TestInstance *instance = instances[number].get();
         peers.servers[name] = [instance](const HttpRequest &request, const HttpServer::Responder &respond) {
             return instance->api.handle(request, respond);
@@ -170,7 +170,7 @@
     void restartWorker(int number)
     {
         workers.restart(workerName(number));
-        listAllWorkersExcept({});
+        listAllWorkersExcept(m_missing);
     }
 
     // Returns the present name of a worker, which may change when it crashes.
@@ -283,17 +283,15 @@
         return nullptr;
     }
 
-    // Lists to all instances the workers except the missing ones, without the usual delay.
+    // Lists to all instances the workers except the missing ones, without the usual delay. The missing workers are
+    // given by their first names, and stay unlisted when they come back under others.
     void listAllWorkersExcept(const std::set<std::string> &missing)
     {
+        m_missing = missing;
         m_seenListings = workers.listings();
         m_deliveredListings = m_seenListings;
         m_listingsUnderway.clear();
-        WorkerListings listings = m_seenListings;
-        for (const std::string &name : missing) {
-            listings.erase(name);
-        }
-        list(listings);
+        list(m_seenListings);
     }
 
     // Sends each partition's headroom to all instances.
@@ -331,11 +329,18 @@
     {
         for (const auto &[id, instance] : instances) {
             if (instance) {
-                instance->ownership.updateWorkers(listings);
+                instance->ownership.updateWorkers(withoutMissing(listings));
             }
         }
     }
 
+    [[nodiscard]] WorkerListings withoutMissing(WorkerListings listings) const
+    {
+        std::erase_if(
+            listings, [this](const auto &entry) { return m_missing.contains(FakeWorkers::firstNameOf(entry.first)); });
+        return listings;
+    }
+
     // Passes changes of what the platform lists on to all instances after a delay.
     void deliverListings()
     {
@@ -353,6 +358,7 @@
     int m_incarnations = 0;
     WorkerListings m_seenListings;
     WorkerListings m_deliveredListings;
+    std::set<std::string> m_missing;
     std::deque<std::pair<Instant, WorkerListings>> m_listingsUnderway;
     std::vector<std::unique_ptr<InstanceConnections>> m_connections;
     Milliseconds m_untilTick {0};
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -104,6 +104,14 @@
     {
     }
 
+    void delegatedTaskCrashed(const std::string &, const std::string &) override
+    {
+    }
+
+    void delegatedTaskGivenUp(const std::string &) override
+    {
+    }
+
     void logDecision(std::string_view, const std::string &, const Json &) override
     {
     }
