Scheduling: Keep the runs of a restarted worker's next incarnation

Orders name only the worker, so a start that was sent before the restart was known ran on the next incarnation. When the list of workers or a report showed the restart, the task counted as crashed and was started elsewhere, and the run that the report listed was stopped as an orphan.

RestartFate now decides what becomes of each task: runs that the next incarnation lists, that it accepted (its clock in the answer has gone back), or that were sent after its start stay with it and are no evidence of a crash; a start that may still arrive is stopped first, as before; the others are lost. A restart that only the list shows is acted upon when the incarnation has reported, and nothing is started on the worker until then. If it never reports, the leases decide; before, a task whose stop it never answered waited for ever. Answers of the next incarnation set neither the clock nor the last contact of the former one, and lost runs that it lists don't count as crashed. Kept runs may hold the longest lease that the platform allows, because lease expiries are on the former clock.

Ruled out: acting on the list at once for runs that a report of the former incarnation has listed; the next report follows within a few hundred milliseconds.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -7,6 +7,7 @@
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/RecordedLeaseExpiries.h"
+#include "scheduling/RestartFate.h"
 #include "scheduling/SchedulingPolicies.h"
 #include "scheduling/TakeOverRecovery.h"
 #include "scheduling/WorkerState.h"
@@ -51,6 +52,9 @@
 {
     // Duration of each lease on the runs of a worker, at most the longest one that workers accept.
     Milliseconds lease {6'000};
+    // The longest lease that workers accept. A worker that has restarted may hold such a one, because lease expiries
+    // are on the clock of its former incarnation.
+    Milliseconds longestLease {6'000};
     // Minimum time between the moment a worker starts to drain and its exit.
     Milliseconds drain {3'000};
     // Longest time for which a report request may ask the worker to hold back its answer (long polling).
@@ -267,7 +271,12 @@
     // Stops a task whose pause has lasted too long. Returns whether it did.
     bool requeueIfPaused(TaskState &task, int speedPercent);
     void sendThrottle(TaskState &task, int percent);
-    void onWorkerRestarted(WorkerState &worker, std::int64_t incarnation);
+    // Ends the former incarnation of a worker, and decides what becomes of its tasks.
+    void onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next);
+    // Returns when a lease that the worker grants now, to whatever run, has surely expired.
+    [[nodiscard]] Instant longestLeaseExpiry() const;
+    // Applies the worker's clock in the answer to an order, if the known incarnation has answered.
+    AnsweringIncarnation observeAnswer(WorkerState &worker, const OrderAnswer &answer, Instant sentAt);
     void expireLeases(WorkerState &worker);
     void retryOrders(WorkerState &worker);
     void recordFailure(WorkerState &worker, const std::string &job);
@@ -298,12 +307,13 @@
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
     // Returns the runs that a worker has lost by a crash.
-    [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
+    [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(
+        WorkerState &worker, const std::set<TaskState *> &kept = {});
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
     void noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker);
-    // Explains the lost runs of a worker by an answer of the given incarnation.
-    void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
+    // Explains the lost runs of a worker by an answer of the given incarnation, which lists these runs.
+    void explainLostRuns(WorkerState &worker, std::int64_t incarnation, const std::set<RunName> &listed);
     void forgetLostRuns(WorkerState &worker);
     // Closes the open runs on a worker that starts to drain, whose exit is no crash for a successor either.
     void closeOpenRuns(const WorkerState &worker);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -168,11 +168,12 @@
     countCrashes(worker, evidence);
 }
 
-std::vector<JobScheduler::CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker)
+std::vector<JobScheduler::CrashEvidence> JobScheduler::collectCrashEvidence(
+    WorkerState &worker, const std::set<TaskState *> &kept)
 {
     std::vector<CrashEvidence> evidence;
     for (TaskState *task : worker.tasks) {
-        if (task->awaitsRecording) {
+        if (task->awaitsRecording || kept.contains(task)) {
             continue;
         }
         const std::optional<CrashTiming> timing = crashTiming(*task, worker, worker.tasks.size());
@@ -251,17 +252,17 @@
     }
 }
 
-void JobScheduler::explainLostRuns(WorkerState &worker, std::int64_t incarnation)
+void JobScheduler::explainLostRuns(WorkerState &worker, std::int64_t incarnation, const std::set<RunName> &listed)
 {
     std::vector<CrashEvidence> evidence;
     for (const LostRun &lost : worker.lostRuns) {
-        if (lost.incarnation < incarnation) {
+        if (lost.incarnation < incarnation && !listed.contains(lost.run)) {
             evidence.push_back({lost.run, lost.timing});
             continue;
         }
         TaskState *task = findTask(lost.run.task);
         const bool isAdopted = task != nullptr && task->worker == worker.listing.name && task->run == lost.run.run;
-        if (task != nullptr && lost.incarnation == incarnation && !isAdopted) {
+        if (task != nullptr && lost.incarnation <= incarnation && !isAdopted) {
             task->crashes.close(lost.run.run);
         }
     }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -35,6 +35,7 @@
     task.runStartedAt.reset();
     task.runConfirmed = false;
     task.runAdopted = false;
+    task.isWithNextIncarnation = false;
     task.isolatedSince.reset();
     task.percent = 0;
     task.speedPercent = 100;
@@ -85,13 +86,28 @@
         });
 }
 
+AnsweringIncarnation JobScheduler::observeAnswer(WorkerState &worker, const OrderAnswer &answer, Instant sentAt)
+{
+    if (!answer.workerClock) {
+        const bool nothingDone
+            = answer.outcome == OrderOutcome::OtherIncarnation || answer.outcome == OrderOutcome::Unhealthy;
+        return nothingDone ? AnsweringIncarnation::Known : AnsweringIncarnation::Unclear;
+    }
+    const AnsweringIncarnation incarnation = worker.clock.incarnationOf(*answer.workerClock, sentAt);
+    if (incarnation == AnsweringIncarnation::Known) {
+        worker.clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
+        worker.lastContact = m_environment.clock.now();
+    }
+    return incarnation;
+}
+
 void JobScheduler::onStartAnswer(
     const RunName &run, const std::string &workerName, Instant sentAt, const OrderAnswer &answer)
 {
     WorkerState *worker = findWorker(workerName);
-    if (worker != nullptr && answer.workerClock) {
-        worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
-        worker->lastContact = m_environment.clock.now();
+    AnsweringIncarnation incarnation = AnsweringIncarnation::Unclear;
+    if (worker != nullptr) {
+        incarnation = observeAnswer(*worker, answer, sentAt);
     }
     TaskState *task = findTask(run.task);
     if (worker == nullptr || task == nullptr || task->run != run.run || task->worker != workerName) {
@@ -108,6 +124,7 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::Superseded:
         // A superseded run has already ended on the worker, which reports the end.
+        task->isWithNextIncarnation = incarnation == AnsweringIncarnation::Next;
         markRunning(*task, now);
         return;
     case OrderOutcome::Unknown:
@@ -204,9 +221,8 @@
     const RunName &run, const std::string &workerName, Instant sentAt, const OrderAnswer &answer)
 {
     WorkerState *worker = findWorker(workerName);
-    if (worker != nullptr && answer.workerClock) {
-        worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
-        worker->lastContact = m_environment.clock.now();
+    if (worker != nullptr) {
+        observeAnswer(*worker, answer, sentAt);
     }
     if (answer.outcome == OrderOutcome::Fenced) {
         m_environment.listener.tokenRefused(workerName);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -73,8 +73,11 @@
     if (capacityChanged) {
         logCapacityChange(worker, formerCapacity);
     }
-    if (addressChanged || (worker.incarnation != 0 && listing.incarnation > worker.incarnation)) {
-        onWorkerRestarted(worker, listing.incarnation);
+    // A restart at the same address is acted upon when the next incarnation has reported, because starts may have
+    // reached it.
+    if (addressChanged) {
+        const Instant now = m_environment.clock.now();
+        onWorkerRestarted(worker, listing.incarnation, {{}, now, now});
     }
     if (startsDraining) {
         closeOpenRuns(worker);
@@ -194,11 +197,12 @@
 void JobScheduler::applyReport(WorkerState &worker, const RunReport &report, Instant sentAt)
 {
     const Instant now = m_environment.clock.now();
+    const NextIncarnation next = NextIncarnation::of(report, sentAt, now);
     if (worker.incarnation != 0 && report.incarnation != worker.incarnation) {
         if (report.incarnation < worker.incarnation) {
             return;
         }
-        onWorkerRestarted(worker, report.incarnation);
+        onWorkerRestarted(worker, report.incarnation, next);
     }
     const bool firstOfIncarnation = worker.incarnation != report.incarnation || !worker.clock.isKnown();
     worker.incarnation = report.incarnation;
@@ -207,7 +211,8 @@
     worker.refusedForCapacity = false;
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
-        worker.priorLeaseExpiresAt = m_recovery.leaseExpiryOf(worker.listing.name);
+        worker.priorLeaseExpiresAt
+            = std::max(worker.priorLeaseExpiresAt, m_recovery.leaseExpiryOf(worker.listing.name));
         m_recovery.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
@@ -222,7 +227,7 @@
         applyRunning(worker, running, sentAt);
     }
     std::erase_if(worker.orphanRuns, [&listed](const RunName &run) { return !listed.contains(run); });
-    explainLostRuns(worker, report.incarnation);
+    explainLostRuns(worker, report.incarnation, next.listedRuns);
     if (!report.truncated) {
         requeueMissingRuns(worker, listed, sentAt);
     }
@@ -369,11 +374,28 @@
     }
 }
 
-void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation)
+Instant JobScheduler::longestLeaseExpiry() const
 {
+    return m_environment.clock.now() + WorkerClock::longestDuration(m_limits.longestLease);
+}
+
+void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next)
+{
+    std::vector<TaskState *> lost;
+    std::vector<TaskState *> uncertain;
+    std::set<TaskState *> kept;
+    for (TaskState *task : worker.tasks) {
+        const RestartFate fate = fateAfterRestart(*task, next);
+        if (fate == RestartFate::Kept) {
+            kept.insert(task);
+        } else {
+            (fate == RestartFate::Lost ? lost : uncertain).push_back(task);
+        }
+    }
     m_environment.listener.logDecision("worker-restarted", worker.listing.name,
-        {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()}});
-    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
+        {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()},
+            {"kept", kept.size()}, {"uncertain", uncertain.size()}});
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, kept);
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
@@ -381,19 +403,21 @@
     worker.mayReceiveObsoleteStart = false;
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
-    worker.priorLeaseExpiresAt = {};
+    const bool mayHoldLeases = !kept.empty() || !uncertain.empty();
+    worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
     worker.hasAnswered = false;
     worker.refusedForCapacity = false;
     worker.consecutiveFailures = 0;
     worker.quarantinedUntil = {};
-    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
-    for (TaskState *task : tasks) {
-        if (task->phase == RunPhase::Starting && (task->deliveryUncertain || task->orderPending)) {
-            // The order may still reach the new incarnation, which must have refused it before the task runs elsewhere.
-            beginStop(*task);
-        } else {
-            requeue(*task, Milliseconds(0));
-        }
+    for (TaskState *task : kept) {
+        task->isWithNextIncarnation = false;
+    }
+    for (TaskState *task : lost) {
+        requeue(*task, Milliseconds(0));
+    }
+    for (TaskState *task : uncertain) {
+        // The new incarnation must have refused the start before the task runs elsewhere.
+        beginStop(*task);
     }
     countCrashes(worker, evidence);
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -81,6 +81,8 @@
     std::set<std::string> avoidedWorkers;
     // Whether an order of the current run went unanswered, so that the worker may still carry it out.
     bool deliveryUncertain = false;
+    // Whether an incarnation of the worker has accepted the current run whose reports have not arrived yet.
+    bool isWithNextIncarnation = false;
     // Whether an order to start or stop the run waits for its answer.
     bool orderPending = false;
     Instant lastOrderSent;
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -42,13 +42,14 @@
 
 bool acceptsTasks(const WorkerState &worker, Instant now)
 {
-    return worker.listed && !worker.listing.draining && worker.hasAnswered && !worker.refusedForCapacity
-        && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty() && worker.quarantinedUntil <= now;
+    return worker.listed && !worker.listing.draining && worker.hasAnswered && !worker.isRestartListed()
+        && !worker.refusedForCapacity && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty()
+        && worker.quarantinedUntil <= now;
 }
 
 bool mayRepeatStart(const WorkerState &worker, const StepState &step)
 {
-    return worker.listed && !worker.listing.draining && !worker.isOverCapacity()
+    return worker.listed && !worker.listing.draining && !worker.isRestartListed() && !worker.isOverCapacity()
         && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool);
 }
 
--- a/source/scheduling/WorkerClock.cpp
+++ b/source/scheduling/WorkerClock.cpp
@@ -41,8 +41,25 @@
 
 Instant WorkerClock::expiryUpperBound(std::int64_t reading) const
 {
-    const double remaining = static_cast<double>(reading - m_reading) / SlowestRate;
-    return m_receivedAt + Milliseconds(static_cast<std::int64_t>(remaining)) + RoundingMargin;
+    return m_receivedAt + longestDuration(Milliseconds(reading - m_reading));
+}
+
+AnsweringIncarnation WorkerClock::incarnationOf(std::int64_t reading, Instant sentAt) const
+{
+    if (!m_known || sentAt < m_validFrom) {
+        return AnsweringIncarnation::Unclear;
+    }
+    const auto passed = std::chrono::duration_cast<Milliseconds>(sentAt - m_receivedAt);
+    // The call may have been sent before the last reading arrived. Then its answer may show an earlier time.
+    const double rate = passed.count() > 0 ? SlowestRate : 1.0;
+    const auto least = m_reading + static_cast<std::int64_t>(static_cast<double>(passed.count()) * rate);
+    return reading + RoundingMargin.count() >= least ? AnsweringIncarnation::Known : AnsweringIncarnation::Next;
+}
+
+Milliseconds WorkerClock::longestDuration(Milliseconds onWorkerClock)
+{
+    const double longest = static_cast<double>(onWorkerClock.count()) / SlowestRate;
+    return Milliseconds(static_cast<std::int64_t>(longest)) + RoundingMargin;
 }
 
 }
--- a/source/scheduling/WorkerClock.h
+++ b/source/scheduling/WorkerClock.h
@@ -7,6 +7,15 @@
 namespace Wagtail
 {
 
+// Which incarnation of a worker has answered a call.
+enum class AnsweringIncarnation {
+    // The one whose reports are known.
+    Known,
+    // A later one.
+    Next,
+    Unclear,
+};
+
 // Tracks the steady clock of a worker, in milliseconds, from the readings in its answers. The clock may run up to 2 %
 // slow.
 class WorkerClock
@@ -30,6 +39,13 @@
     // Returns the time by which the worker's clock has passed the reading even at its slowest rate.
     [[nodiscard]] Instant expiryUpperBound(std::int64_t reading) const;
 
+    // Returns which incarnation gave a reading in its answer to a call that was sent at the given time. The clock of a
+    // later incarnation starts anew.
+    [[nodiscard]] AnsweringIncarnation incarnationOf(std::int64_t reading, Instant sentAt) const;
+
+    // Returns how long a time on the worker's clock takes at most.
+    [[nodiscard]] static Milliseconds longestDuration(Milliseconds onWorkerClock);
+
 private:
     bool m_known = false;
     Instant m_validFrom;
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -48,6 +48,11 @@
     return capacity <= 0 ? 0.0 : static_cast<double>(step.demand.milliCores) / static_cast<double>(capacity);
 }
 
+bool WorkerState::isRestartListed() const
+{
+    return incarnation != 0 && listing.incarnation > incarnation;
+}
+
 void WorkerState::updateListing(const WorkerListing &present)
 {
     const std::int64_t former = listing.capacity.milliCores;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -34,7 +34,8 @@
     std::int64_t incarnation = 0;
     // The latest lease expiry, on the worker's clock, of any run of this leader term.
     std::int64_t leaseGrantedUntil = 0;
-    // By when the leases that owners of earlier leader terms granted have surely expired.
+    // By when the leases that owners of earlier leader terms granted have surely expired, and those that the worker
+    // gave to runs that reached it before its restart was known.
     Instant priorLeaseExpiresAt;
     // When the worker last answered a report request, or when such a request failed.
     Instant lastAnswer;
@@ -89,6 +90,9 @@
     // count.
     [[nodiscard]] static Resources countedDemand(const StepSpecification &step);
 
+    // Returns whether the platform lists a later incarnation than the last one that has answered.
+    [[nodiscard]] bool isRestartListed() const;
+
     // Replaces the listing. If the worker has other processors now, the shares in its samples change accordingly.
     void updateListing(const WorkerListing &present);
 
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -98,6 +98,7 @@
     {
         PartitionLeader::Limits limits;
         limits.scheduling.lease = Milliseconds(2'000);
+        limits.scheduling.longestLease = limits.scheduling.lease;
         limits.longestWorkerLease = Milliseconds(10'000);
         return limits;
     }
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -77,6 +77,7 @@
     {
         SchedulingLimits limits;
         limits.lease = Milliseconds(2'000);
+        limits.longestLease = limits.lease;
         return limits;
     }
 
