Scheduling: Acknowledge no run ends to an unknown incarnation

The numbers of the ends start anew with each incarnation of a worker. A report request with the last recorded end of the former one reached the next one, which forgot an end that nobody had read.

An incarnation that is not known yet can only have ended a run if a start has reached it. UnsettledStarts therefore tracks each start order until its answer shows the clock of the known incarnation, or a report that was requested later comes from it. Until then recorded ends are not acknowledged, the worker is asked again every 100 ms, and a worker with more than 200 such ends gets no tasks, because its list would become too long. Ends are acknowledged once and not with each request any more. Leases of a run that may be on an unknown incarnation count as the longest that the platform allows.

What remains possible: a start that is sent while an acknowledgement is under way, and that is taken in, run and ended by the next incarnation before the acknowledgement arrives there.

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -78,6 +78,7 @@
     const Instant sentAt = m_environment.clock.now();
     task.lastOrderSent = sentAt;
     task.runStartedAt = task.runStartedAt.value_or(sentAt);
+    worker->unsettledStarts.sent();
     m_environment.gateway.start(target(*worker), order,
         [weak = std::weak_ptr(m_self), name, workerName = worker->listing.name, sentAt](const OrderAnswer &answer) {
             if (const auto self = weak.lock()) {
@@ -108,6 +109,7 @@
     AnsweringIncarnation incarnation = AnsweringIncarnation::Unclear;
     if (worker != nullptr) {
         incarnation = observeAnswer(*worker, answer, sentAt);
+        worker->unsettledStarts.answered(incarnation, m_environment.clock.now(), longestLeaseExpiry());
     }
     TaskState *task = findTask(run.task);
     if (worker == nullptr || task == nullptr || task->run != run.run || task->worker != workerName) {
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -24,6 +24,8 @@
 // Report interval while run ends are not recorded yet. The worker lists them again, but the leases of its running tasks
 // are renewed even if the store is unavailable.
 constexpr Milliseconds UnrecordedInterval {500};
+// Report interval while run ends are recorded and can't be acknowledged yet. The worker lists them again.
+constexpr Milliseconds HeldAcknowledgementInterval {100};
 // Delay before an unanswered order is sent again, a few round trips between regions.
 constexpr Milliseconds OrderRetryDelay {250};
 constexpr int FailuresBeforeQuarantine = 3;
@@ -125,9 +127,18 @@
     if (unrecorded && now - worker.lastAnswer < UnrecordedInterval) {
         return;
     }
+    // The numbers of the ends start anew with each incarnation. While a start may have reached an incarnation that is
+    // not known yet, an acknowledgement could make it forget ends that nobody has read.
+    const bool unacknowledged = worker.recordedEnd > worker.acknowledgedEnd;
+    const bool mayAcknowledge = unacknowledged && worker.unsettledStarts.isEmpty();
+    const bool holdsAcknowledgement = unacknowledged && !mayAcknowledge;
+    if (holdsAcknowledgement && now - worker.lastAnswer < HeldAcknowledgementInterval) {
+        return;
+    }
     ReportRequest request;
-    request.recordedEnd = worker.recordedEnd;
-    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded;
+    request.recordedEnd = mayAcknowledge ? worker.recordedEnd : 0;
+    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !holdsAcknowledgement
+        && !worker.unsettledStarts.isUnclear();
     if (mayWait) {
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
@@ -140,6 +151,7 @@
         request.leaseUntil = grantLease(worker);
     }
     worker.reportPending = true;
+    worker.sentAcknowledgement = request.recordedEnd;
     m_environment.gateway.report(target(worker), request,
         [weak = std::weak_ptr(m_self), name = worker.listing.name, address = worker.listing.address, sentAt = now](
             const std::variant<RunReport, OrderOutcome> &result) {
@@ -206,6 +218,8 @@
     }
     const bool firstOfIncarnation = worker.incarnation != report.incarnation || !worker.clock.isKnown();
     worker.incarnation = report.incarnation;
+    worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, worker.sentAcknowledgement);
+    worker.unsettledStarts.confirmIncarnation(sentAt);
     // The first report of an incarnation sets the clock even if it was requested before the restart was known.
     worker.clock.observe(report.workerClock, firstOfIncarnation ? now : sentAt, now);
     worker.refusedForCapacity = false;
@@ -399,8 +413,10 @@
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
+    worker.sentAcknowledgement = 0;
+    worker.acknowledgedEnd = 0;
     worker.orphanRuns.clear();
-    worker.mayReceiveObsoleteStart = false;
+    worker.mayReceiveObsoleteStart = worker.mayReceiveObsoleteStart && !worker.unsettledStarts.isEmpty();
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
     const bool mayHoldLeases = !kept.empty() || !uncertain.empty();
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -18,12 +18,20 @@
 // Minimum distance between the load of a serving task and its limit after a backfilling task is added. The load may
 // still grow by a third of its range before the backfilling task ends.
 constexpr double PlacementMargin = 0.12;
+// The reports of a worker list only some hundred ends at a time, so it takes no tasks while so many can't be
+// acknowledged.
+constexpr std::uint64_t MostHeldEnds = 200;
 
 double share(std::int64_t part, std::int64_t whole)
 {
     return whole <= 0 ? 0.0 : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+bool holdsTooManyEnds(const WorkerState &worker)
+{
+    return !worker.unsettledStarts.isEmpty() && worker.recordedEnd > worker.acknowledgedEnd + MostHeldEnds;
+}
+
 // Returns the cost of placing a serving task on a worker with serving tasks of other images.
 double imageMixCost(const WorkerState &worker, ImageId image)
 {
@@ -43,8 +51,8 @@
 bool acceptsTasks(const WorkerState &worker, Instant now)
 {
     return worker.listed && !worker.listing.draining && worker.hasAnswered && !worker.isRestartListed()
-        && !worker.refusedForCapacity && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty()
-        && worker.quarantinedUntil <= now;
+        && !worker.refusedForCapacity && !holdsTooManyEnds(worker) && worker.consecutiveUnanswered == 0
+        && worker.orphanRuns.empty() && worker.quarantinedUntil <= now;
 }
 
 bool mayRepeatStart(const WorkerState &worker, const StepState &step)
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -21,10 +21,10 @@
 std::optional<Instant> WorkerState::leaseExpiry() const
 {
     const bool isGranted = leaseGrantedUntil > 0 && clock.isKnown();
-    if (!isGranted && priorLeaseExpiresAt == Instant()) {
-        return std::nullopt;
-    }
-    return isGranted ? std::max(clock.expiryUpperBound(leaseGrantedUntil), priorLeaseExpiresAt) : priorLeaseExpiresAt;
+    const Instant grantedLease = isGranted ? clock.expiryUpperBound(leaseGrantedUntil) : Instant();
+    const Instant unsettledLease = unsettledStarts.leaseExpiry().value_or(Instant());
+    const Instant last = std::max({grantedLease, priorLeaseExpiresAt, unsettledLease});
+    return last == Instant() ? std::nullopt : std::optional(last);
 }
 
 bool WorkerState::mayRunTasks() const
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/BackfillThrottle.h"
 #include "scheduling/JobState.h"
+#include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
 #include "scheduling/WorkerGateway.h"
 
@@ -47,6 +48,10 @@
     // Numbers of the last run ends of this worker that were applied and that the store has recorded.
     std::uint64_t appliedEnd = 0;
     std::uint64_t recordedEnd = 0;
+    // Number of the end up to which the pending report request lets the worker remove ends from its list, and up to
+    // which it has removed them.
+    std::uint64_t sentAcknowledgement = 0;
+    std::uint64_t acknowledgedEnd = 0;
     // Tasks whose current run is assigned to this worker, in any phase.
     std::set<TaskState *> tasks;
     // Runs that the last report listed and that are not the current run of any task. The resources that they use are
@@ -55,6 +60,8 @@
     // Whether an order to start a run that is no longer any task's current one may still arrive at the worker.
     bool mayReceiveObsoleteStart = false;
     std::vector<LostRun> lostRuns;
+    // Start orders of which it is not known which incarnation they reached, whether their runs are still wanted or not.
+    UnsettledStarts unsettledStarts;
     Resources used;
     // The part of the used resources that long-running tasks hold.
     Resources usedByLongRunning;
--- a/source/tenure/tests/WorkerRestartTest.cpp
+++ b/source/tenure/tests/WorkerRestartTest.cpp
@@ -72,6 +72,11 @@
     TestCluster m_cluster;
 };
 
+// The parameter is the time from the start of earlier jobs on until the reports are delayed, in milliseconds.
+class WorkerRestartAfter : public WorkerRestart, public testing::WithParamInterface<int>
+{
+};
+
 }
 
 TEST_F(WorkerRestart, givesTheTaskOfAWorkerAwayThatRestartedAndIsLost)
@@ -116,4 +121,24 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// The ends of a former incarnation are read and recorded when the next one has already ended a run.
+TEST_P(WorkerRestartAfter, forgetsNoEndOfAnIncarnationThatItDoesNotKnow)
+{
+    for (int i = 0; i < 3; ++i) {
+        submit("earlier-" + std::to_string(i), {Milliseconds(300), 0, false});
+    }
+    advanceToStart("earlier-2", 1, Second);
+    m_cluster.advance(Milliseconds(GetParam()));
+    delayReports(Milliseconds(500));
+    m_cluster.advance(Milliseconds(120));
+    restartWorkers();
+    submit("job", {Milliseconds(50), 0, false});
+    m_cluster.advance(Second * 6);
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
+    EXPECT_EQ(starts("job"), 1U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Milliseconds, WorkerRestartAfter, testing::Range(260, 400, 20));
+
 }
