Scheduling: Repeat no start that may have crashed its worker

The answer to its start was missing because the worker had crashed; the start was repeated and reached the next incarnation, which crashed as well.

A start is now repeated only when all unanswered starts of the worker are settled, that is after a report that was requested later has shown the same incarnation.

WorkerRestart.sendsNoStartASecondTimeToAWorkerThatMayHaveCrashedUnderIt fails on the code before (two starts and two crashes of one run instead of one). What it costs: a start of which only the answer was lost is repeated after the report request that is under way, so up to two seconds later than before. The members of a gang may wait for it that much longer.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -459,7 +459,9 @@
         if (task->orderPending || task->awaitsRecording || now - task->lastOrderSent < OrderRetryDelay) {
             continue;
         }
-        const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0;
+        // If the worker has crashed, the next incarnation would carry out the repeated start as well.
+        const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0
+            && !worker.unsettledStarts.isUnclear();
         if (task->phase == RunPhase::Starting && mayStart) {
             if (mayRepeatStart(worker, *task->step)) {
                 sendStart(*task);
--- a/source/tenure/tests/WorkerRestartTest.cpp
+++ b/source/tenure/tests/WorkerRestartTest.cpp
@@ -121,6 +121,19 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+TEST_F(WorkerRestart, sendsNoStartASecondTimeToAWorkerThatMayHaveCrashedUnderIt)
+{
+    setDowntime(Milliseconds(20));
+    delayReports(Second);
+    FakeWorkers::Behaviour behaviour;
+    behaviour.crash = FakeWorkers::Crash {Milliseconds(0), {}};
+    submit("job", behaviour);
+    advanceToStart("job", 1, Second);
+    m_cluster.advance(Milliseconds(800));
+    EXPECT_EQ(starts("job"), 1U);
+    EXPECT_EQ(m_cluster.workers.crashesUnder({"job", 0, 0, 0}), 1);
+}
+
 // The ends of a former incarnation are read and recorded when the next one has already ended a run.
 TEST_P(WorkerRestartAfter, forgetsNoEndOfAnIncarnationThatItDoesNotKnow)
 {
