--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -148,11 +148,19 @@
     countCrashes(worker, evidence);
 }
 
-std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker)
+std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker, const std::set<TaskState *> &kept)
 {
     std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    const auto isKept = [&kept](const CrashEvidence &item) {
+        return std::any_of(
+            kept.begin(), kept.end(), [&item](const TaskState *task) { return nameOf(*task) == item.run.task; });
+    };
+    std::erase_if(evidence, isKept);
     if (!worker.listing.draining) {
         for (TaskState *task : worker.tasks) {
+            if (kept.contains(task)) {
+                continue;
+            }
             const bool counts = std::any_of(evidence.begin(), evidence.end(),
                 [task](const CrashEvidence &item) { return item.run.task == nameOf(*task); });
             task->endUnknown = task->endUnknown || (!task->awaitsRecording && !counts);
@@ -267,17 +275,17 @@
     }
 }
 
-void JobScheduler::explainLostRuns(WorkerState &worker, std::int64_t incarnation)
+void JobScheduler::explainLostRuns(WorkerState &worker, std::int64_t incarnation, const std::set<RunName> &listed)
 {
     std::vector<CrashEvidence> evidence;
     for (const LostRun &lost : worker.lostRuns) {
-        if (lost.incarnation < incarnation) {
+        if (lost.incarnation < incarnation && !listed.contains(lost.run)) {
             evidence.push_back({lost.run, lost.incarnation, lost.timing});
             continue;
         }
         TaskState *task = findTask(lost.run.task);
         const bool isAdopted = task != nullptr && task->worker == worker.listing.name && task->run == lost.run.run;
-        if (task != nullptr && lost.incarnation == incarnation && !isAdopted) {
+        if (task != nullptr && lost.incarnation <= incarnation && !isAdopted) {
             task->crashes.close(lost.run.run);
         }
     }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -36,6 +36,7 @@
     task.runStartedAt.reset();
     task.runConfirmed = false;
     task.runAdopted = false;
+    task.isWithNextIncarnation = false;
     task.isolatedSince.reset();
     task.percent = 0;
     task.speedPercent = 100;
@@ -78,6 +79,7 @@
     const Instant sentAt = m_environment.clock.now();
     task.lastOrderSent = sentAt;
     task.runStartedAt = task.runStartedAt.value_or(sentAt);
+    worker->unsettledStarts.sent();
     m_environment.gateway.start(target(*worker), order,
         [weak = std::weak_ptr(m_self), name, workerName = worker->listing.name, sentAt](const OrderAnswer &answer) {
             if (const auto self = weak.lock()) {
@@ -86,13 +88,29 @@
         });
 }
 
+AnsweringIncarnation JobScheduler::observeAnswer(WorkerState &worker, const OrderAnswer &answer, Instant sentAt)
+{
+    if (!answer.workerClock) {
+        const bool nothingDone
+            = answer.outcome == OrderOutcome::OtherIncarnation || answer.outcome == OrderOutcome::Unhealthy;
+        return nothingDone ? AnsweringIncarnation::Known : AnsweringIncarnation::Unclear;
+    }
+    const AnsweringIncarnation incarnation = worker.clock.incarnationOf(*answer.workerClock, sentAt);
+    if (incarnation == AnsweringIncarnation::Known) {
+        worker.clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
+        worker.lastContact = m_environment.clock.now();
+    }
+    return incarnation;
+}
+
 void JobScheduler::onStartAnswer(
     const RunName &run, const std::string &workerName, Instant sentAt, const OrderAnswer &answer)
 {
     WorkerState *worker = findWorker(workerName);
-    if (worker != nullptr && answer.workerClock) {
-        worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
-        worker->lastContact = m_environment.clock.now();
+    AnsweringIncarnation incarnation = AnsweringIncarnation::Unclear;
+    if (worker != nullptr) {
+        incarnation = observeAnswer(*worker, answer, sentAt);
+        worker->unsettledStarts.answered(incarnation, m_environment.clock.now(), longestLeaseExpiry());
     }
     TaskState *task = findTask(run.task);
     if (worker == nullptr || task == nullptr || task->run != run.run || task->worker != workerName) {
@@ -109,6 +127,7 @@
     case OrderOutcome::Accepted:
     case OrderOutcome::Superseded:
         // A superseded run has already ended on the worker, which reports the end.
+        task->isWithNextIncarnation = incarnation == AnsweringIncarnation::Next;
         markRunning(*task, now);
         return;
     case OrderOutcome::Unknown:
@@ -205,9 +224,8 @@
     const RunName &run, const std::string &workerName, Instant sentAt, const OrderAnswer &answer)
 {
     WorkerState *worker = findWorker(workerName);
-    if (worker != nullptr && answer.workerClock) {
-        worker->clock.observe(*answer.workerClock, sentAt, m_environment.clock.now());
-        worker->lastContact = m_environment.clock.now();
+    if (worker != nullptr) {
+        observeAnswer(*worker, answer, sentAt);
     }
     if (answer.outcome == OrderOutcome::Fenced) {
         m_environment.listener.tokenRefused(workerName);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds UnrecordedInterval {500};
 // Longest report interval for workers that may get no lease for the moment. See JobScheduler::mayGrantLease().
 constexpr Milliseconds WithheldLeaseWait {200};
+// Report interval while run ends are recorded and can't be acknowledged yet. The worker lists them again.
+constexpr Milliseconds HeldAcknowledgementInterval {100};
 // Delay before an unanswered order is sent again, a few round trips between regions.
 constexpr Milliseconds OrderRetryDelay {250};
 constexpr int FailuresBeforeQuarantine = 3;
@@ -88,8 +90,11 @@
     if (capacityChanged) {
         logCapacityChange(worker, formerCapacity);
     }
-    if (addressChanged || (worker.incarnation != 0 && listing.incarnation > worker.incarnation)) {
-        onWorkerRestarted(worker, listing.incarnation);
+    // A restart at the same address is acted upon when the next incarnation has reported, because starts may have
+    // reached it.
+    if (addressChanged) {
+        const Instant now = m_environment.clock.now();
+        onWorkerRestarted(worker, listing.incarnation, {{}, now, now});
     }
     if (startsDraining) {
         closeOpenRuns(worker);
@@ -137,9 +142,18 @@
     if (unrecorded && now - worker.lastAnswer < UnrecordedInterval) {
         return;
     }
+    // The numbers of the ends start anew with each incarnation. While a start may have reached an incarnation that is
+    // not known yet, an acknowledgement could make it forget ends that nobody has read.
+    const bool unacknowledged = worker.recordedEnd > worker.acknowledgedEnd;
+    const bool mayAcknowledge = unacknowledged && worker.unsettledStarts.isEmpty();
+    const bool holdsAcknowledgement = unacknowledged && !mayAcknowledge;
+    if (holdsAcknowledgement && now - worker.lastAnswer < HeldAcknowledgementInterval) {
+        return;
+    }
     ReportRequest request;
-    request.recordedEnd = worker.recordedEnd;
-    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded;
+    request.recordedEnd = mayAcknowledge ? worker.recordedEnd : 0;
+    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !holdsAcknowledgement
+        && !worker.unsettledStarts.isUnclear();
     if (mayWait) {
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
@@ -154,6 +168,7 @@
         request.leaseUntil = grantLease(worker);
     }
     worker.reportPending = true;
+    worker.sentAcknowledgement = request.recordedEnd;
     m_environment.gateway.report(target(worker), request,
         [weak = std::weak_ptr(m_self), name = worker.listing.name, address = worker.listing.address, sentAt = now](
             const std::variant<RunReport, OrderOutcome> &result) {
@@ -212,20 +227,24 @@
 void JobScheduler::applyReport(WorkerState &worker, const RunReport &report, Instant sentAt)
 {
     const Instant now = m_environment.clock.now();
+    const NextIncarnation next = NextIncarnation::of(report, sentAt, now);
     if (worker.incarnation != 0 && report.incarnation != worker.incarnation) {
         if (report.incarnation < worker.incarnation) {
             return;
         }
-        onWorkerRestarted(worker, report.incarnation);
+        onWorkerRestarted(worker, report.incarnation, next);
     }
     const bool firstOfIncarnation = worker.incarnation != report.incarnation || !worker.clock.isKnown();
     worker.incarnation = report.incarnation;
+    worker.acknowledgedEnd = std::max(worker.acknowledgedEnd, worker.sentAcknowledgement);
+    worker.unsettledStarts.confirmIncarnation(sentAt);
     // The first report of an incarnation sets the clock even if it was requested before the restart was known.
     worker.clock.observe(report.workerClock, firstOfIncarnation ? now : sentAt, now);
     worker.refusedForCapacity = false;
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
-        worker.priorLeaseExpiresAt = m_recovery.leaseExpiryOf(worker.listing.name);
+        worker.priorLeaseExpiresAt
+            = std::max(worker.priorLeaseExpiresAt, m_recovery.leaseExpiryOf(worker.listing.name));
         m_recovery.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
@@ -240,7 +259,7 @@
         applyRunning(worker, running, sentAt);
     }
     std::erase_if(worker.orphanRuns, [&listed](const RunName &run) { return !listed.contains(run); });
-    explainLostRuns(worker, report.incarnation);
+    explainLostRuns(worker, report.incarnation, next.listedRuns);
     if (!report.truncated) {
         requeueMissingRuns(worker, listed, sentAt);
     }
@@ -387,31 +406,52 @@
     }
 }
 
-void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation)
+Instant JobScheduler::longestLeaseExpiry() const
+{
+    return m_environment.clock.now() + WorkerClock::longestDuration(m_limits.longestLease);
+}
+
+void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next)
 {
+    std::vector<TaskState *> lost;
+    std::vector<TaskState *> uncertain;
+    std::set<TaskState *> kept;
+    for (TaskState *task : worker.tasks) {
+        const RestartFate fate = fateAfterRestart(*task, next);
+        if (fate == RestartFate::Kept) {
+            kept.insert(task);
+        } else {
+            (fate == RestartFate::Lost ? lost : uncertain).push_back(task);
+        }
+    }
     m_environment.listener.logDecision("worker-restarted", worker.listing.name,
-        {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()}});
-    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
+        {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()},
+            {"kept", kept.size()}, {"uncertain", uncertain.size()}});
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, kept);
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
+    worker.sentAcknowledgement = 0;
+    worker.acknowledgedEnd = 0;
     worker.orphanRuns.clear();
-    worker.mayReceiveObsoleteStart = false;
+    worker.mayReceiveObsoleteStart = worker.mayReceiveObsoleteStart && !worker.unsettledStarts.isEmpty();
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
-    worker.priorLeaseExpiresAt = {};
+    const bool mayHoldLeases = !kept.empty() || !uncertain.empty();
+    worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
     worker.hasAnswered = false;
     worker.refusedForCapacity = false;
     worker.consecutiveFailures = 0;
     worker.quarantinedUntil = {};
-    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
-    for (TaskState *task : tasks) {
-        if (task->phase == RunPhase::Starting && (task->deliveryUncertain || task->orderPending)) {
-            // The order may still reach the new incarnation, which must have refused it before the task runs elsewhere.
-            beginStop(*task);
-        } else {
-            requeue(*task, Milliseconds(0));
-        }
+    for (TaskState *task : kept) {
+        task->isWithNextIncarnation = false;
+    }
+    for (TaskState *task : lost) {
+        requeue(*task, Milliseconds(0));
+    }
+    for (TaskState *task : uncertain) {
+        // The new incarnation must have refused the start before the task runs elsewhere.
+        beginStop(*task);
     }
     countCrashes(worker, evidence);
 }
@@ -434,7 +474,9 @@
         if (task->orderPending || task->awaitsRecording || now - task->lastOrderSent < OrderRetryDelay) {
             continue;
         }
-        const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0;
+        // If the worker has crashed, the next incarnation would carry out the repeated start as well.
+        const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0
+            && !worker.unsettledStarts.isUnclear();
         if (task->phase == RunPhase::Starting && mayStart) {
             if (mayRepeatStart(worker, *task->step)) {
                 sendStart(*task);
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -21,10 +21,10 @@
 std::optional<Instant> WorkerState::leaseExpiry() const
 {
     const bool isGranted = leaseGrantedUntil > 0 && clock.isKnown();
-    if (!isGranted && priorLeaseExpiresAt == Instant()) {
-        return std::nullopt;
-    }
-    return isGranted ? std::max(clock.expiryUpperBound(leaseGrantedUntil), priorLeaseExpiresAt) : priorLeaseExpiresAt;
+    const Instant grantedLease = isGranted ? clock.expiryUpperBound(leaseGrantedUntil) : Instant();
+    const Instant unsettledLease = unsettledStarts.leaseExpiry().value_or(Instant());
+    const Instant last = std::max({grantedLease, priorLeaseExpiresAt, unsettledLease});
+    return last == Instant() ? std::nullopt : std::optional(last);
 }
 
 bool WorkerState::mayRunTasks() const
@@ -48,6 +48,11 @@
     return capacity <= 0 ? 0.0 : static_cast<double>(step.demand.milliCores) / static_cast<double>(capacity);
 }
 
+bool WorkerState::isRestartListed() const
+{
+    return incarnation != 0 && listing.incarnation > incarnation;
+}
+
 void WorkerState::updateListing(const WorkerListing &present)
 {
     const std::int64_t former = listing.capacity.milliCores;
