Scheduling: Keep suspects alone until it is known which one crashes workers

Cause: after a crash the tasks of a worker were placed together again. Suspects shared a worker after 1.5 s, while workers need longer to come back, and a task with a late crash was placed beside the suspect of the same crash. Any task started in the last 5 s counted as another possible cause, so that no crash of a culprit was its own.

Change: suspects that are not long-running wait 10 s for a worker of their own. Tasks that shared a crash stay apart if one of them may be the cause. A suspect also keeps off a worker on which another task was just placed. Another task explains a crash only if it was started later or at most 250 ms before the last contact; for an unconfirmed start, which may not have begun, 5 s as before. After a take-over a crash that several runs may have caused counts as ambiguous.

--- a/source/scheduling/CrashEvidence.cpp
+++ b/source/scheduling/CrashEvidence.cpp
@@ -8,13 +8,25 @@
 namespace
 {
 
-// Returns whether a task may have crashed the worker just after the last contact with it.
-bool mayHaveCrashed(const TaskState &task, const WorkerState &worker)
+// Returns how long a confirmed run had lasted at the last contact with its worker, or nothing if it was not confirmed.
+std::optional<Milliseconds> lifetime(const TaskState &task, const WorkerState &worker)
 {
-    if (!task.runStartedAt) {
+    if (!task.runConfirmed || !task.runStartedAt) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Milliseconds>(worker.lastContact - *task.runStartedAt);
+}
+
+// Returns whether another task explains a crash of the worker at least as well, because it was started later.
+bool explainsCrash(const TaskState &other, const TaskState &task, const WorkerState &worker)
+{
+    if (&other == &task || !other.runStartedAt) {
         return false;
     }
-    return !task.runConfirmed || worker.lastContact - *task.runStartedAt <= CrashHistory::LikelyLimit;
+    // A run that was not confirmed may not even have begun.
+    const Milliseconds own = lifetime(task, worker).value_or(CrashHistory::LikelyLimit);
+    const Milliseconds longest = std::clamp(own, CrashHistory::PromptLimit, CrashHistory::LikelyLimit);
+    return lifetime(other, worker).value_or(Milliseconds(0)) <= longest;
 }
 
 }
@@ -25,19 +37,19 @@
         return std::nullopt;
     }
     const bool hasOtherCause = std::any_of(worker.tasks.begin(), worker.tasks.end(),
-        [&](const TaskState *other) { return other != &task && mayHaveCrashed(*other, worker); });
-    if (!task.runConfirmed) {
+        [&](const TaskState *other) { return explainsCrash(*other, task, worker); });
+    const std::optional<Milliseconds> lived = lifetime(task, worker);
+    if (!lived) {
         return hasOtherCause ? CrashTiming::Ambiguous : CrashTiming::Unconfirmed;
     }
-    const auto lived = worker.lastContact - *task.runStartedAt;
-    if (task.step->specification().longRunning && lived > CrashHistory::LongestSuspicion) {
+    if (task.step->specification().longRunning && *lived > CrashHistory::LongestSuspicion) {
         return std::nullopt;
     }
-    if (lived > CrashHistory::PromptLimit) {
+    if (*lived > CrashHistory::PromptLimit) {
         return hasOtherCause ? CrashTiming::LateShared : CrashTiming::Late;
     }
     if (task.runAdopted) {
-        return CrashTiming::Unknown;
+        return hasOtherCause ? CrashTiming::Ambiguous : CrashTiming::Unknown;
     }
     return hasOtherCause ? CrashTiming::PromptShared : CrashTiming::Prompt;
 }
--- a/source/scheduling/CrashEvidence.h
+++ b/source/scheduling/CrashEvidence.h
@@ -20,7 +20,7 @@
 };
 
 // Returns the timing of a crash of the worker now as it counts for one of its tasks, or nothing if it doesn't count.
-// Tasks that had run for a while are no other possible cause of a crash soon after a start.
+// It is shared if another task on the worker had been started as late or later, and not long before the crash.
 // Load pattern: a task that crashes its workers at once, on workers full of long-running tasks.
 [[nodiscard]] std::optional<CrashTiming> crashTiming(const TaskState &task, const WorkerState &worker);
 
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -14,6 +14,16 @@
 // How long after the expiry of its leases a worker is asked whether it has crashed. It covers the restart of a worker.
 constexpr Milliseconds LostRunRetention {15'000};
 
+// Returns how a crash counts for one of the runs that it may have ended. A crash that was found out after a take-over
+// does not tell these runs apart.
+CrashTiming countedTiming(const CrashEvidence &item, const std::vector<CrashEvidence> &evidence)
+{
+    const bool isShared = std::any_of(evidence.begin(), evidence.end(), [&item](const CrashEvidence &other) {
+        return !(other.run == item.run) && other.incarnation == item.incarnation;
+    });
+    return item.timing == CrashTiming::Unknown && isShared ? CrashTiming::Ambiguous : item.timing;
+}
+
 }
 
 bool JobScheduler::needsOpenRun(const TaskState &task)
@@ -178,11 +188,12 @@
         if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()) {
             continue;
         }
-        if (!task->crashes.addCrash(item.run.run, {worker.listing.name, item.timing, item.incarnation})) {
+        const CrashTiming timing = countedTiming(item, evidence);
+        if (!task->crashes.addCrash(item.run.run, {worker.listing.name, timing, item.incarnation})) {
             continue;
         }
         suspects.push_back(task);
-        runs.push_back({{"task", item.run.task.text()}, {"run", item.run.run}, {"timing", nameOf(item.timing)},
+        runs.push_back({{"task", item.run.task.text()}, {"run", item.run.run}, {"timing", nameOf(timing)},
             {"crashes", task->crashes.crashes().size()}});
         m_environment.listener.progressChanged(item.run.task.job);
     }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -19,6 +19,8 @@
 // A task that may crash its worker shares one with another such task after it has found none for this long, because
 // long-running tasks should run again within a few seconds of any end.
 constexpr Milliseconds LongestIsolationWait {1'500};
+// The same for tasks that are not long-running. It covers the time until a worker that has crashed is back.
+constexpr Milliseconds LongestBatchIsolationWait {10'000};
 
 }
 
@@ -235,10 +237,12 @@
 
 IsolationStrictness JobScheduler::isolationStrictness(const TaskState &task) const
 {
+    const bool longRunning = task.step->specification().longRunning;
+    const Milliseconds longestWait = longRunning ? LongestIsolationWait : LongestBatchIsolationWait;
     // Long-running tasks that are no suspects themselves don't wait.
     const bool hasWaited = task.crashes.isSuspect()
-        ? task.isolatedSince && m_environment.clock.now() - *task.isolatedSince > LongestIsolationWait
-        : task.step->specification().longRunning;
+        ? task.isolatedSince && m_environment.clock.now() - *task.isolatedSince > longestWait
+        : longRunning;
     return hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
 }
 
--- a/source/scheduling/SuspectIsolation.cpp
+++ b/source/scheduling/SuspectIsolation.cpp
@@ -13,7 +13,7 @@
 constexpr double SharedWorkerCost = 100.0;
 constexpr double SharedStartCost = 3'000.0;
 constexpr double SharedSuspicionCost = 100'000.0;
-// How long other tasks keep off a worker on which a suspect was placed and has not been confirmed to run.
+// How long suspects and other tasks keep off each other's workers without a confirmation that the one there runs.
 constexpr Milliseconds LongestProbation {1'000};
 
 // Returns whether a task was started too lately to know that it does not crash its worker.
@@ -22,15 +22,54 @@
     return !task.runConfirmed || !task.runStartedAt || now - *task.runStartedAt <= CrashHistory::LikelyLimit;
 }
 
-// Returns whether the worker may be about to crash because of a suspect that was just placed there.
+// Returns whether a task was just placed on its worker, which it would crash about now if it does so promptly.
 bool isOnProbation(const TaskState &task, Instant now)
 {
-    if (!task.crashes.mayBeCause() || now - task.placedAt > LongestProbation) {
+    if (now - task.placedAt > LongestProbation) {
         return false;
     }
     return !task.runConfirmed || !task.runStartedAt || now - *task.runStartedAt <= CrashHistory::PromptLimit;
 }
 
+// Returns whether two tasks are members of a gang, which have to start together.
+bool startTogether(const TaskState &task, const TaskState &other)
+{
+    return task.step != nullptr && other.step == task.step && task.step->specification().gang;
+}
+
+// Returns whether the incarnation of the worker crashed, or may have crashed, under the task of the history.
+bool hasCrash(const CrashHistory &history, const std::string &worker, std::int64_t incarnation)
+{
+    const auto &crashes = history.crashes();
+    const auto &openRuns = history.openRuns();
+    if (incarnation == 0) {
+        return false;
+    }
+    const bool isCounted = std::any_of(crashes.begin(), crashes.end(),
+        [&](const auto &entry) { return entry.second.worker == worker && entry.second.incarnation == incarnation; });
+    return isCounted || std::any_of(openRuns.begin(), openRuns.end(), [&](const auto &entry) {
+        return entry.second.timingIfCrashed && entry.second.worker == worker && entry.second.incarnation == incarnation;
+    });
+}
+
+// Returns whether two tasks must be kept apart to find out which one crashes workers.
+bool areRivals(const CrashHistory &left, const CrashHistory &right)
+{
+    if (!left.mayBeCause() && !right.mayBeCause()) {
+        return false;
+    }
+    if (left.mayBeCause() && right.mayBeCause()) {
+        return true;
+    }
+    const auto &crashes = left.crashes();
+    const auto &openRuns = left.openRuns();
+    return std::any_of(crashes.begin(), crashes.end(), [&](const auto &entry) {
+        return hasCrash(right, entry.second.worker, entry.second.incarnation);
+    }) || std::any_of(openRuns.begin(), openRuns.end(), [&](const auto &entry) {
+        return entry.second.timingIfCrashed && hasCrash(right, entry.second.worker, entry.second.incarnation);
+    });
+}
+
 std::optional<double> costOfSuspect(const TaskState &task, const IsolationQuery &query, const WorkerState &worker)
 {
     double cost = 0.0;
@@ -39,13 +78,16 @@
             continue;
         }
         cost += wasStartedLately(*other, query.now) ? SharedStartCost : SharedWorkerCost;
-        if (!task.crashes.mayBeCause() || !other->crashes.mayBeCause()) {
+        const bool isRival = areRivals(task.crashes, other->crashes);
+        const bool isStarting
+            = task.crashes.mayBeCause() && isOnProbation(*other, query.now) && !startTogether(task, *other);
+        if (!isRival && !isStarting) {
             continue;
         }
         if (query.strictness == IsolationStrictness::Required) {
             return std::nullopt;
         }
-        cost += SharedSuspicionCost;
+        cost += isRival ? SharedSuspicionCost : 0.0;
     }
     return cost;
 }
@@ -57,10 +99,8 @@
     if (task.crashes.isSuspect()) {
         return costOfSuspect(task, query, worker);
     }
-    // The members of a gang have to start together.
     const bool meetsSuspect = std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const TaskState *other) {
-        const bool startsTogether = other->step == task.step && task.step != nullptr && task.step->specification().gang;
-        return !startsTogether && isOnProbation(*other, query.now);
+        return other->crashes.mayBeCause() && isOnProbation(*other, query.now) && !startTogether(task, *other);
     });
     if (!meetsSuspect) {
         return 0.0;
--- a/source/scheduling/tests/SuspectIsolationTest.cpp
+++ b/source/scheduling/tests/SuspectIsolationTest.cpp
@@ -65,6 +65,18 @@
     EXPECT_NE(cost(), std::nullopt);
 }
 
+// Two tasks that lost a worker together shared the next ones as well, and the innocent one was given up.
+TEST_F(SuspectIsolationTest, keepsATaskThatRanForLongApartFromASuspectOfTheSameCrash)
+{
+    m_task.crashes.addCrash(2, {"worker", CrashTiming::Ambiguous, 7});
+    m_other.crashes.addCrash(2, {"worker", CrashTiming::LateShared, 7});
+    m_worker.tasks = {&m_other};
+    EXPECT_EQ(cost(), std::nullopt);
+    m_other.crashes.clear();
+    m_other.crashes.addCrash(2, {"worker", CrashTiming::LateShared, 8});
+    EXPECT_NE(cost(), std::nullopt);
+}
+
 // The start of a suspect crashed its worker five times beside tasks that were started on the same worker after it.
 TEST_F(SuspectIsolationTest, keepsTasksWithoutCrashOffAWorkerUntilASuspectRunsThere)
 {
