--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -2,13 +2,16 @@
 
 #include "base/Scheduler.h"
 #include "scheduling/BatchDemandEstimator.h"
+#include "scheduling/CrashEvidence.h"
 #include "scheduling/FailedPlacements.h"
 #include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/RecordedLeaseExpiries.h"
 #include "scheduling/SchedulingPolicies.h"
+#include "scheduling/SuspectIsolation.h"
 #include "scheduling/TakeOverRecovery.h"
+#include "scheduling/TaskDelegation.h"
 #include "scheduling/WorkerState.h"
 
 #include <functional>
@@ -42,6 +45,13 @@
     // A worker rejected an order because it has seen a higher fencing token, so this leader term is over.
     virtual void tokenRefused(const std::string &worker) = 0;
 
+    // A worker of this partition is proven to have crashed under a task before it was delegated to the other one, which
+    // has to know of it.
+    virtual void delegatedTaskCrashed(const std::string &job, const std::string &partition) = 0;
+
+    // A task of a job that another partition owns is given up. Only that partition may end the job.
+    virtual void delegatedTaskGivenUp(const std::string &job) = 0;
+
     // Logs a decision with the job, task or worker that it concerns and the inputs that led to it.
     virtual void logDecision(std::string_view event, const std::string &subject, const Json &inputs) = 0;
 };
@@ -129,7 +139,7 @@
     void restoreDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
         const Json &progress, const std::vector<DelegatedTask> &tasks);
 
-    // Takes tasks that another partition has newly delegated.
+    // Takes tasks that another partition has newly delegated, and what it has found out about those delegated before.
     void addDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
         const std::vector<DelegatedTask> &tasks);
 
@@ -137,10 +147,13 @@
     // has room now.
     [[nodiscard]] std::vector<UnplacedStep> unplacedLongRunning(Milliseconds longerThan) const;
 
-    // Delegates up to the given number of waiting tasks of a step to another partition. Returns all tasks of the job
-    // that are delegated to that partition. They must not be sent there before the progress of the job is recorded.
-    [[nodiscard]] std::vector<DelegatedTask> delegate(
-        const UnplacedStep &unplaced, const std::string &partition, int count);
+    // Delegates up to the given number of waiting tasks of a step to another partition. They must not be sent there
+    // before the progress of the job is recorded.
+    void delegate(const UnplacedStep &unplaced, const std::string &partition, int count);
+
+    // Fails a job because another partition has given up one of the named tasks, which were delegated to it. Returns
+    // false if the job has ended or none of them is one of its delegated tasks.
+    bool failDelegated(const std::string &id, const std::vector<DelegatedTask> &tasks);
 
     // Adds a newly accepted job.
     void add(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
@@ -209,7 +222,8 @@
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
-    void openDelegated(JobState &job, const std::vector<DelegatedTask> &tasks);
+    void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
+    [[nodiscard]] static bool isDelegable(const TaskState &task, bool recovering);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
@@ -274,17 +288,12 @@
     void recordFailure(WorkerState &worker, const std::string &job);
     [[nodiscard]] WorkerState *findWorker(const std::string &name);
     [[nodiscard]] OrderTarget target(const WorkerState &worker) const;
+    // Returns whether the worker may get a lease as far as the stored record and the owner's authority are concerned.
+    [[nodiscard]] bool mayGrantLease(const WorkerState &worker) const;
     [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
 
     // Crashes
-    // A run under which a worker crashed.
-    struct CrashEvidence
-    {
-        RunName run;
-        CrashTiming timing = CrashTiming::Unknown;
-    };
-
     // Whether a run of the task may have crashed its worker without the store knowing of the run.
     [[nodiscard]] static bool needsOpenRun(const TaskState &task);
     [[nodiscard]] bool mayPlace(const TaskState &task) const;
@@ -293,16 +302,17 @@
     // Requeues tasks whose start orders are held back and whose worker takes no tasks any more.
     void withdrawHeldStarts(WorkerState &worker);
     void withdrawHeldStart(TaskState &task);
-    // Returns the timing of a crash of the worker now as it counts for its task, or nothing if it doesn't count.
-    [[nodiscard]] static std::optional<CrashTiming> crashTiming(
-        const TaskState &task, const WorkerState &worker, std::size_t tasksOnWorker);
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
     // Returns the runs that a worker has lost by a crash.
     [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(WorkerState &worker);
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
-    void noteLostRun(WorkerState &worker, TaskState &task, std::size_t tasksOnWorker);
+    void logGivenUp(const TaskName &task, const CrashHistory &history);
+    // Lets the crashes under a task that was given up count less for the others on the same workers.
+    void explainCrashes(const TaskState &cause);
+    // Requeues the tasks of a worker that is lost. How a crash of it would count is noted until that is known.
+    void noteLostRuns(WorkerState &worker);
     // Explains the lost runs of a worker by an answer of the given incarnation.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation);
     void forgetLostRuns(WorkerState &worker);
@@ -335,6 +345,7 @@
     void reserveWorkers(const StepState &step, int count);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
+    [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] bool isRecovering() const;
@@ -344,6 +355,9 @@
     // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
     [[nodiscard]] static int readyCount(const StepState &step, bool recovering);
 
+    // Returns whether the authority is up to date. It may have run out while the process was held up.
+    [[nodiscard]] bool isAuthorityCurrent() const;
+
     // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(const WorkerState &worker) const;
 
@@ -355,6 +369,8 @@
     FencingToken m_token;
     std::uint64_t m_firstRunNumber;
     SchedulingAuthority m_authority = SchedulingAuthority::Full;
+    // When the authority was last known to be up to date.
+    Instant m_authorityReviewedAt;
     bool m_dispatchPosted = false;
     // Whether a query to the advisor is open. The advisor handles one at a time.
     bool m_advicePending = false;
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -31,6 +31,7 @@
     step.highestRun = std::max(step.highestRun, run);
     task.phase = RunPhase::Starting;
     task.worker = worker.listing.name;
+    task.placedAt = m_environment.clock.now();
     task.deliveryUncertain = false;
     task.runStartedAt.reset();
     task.runConfirmed = false;
@@ -62,7 +63,7 @@
 void JobScheduler::sendStart(TaskState &task)
 {
     WorkerState *worker = findWorker(task.worker);
-    if (worker == nullptr || !worker->clock.isKnown() || m_recordedExpiries.contains(task.worker)) {
+    if (worker == nullptr || !worker->clock.isKnown() || !mayGrantLease(*worker)) {
         return;
     }
     const RunName name {nameOf(task), task.run};
