Scheduling: Start a gang again after its members shared a crash

A gang that needs two members on one worker waited for ever once that worker had crashed under both: each was kept apart from the other, and the time after which suspects may share a worker was only counted for tasks that are placed one by one.

The time now counts for all members from the first round that finds no place for one of them, and ends when the gang is started instead of with each tentative placement.

GangPlacement.startsAgainOnTheSameWorkerAfterACrash was red before (not done 40 s after the crash) and is green now.

--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -45,6 +45,7 @@
     const bool hold
         = std::any_of(tasks.begin(), tasks.end(), [](const TaskState *task) { return needsOpenRun(*task); });
     for (TaskState *task : tasks) {
+        task->isolatedSince.reset();
         if (hold) {
             holdStart(*task);
         } else {
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -196,6 +196,7 @@
 
 void JobScheduler::placeGang(StepState &step)
 {
+    const Instant now = m_environment.clock.now();
     for (const TaskState &task : step.tasks) {
         if (!mayPlace(task)) {
             return;
@@ -206,6 +207,10 @@
     for (TaskState &task : step.tasks) {
         WorkerState *worker = choose(step, task);
         if (worker == nullptr) {
+            // The members wait together.
+            for (TaskState &member : step.tasks) {
+                member.isolatedSince = member.isolatedSince.value_or(now);
+            }
             // No start order was sent yet, so the run number can be reused.
             for (auto member = placed.rbegin(); member != placed.rend(); ++member) {
                 undoPlacement(**member);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -37,7 +37,6 @@
     task.runConfirmed = false;
     task.runAdopted = false;
     task.isWithNextIncarnation = false;
-    task.isolatedSince.reset();
     task.percent = 0;
     task.speedPercent = 100;
     task.usage = 0;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -307,6 +307,7 @@
         return false;
     }
     place(*task, worker, running.run.run);
+    task->isolatedSince.reset();
     task->runAdopted = true;
     task->isPlaceKnown = true;
     markRunning(*task, sentAt);
