--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -20,7 +20,7 @@
 // Returns whether a worker may get any new tasks now.
 [[nodiscard]] bool acceptsTasks(const WorkerState &worker, Instant now);
 
-// Returns whether a start order that the worker left unanswered may be sent again. Since the task was placed, the
+// Returns whether a start order that was held back or left unanswered may be sent now. Since the task was placed, the
 // worker may have lost some of its capacity, so that its tasks, this one included, no longer fit.
 [[nodiscard]] bool mayRepeatStart(const WorkerState &worker, const StepState &step);
 
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -79,8 +79,10 @@
         for (Milliseconds passed {0}; passed < duration; passed += Step) {
             m_scheduler.advance(Step, Step);
             workers.advance();
-            jobs.onRunEndsRecorded(jobs.appliedRunEnds());
-            jobs.onStartsRecorded(jobs.heldStarts());
+            if (!isStoreAway) {
+                jobs.onRunEndsRecorded(jobs.appliedRunEnds());
+                jobs.onStartsRecorded(jobs.heldStarts());
+            }
             m_untilTick -= Step;
             if (m_untilTick.count() <= 0) {
                 m_untilTick = JobScheduler::TickPeriod;
@@ -108,6 +110,7 @@
 
     ManualClock clock;
     FakeWorkers workers;
+    bool isStoreAway = false;
 
 private:
     static SchedulingLimits limits()
@@ -185,6 +188,27 @@
     }
 }
 
+// Guards against a start that waited for the store to record it while its worker's capacity shrank.
+TEST(CapacityChange, sendsNoHeldStartToAWorkerThatHasShrunkMeanwhile)
+{
+    CapacityHarness harness;
+    harness.addWorker("worker", {8'000, 8'000, 0});
+    harness.workers.setRecovery("worker", {});
+    harness.submit("watch", lastingStepWith({4'000, 4'000, 0}), Lasting);
+    harness.advance(Second);
+    harness.workers.crash("worker");
+    harness.isStoreAway = true;
+    harness.advance(Second * 8);
+    ASSERT_EQ(harness.jobs.heldStarts().size(), 1U);
+    harness.changeCapacity("worker", {3'000, 8'000, 0});
+    harness.isStoreAway = false;
+    harness.advance(Second * 2);
+    EXPECT_EQ(harness.startsOf("watch"), 1U);
+    harness.changeCapacity("worker", {8'000, 8'000, 0});
+    harness.advance(Second * 2);
+    EXPECT_EQ(harness.startsOf("watch"), 2U);
+}
+
 // Guards against backfilling tasks, whose processors do not count, on a worker that is over its capacity.
 TEST(CapacityChange, startsNoBackfillingTaskOnAWorkerThatRunsMoreThanItHas)
 {
