--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -45,6 +45,7 @@
     const bool hold
         = std::any_of(tasks.begin(), tasks.end(), [](const TaskState *task) { return needsOpenRun(*task); });
     for (TaskState *task : tasks) {
+        task->isolatedSince.reset();
         if (hold) {
             holdStart(*task);
         } else {
@@ -93,7 +94,7 @@
     const auto isReady = [&](const TaskState &member) {
         const WorkerState *worker = findWorker(member.worker);
         return member.phase == RunPhase::Starting && member.run == task.run && worker != nullptr
-            && acceptsTasks(*worker, now);
+            && acceptsTasks(*worker, now) && mayRepeatStart(*worker, *member.step);
     };
     const StepState &step = *task.step;
     return step.specification().gang ? std::all_of(step.tasks.begin(), step.tasks.end(), isReady) : isReady(task);
