Scheduling: Let the store know when an open run is closed

Cause: forgetLostRuns, explainLostRuns, detach and applyEnd close open runs in memory only. The record keeps them until the progress of the job changes for another reason, which for a long task is its end. Change: all places that close an open run do it through closeOpenRun, which reports a change of progress if the run was open and the job is not finished. Closing a run that was never open, as at the end of every normal run, reports nothing and causes no write. Not measured: the number of store writes.

--- a/source/scheduling/CrashHistory.cpp
+++ b/source/scheduling/CrashHistory.cpp
@@ -49,9 +49,9 @@
     }
 }
 
-void CrashHistory::close(std::uint64_t run)
+bool CrashHistory::close(std::uint64_t run)
 {
-    m_openRuns.erase(run);
+    return m_openRuns.erase(run) > 0;
 }
 
 void CrashHistory::markLost(std::uint64_t run, CrashTiming timing)
--- a/source/scheduling/CrashHistory.h
+++ b/source/scheduling/CrashHistory.h
@@ -71,7 +71,8 @@
 
     // Notes that a run may be under way. It stays open until its end is known or can't be found out any more.
     void open(std::uint64_t run, OpenRun openRun);
-    void close(std::uint64_t run);
+    // Returns false if the run was not open.
+    bool close(std::uint64_t run);
 
     // Notes that the worker of an open run may have crashed, and how that would count.
     void markLost(std::uint64_t run, CrashTiming timing);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -326,6 +326,8 @@
     // Explains the lost runs of a worker by an answer of the given incarnation, which lists these runs.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation, const std::set<RunName> &listed);
     void forgetLostRuns(WorkerState &worker);
+    // Closes a run, if it is open, and lets the store know.
+    void closeOpenRun(TaskState &task, std::uint64_t run);
     // Closes the open runs on a worker that starts to drain, whose exit is no crash for a successor either.
     void closeOpenRuns(const WorkerState &worker);
     // Clears a task of suspicion whose run has lived long enough.
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -297,7 +297,7 @@
         TaskState *task = findTask(lost.run.task);
         const bool isAdopted = task != nullptr && task->worker == worker.listing.name && task->run == lost.run.run;
         if (task != nullptr && lost.incarnation <= incarnation && !isAdopted) {
-            task->crashes.close(lost.run.run);
+            closeOpenRun(*task, lost.run.run);
         }
     }
     std::erase_if(worker.lostRuns, [incarnation](const LostRun &lost) { return lost.incarnation <= incarnation; });
@@ -311,18 +311,26 @@
         const bool isOld = now > lost.lostAt + LostRunRetention;
         TaskState *task = isOld ? findTask(lost.run.task) : nullptr;
         if (task != nullptr) {
-            task->crashes.close(lost.run.run);
+            closeOpenRun(*task, lost.run.run);
         }
         return isOld;
     });
 }
 
+void JobScheduler::closeOpenRun(TaskState &task, std::uint64_t run)
+{
+    const JobState &job = *task.step->occurrence->job;
+    // The progress of a finished job holds no open runs.
+    if (task.crashes.close(run) && !job.isFinished()) {
+        m_environment.listener.progressChanged(job.specification.id);
+    }
+}
+
 void JobScheduler::closeOpenRuns(const WorkerState &worker)
 {
     for (TaskState *task : worker.tasks) {
-        if (task->crashes.openRuns().contains(task->run) && !task->awaitsRecording) {
-            task->crashes.close(task->run);
-            m_environment.listener.progressChanged(task->step->occurrence->job->specification.id);
+        if (!task->awaitsRecording) {
+            closeOpenRun(*task, task->run);
         }
     }
 }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -262,7 +262,7 @@
         worker->removeTask(task);
     }
     task.worker.clear();
-    task.crashes.close(task.run);
+    closeOpenRun(task, task.run);
     task.awaitsRecording = false;
     task.orderPending = false;
     task.deliveryUncertain = false;
@@ -290,7 +290,7 @@
         return;
     }
     const bool current = task->worker == worker.listing.name && task->run == ended.run.run;
-    task->crashes.close(ended.run.run);
+    closeOpenRun(*task, ended.run.run);
     JobState &job = *task->step->occurrence->job;
     markJobStarted(job);
     if (current && !ended.checkpoint.empty() && ended.end != RunEnd::Done) {
