Scheduling: Withdraw held starts when their job ends

A task whose start waited for the store stayed on its worker for ever if its job was cancelled or failed meanwhile and the answer to the stop order got lost: unanswered stops were not repeated while the task counted as awaiting its record. Its resources stayed taken on a healthy worker.

A start that was not sent needs no stop, so the task now leaves its worker at once.

CrashingTask.leavesItsWorkerIfItsJobIsCancelledBeforeTheStartIsSent was red before (still on the worker after 10 s) and is green now.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -208,7 +208,11 @@
     for (auto &[number, occurrence] : job.occurrences) {
         for (StepState &step : occurrence.steps) {
             for (TaskState &task : step.tasks) {
-                if (task.phase == RunPhase::Starting || task.phase == RunPhase::Running) {
+                if (task.awaitsRecording) {
+                    // Its start was not sent, so there is nothing to stop.
+                    m_heldStarts.erase({nameOf(task), task.run});
+                    requeue(task, Milliseconds(0));
+                } else if (task.phase == RunPhase::Starting || task.phase == RunPhase::Running) {
                     beginStop(task);
                 }
             }
--- a/source/tenure/tests/CrashingTaskTest.cpp
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -218,6 +218,30 @@
     EXPECT_EQ(starts("job"), 2U);
 }
 
+// A stop order that got lost was never repeated for a task whose start had not been sent, so the task stayed on its
+// worker.
+TEST_P(CrashingTask, leavesItsWorkerIfItsJobIsCancelledBeforeTheStartIsSent)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    m_cluster.advance(Second);
+    crashWorkerOf("job");
+    m_cluster.advance(Second / 2);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = true;
+    }
+    for (int i = 0; i < 400 && task("job").phase != RunPhase::Starting; ++i) {
+        m_cluster.advance(ShortDelay);
+    }
+    ASSERT_TRUE(task("job").awaitsRecording);
+    m_cluster.owner()->gateway.loseAnswers = 1;
+    m_cluster.owner()->router.cancel("job", m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(task("job").worker, "");
+}
+
 INSTANTIATE_TEST_SUITE_P(Recoveries, CrashingTask, testing::Values(Identity::SameName, Identity::NewName));
 
 }
