Scheduling: Stop waiting for proof from a worker that drained and left

A task waited for ever if its last run had been lost with a worker that was cut off, and that worker was announced as draining before another one took its address: the lost run was forgotten, but stayed open in the task's history, and the verdict waited for it.

The open run is now closed with the lost run.

CrashingTask.isStartedAgainIfALostWorkerDrainsAndLeaves was red before (two starts instead of three) and is green now.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -314,7 +314,7 @@
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
     // Returns the runs that a worker has lost by a crash.
-    [[nodiscard]] static std::vector<CrashEvidence> collectCrashEvidence(
+    [[nodiscard]] std::vector<CrashEvidence> collectCrashEvidence(
         WorkerState &worker, const std::set<TaskState *> &kept = {});
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -176,8 +176,12 @@
                 [task](const CrashEvidence &item) { return item.run.task == nameOf(*task); });
             task->endUnknown = task->endUnknown || (!task->awaitsRecording && !counts);
         }
-        for (const LostRun &lost : worker.lostRuns) {
+    }
+    for (const LostRun &lost : worker.lostRuns) {
+        if (!worker.listing.draining) {
             evidence.push_back({lost.run, lost.incarnation, lost.timing});
+        } else if (TaskState *task = findTask(lost.run.task)) {
+            closeOpenRun(*task, lost.run.run);
         }
     }
     worker.lostRuns.clear();
--- a/source/tenure/tests/CrashingTaskTest.cpp
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -242,6 +242,38 @@
     EXPECT_EQ(task("job").worker, "");
 }
 
+// A task waited for ever for proof that a lost worker had crashed, because that worker had been draining when it left.
+TEST_P(CrashingTask, isStartedAgainIfALostWorkerDrainsAndLeaves)
+{
+    for (int i = 0; i < TestCluster::WorkerCount; ++i) {
+        m_cluster.workers.setRecovery(m_cluster.workerName(i), {Identity::NewName, Milliseconds(3'500)});
+    }
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    const auto advanceToStart = [this](std::size_t number) {
+        for (int i = 0; i < 2'000 && starts("job") < number; ++i) {
+            m_cluster.advance(ShortDelay);
+        }
+        m_cluster.advance(ShortDelay * 5);
+    };
+    advanceToStart(1);
+    crashWorkerOf("job");
+    advanceToStart(2);
+    const std::string worker = task("job").worker;
+    m_cluster.owner()->gateway.cutWorkers = {FakeWorkers::firstNameOf(worker)};
+    m_cluster.advance(Second * 7);
+    ASSERT_EQ(task("job").phase, RunPhase::Waiting);
+    std::map<std::string, WorkerListing> listings = m_cluster.workers.listings();
+    listings.at(worker).draining = true;
+    m_cluster.owner()->ownership.updateWorkers(listings);
+    m_cluster.workers.crash(worker);
+    m_cluster.owner()->gateway.cutWorkers.clear();
+    m_cluster.advance(Second * 30);
+    EXPECT_EQ(starts("job"), 3U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Recoveries, CrashingTask, testing::Values(Identity::SameName, Identity::NewName));
 
 }
