Scheduling: Start nothing on a worker whose restart is not listed yet

What callers could see: a task runs twice at the same time (TWICE) if its worker had crashed, came back under its name and answered the owner before the platform listed it again, and the owner was killed before it had recorded the worker's first lease. Cause: neither the record of lease holders nor the list names such a worker for a successor, which then takes the task for unstarted. Change: a worker takes no tasks while the platform lists an earlier incarnation of it than the one that answers. What it costs: a worker that is back gets tasks once its entry is there, so none during an outage of the store. Open: a worker with the same incarnation that drops off the list between its first lease and the record of it.

--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -53,6 +53,11 @@
     return incarnation != 0 && listing.incarnation > incarnation;
 }
 
+bool WorkerState::isListingOutdated() const
+{
+    return listing.incarnation != 0 && listing.incarnation < incarnation;
+}
+
 void WorkerState::updateListing(const WorkerListing &present)
 {
     const std::int64_t former = listing.capacity.milliCores;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -100,6 +100,9 @@
     // Returns whether the platform lists a later incarnation than the last one that has answered.
     [[nodiscard]] bool isRestartListed() const;
 
+    // Returns whether a later incarnation has answered than the one that the platform lists.
+    [[nodiscard]] bool isListingOutdated() const;
+
     // Replaces the listing. If the worker has other processors now, the shares in its samples change accordingly.
     void updateListing(const WorkerListing &present);
 
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -454,6 +454,36 @@
 
 INSTANTIATE_TEST_SUITE_P(Delays, HandOverAfterReturn, testing::Range(20, 420, 20));
 
+class HandOverAfterRestart : public HandOver, public testing::WithParamInterface<int>
+{
+};
+
+// A worker answers again after a crash, and its owner is killed as soon as a task runs there. The platform has removed
+// the worker from its list, and lists it again only after a successor has heard all others.
+TEST_P(HandOverAfterRestart, runsTasksOnceIfTheOwnerIsKilledBeforeItRecordsAWorkerThatIsNotListedAgain)
+{
+    m_cluster.owner()->gateway.cutWorkers.insert("worker-3");
+    m_cluster.advance(Second);
+    submitFullSize("wide", 2);
+    m_cluster.workers.setRecovery("worker-2", {FakeWorkers::Recovery::Identity::SameName, Milliseconds(GetParam())});
+    m_cluster.workers.crash("worker-2");
+    m_cluster.advance(Second * 2);
+    m_cluster.workers.setBehaviour("job", {Second * 5, 0, false});
+    m_cluster.owner()->router.submit(
+        TestCluster::job("job", 1, 1), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    for (int i = 0; i < 100 && m_cluster.workers.startCount(FirstTask) == 0; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    const int owner = m_cluster.owner()->self.name.back() - '0';
+    m_cluster.kill(owner);
+    m_cluster.start(owner);
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_GE(m_cluster.workers.startCount(FirstTask), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Downtimes, HandOverAfterRestart, testing::Range(3'400, 4'000, 20));
+
 // Instances are restarted one after the other while workers leave, as during an upgrade. No task may be away for
 // longer than an evacuation and one hand-over take.
 TEST_F(HandOver, restartsEvacuatedTasksDuringARollingRestartWithLeavingWorkers)
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -49,6 +49,7 @@
             m_untilTick -= Step;
             if (m_untilTick.count() <= 0) {
                 m_untilTick = JobScheduler::TickPeriod;
+                listRestartedWorkers();
                 m_jobs.tick();
             }
         }
@@ -73,6 +74,20 @@
     FakeWorkers workers;
 
 private:
+    // Lists workers that have come back after a crash with their new incarnation. All else stays as listed last.
+    void listRestartedWorkers()
+    {
+        for (const auto &[name, present] : workers.listings()) {
+            const auto known = m_jobs.workers().find(name);
+            if (known == m_jobs.workers().end() || known->second.listing.incarnation == present.incarnation) {
+                continue;
+            }
+            WorkerListing listing = known->second.listing;
+            listing.incarnation = present.incarnation;
+            m_jobs.updateWorker(listing);
+        }
+    }
+
     static SchedulingLimits limits()
     {
         SchedulingLimits limits;
