--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -45,6 +45,7 @@
     const bool hold
         = std::any_of(tasks.begin(), tasks.end(), [](const TaskState *task) { return needsOpenRun(*task); });
     for (TaskState *task : tasks) {
+        task->isolatedSince.reset();
         if (hold) {
             holdStart(*task);
         } else {
@@ -93,7 +94,7 @@
     const auto isReady = [&](const TaskState &member) {
         const WorkerState *worker = findWorker(member.worker);
         return member.phase == RunPhase::Starting && member.run == task.run && worker != nullptr
-            && acceptsTasks(*worker, now);
+            && acceptsTasks(*worker, now) && mayRepeatStart(*worker, *member.step);
     };
     const StepState &step = *task.step;
     return step.specification().gang ? std::all_of(step.tasks.begin(), step.tasks.end(), isReady) : isReady(task);
@@ -175,8 +176,12 @@
                 [task](const CrashEvidence &item) { return item.run.task == nameOf(*task); });
             task->endUnknown = task->endUnknown || (!task->awaitsRecording && !counts);
         }
-        for (const LostRun &lost : worker.lostRuns) {
+    }
+    for (const LostRun &lost : worker.lostRuns) {
+        if (!worker.listing.draining) {
             evidence.push_back({lost.run, lost.incarnation, lost.timing});
+        } else if (TaskState *task = findTask(lost.run.task)) {
+            closeOpenRun(*task, lost.run.run);
         }
     }
     worker.lostRuns.clear();
@@ -297,7 +302,7 @@
         TaskState *task = findTask(lost.run.task);
         const bool isAdopted = task != nullptr && task->worker == worker.listing.name && task->run == lost.run.run;
         if (task != nullptr && lost.incarnation <= incarnation && !isAdopted) {
-            task->crashes.close(lost.run.run);
+            closeOpenRun(*task, lost.run.run);
         }
     }
     std::erase_if(worker.lostRuns, [incarnation](const LostRun &lost) { return lost.incarnation <= incarnation; });
@@ -311,18 +316,26 @@
         const bool isOld = now > lost.lostAt + LostRunRetention;
         TaskState *task = isOld ? findTask(lost.run.task) : nullptr;
         if (task != nullptr) {
-            task->crashes.close(lost.run.run);
+            closeOpenRun(*task, lost.run.run);
         }
         return isOld;
     });
 }
 
+void JobScheduler::closeOpenRun(TaskState &task, std::uint64_t run)
+{
+    const JobState &job = *task.step->occurrence->job;
+    // The progress of a finished job holds no open runs.
+    if (task.crashes.close(run) && !job.isFinished()) {
+        m_environment.listener.progressChanged(job.specification.id);
+    }
+}
+
 void JobScheduler::closeOpenRuns(const WorkerState &worker)
 {
     for (TaskState *task : worker.tasks) {
-        if (task->crashes.openRuns().contains(task->run) && !task->awaitsRecording) {
-            task->crashes.close(task->run);
-            m_environment.listener.progressChanged(task->step->occurrence->job->specification.id);
+        if (!task->awaitsRecording) {
+            closeOpenRun(*task, task->run);
         }
     }
 }
--- a/source/tenure/tests/CrashingTaskTest.cpp
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -218,6 +218,62 @@
     EXPECT_EQ(starts("job"), 2U);
 }
 
+// A stop order that got lost was never repeated for a task whose start had not been sent, so the task stayed on its
+// worker.
+TEST_P(CrashingTask, leavesItsWorkerIfItsJobIsCancelledBeforeTheStartIsSent)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    m_cluster.advance(Second);
+    crashWorkerOf("job");
+    m_cluster.advance(Second / 2);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = true;
+    }
+    for (int i = 0; i < 400 && task("job").phase != RunPhase::Starting; ++i) {
+        m_cluster.advance(ShortDelay);
+    }
+    ASSERT_TRUE(task("job").awaitsRecording);
+    m_cluster.owner()->gateway.loseAnswers = 1;
+    m_cluster.owner()->router.cancel("job", m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(task("job").worker, "");
+}
+
+// A task waited for ever for proof that a lost worker had crashed, because that worker had been draining when it left.
+TEST_P(CrashingTask, isStartedAgainIfALostWorkerDrainsAndLeaves)
+{
+    for (int i = 0; i < TestCluster::WorkerCount; ++i) {
+        m_cluster.workers.setRecovery(m_cluster.workerName(i), {Identity::NewName, Milliseconds(3'500)});
+    }
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    const auto advanceToStart = [this](std::size_t number) {
+        for (int i = 0; i < 2'000 && starts("job") < number; ++i) {
+            m_cluster.advance(ShortDelay);
+        }
+        m_cluster.advance(ShortDelay * 5);
+    };
+    advanceToStart(1);
+    crashWorkerOf("job");
+    advanceToStart(2);
+    const std::string worker = task("job").worker;
+    m_cluster.owner()->gateway.cutWorkers = {FakeWorkers::firstNameOf(worker)};
+    m_cluster.advance(Second * 7);
+    ASSERT_EQ(task("job").phase, RunPhase::Waiting);
+    std::map<std::string, WorkerListing> listings = m_cluster.workers.listings();
+    listings.at(worker).draining = true;
+    m_cluster.owner()->ownership.updateWorkers(listings);
+    m_cluster.workers.crash(worker);
+    m_cluster.owner()->gateway.cutWorkers.clear();
+    m_cluster.advance(Second * 30);
+    EXPECT_EQ(starts("job"), 3U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Recoveries, CrashingTask, testing::Values(Identity::SameName, Identity::NewName));
 
 }
