--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -312,6 +312,11 @@
         return;
     }
     worker.consecutiveFailures = 0;
+    if (!current) {
+        m_environment.listener.logDecision("earlier-run-done", ended.run.task.text(),
+            {{"worker", worker.listing.name}, {"run", ended.run.run}, {"phase", nameOf(task->phase)},
+                {"current_worker", task->worker}, {"current_run", task->run}});
+    }
     if (task->phase != RunPhase::Done && !current && !task->worker.empty()) {
         // An earlier run has completed the task, so the current one is no longer needed.
         WorkerState *other = findWorker(task->worker);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -290,8 +290,12 @@
     const bool alreadyKnown = worker.orphanRuns.contains(running.run);
     worker.orphanRuns.insert(running.run);
     if (!alreadyKnown) {
-        m_environment.listener.logDecision(
-            "orphan-run-stopped", running.run.task.text(), {{"worker", worker.listing.name}, {"run", running.run.run}});
+        Json inputs = {{"worker", worker.listing.name}, {"run", running.run.run}};
+        if (task != nullptr) {
+            inputs.update(
+                {{"phase", nameOf(task->phase)}, {"current_worker", task->worker}, {"current_run", task->run}});
+        }
+        m_environment.listener.logDecision("orphan-run-stopped", running.run.task.text(), inputs);
     }
     stopOrphan(worker, running.run);
 }
@@ -464,7 +468,10 @@
     if (!expired || worker.tasks.empty()) {
         return;
     }
-    m_environment.listener.logDecision("worker-leases-expired", worker.listing.name, {{"tasks", worker.tasks.size()}});
+    const auto silence = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - worker.lastContact);
+    m_environment.listener.logDecision("worker-leases-expired", worker.listing.name,
+        {{"tasks", worker.tasks.size()}, {"listed", worker.listed}, {"unanswered", worker.consecutiveUnanswered},
+            {"last_contact_age_ms", silence.count()}});
     noteLostRuns(worker);
 }
 
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+constexpr NameTable<RunPhase, 6> RunPhaseNames {
+    {{{RunPhase::Waiting, "waiting"}, {RunPhase::Starting, "starting"}, {RunPhase::Running, "running"},
+        {RunPhase::Stopping, "stopping"}, {RunPhase::Done, "done"}, {RunPhase::Delegated, "delegated"}}}};
+
 constexpr NameTable<JobPhase, 5> PhaseNames {{{{JobPhase::Pending, "pending"}, {JobPhase::Running, "running"},
     {JobPhase::Done, "done"}, {JobPhase::Failed, "failed"}, {JobPhase::Cancelled, "cancelled"}}}};
 
@@ -91,6 +95,11 @@
 
 }
 
+std::string_view nameOf(RunPhase phase)
+{
+    return RunPhaseNames.nameOf(phase);
+}
+
 std::string_view nameOf(JobPhase phase)
 {
     return PhaseNames.nameOf(phase);
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -35,6 +35,7 @@
     Cancelled,
 };
 
+[[nodiscard]] std::string_view nameOf(RunPhase phase);
 [[nodiscard]] std::string_view nameOf(JobPhase phase);
 
 // Returns the phase with the given stable name, or Pending if there is none.
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -89,8 +89,9 @@
         m_jobScheduler.updateWorker(worker);
     }
     m_environment.log("partition-loaded", m_position.partition,
-        {{"jobs", count}, {"lease_holders", holders.size()}, {"earlier_lease_ms", earlierLease.count()},
-            {"token", m_position.ownerRevision}});
+        {{"jobs", count}, {"lease_holders", holders.size()}, {"recorded_holders", record.workers.size()},
+            {"recorded_term", record.term}, {"listed_workers", m_listedWorkers.size()},
+            {"earlier_lease_ms", earlierLease.count()}, {"token", m_position.ownerRevision}});
     m_inboxFeed.start();
 }
 
