Scheduling: Gather what owners rely on of each other's leases in one class

What a new owner may rely on of earlier leases was spread over TakeOverRecovery, RecordedLeaseExpiries, three methods of JobScheduler and the record's age, duration and change mark in PartitionLeader. LeaseHandover now has it all: the workers that earlier terms may have left leases on, the records that the store may have, and which record is due. SchedulingAuthority and LeaseHolderRecord move to files of the scheduling slice.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -1,6 +1,5 @@
 #include "scheduling/JobScheduler.h"
 
-#include "base/NameTable.h"
 #include "scheduling/JobRank.h"
 #include "scheduling/PlacementSurvey.h"
 #include "scheduling/WorkerChoice.h"
@@ -21,14 +20,6 @@
 // Number of run numbers in one leader term. No task is expected to need that many starts within a term.
 constexpr std::uint64_t RunsPerTerm = 100'000;
 
-constexpr NameTable<SchedulingAuthority, 3> AuthorityNames {{{{SchedulingAuthority::Full, "full"},
-    {SchedulingAuthority::KeepRunning, "keep-running"}, {SchedulingAuthority::Observe, "observe"}}}};
-
-}
-
-std::string_view nameOf(SchedulingAuthority authority)
-{
-    return AuthorityNames.nameOf(authority);
 }
 
 JobScheduler::JobScheduler(Environment environment, SchedulingLimits limits, FencingToken token, std::uint64_t term)
@@ -37,6 +28,7 @@
     , m_token(token)
     , m_firstRunNumber(term * RunsPerTerm + 1)
     , m_startedAt(environment.clock.now())
+    , m_leaseHandover(term, limits.lease)
     , m_self(std::make_shared<JobScheduler *>(this))
 {
     m_authorityReviewedAt = m_startedAt;
@@ -44,13 +36,11 @@
 
 JobScheduler::~JobScheduler() = default;
 
-void JobScheduler::beginRecovery(
-    const std::vector<std::pair<WorkerListing, Instant>> &workers, Instant priorLeasesExpireAt)
+void JobScheduler::beginRecovery(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds)
 {
     m_authorityReviewedAt = m_environment.clock.now();
-    m_recovery.begin(m_authorityReviewedAt, priorLeasesExpireAt);
-    for (const auto &[listing, leaseExpiresAt] : workers) {
-        m_recovery.expect(listing.name, leaseExpiresAt);
+    m_leaseHandover.begin(record, bounds, m_authorityReviewedAt);
+    for (const WorkerListing &listing : record.workers) {
         WorkerState &worker = m_workers[listing.name];
         if (!worker.listed) {
             worker.listing = listing;
@@ -61,25 +51,25 @@
 
 bool JobScheduler::isRecovering() const
 {
-    return m_recovery.isPending(m_environment.clock.now(), m_workers);
+    return m_leaseHandover.isRecoveryPending(m_environment.clock.now(), m_workers);
 }
 
 void JobScheduler::reviewRecovery()
 {
-    if (!m_recovery.isActive()) {
+    if (!m_leaseHandover.isRecoveryActive()) {
         return;
     }
     const Instant now = m_environment.clock.now();
-    const bool pending = m_recovery.isPending(now, m_workers);
+    const bool pending = m_leaseHandover.isRecoveryPending(now, m_workers);
     if (pending && now - m_recoveryLoggedAt < RecoveryLogInterval) {
         return;
     }
     m_recoveryLoggedAt = now;
-    Json inputs = m_recovery.describe(now, m_workers);
+    Json inputs = m_leaseHandover.describeRecovery(now, m_workers);
     inputs["held_tasks"] = heldTaskCount();
     m_environment.listener.logDecision(pending ? "recovery-pending" : "recovery-ended", {}, inputs);
     if (!pending) {
-        m_recovery.end();
+        m_leaseHandover.endRecovery();
     }
 }
 
@@ -336,9 +326,7 @@
         expireLeases(worker);
         forgetLostRuns(worker);
         if (isRemovable(worker)) {
-            // The record may name the worker, also if it only held leases of an earlier leader term.
             entry = m_workers.erase(entry);
-            m_environment.listener.leaseHoldersChanged();
             continue;
         }
         withdrawHeldStarts(worker);
@@ -430,7 +418,7 @@
 bool JobScheduler::isRemovable(const WorkerState &worker) const
 {
     if (worker.listed || !worker.tasks.empty() || !worker.lostRuns.empty()
-        || m_recovery.isUnconfirmed(worker.listing.name)) {
+        || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     const std::optional<Instant> expiry = worker.leaseExpiry();
@@ -441,57 +429,26 @@
 {
     std::vector<WorkerListing> holders;
     for (const auto &[name, worker] : m_workers) {
-        // Workers that have not answered yet may hold leases of earlier leader terms. Workers whose runs are known but
-        // not renewed yet, because run ends that they listed are not recorded, hold them as well. Listed workers
-        // without tasks may get some before the next record. A successor waits for all listed workers, so the record
-        // tells when the leases of those that do not answer have expired.
-        const bool isAwaited = worker.listed && (worker.leaseGrantedUntil > 0 || worker.isUnreachable());
-        if (m_recovery.isUnconfirmed(name) || worker.mayRunTasks() || isAwaited) {
+        if (m_leaseHandover.isHolder(worker)) {
             holders.push_back(worker.listing);
         }
     }
     return holders;
 }
 
-std::map<std::string, Milliseconds> JobScheduler::beginLeaseRecord()
+bool JobScheduler::isLeaseRecordDue() const
 {
-    const Instant now = m_environment.clock.now();
-    std::map<std::string, Milliseconds> remaining;
-    std::set<std::string> names;
-    for (const WorkerListing &holder : leaseHolders()) {
-        const std::optional<Instant> expiry = finalLeaseExpiry(m_workers.at(holder.name));
-        if (expiry) {
-            remaining[holder.name] = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*expiry - now));
-            names.insert(holder.name);
-        }
-    }
-    m_recordedExpiries.beginRecord(std::move(names));
-    return remaining;
+    return m_leaseHandover.isRecordDue(m_environment.clock.now(), m_workers, m_authority);
 }
 
-std::optional<Instant> JobScheduler::finalLeaseExpiry(const WorkerState &worker) const
+BegunLeaseRecord JobScheduler::beginLeaseRecord()
 {
-    const std::string &name = worker.listing.name;
-    if (m_recovery.isUnconfirmed(name)) {
-        const Instant expiry = m_recovery.leaseExpiryOf(name);
-        // The first report of a worker that is not lost may still be under way.
-        const bool wasLostBefore = expiry < m_recovery.priorLeasesExpireAt();
-        const bool seemsLost = wasLostBefore || worker.consecutiveUnanswered > 0;
-        return seemsLost || m_authority != SchedulingAuthority::Full ? std::optional(expiry) : std::nullopt;
-    }
-    // An owner that hands over can't find out whether the worker answers its next request.
-    const bool isLeftUnheard = m_authority != SchedulingAuthority::Full && worker.consecutiveUnanswered > 0;
-    if (!worker.isUnreachable() && !isLeftUnheard) {
-        return std::nullopt;
-    }
-    const std::optional<Instant> expiry = worker.leaseExpiry();
-    // A worker without a lease of this leader term may still hold one of an earlier term.
-    return expiry || worker.mayRunTasks() ? expiry : m_recovery.priorLeasesExpireAt();
+    return m_leaseHandover.beginRecord(m_environment.clock.now(), m_workers, m_authority);
 }
 
-void JobScheduler::leaseRecordStored()
+void JobScheduler::leaseRecordStored(std::uint64_t number)
 {
-    m_recordedExpiries.commitRecord();
+    m_leaseHandover.recordStored(number);
 }
 
 const std::map<std::string, WorkerState> &JobScheduler::workers() const
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -4,14 +4,13 @@
 #include "scheduling/BatchDemandEstimator.h"
 #include "scheduling/CrashEvidence.h"
 #include "scheduling/FailedPlacements.h"
+#include "scheduling/LeaseHandover.h"
 #include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
-#include "scheduling/RecordedLeaseExpiries.h"
 #include "scheduling/RestartFate.h"
 #include "scheduling/SchedulingPolicies.h"
 #include "scheduling/SuspectIsolation.h"
-#include "scheduling/TakeOverRecovery.h"
 #include "scheduling/TaskDelegation.h"
 #include "scheduling/WorkerState.h"
 
@@ -40,9 +39,6 @@
     // A worker reported run ends that are not recorded in the store yet, even if they changed no job.
     virtual void runEndsReported() = 0;
 
-    // The set of workers that may hold a lease has changed.
-    virtual void leaseHoldersChanged() = 0;
-
     // A worker rejected an order because it has seen a higher fencing token, so this leader term is over.
     virtual void tokenRefused(const std::string &worker) = 0;
 
@@ -94,18 +90,6 @@
     bool ownedElsewhere = false;
 };
 
-// Which orders the owner of a partition may send to its workers.
-enum class SchedulingAuthority {
-    // Starts tasks and renews their leases.
-    Full,
-    // Renews the leases of running tasks until a successor takes over, but starts none.
-    KeepRunning,
-    // Renews no leases. Another instance may own the partition by now and relies on the leases to expire.
-    Observe,
-};
-
-[[nodiscard]] std::string_view nameOf(SchedulingAuthority authority);
-
 // Schedules the jobs of one partition on its workers during one leader term. It starts, stops and restarts tasks,
 // renews their leases and applies their ends. It stores nothing itself; the listener does. All calls come from the
 // control thread.
@@ -130,11 +114,9 @@
     JobScheduler(const JobScheduler &) = delete;
     JobScheduler &operator=(const JobScheduler &) = delete;
 
-    // Names the workers that may run tasks of an earlier leader term, each with the time at which its last lease of
-    // that term has surely expired. Tasks of that term whose worker is unknown wait until each of these workers has
-    // answered or its leases have expired. Of two entries for a worker the first one counts.
-    // All leases of earlier terms have expired at the second argument.
-    void beginRecovery(const std::vector<std::pair<WorkerListing, Instant>> &workers, Instant priorLeasesExpireAt);
+    // Takes the last record of the workers that may run tasks of earlier leader terms. Tasks of these terms whose
+    // worker is unknown wait until each of the workers has answered or its leases have expired.
+    void beginRecovery(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds);
 
     // Takes over a job of an earlier leader term with its recorded progress.
     void restore(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress);
@@ -204,12 +186,14 @@
     // not answer.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
 
-    // Begins a record of the lease holders. Returns, by worker, after how long the last lease has surely expired, for
-    // those holders that seem to be lost. They get no lease before a record without them is stored.
-    [[nodiscard]] std::map<std::string, Milliseconds> beginLeaseRecord();
+    // Returns whether the store needs a new record of the lease holders.
+    [[nodiscard]] bool isLeaseRecordDue() const;
+
+    // Begins a record of the lease holders. Workers that it shows as lost get no lease before it is replaced.
+    [[nodiscard]] BegunLeaseRecord beginLeaseRecord();
 
-    // Tells that the store has the record that was begun last.
-    void leaseRecordStored();
+    // Tells that the store has the record of the given number.
+    void leaseRecordStored(std::uint64_t number);
 
     [[nodiscard]] const std::map<std::string, WorkerState> &workers() const;
 
@@ -370,9 +354,6 @@
     // Returns whether the authority is up to date. It may have run out while the process was held up.
     [[nodiscard]] bool isAuthorityCurrent() const;
 
-    // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
-    [[nodiscard]] std::optional<Instant> finalLeaseExpiry(const WorkerState &worker) const;
-
     // Returns whether a worker is no longer listed and can't run any task of this leader term any more.
     [[nodiscard]] bool isRemovable(const WorkerState &worker) const;
 
@@ -391,8 +372,7 @@
     std::set<std::string> m_reservedWorkers;
     FailedPlacements m_failedPlacements;
     Instant m_startedAt;
-    TakeOverRecovery m_recovery;
-    RecordedLeaseExpiries m_recordedExpiries;
+    LeaseHandover m_leaseHandover;
     Instant m_recoveryLoggedAt;
     std::set<RunName> m_heldStarts;
     std::unordered_map<std::string, std::unique_ptr<JobState>> m_jobs;
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -135,15 +135,15 @@
 void JobScheduler::onWorkerReplaced(WorkerState &worker)
 {
     const std::string &name = worker.listing.name;
-    const bool isKnown
-        = worker.hasAnswered || !worker.tasks.empty() || !worker.lostRuns.empty() || m_recovery.isUnconfirmed(name);
+    const bool isKnown = worker.hasAnswered || !worker.tasks.empty() || !worker.lostRuns.empty()
+        || m_leaseHandover.isUnconfirmed(name);
     if (!isKnown) {
         return;
     }
     m_environment.listener.logDecision("worker-replaced", name,
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"tasks", worker.tasks.size()}});
     const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
-    m_recovery.confirm(name);
+    m_leaseHandover.confirm(name);
     worker.orphanRuns.clear();
     worker.mayReceiveObsoleteStart = false;
     worker.priorLeaseExpiresAt = {};
@@ -155,7 +155,6 @@
     for (TaskState *task : tasks) {
         requeue(*task, Milliseconds(0));
     }
-    m_environment.listener.leaseHoldersChanged();
     countCrashes(worker, evidence);
 }
 
@@ -374,7 +373,7 @@
 
 void JobScheduler::awaitOpenRuns(TaskState &task)
 {
-    const Instant lostAt = std::max(m_environment.clock.now(), m_recovery.priorLeasesExpireAt());
+    const Instant lostAt = std::max(m_environment.clock.now(), m_leaseHandover.priorLeasesExpireAt());
     const std::map<std::uint64_t, OpenRun> openRuns = task.crashes.openRuns();
     for (const auto &[run, openRun] : openRuns) {
         WorkerState &worker = m_workers[openRun.worker];
@@ -384,7 +383,7 @@
             worker.listing.incarnation = openRun.incarnation;
         }
         if (!worker.hasAnswered) {
-            m_recovery.expect(openRun.worker, m_recovery.priorLeasesExpireAt());
+            m_leaseHandover.expect(openRun.worker);
         }
         worker.lostRuns.push_back({{nameOf(task), run}, openRun.incarnation, CrashTiming::Unknown, lostAt});
         task.crashes.markLost(run, CrashTiming::Unknown);
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -267,7 +267,7 @@
     double lowestCost = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
         const bool reserved = !step.specification().longRunning && m_reservedWorkers.contains(name);
-        if (reserved || m_recordedExpiries.contains(name) || !isPermitted(step, worker)) {
+        if (reserved || !m_leaseHandover.mayGrant(name) || !isPermitted(step, worker)) {
             continue;
         }
         const std::optional<double> cost = placementCost(worker, query);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -54,17 +54,13 @@
 
 bool JobScheduler::mayGrantLease(const WorkerState &worker) const
 {
-    return isAuthorityCurrent() && !m_recordedExpiries.contains(worker.listing.name);
+    return isAuthorityCurrent() && m_leaseHandover.mayGrant(worker.listing.name);
 }
 
 std::int64_t JobScheduler::grantLease(WorkerState &worker)
 {
-    const bool first = worker.leaseGrantedUntil == 0;
     const std::int64_t until = worker.clock.leaseEnd(m_environment.clock.now(), m_limits.lease);
     worker.leaseGrantedUntil = std::max(worker.leaseGrantedUntil, until);
-    if (first) {
-        m_environment.listener.leaseHoldersChanged();
-    }
     return until;
 }
 
@@ -79,13 +75,9 @@
         = worker.listed && worker.listing.incarnation == listing.incarnation && formerCapacity != listing.capacity;
     worker.updateListing(listing);
     worker.listed = true;
-    if (newlyListed && worker.leaseGrantedUntil > 0) {
-        // The record names only listed workers and those that may run tasks.
-        m_environment.listener.leaseHoldersChanged();
-    }
-    if (newlyListed && !worker.hasAnswered && m_environment.clock.now() < m_recovery.priorLeasesExpireAt()) {
+    if (newlyListed && !worker.hasAnswered && m_environment.clock.now() < m_leaseHandover.priorLeasesExpireAt()) {
         // The last owner may have granted leases to a worker that it had not recorded yet.
-        m_recovery.expect(listing.name, m_recovery.priorLeasesExpireAt());
+        m_leaseHandover.expect(listing.name);
     }
     if (capacityChanged) {
         logCapacityChange(worker, formerCapacity);
@@ -120,9 +112,6 @@
     WorkerState *worker = findWorker(name);
     if (worker != nullptr && worker->listed) {
         worker->listed = false;
-        if (worker->isUnreachable()) {
-            m_environment.listener.leaseHoldersChanged();
-        }
         m_environment.listener.logDecision("worker-unlisted", name, {{"tasks", worker->tasks.size()}});
     }
 }
@@ -196,9 +185,6 @@
             "worker-reachable-again", name, {{"unanswered", worker->consecutiveUnanswered}});
     }
     worker->consecutiveUnanswered = 0;
-    if (m_recordedExpiries.contains(name)) {
-        m_environment.listener.leaseHoldersChanged();
-    }
     applyReport(*worker, std::get<RunReport>(result), sentAt);
     worker->lastContact = m_environment.clock.now();
     dispatchSoon();
@@ -214,10 +200,6 @@
         onWorkerReplaced(worker);
     }
     ++worker.consecutiveUnanswered;
-    const bool isFirstFailure = worker.consecutiveUnanswered == 1 && m_recovery.isUnconfirmed(worker.listing.name);
-    if (isFirstFailure || worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
-        m_environment.listener.leaseHoldersChanged();
-    }
     if (worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
         m_environment.listener.logDecision(
             "worker-unreachable", worker.listing.name, {{"outcome", nameOf(outcome)}, {"tasks", worker.tasks.size()}});
@@ -244,8 +226,8 @@
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
         worker.priorLeaseExpiresAt
-            = std::max(worker.priorLeaseExpiresAt, m_recovery.leaseExpiryOf(worker.listing.name));
-        m_recovery.confirm(worker.listing.name);
+            = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOf(worker.listing.name));
+        m_leaseHandover.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
         if (ended.number > worker.appliedEnd) {
--- /dev/null
+++ b/source/scheduling/LeaseHandover.cpp
@@ -0,0 +1,227 @@
+#include "scheduling/LeaseHandover.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// How long after the expiry of earlier leases a new owner waits for live workers that have not answered yet.
+constexpr Milliseconds MaximumExtraRecovery {10'000};
+// A log line names at most this many workers.
+constexpr std::size_t MaximumWorkersInLog = 8;
+// The record states how long leases of lost workers last from its writing on. A successor waits this much longer than
+// necessary at most.
+constexpr Milliseconds LeaseExpiryRecordPeriod {1'000};
+
+// Returns how long a lease lasts by the slowest worker clock.
+Milliseconds longestDuration(Milliseconds lease)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) / WorkerClock::SlowestRate));
+}
+
+}
+
+LeaseHandover::LeaseHandover(std::uint64_t term, Milliseconds leaseDuration)
+    : m_term(term), m_leaseDuration(leaseDuration)
+{
+}
+
+void LeaseHandover::begin(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds, Instant now)
+{
+    m_beganAt = now;
+    m_recoveryActive = true;
+    m_earlierLeaseDuration = record.leaseDuration.value_or(bounds.longestLease);
+    m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
+    const bool isOfLastTerm = record.term + 1 == m_term;
+    for (const WorkerListing &worker : record.workers) {
+        const auto expiry = record.finalExpiries.find(worker.name);
+        const bool isFinal = isOfLastTerm && expiry != record.finalExpiries.end();
+        m_unconfirmedWorkers.emplace(
+            worker.name, isFinal ? bounds.termBeganAt + expiry->second : m_priorLeasesExpireAt);
+    }
+}
+
+Instant LeaseHandover::priorLeasesExpireAt() const
+{
+    return m_priorLeasesExpireAt;
+}
+
+void LeaseHandover::expect(const std::string &worker)
+{
+    m_unconfirmedWorkers.emplace(worker, m_priorLeasesExpireAt);
+    m_recoveryActive = true;
+}
+
+void LeaseHandover::confirm(const std::string &worker)
+{
+    m_unconfirmedWorkers.erase(worker);
+}
+
+bool LeaseHandover::isUnconfirmed(const std::string &worker) const
+{
+    return m_unconfirmedWorkers.contains(worker);
+}
+
+Instant LeaseHandover::leaseExpiryOf(const std::string &worker) const
+{
+    const auto found = m_unconfirmedWorkers.find(worker);
+    return found == m_unconfirmedWorkers.end() ? Instant() : found->second;
+}
+
+bool LeaseHandover::mayRunTasks(const WorkerState *worker, Instant leaseExpiresAt, Instant now)
+{
+    if (now < leaseExpiresAt) {
+        return true;
+    }
+    // An owner that is short of processor time may not yet have processed the reports of live workers, which list runs
+    // that ended long ago.
+    const bool isAlive = worker != nullptr && worker->listed && !worker->isUnreachable();
+    return isAlive && now < leaseExpiresAt + MaximumExtraRecovery;
+}
+
+bool LeaseHandover::isRecoveryPending(Instant now, const std::map<std::string, WorkerState> &workers) const
+{
+    return std::any_of(m_unconfirmedWorkers.begin(), m_unconfirmedWorkers.end(), [&, now](const auto &entry) {
+        const auto worker = workers.find(entry.first);
+        // The last owner has got no answer from workers whose leases expire sooner than all others.
+        const bool wasLostBefore = entry.second < m_priorLeasesExpireAt;
+        const bool mayBeAlive = worker != workers.end() && !wasLostBefore;
+        return mayRunTasks(mayBeAlive ? &worker->second : nullptr, entry.second, now);
+    });
+}
+
+bool LeaseHandover::isRecoveryActive() const
+{
+    return m_recoveryActive;
+}
+
+void LeaseHandover::endRecovery()
+{
+    m_unconfirmedWorkers.clear();
+    m_recoveryActive = false;
+}
+
+Json LeaseHandover::describeRecovery(Instant now, const std::map<std::string, WorkerState> &workers) const
+{
+    const auto milliseconds = [](Instant from, Instant to) {
+        return std::chrono::duration_cast<Milliseconds>(to - from).count();
+    };
+    Json names = Json::array();
+    std::size_t listed = 0;
+    Instant lastExpiry = now;
+    for (const auto &[name, leaseExpiresAt] : m_unconfirmedWorkers) {
+        lastExpiry = std::max(lastExpiry, leaseExpiresAt);
+        const auto worker = workers.find(name);
+        listed += worker != workers.end() && worker->second.listed ? 1 : 0;
+        if (names.size() < MaximumWorkersInLog) {
+            names.push_back(name);
+        }
+    }
+    return {{"age_ms", milliseconds(m_beganAt, now)}, {"leases_expire_ms", milliseconds(now, lastExpiry)},
+        {"unconfirmed", m_unconfirmedWorkers.size()}, {"unconfirmed_listed", listed}, {"workers", std::move(names)}};
+}
+
+bool LeaseHandover::mayGrant(const std::string &worker) const
+{
+    const auto allows = [&worker](const KnownRecord &record) {
+        return !record.expiring.contains(worker);
+    };
+    return (!m_stored || allows(*m_stored)) && std::all_of(m_pending.begin(), m_pending.end(), allows);
+}
+
+bool LeaseHandover::isHolder(const WorkerState &worker) const
+{
+    // Workers that have not answered yet may hold leases of earlier leader terms. Workers whose runs are known but not
+    // renewed yet, because run ends that they listed are not recorded, hold them as well. Listed workers without tasks
+    // may get some before the next record. A successor waits for all listed workers, so the record tells when the
+    // leases of those that do not answer have expired.
+    const bool isAwaited = worker.listed && (worker.leaseGrantedUntil > 0 || worker.isUnreachable());
+    return isUnconfirmed(worker.listing.name) || worker.mayRunTasks() || isAwaited;
+}
+
+std::optional<Instant> LeaseHandover::finalLeaseExpiry(const WorkerState &worker, SchedulingAuthority authority) const
+{
+    const std::string &name = worker.listing.name;
+    if (isUnconfirmed(name)) {
+        const Instant expiry = leaseExpiryOf(name);
+        // The first report of a worker that is not lost may still be under way.
+        const bool wasLostBefore = expiry < m_priorLeasesExpireAt;
+        const bool seemsLost = wasLostBefore || worker.consecutiveUnanswered > 0;
+        return seemsLost || authority != SchedulingAuthority::Full ? std::optional(expiry) : std::nullopt;
+    }
+    // An owner that hands over can't find out whether the worker answers its next request.
+    const bool isLeftUnheard = authority != SchedulingAuthority::Full && worker.consecutiveUnanswered > 0;
+    if (!worker.isUnreachable() && !isLeftUnheard) {
+        return std::nullopt;
+    }
+    const std::optional<Instant> expiry = worker.leaseExpiry();
+    // A worker without a lease of this leader term may still hold one of an earlier term.
+    return expiry || worker.mayRunTasks() ? expiry : m_priorLeasesExpireAt;
+}
+
+Milliseconds LeaseHandover::longestLease(Instant now) const
+{
+    return now < m_priorLeasesExpireAt ? std::max(m_earlierLeaseDuration, m_leaseDuration) : m_leaseDuration;
+}
+
+bool LeaseHandover::isRecordDue(
+    Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority) const
+{
+    if (!m_pending.empty()) {
+        return false;
+    }
+    const bool expiriesOutdated = m_recordHasExpiries && now - m_recordedAt >= LeaseExpiryRecordPeriod;
+    // A successor relies only on expiry times that this term has recorded.
+    const bool isFirst = !m_stored || m_stored->number == 0;
+    if (isFirst || expiriesOutdated || longestLease(now) != m_recordedLeaseDuration) {
+        return true;
+    }
+    std::size_t holders = 0;
+    for (const auto &[name, worker] : workers) {
+        const bool holds = isHolder(worker);
+        const bool expires = holds && finalLeaseExpiry(worker, authority);
+        if (holds != m_stored->holders.contains(name) || expires != m_stored->expiring.contains(name)) {
+            return true;
+        }
+        holders += holds ? 1 : 0;
+    }
+    return holders != m_stored->holders.size();
+}
+
+BegunLeaseRecord LeaseHandover::beginRecord(
+    Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority)
+{
+    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}}};
+    KnownRecord known {m_lastNumber, {}, {}};
+    for (const auto &[name, worker] : workers) {
+        if (!isHolder(worker)) {
+            continue;
+        }
+        begun.record.workers.push_back(worker.listing);
+        known.holders.insert(name);
+        if (const std::optional<Instant> expiry = finalLeaseExpiry(worker, authority)) {
+            begun.record.finalExpiries[name]
+                = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*expiry - now));
+            known.expiring.insert(name);
+        }
+    }
+    m_pending.push_back(std::move(known));
+    m_recordedAt = now;
+    m_recordedLeaseDuration = longestLease(now);
+    m_recordHasExpiries = std::any_of(begun.record.finalExpiries.begin(), begun.record.finalExpiries.end(),
+        [](const auto &expiry) { return expiry.second > Milliseconds(0); });
+    return begun;
+}
+
+void LeaseHandover::recordStored(std::uint64_t number)
+{
+    while (!m_pending.empty() && m_pending.front().number <= number) {
+        m_stored = std::move(m_pending.front());
+        m_pending.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/source/scheduling/LeaseHandover.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "base/JsonReader.h"
+#include "scheduling/LeaseHolderRecord.h"
+#include "scheduling/SchedulingAuthority.h"
+#include "scheduling/WorkerState.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Wagtail
+{
+
+// What bounds the leases that owners of earlier leader terms have granted.
+struct EarlierLeaseBounds
+{
+    // When this leader term began.
+    Instant termBeganAt;
+    // How long after that the last owner may have granted leases.
+    Milliseconds ownerLease {0};
+    // The longest lease of an owner whose record does not state it.
+    Milliseconds longestLease {0};
+};
+
+// A record of the lease holders that is to be stored.
+struct BegunLeaseRecord
+{
+    std::uint64_t number = 0;
+    LeaseHolderRecord record;
+};
+
+// Tracks which workers may hold leases of earlier leader terms, and which leases the next owner learns of. Starts are
+// not recorded in the store, so the owner of a new term learns where tasks run only from the workers themselves: from
+// those that the stored record of its predecessor names.
+class LeaseHandover
+{
+public:
+    // Takes the number of this leader term and the duration of the leases that its owner grants.
+    LeaseHandover(std::uint64_t term, Milliseconds leaseDuration);
+
+    // Awaits the workers of the record that the store has at the start of this term.
+    void begin(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds, Instant now);
+
+    // Returns when all leases of earlier terms have surely expired.
+    [[nodiscard]] Instant priorLeasesExpireAt() const;
+
+    // Awaits a worker that the record does not name, until all leases of earlier terms have expired.
+    void expect(const std::string &worker);
+
+    // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
+    void confirm(const std::string &worker);
+
+    [[nodiscard]] bool isUnconfirmed(const std::string &worker) const;
+
+    // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
+    [[nodiscard]] Instant leaseExpiryOf(const std::string &worker) const;
+
+    // Returns whether a task whose worker is unknown may still run on an unconfirmed worker.
+    [[nodiscard]] bool isRecoveryPending(Instant now, const std::map<std::string, WorkerState> &workers) const;
+
+    // Whether workers have been awaited since the last call of endRecovery().
+    [[nodiscard]] bool isRecoveryActive() const;
+
+    // Forgets the unconfirmed workers.
+    void endRecovery();
+
+    // Describes, for the log, for how long the recovery has lasted and which workers it waits for.
+    [[nodiscard]] Json describeRecovery(Instant now, const std::map<std::string, WorkerState> &workers) const;
+
+    // Returns whether the worker may get a lease of this term as far as the stored record is concerned.
+    [[nodiscard]] bool mayGrant(const std::string &worker) const;
+
+    // Returns whether the worker may hold a lease of this term or an earlier one.
+    [[nodiscard]] bool isHolder(const WorkerState &worker) const;
+
+    // Returns whether a new record has to be stored.
+    [[nodiscard]] bool isRecordDue(
+        Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority) const;
+
+    // Composes a record of the lease holders. Workers that it shows as lost get no lease until it is replaced.
+    [[nodiscard]] BegunLeaseRecord beginRecord(
+        Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority);
+
+    // Tells that the store has the record of the given number, which has replaced all earlier ones.
+    void recordStored(std::uint64_t number);
+
+private:
+    // What a record that the store may have tells a successor.
+    struct KnownRecord
+    {
+        std::uint64_t number = 0;
+        std::set<std::string> holders;
+        // The holders with a final lease expiry, which the successor relies on.
+        std::set<std::string> expiring;
+    };
+
+    [[nodiscard]] static bool mayRunTasks(const WorkerState *worker, Instant leaseExpiresAt, Instant now);
+
+    // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
+    [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
+        const WorkerState &worker, SchedulingAuthority authority) const;
+
+    // Returns the longest lease of all terms that may still hold.
+    [[nodiscard]] Milliseconds longestLease(Instant now) const;
+
+    std::uint64_t m_term;
+    Milliseconds m_leaseDuration;
+    Milliseconds m_earlierLeaseDuration {0};
+    Instant m_priorLeasesExpireAt;
+    Instant m_beganAt;
+    // The expiry of their last leases by worker.
+    std::map<std::string, Instant> m_unconfirmedWorkers;
+    bool m_recoveryActive = false;
+
+    std::uint64_t m_lastNumber = 0;
+    // The record that the store has, and those of this term that it may get.
+    std::optional<KnownRecord> m_stored;
+    std::deque<KnownRecord> m_pending;
+    // Of the last record that was begun.
+    Instant m_recordedAt;
+    Milliseconds m_recordedLeaseDuration {0};
+    bool m_recordHasExpiries = false;
+};
+
+}
--- a/source/tenure/LeaseHolderRecord.cpp
+++ b/source/scheduling/LeaseHolderRecord.cpp
@@ -1,4 +1,4 @@
-#include "tenure/LeaseHolderRecord.h"
+#include "scheduling/LeaseHolderRecord.h"
 
 #include <algorithm>
 
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -139,10 +139,6 @@
     {
     }
 
-    void leaseHoldersChanged() override
-    {
-    }
-
     void tokenRefused(const std::string &) override
     {
     }
@@ -348,9 +344,6 @@
         void startHeldBack(const std::string &) override
         {
         }
-        void leaseHoldersChanged() override
-        {
-        }
         void tokenRefused(const std::string &) override
         {
         }
@@ -368,9 +361,8 @@
     limits.lease = Second * 2;
     JobScheduler jobs({former.clock, scheduler, gateway, listener}, limits, 2, 1);
     // The record of lease holders has no capacity.
-    const Instant leaseExpiresAt = former.clock.now() + Second * 2;
     const WorkerListing recorded {"worker", "worker:1", "pool", {}, {}, {}, {}, 1, false};
-    jobs.beginRecovery({{recorded, leaseExpiresAt}}, leaseExpiresAt);
+    jobs.beginRecovery({{recorded}, Second * 2, 0, {}}, {former.clock.now(), Milliseconds(0), Second * 2});
     const QueuePolicy policy {"queue", "pool", 0, 3, 2.0, Second, false};
     JobSpecification watch;
     watch.id = "watch";
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -1,7 +1,6 @@
 #include "tenure/PartitionLeader.h"
 
 #include "tenure/JobKeys.h"
-#include "tenure/LeaseHolderRecord.h"
 
 #include <algorithm>
 
@@ -16,9 +15,6 @@
 constexpr Milliseconds InboxWatchTime {1'000};
 constexpr Milliseconds CleanupPeriod {5'000};
 constexpr Milliseconds DelegationPeriod {500};
-// The record of lease holders states how long leases of lost workers last from its writing on. A successor waits this
-// much longer than necessary at most.
-constexpr Milliseconds LeaseExpiryRecordPeriod {1'000};
 // Interference between two images is learned within a few reports, so what a take-over loses is soon learned again.
 constexpr Milliseconds InterferenceModelWritePeriod {3'000};
 
@@ -214,13 +210,8 @@
     m_jobScheduler.tick();
     m_givenUpReporter.tick();
     const Instant now = m_environment.clock.now();
-    if (m_recordedLeaseDuration > m_limits.scheduling.lease && now >= m_earlierLeasesExpireAt) {
-        m_recordedLeaseDuration = m_limits.scheduling.lease;
-        m_leaseHoldersDirty = true;
-    }
-    const bool expiriesOutdated = m_leaseRecordHasExpiries && now - m_lastLeaseRecord >= LeaseExpiryRecordPeriod;
     // A record that can't be stored yet would only keep its workers from getting leases.
-    if ((m_leaseHoldersDirty || expiriesOutdated) && !m_journal.isStoreUnavailable()) {
+    if (m_jobScheduler.isLeaseRecordDue() && !m_journal.isStoreUnavailable()) {
         writeLeaseHolders();
     }
     if (now - m_lastDelegation >= DelegationPeriod) {
@@ -246,14 +237,10 @@
 
 void PartitionLeader::writeLeaseHolders()
 {
-    m_leaseHoldersDirty = false;
-    LeaseHolderRecord record {m_jobScheduler.leaseHolders(), m_recordedLeaseDuration, m_position.term, {}};
-    record.finalExpiries = m_jobScheduler.beginLeaseRecord();
-    m_leaseRecordHasExpiries = std::any_of(record.finalExpiries.begin(), record.finalExpiries.end(),
-        [](const auto &expiry) { return expiry.second > Milliseconds(0); });
-    m_lastLeaseRecord = m_environment.clock.now();
-    m_leaseHolderRecord = serialize(record);
-    m_journal.put(JobKeys::leaseHolders(m_position.partition), m_leaseHolderRecord);
+    const BegunLeaseRecord begun = m_jobScheduler.beginLeaseRecord();
+    std::string text = serialize(begun.record);
+    m_leaseRecords[text] = begun.number;
+    m_journal.put(JobKeys::leaseHolders(m_position.partition), std::move(text));
 }
 
 void PartitionLeader::writeInterferenceModel()
@@ -300,11 +287,6 @@
     m_journal.requestSync();
 }
 
-void PartitionLeader::leaseHoldersChanged()
-{
-    m_leaseHoldersDirty = true;
-}
-
 void PartitionLeader::tokenRefused(const std::string &worker)
 {
     endTerm("worker " + worker + " has seen a higher fencing token");
@@ -356,10 +338,13 @@
 
 void PartitionLeader::onPutRecorded(const std::string &key, const std::string &value)
 {
-    // A newer record may be on its way already.
-    if (key == JobKeys::leaseHolders(m_position.partition) && value == m_leaseHolderRecord) {
-        m_jobScheduler.leaseRecordStored();
+    const auto record = m_leaseRecords.find(value);
+    if (key != JobKeys::leaseHolders(m_position.partition) || record == m_leaseRecords.end()) {
+        return;
     }
+    const std::uint64_t number = record->second;
+    std::erase_if(m_leaseRecords, [number](const auto &entry) { return entry.second <= number; });
+    m_jobScheduler.leaseRecordStored(number);
 }
 
 void PartitionLeader::onOwnershipLost()
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -84,7 +84,6 @@
     void progressChanged(const std::string &job) override;
     void startHeldBack(const std::string &job) override;
     void runEndsReported() override;
-    void leaseHoldersChanged() override;
     void tokenRefused(const std::string &worker) override;
     void delegatedTaskCrashed(const std::string &job, const std::string &partition) override;
     void delegatedTaskGivenUp(const std::string &job) override;
@@ -149,15 +148,8 @@
     std::map<std::string, RunEndPosition> m_endsBeingRecorded;
     std::set<RunName> m_startsBeingRecorded;
     std::multimap<std::string, std::function<void(bool)>> m_endHandlers;
-    bool m_leaseHoldersDirty = false;
-    // The last record of the lease holders that was put into the journal.
-    std::string m_leaseHolderRecord;
-    Instant m_lastLeaseRecord;
-    bool m_leaseRecordHasExpiries = false;
-    // When the last lease of an earlier term has surely expired. Until then, a successor has to wait for the longest
-    // lease of all terms, which is recorded with the lease holders.
-    Instant m_earlierLeasesExpireAt;
-    Milliseconds m_recordedLeaseDuration {0};
+    // The numbers of the records of the lease holders that were put into the journal and are not stored yet, by text.
+    std::map<std::string, std::uint64_t> m_leaseRecords;
     // The headroom of the other partitions. Jobs redirected and tasks delegated there are deducted until the next
     // update.
     PartitionHeadrooms m_headrooms;
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -1,6 +1,6 @@
 // The part of PartitionLeader that reads the state that earlier terms recorded.
+#include "scheduling/LeaseHolderRecord.h"
 #include "tenure/JobKeys.h"
-#include "tenure/LeaseHolderRecord.h"
 #include "tenure/PartitionLeader.h"
 
 #include <algorithm>
@@ -13,13 +13,6 @@
 
 constexpr Milliseconds LoadRetryPeriod {200};
 
-// Returns for how long after the start of a term leases of earlier terms may last by the slowest worker clock.
-Milliseconds longestEarlierLease(Milliseconds ownerLease, Milliseconds workerLease)
-{
-    const double lease = static_cast<double>(workerLease.count()) / WorkerClock::SlowestRate;
-    return ownerLease + Milliseconds(static_cast<std::int64_t>(lease));
-}
-
 }
 
 void PartitionLeader::load()
@@ -58,23 +51,7 @@
     }
     const bool isFirstTerm = m_position.term == 0;
     const Milliseconds unrecordedLease = isFirstTerm ? m_limits.scheduling.lease : m_limits.longestWorkerLease;
-    const Milliseconds earlierLease = record.leaseDuration.value_or(unrecordedLease);
-    m_earlierLeasesExpireAt = m_startedAt + longestEarlierLease(m_limits.ownerLease, earlierLease);
-    m_recordedLeaseDuration = std::max(earlierLease, m_limits.scheduling.lease);
-    std::vector<std::pair<WorkerListing, Instant>> holders;
-    const bool isOfLastTerm = record.term + 1 == m_position.term;
-    for (const WorkerListing &worker : record.workers) {
-        const auto expiry = record.finalExpiries.find(worker.name);
-        const bool isFinal = isOfLastTerm && expiry != record.finalExpiries.end();
-        holders.emplace_back(worker, isFinal ? m_startedAt + expiry->second : m_earlierLeasesExpireAt);
-    }
-    // The last owner may have ended before it recorded a new lease holder, so all listed workers are included.
-    for (const auto &[name, worker] : m_listedWorkers) {
-        holders.emplace_back(worker, m_earlierLeasesExpireAt);
-    }
-    m_jobScheduler.beginRecovery(holders, m_earlierLeasesExpireAt);
-    // The next owner relies only on expiry times that this one has recorded.
-    m_leaseHoldersDirty = true;
+    m_jobScheduler.beginRecovery(record, {m_startedAt, m_limits.ownerLease, unrecordedLease});
     std::size_t count = 0;
     for (const StoreEntry &entry : listing.entries) {
         if (!entry.key.starts_with(jobsPrefix)) {
@@ -89,9 +66,10 @@
         m_jobScheduler.updateWorker(worker);
     }
     m_environment.log("partition-loaded", m_position.partition,
-        {{"jobs", count}, {"lease_holders", holders.size()}, {"recorded_holders", record.workers.size()},
-            {"recorded_term", record.term}, {"listed_workers", m_listedWorkers.size()},
-            {"earlier_lease_ms", earlierLease.count()}, {"token", m_position.ownerRevision}});
+        {{"jobs", count}, {"recorded_holders", record.workers.size()}, {"recorded_term", record.term},
+            {"listed_workers", m_listedWorkers.size()},
+            {"earlier_lease_ms", record.leaseDuration.value_or(unrecordedLease).count()},
+            {"token", m_position.ownerRevision}});
     m_inboxFeed.start();
 }
 
--- a/source/tenure/tests/HandOverFixture.h
+++ b/source/tenure/tests/HandOverFixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "TestCluster.h"
-#include "tenure/LeaseHolderRecord.h"
+#include "scheduling/LeaseHolderRecord.h"
 
 #include <gtest/gtest.h>
 
--- a/source/tenure/tests/LeaseHolderRecordTest.cpp
+++ b/source/tenure/tests/LeaseHolderRecordTest.cpp
@@ -1,4 +1,4 @@
-#include "tenure/LeaseHolderRecord.h"
+#include "scheduling/LeaseHolderRecord.h"
 
 #include "TestCluster.h"
 #include "scheduling/WorkerLeasePolicy.h"
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -112,10 +112,6 @@
     {
     }
 
-    void leaseHoldersChanged() override
-    {
-    }
-
     void tokenRefused(const std::string &) override
     {
     }
