Scheduling: Grant leases only to workers that the stored record names

What callers saw: around outages of the store, tasks ran on two workers at once, or again after an end that had been acknowledged.

Cause: an owner granted a lease first and recorded its holder later. While the store is away it can't record it, and the owner dropped workers from the record whose entries had lapsed with the outage. Its successor awaited the workers of the record and those that were listed; the entries come back up to two seconds after the store, so it ended its recovery without having heard of them and started their tasks elsewhere.

Change: the record is written ahead. It names all workers that may be given tasks, those with unrecorded ends and, for three seconds, live workers whose entries have lapsed; a lease is granted only if every record that the store may have names the worker. A new owner begins with the record of its predecessor, so that it can go on through an outage with these workers. A worker that drains is dropped once it runs nothing.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -44,6 +44,7 @@
         WorkerState &worker = m_workers[listing.name];
         if (!worker.listed) {
             worker.listing = listing;
+            worker.unlistedSince = m_authorityReviewedAt;
         }
         requestReport(worker);
     }
@@ -365,7 +366,7 @@
 {
     std::map<std::string, RunEndPosition> positions;
     for (const auto &[name, worker] : m_workers) {
-        if (worker.appliedEnd > worker.recordedEnd) {
+        if (worker.hasUnrecordedEnds()) {
             positions[name] = {worker.incarnation, worker.appliedEnd};
         }
     }
@@ -417,19 +418,21 @@
 
 bool JobScheduler::isRemovable(const WorkerState &worker) const
 {
-    if (worker.listed || !worker.tasks.empty() || !worker.lostRuns.empty()
-        || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
+    const Instant now = m_environment.clock.now();
+    if (worker.listed || worker.mayBeListedAgain(now) || worker.hasUnrecordedEnds() || !worker.tasks.empty()
+        || !worker.lostRuns.empty() || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     const std::optional<Instant> expiry = worker.leaseExpiry();
-    return !worker.mayRunTasks() || !expiry || m_environment.clock.now() >= *expiry;
+    return !worker.mayRunTasks() || !expiry || now >= *expiry;
 }
 
 std::vector<WorkerListing> JobScheduler::leaseHolders() const
 {
+    const Instant now = m_environment.clock.now();
     std::vector<WorkerListing> holders;
     for (const auto &[name, worker] : m_workers) {
-        if (m_leaseHandover.isHolder(worker)) {
+        if (m_leaseHandover.isHolder(worker, now)) {
             holders.push_back(worker.listing);
         }
     }
@@ -449,6 +452,7 @@
 void JobScheduler::leaseRecordStored(std::uint64_t number)
 {
     m_leaseHandover.recordStored(number);
+    dispatchSoon();
 }
 
 const std::map<std::string, WorkerState> &JobScheduler::workers() const
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -112,6 +112,7 @@
     WorkerState *worker = findWorker(name);
     if (worker != nullptr && worker->listed) {
         worker->listed = false;
+        worker->unlistedSince = m_environment.clock.now();
         m_environment.listener.logDecision("worker-unlisted", name, {{"tasks", worker->tasks.size()}});
     }
 }
@@ -127,7 +128,7 @@
     if (worker.consecutiveUnanswered > 0 && now - worker.lastAnswer < retryDelay) {
         return;
     }
-    const bool unrecorded = worker.appliedEnd > worker.recordedEnd;
+    const bool unrecorded = worker.hasUnrecordedEnds();
     if (unrecorded && now - worker.lastAnswer < UnrecordedInterval) {
         return;
     }
@@ -147,7 +148,7 @@
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
-    if (!mayGrantLease(worker)) {
+    if (!worker.tasks.empty() && !mayGrantLease(worker)) {
         request.wait = std::min(request.wait, WithheldLeaseWait);
     }
     // The leases of a worker that may be down are not renewed, so that its tasks can soon be placed elsewhere.
@@ -249,7 +250,7 @@
     evacuate(worker);
     updateInterference(worker);
     throttleBackfill(worker);
-    if (worker.appliedEnd > worker.recordedEnd) {
+    if (worker.hasUnrecordedEnds()) {
         m_environment.listener.runEndsReported();
     }
 }
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -36,7 +36,9 @@
     m_earlierLeaseDuration = record.leaseDuration.value_or(bounds.longestLease);
     m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
     const bool isOfLastTerm = record.term + 1 == m_term;
+    m_stored = KnownRecord();
     for (const WorkerListing &worker : record.workers) {
+        m_stored->holders.insert(worker.name);
         const auto expiry = record.finalExpiries.find(worker.name);
         const bool isFinal = isOfLastTerm && expiry != record.finalExpiries.end();
         m_unconfirmedWorkers.emplace(
@@ -127,19 +129,17 @@
 bool LeaseHandover::mayGrant(const std::string &worker) const
 {
     const auto allows = [&worker](const KnownRecord &record) {
-        return !record.expiring.contains(worker);
+        return record.holders.contains(worker) && !record.expiring.contains(worker);
     };
-    return (!m_stored || allows(*m_stored)) && std::all_of(m_pending.begin(), m_pending.end(), allows);
+    return m_stored && allows(*m_stored) && std::all_of(m_pending.begin(), m_pending.end(), allows);
 }
 
-bool LeaseHandover::isHolder(const WorkerState &worker) const
+bool LeaseHandover::isHolder(const WorkerState &worker, Instant now) const
 {
-    // Workers that have not answered yet may hold leases of earlier leader terms. Workers whose runs are known but not
-    // renewed yet, because run ends that they listed are not recorded, hold them as well. Listed workers without tasks
-    // may get some before the next record. A successor waits for all listed workers, so the record tells when the
-    // leases of those that do not answer have expired.
-    const bool isAwaited = worker.listed && (worker.leaseGrantedUntil > 0 || worker.isUnreachable());
-    return isUnconfirmed(worker.listing.name) || worker.mayRunTasks() || isAwaited;
+    // Workers that have not answered yet may hold leases of earlier leader terms. A successor has to read run ends that
+    // are not recorded. Workers that may be given tasks are named in advance.
+    const bool mayGetTasks = (worker.listed && !worker.listing.draining) || worker.mayBeListedAgain(now);
+    return isUnconfirmed(worker.listing.name) || worker.mayRunTasks() || worker.hasUnrecordedEnds() || mayGetTasks;
 }
 
 std::optional<Instant> LeaseHandover::finalLeaseExpiry(const WorkerState &worker, SchedulingAuthority authority) const
@@ -181,7 +181,7 @@
     }
     std::size_t holders = 0;
     for (const auto &[name, worker] : workers) {
-        const bool holds = isHolder(worker);
+        const bool holds = isHolder(worker, now);
         const bool expires = holds && finalLeaseExpiry(worker, authority);
         if (holds != m_stored->holders.contains(name) || expires != m_stored->expiring.contains(name)) {
             return true;
@@ -197,7 +197,7 @@
     BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}}};
     KnownRecord known {m_lastNumber, {}, {}};
     for (const auto &[name, worker] : workers) {
-        if (!isHolder(worker)) {
+        if (!isHolder(worker, now)) {
             continue;
         }
         begun.record.workers.push_back(worker.listing);
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -33,7 +33,9 @@
 
 // Tracks which workers may hold leases of earlier leader terms, and which leases the next owner learns of. Starts are
 // not recorded in the store, so the owner of a new term learns where tasks run only from the workers themselves: from
-// those that the stored record of its predecessor names.
+// those that the stored record of its predecessor names. The platform's list does not show them all, because entries
+// that lapsed during an outage of the store come back after it. Therefore an owner grants leases only to workers that
+// the stored record names.
 class LeaseHandover
 {
 public:
@@ -69,11 +71,12 @@
     // Describes, for the log, for how long the recovery has lasted and which workers it waits for.
     [[nodiscard]] Json describeRecovery(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
-    // Returns whether the worker may get a lease of this term as far as the stored record is concerned.
+    // Returns whether the worker may get a lease of this term: every record that the store may have names it and does
+    // not show it as lost.
     [[nodiscard]] bool mayGrant(const std::string &worker) const;
 
-    // Returns whether the worker may hold a lease of this term or an earlier one.
-    [[nodiscard]] bool isHolder(const WorkerState &worker) const;
+    // Returns whether the worker may hold a lease of this term or an earlier one, or may get one without a new record.
+    [[nodiscard]] bool isHolder(const WorkerState &worker, Instant now) const;
 
     // Returns whether a new record has to be stored.
     [[nodiscard]] bool isRecordDue(
@@ -115,7 +118,8 @@
     bool m_recoveryActive = false;
 
     std::uint64_t m_lastNumber = 0;
-    // The record that the store has, and those of this term that it may get.
+    // The record that the store has, and those of this term that it may get. Number 0 is that of an earlier term, whose
+    // expiry times the next owner ignores.
     std::optional<KnownRecord> m_stored;
     std::deque<KnownRecord> m_pending;
     // Of the last record that was begun.
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -10,6 +10,9 @@
 
 // Serving tasks use about half of the processors that they ask for. Backfilling tasks may use the rest.
 constexpr double ServingUseShare = 0.5;
+// Entries of live workers that lapsed during an outage of the store are back two seconds after it. The owner learns of
+// them within another second.
+constexpr Milliseconds LongestRelisting {3'000};
 
 }
 
@@ -27,6 +30,17 @@
     return last == Instant() ? std::nullopt : std::optional(last);
 }
 
+bool WorkerState::mayBeListedAgain(Instant now) const
+{
+    const bool isAlive = hasAnswered && consecutiveUnanswered == 0;
+    return !listed && isAlive && !listing.draining && now - unlistedSince < LongestRelisting;
+}
+
+bool WorkerState::hasUnrecordedEnds() const
+{
+    return appliedEnd > recordedEnd;
+}
+
 bool WorkerState::mayRunTasks() const
 {
     const bool mayBeObsolete = !orphanRuns.empty() || (mayReceiveObsoleteStart && leaseGrantedUntil > 0);
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -27,8 +27,9 @@
 struct WorkerState
 {
     WorkerListing listing;
-    // Whether the platform currently lists the worker.
+    // Whether the platform currently lists the worker, and if not, since when it doesn't or was found not to.
     bool listed = false;
+    Instant unlistedSince;
     // Whether the worker has answered under this leader term, and therefore rejects orders of earlier terms.
     bool hasAnswered = false;
     WorkerClock clock;
@@ -90,6 +91,13 @@
     // Returns when the last lease of this and of earlier leader terms has surely expired, or nothing if none is known.
     [[nodiscard]] std::optional<Instant> leaseExpiry() const;
 
+    // Returns whether the worker is alive although the platform does not list it. Its entry may have lapsed during an
+    // outage of the store and come back.
+    [[nodiscard]] bool mayBeListedAgain(Instant now) const;
+
+    // Returns whether run ends have been applied that the store does not have yet.
+    [[nodiscard]] bool hasUnrecordedEnds() const;
+
     // Returns whether anything may run on the worker now or without a further start order of this leader term.
     [[nodiscard]] bool mayRunTasks() const;
 
--- a/source/scheduling/tests/CapacityChangeTest.cpp
+++ b/source/scheduling/tests/CapacityChangeTest.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/JobScheduler.h"
 #include "scheduling/WorkerChoice.h"
 #include "testing/FakeWorkers.h"
+#include "testing/LeaseRecords.h"
 
 #include <gtest/gtest.h>
 
@@ -48,6 +49,7 @@
         workers.add(listing);
         m_listings[name] = listing;
         jobs.updateWorker(listing);
+        storeLeaseRecord(jobs);
         advance(ShortWhile);
     }
 
--- a/source/scheduling/tests/LeaseHandoverTest.cpp
+++ b/source/scheduling/tests/LeaseHandoverTest.cpp
@@ -57,6 +57,49 @@
     EXPECT_FALSE(m_leases.mayGrant("b"));
 }
 
+// The next owner would not know of a task on a worker that the stored record lacks.
+TEST_F(LeaseHandoverTest, grantsALeaseOnlyOnceTheStoredRecordNamesTheWorker)
+{
+    addWorker("a");
+    const BegunLeaseRecord first = beginRecord();
+    EXPECT_FALSE(m_leases.mayGrant("a"));
+    m_leases.recordStored(first.number);
+    EXPECT_TRUE(m_leases.mayGrant("a"));
+    // It is not known whether the store has the second record already.
+    m_workers.clear();
+    const BegunLeaseRecord second = beginRecord();
+    EXPECT_FALSE(m_leases.mayGrant("a"));
+    addWorker("a");
+    const BegunLeaseRecord third = beginRecord();
+    EXPECT_FALSE(m_leases.mayGrant("a"));
+    m_leases.recordStored(third.number);
+    EXPECT_TRUE(m_leases.mayGrant("a"));
+    EXPECT_LT(second.number, third.number);
+}
+
+// An owner may use the workers that its predecessor recorded before it has stored a record of its own.
+TEST_F(LeaseHandoverTest, grantsLeasesToTheWorkersOfTheInheritedRecord)
+{
+    LeaseHolderRecord inherited;
+    inherited.workers.push_back(addWorker("a").listing);
+    inherited.finalExpiries["a"] = Second;
+    m_leases.begin(inherited, {m_now, Second * 3, Second * 6}, m_now);
+    EXPECT_TRUE(m_leases.mayGrant("a"));
+    EXPECT_FALSE(m_leases.mayGrant("b"));
+    EXPECT_TRUE(isRecordDue());
+}
+
+// The last owner has read an end that the store does not have, so its successor has to read it again.
+TEST_F(LeaseHandoverTest, recordsAWorkerWithUnrecordedEndsThatIsNotListedAnyMore)
+{
+    WorkerState &worker = addWorker("a");
+    worker.listed = false;
+    worker.appliedEnd = 1;
+    EXPECT_EQ(beginRecord().record.workers.size(), 1U);
+    worker.recordedEnd = 1;
+    EXPECT_EQ(beginRecord().record.workers.size(), 0U);
+}
+
 // A record that is rewritten faster than the store answers would never be known to be stored.
 TEST_F(LeaseHandoverTest, beginsNoRecordWhileOneIsUnderway)
 {
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/JobScheduler.h"
 #include "testing/FakeWorkers.h"
+#include "testing/LeaseRecords.h"
 
 #include <map>
 
@@ -25,6 +26,7 @@
     {
         workers.add({name, name + ":1", "pool", "depot", "rack", {}, {milliCores, memoryMegabytes, 0}, 1, false});
         m_jobs.updateWorker(workers.listings().at(name));
+        storeLeaseRecord(m_jobs);
     }
 
     void submit(const std::string &id, std::vector<StepSpecification> steps, FakeWorkers::Behaviour behaviour)
