Tenure: End a leader term together with the lease of its owner key

Cause: an owner key is attached to the instance's lease. When the store drops it, the instance obtains a new lease, and isHeld() was all that decided on the owner's authority. So it had full authority again for 255 ms, until a watch told it that the key was gone, and started tasks while its successor took over.

A term now ends as soon as the instance's lease is not the one under which its owner key was written. This also holds while a new lease is being asked for, so that a confirmed second outage gives no authority to an owner that has been told that its lease has ended.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -74,8 +74,8 @@
     const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
     if (state.leader) {
         const StoreRevision token = state.leader->position().ownerRevision;
-        const bool lost = entry == nullptr ? m_environment.cluster.revision() > token : entry->revision > token;
-        if (lost) {
+        const bool replaced = entry == nullptr ? m_environment.cluster.revision() > token : entry->revision > token;
+        if (replaced || state.ownerLease != m_environment.lease.lease()) {
             m_environment.log("partition-ownership-lost", partition, {{"token", token}});
             dropLeader(partition);
         }
@@ -101,6 +101,7 @@
     }
     if (owner->instance.incarnation == m_self.incarnation) {
         // This process wrote the entry, but the store's answer was lost.
+        state.ownerLease = entry->lease;
         startTerm(partition, owner->term, entry->revision);
         return;
     }
@@ -186,6 +187,7 @@
     transaction.writes
         = {{JobKeys::owner(partition), serialize(OwnerEntry {m_self, term}), std::nullopt, m_environment.lease.lease()},
             {JobKeys::head(partition), writeJson({{"tenure", term}}), std::nullopt, 0}};
+    m_partitions[partition].ownerLease = m_environment.lease.lease();
     m_environment.store.commit(
         std::move(transaction), [this, alive = m_alive, partition, term](const Result<StoreTransactionResult> &result) {
             if (!*alive) {
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -65,6 +65,8 @@
         // that no further changes arrive.
         bool releasing = false;
         std::optional<Instant> vacantSince;
+        // The store's lease under which the owner key was written last. The key ends with it.
+        LeaseIdentifier ownerLease = 0;
         // The fencing token of the last term of this instance. The cluster's entries may lag behind the store and still
         // show it.
         StoreRevision endedToken = 0;
