Tenure: Count the take-over delay only while a lease is held

What callers saw: on the large deployment tasks ran twice and long-running tasks stopped for up to 20 s after outages of the store.

Cause: instances wait for 250 ms per rank before they take a vacant partition. The partitions became vacant before the outage, so that this time ran out while nobody could take them, and the first instance to get its lease back took all. The time now begins anew when this instance holds a lease again.

Ruled out: a fault of the lease bookkeeping; the owner's bound was right in the traced cases. The new test failed before (four terms started within a second).

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -81,7 +81,12 @@
         }
         return;
     }
-    if (state.takingOver || m_releasing || !m_environment.lease.isHeld()) {
+    if (state.takingOver || m_releasing) {
+        return;
+    }
+    if (!m_environment.lease.isHeld()) {
+        // The stronger instances may not be able to take the partition either.
+        state.vacantSince.reset();
         return;
     }
     const bool vacant = entry == nullptr || entry->revision <= state.endedToken;
--- a/source/tenure/tests/TakeOverAfterOutageTest.cpp
+++ b/source/tenure/tests/TakeOverAfterOutageTest.cpp
@@ -87,6 +87,27 @@
 
 }
 
+// The partitions had become vacant before the store went away, so that the time for which weak instances leave them to
+// stronger ones ran out while nobody could take them.
+TEST_F(TakeOverAfterOutage, leavesPartitionsThatBecameVacantBeforeTheOutageToStrongerInstances)
+{
+    show(m_all, m_all.back());
+    m_lease.start("weak");
+    pass(Second);
+    ASSERT_TRUE(m_lease.isHeld());
+    show(m_all, std::nullopt);
+    pass(Milliseconds(200));
+    m_connections.store.down = true;
+    pass(Second * 6);
+    m_connections.store.down = false;
+    passUntilLeaseIsHeld();
+    show({m_weak}, std::nullopt);
+    pass(Second);
+    EXPECT_EQ(logged("leader-term-started"), 0U);
+    pass(Second * 8);
+    EXPECT_EQ(logged("leader-term-started"), m_plan.partitions().size());
+}
+
 // The store has dropped the lease under which the owner's keys were written. The instance holds a new one before it
 // learns from the cluster's entries that the keys are gone.
 TEST_F(TakeOverAfterOutage, schedulesNothingUnderAnotherLeaseThanThatOfItsOwnerKeys)
