Tenure: Let running instances register before a new process takes over

Cause: a process that starts during an outage has never seen the other instances, which register again up to two seconds after it. It ranked itself first and took everything 500 ms after its start. It now leaves partitions that have had an owner before alone until it has held a lease for two seconds. Its own former partitions and those of a fleet that starts for the first time are not delayed.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t RanksPerOwnedPartition = 2;
 // All instances of a fleet start within 0.3 s. Until then the list of candidates is incomplete.
 constexpr Milliseconds SettleTime {500};
+// Running instances register again within this time after an outage in which the store dropped their leases. A new
+// process does not know of them before.
+constexpr Milliseconds ReregistrationTime {2'000};
 
 }
 
@@ -119,6 +122,8 @@
     const Instant now = m_environment.clock.now();
     if (!m_environment.lease.isHeld()) {
         m_instances.noteLeaseMissing(now);
+    } else {
+        m_registeredAt = m_registeredAt.value_or(now);
     }
     // Reviews are frequent and changes of the cluster's entries are rare, so entries are parsed only after a change.
     if (m_listedRevision != m_environment.cluster.revision()) {
@@ -173,6 +178,12 @@
                 m_partitions[partition].takingOver = false;
                 return;
             }
+            const Instant complete = m_registeredAt.value_or(m_environment.clock.now()) + ReregistrationTime;
+            if (ownerRevision == MustNotExist && *head && m_environment.clock.now() < complete) {
+                m_partitions[partition].takingOver = false;
+                m_partitions[partition].vacantSince = complete;
+                return;
+            }
             writeOwner(partition, ownerRevision, *head);
         });
 }
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -87,6 +87,8 @@
     InstanceEntry m_self;
     PartitionLeader::Limits m_limits;
     Instant m_startedAt;
+    // When this process first held a lease.
+    std::optional<Instant> m_registeredAt;
     KnownInstances m_instances;
     // The registered instances, and the revision of the cluster's entries from which they were read.
     std::vector<InstanceEntry> m_listedInstances;
--- a/source/tenure/tests/TakeOverAfterOutageTest.cpp
+++ b/source/tenure/tests/TakeOverAfterOutageTest.cpp
@@ -108,6 +108,27 @@
     EXPECT_EQ(logged("leader-term-started"), m_plan.partitions().size());
 }
 
+// A process that starts during an outage knows no other instance, and is the first to register when the store is back.
+TEST_F(TakeOverAfterOutage, leavesPartitionsToStrongerInstancesIfItHasStartedDuringTheOutage)
+{
+    for (const std::string &partition : m_plan.partitions()) {
+        m_state.write({JobKeys::head(partition), R"({"tenure": 1})", std::nullopt, 0});
+    }
+    m_connections.store.down = true;
+    m_lease.start("weak");
+    pass(Second * 2);
+    m_connections.store.down = false;
+    passUntilLeaseIsHeld();
+    show({m_weak}, std::nullopt);
+    pass(Milliseconds(1'500));
+    EXPECT_EQ(logged("leader-term-started"), 0U);
+    show(m_all, std::nullopt);
+    pass(Second);
+    EXPECT_EQ(logged("leader-term-started"), 0U);
+    pass(Second * 8);
+    EXPECT_EQ(logged("leader-term-started"), m_plan.partitions().size());
+}
+
 // The store has dropped the lease under which the owner's keys were written. The instance holds a new one before it
 // learns from the cluster's entries that the keys are gone.
 TEST_F(TakeOverAfterOutage, schedulesNothingUnderAnotherLeaseThanThatOfItsOwnerKeys)
