Scheduling: Let a repeated stop not hide that its run is gone

Cause: the owner stops such runs by name before it starts them elsewhere, and takes them for gone when a report that was requested after the stop's answer does not list them. It repeats the stop every 250 ms and took the time of the last answer. A report waits for up to two seconds, so it was always requested before that. Now the first answer counts: from then on the worker rejects the start.

The new test failed before (no start in ten seconds).

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -236,7 +236,11 @@
     task->orderPending = false;
     const bool settled = answer.outcome == OrderOutcome::Accepted || answer.outcome == OrderOutcome::Superseded;
     if (settled) {
-        task->lastOrderAnswered = m_environment.clock.now();
+        // A report that was requested after the first answer shows whether the run has ended. Later answers would
+        // always be newer than the last report.
+        if (task->lastOrderAnswered == Instant()) {
+            task->lastOrderAnswered = m_environment.clock.now();
+        }
         if (worker != nullptr) {
             requestReport(*worker);
         }
--- a/source/tenure/tests/WorkerRestartTest.cpp
+++ b/source/tenure/tests/WorkerRestartTest.cpp
@@ -154,4 +154,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Milliseconds, WorkerRestartAfter, testing::Range(260, 400, 20));
 
+// The worker restarts before it has carried the start out. It accepts the stop of a run that it does not have, lists no
+// end of it, and its reports wait for longer than the owner does until it repeats the stop.
+TEST_F(WorkerRestart, startsATaskAgainWhoseStartWasLostWithTheFormerIncarnation)
+{
+    m_cluster.owner()->gateway.longestWait = Second * 2;
+    m_cluster.owner()->gateway.lateOrders = 1;
+    submit("job", {Second, 0, false});
+    m_cluster.advance(Milliseconds(200));
+    ASSERT_EQ(starts("job"), 0U);
+    restartWorkers();
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(starts("job"), 1U);
+}
+
 }
