Scheduling: Grant no lease that outlasts what a successor assumes

The end of a lease was reckoned from the time at which a report had been requested. The worker reads its clock when it answers, up to two seconds later, so that leases lasted up to two seconds longer than their length, by which a successor's bound is computed.

WorkerClock now keeps the reading that tells most, and reckons leases from the least that the clock shows. An answer that was read seconds late no longer replaces a more exact one.

--- a/source/scheduling/WorkerClock.cpp
+++ b/source/scheduling/WorkerClock.cpp
@@ -14,12 +14,12 @@
 void WorkerClock::observe(std::int64_t reading, Instant sentAt, Instant receivedAt)
 {
     const bool outdated = sentAt < m_validFrom || (m_known && receivedAt < m_receivedAt);
-    if (outdated) {
+    // An answer that was read late shows less of the clock than an earlier one.
+    if (outdated || (m_known && reading < leastReading(receivedAt))) {
         return;
     }
     m_known = true;
     m_reading = reading;
-    m_sentAt = sentAt;
     m_receivedAt = receivedAt;
 }
 
@@ -34,9 +34,17 @@
     return m_known;
 }
 
+std::int64_t WorkerClock::leastReading(Instant now) const
+{
+    const auto passed = std::chrono::duration_cast<Milliseconds>(now - m_receivedAt);
+    // A call may have been sent before the last reading arrived. Then its answer may show an earlier time.
+    const double rate = passed.count() > 0 ? SlowestRate : 1.0;
+    return m_reading + static_cast<std::int64_t>(static_cast<double>(passed.count()) * rate);
+}
+
 std::int64_t WorkerClock::leaseEnd(Instant now, Milliseconds length) const
 {
-    return m_reading + (std::chrono::duration_cast<Milliseconds>(now - m_sentAt) + length).count();
+    return leastReading(now) + length.count();
 }
 
 Instant WorkerClock::expiryUpperBound(std::int64_t reading) const
@@ -49,11 +57,8 @@
     if (!m_known || sentAt < m_validFrom) {
         return AnsweringIncarnation::Unclear;
     }
-    const auto passed = std::chrono::duration_cast<Milliseconds>(sentAt - m_receivedAt);
-    // The call may have been sent before the last reading arrived. Then its answer may show an earlier time.
-    const double rate = passed.count() > 0 ? SlowestRate : 1.0;
-    const auto least = m_reading + static_cast<std::int64_t>(static_cast<double>(passed.count()) * rate);
-    return reading + RoundingMargin.count() >= least ? AnsweringIncarnation::Known : AnsweringIncarnation::Next;
+    return reading + RoundingMargin.count() >= leastReading(sentAt) ? AnsweringIncarnation::Known
+                                                                    : AnsweringIncarnation::Next;
 }
 
 Milliseconds WorkerClock::longestDuration(Milliseconds onWorkerClock)
--- a/source/scheduling/WorkerClock.h
+++ b/source/scheduling/WorkerClock.h
@@ -33,7 +33,8 @@
 
     [[nodiscard]] bool isKnown() const;
 
-    // Returns the reading of the worker's clock at which a lease that begins now expires. The clock must be known.
+    // Returns the reading of the worker's clock at which a lease that begins now expires at the latest. It lasts for
+    // the given length, less the time that the last answer took to arrive. The clock must be known.
     [[nodiscard]] std::int64_t leaseEnd(Instant now, Milliseconds length) const;
 
     // Returns the time by which the worker's clock has passed the reading even at its slowest rate.
@@ -47,10 +48,12 @@
     [[nodiscard]] static Milliseconds longestDuration(Milliseconds onWorkerClock);
 
 private:
+    // Returns the reading that the clock has at least, at its slowest rate.
+    [[nodiscard]] std::int64_t leastReading(Instant now) const;
+
     bool m_known = false;
     Instant m_validFrom;
     std::int64_t m_reading = 0;
-    Instant m_sentAt;
     Instant m_receivedAt;
 };
 
