Scheduling: Await only the lease holders of a complete record

Since leases are granted only to workers that the stored record names, a record of the last term shows all of them. It says so, because records of earlier versions do not; for these, listed workers and those of open runs are awaited as before.

--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -36,6 +36,7 @@
     m_earlierLeaseDuration = record.leaseDuration.value_or(bounds.longestLease);
     m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
     const bool isOfLastTerm = record.term + 1 == m_term;
+    m_allHoldersKnown = record.namesAllHolders && isOfLastTerm;
     m_stored = KnownRecord();
     for (const WorkerListing &worker : record.workers) {
         m_stored->holders.insert(worker.name);
@@ -53,6 +54,9 @@
 
 void LeaseHandover::expect(const std::string &worker)
 {
+    if (m_allHoldersKnown) {
+        return;
+    }
     m_unconfirmedWorkers.emplace(worker, m_priorLeasesExpireAt);
     m_recoveryActive = true;
 }
@@ -194,7 +198,7 @@
 BegunLeaseRecord LeaseHandover::beginRecord(
     Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority)
 {
-    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}}};
+    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true}};
     KnownRecord known {m_lastNumber, {}, {}};
     for (const auto &[name, worker] : workers) {
         if (!isHolder(worker, now)) {
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -48,7 +48,8 @@
     // Returns when all leases of earlier terms have surely expired.
     [[nodiscard]] Instant priorLeasesExpireAt() const;
 
-    // Awaits a worker that the record does not name, until all leases of earlier terms have expired.
+    // Awaits a worker that the record does not name, until all leases of earlier terms have expired. Has no effect if
+    // the last owner granted leases only to workers of the record.
     void expect(const std::string &worker);
 
     // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
@@ -116,6 +117,7 @@
     // The expiry of their last leases by worker.
     std::map<std::string, Instant> m_unconfirmedWorkers;
     bool m_recoveryActive = false;
+    bool m_allHoldersKnown = false;
 
     std::uint64_t m_lastNumber = 0;
     // The record that the store has, and those of this term that it may get. Number 0 is that of an earlier term, whose
--- a/source/scheduling/LeaseHolderRecord.cpp
+++ b/source/scheduling/LeaseHolderRecord.cpp
@@ -16,6 +16,7 @@
             holder["lease_ms"] = record.leaseDuration->count();
         }
         holder["term"] = record.term;
+        holder["names_all"] = record.namesAllHolders;
         const auto expiry = record.finalExpiries.find(worker.name);
         if (expiry != record.finalExpiries.end()) {
             holder["expires_ms"] = expiry->second.count();
@@ -33,6 +34,7 @@
         return record;
     }
     bool complete = !members->empty();
+    record.namesAllHolders = complete;
     Milliseconds longest {0};
     for (const auto &[name, item] : members->items()) {
         WorkerListing worker;
@@ -49,6 +51,7 @@
         const auto duration = memberOr(item, "lease_ms", std::int64_t {0});
         complete = complete && duration > 0;
         longest = std::max(longest, Milliseconds(duration));
+        record.namesAllHolders = record.namesAllHolders && memberOr(item, "names_all", false);
     }
     if (complete) {
         record.leaseDuration = longest;
--- a/source/scheduling/LeaseHolderRecord.h
+++ b/source/scheduling/LeaseHolderRecord.h
@@ -24,6 +24,8 @@
     // For workers that seem to be lost, the time after the record was written by which their last lease has surely
     // expired. The owner grants them no lease before it has replaced the record.
     std::map<std::string, Milliseconds> finalExpiries;
+    // Whether the term granted leases only to workers that the stored record named. Earlier versions did not.
+    bool namesAllHolders = false;
 
     bool operator==(const LeaseHolderRecord &) const = default;
 };
