Scheduling: Take a worker for heard only once its list of ends is complete

A worker lists 500 run ends at a time until they are acknowledged, which takes until the store is back. It now waits until a report is not truncated, or until the leases have expired.

The new test failed before: eight of sixteen tasks were started after their noted end.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -228,6 +228,8 @@
         worker.hasAnswered = true;
         worker.priorLeaseExpiresAt
             = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOf(worker.listing.name));
+    }
+    if (!report.truncated) {
         m_leaseHandover.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
--- a/source/tenure/tests/OutageHandOverTest.cpp
+++ b/source/tenure/tests/OutageHandOverTest.cpp
@@ -98,4 +98,22 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// The workers list more ends than one report holds, and the store has none of them yet.
+TEST_F(OutageHandOver, runsTasksOnceIfTheFirstReportsLackSomeOfTheirEnds)
+{
+    m_cluster.workers.mostEndsPerReport = 2;
+    m_cluster.workers.setBehaviour("job", {Milliseconds(300), 0, false});
+    m_cluster.owner()->router.submit(TestCluster::job("job", 1, TestCluster::WorkerCount * 4),
+        m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Milliseconds(200));
+    ASSERT_EQ(m_cluster.workers.runningCount(), 16U);
+    beginOutage();
+    m_cluster.advance(Milliseconds(400));
+    ASSERT_EQ(m_cluster.workers.runningCount(), 0U);
+    replaceOwnerAsTheOutageEnds({});
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
+}
+
 }
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -67,6 +67,9 @@
     {
     }
 
+    // How many run ends a report lists at most.
+    std::size_t mostEndsPerReport = 500;
+
     void add(const WorkerListing &listing)
     {
         Worker &worker = m_workers[listing.name];
@@ -298,7 +301,9 @@
         RunReport report;
         report.workerClock = clockOf(worker);
         report.incarnation = worker.listing.incarnation;
-        report.ended = worker.ended;
+        report.ended.assign(worker.ended.begin(),
+            worker.ended.begin() + static_cast<std::ptrdiff_t>(std::min(worker.ended.size(), mostEndsPerReport)));
+        report.truncated = report.ended.size() >= mostEndsPerReport;
         for (const Run &run : worker.running) {
             report.running.push_back({run.name, {}, percentOf(run), run.behaviour.usage(m_clock.now())});
         }
