Scheduling: Read the ends of live workers before their tasks run again

What callers saw: a task was started again 12 s after its run had ended as done on a worker that was alive all the while, by the same owner in the same term.

Cause: an owner that gets no answer in time (3,800 of the calls that timed out at one had their answer unread in the socket) takes the worker's leases for expired and starts its tasks elsewhere. The leases have expired indeed, but runs that ended before are listed by the worker. A new owner did the same with workers that it counted as unreachable.

Tasks whose run may have been completed before the leases expired now wait for the first answer of a worker that the platform still lists, ten seconds at most. How far the run had come at the last contact tells which tasks these are. Long-running tasks, whose runs have no such end, are started again at once, also while a new owner still waits for reports.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -50,9 +50,9 @@
     }
 }
 
-bool JobScheduler::isRecovering() const
+RecoveryStage JobScheduler::recoveryStage() const
 {
-    return m_leaseHandover.isRecoveryPending(m_environment.clock.now(), m_workers);
+    return m_leaseHandover.recoveryStage(m_environment.clock.now(), m_workers);
 }
 
 void JobScheduler::reviewRecovery()
@@ -61,7 +61,7 @@
         return;
     }
     const Instant now = m_environment.clock.now();
-    const bool pending = m_leaseHandover.isRecoveryPending(now, m_workers);
+    const bool pending = recoveryStage() != RecoveryStage::Over;
     if (pending && now - m_recoveryLoggedAt < RecoveryLogInterval) {
         return;
     }
@@ -74,23 +74,32 @@
     }
 }
 
-int JobScheduler::readyCount(const StepState &step, bool recovering)
+bool JobScheduler::isHeldBack(const TaskState &task, RecoveryStage stage)
 {
-    if (!recovering || !step.occurrence->job->fromEarlierTerm) {
+    // Only runs that end by themselves can have been completed.
+    const bool matters = stage == RecoveryStage::Leases
+        || (stage == RecoveryStage::Reports && !task.step->specification().longRunning);
+    return matters && mayRunUnknown(task);
+}
+
+int JobScheduler::readyCount(const StepState &step, RecoveryStage stage)
+{
+    if (stage == RecoveryStage::Over || !step.occurrence->job->fromEarlierTerm) {
         return step.waitingCount;
     }
     return static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-        [](const TaskState &task) { return task.phase == RunPhase::Waiting && !mayRunUnknown(task); }));
+        [stage](const TaskState &task) { return task.phase == RunPhase::Waiting && !isHeldBack(task, stage); }));
 }
 
 int JobScheduler::heldTaskCount() const
 {
+    const RecoveryStage stage = recoveryStage();
     int count = 0;
     for (const JobState *job : m_unfinishedJobs) {
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
                 if (step.waitingCount > 0 && occurrence.isEligible(step)) {
-                    count += step.waitingCount - readyCount(step, true);
+                    count += step.waitingCount - readyCount(step, stage);
                 }
             }
         }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -211,7 +211,7 @@
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
     void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
-    [[nodiscard]] static bool isDelegable(const TaskState &task, bool recovering);
+    [[nodiscard]] static bool isDelegable(const TaskState &task, RecoveryStage stage);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
@@ -305,8 +305,8 @@
     void logGivenUp(const TaskName &task, const CrashHistory &history);
     // Lets the crashes under a task that was given up count less for the others on the same workers.
     void explainCrashes(const TaskState &cause);
-    // Requeues the tasks of a worker that is lost. How a crash of it would count is noted until that is known.
-    void noteLostRuns(WorkerState &worker);
+    // Requeues tasks of a worker that is lost. How a crash of it would count is noted until that is known.
+    void noteLostRuns(WorkerState &worker, const std::vector<TaskState *> &tasks);
     // Explains the lost runs of a worker by an answer of the given incarnation, which lists these runs.
     void explainLostRuns(WorkerState &worker, std::int64_t incarnation, const std::set<RunName> &listed);
     void forgetLostRuns(WorkerState &worker);
@@ -333,7 +333,7 @@
     void dispatch();
     // Notes that the tasks of a step begin to wait for workers.
     void openStep(StepState &step);
-    void placeStep(StepState &step, bool recovering);
+    void placeStep(StepState &step, RecoveryStage stage);
     void placeGang(StepState &step);
     // Undoes the last placement on a worker, for which no start order was sent.
     void undoPlacement(TaskState &task);
@@ -344,12 +344,14 @@
     [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
-    [[nodiscard]] bool isRecovering() const;
+    [[nodiscard]] RecoveryStage recoveryStage() const;
     // Ends the recovery when no task has to wait for it any longer. Until then, logs at intervals what it waits for.
     void reviewRecovery();
     [[nodiscard]] int heldTaskCount() const;
     // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
-    [[nodiscard]] static int readyCount(const StepState &step, bool recovering);
+    [[nodiscard]] static int readyCount(const StepState &step, RecoveryStage stage);
+    // Returns whether a run of the task that this term does not know of may still matter.
+    [[nodiscard]] static bool isHeldBack(const TaskState &task, RecoveryStage stage);
 
     // Returns whether the authority is up to date. It may have run out while the process was held up.
     [[nodiscard]] bool isAuthorityCurrent() const;
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -272,10 +272,9 @@
     }
 }
 
-void JobScheduler::noteLostRuns(WorkerState &worker)
+void JobScheduler::noteLostRuns(WorkerState &worker, const std::vector<TaskState *> &tasks)
 {
     const std::vector<CrashEvidence> evidence = crashEvidence(worker);
-    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
     for (TaskState *task : tasks) {
         const bool wasSent = !task->awaitsRecording;
         requeue(*task, Milliseconds(0));
@@ -283,7 +282,8 @@
     }
     for (const auto &[run, incarnation, timing] : evidence) {
         TaskState *task = findTask(run.task);
-        if (task != nullptr && task->phase != RunPhase::Done) {
+        const bool isLost = std::find(tasks.begin(), tasks.end(), task) != tasks.end();
+        if (isLost && task->phase != RunPhase::Done) {
             worker.lostRuns.push_back({run, incarnation, timing, m_environment.clock.now()});
             task->crashes.open(run.run, {worker.listing.name, worker.listing.address, incarnation, timing});
         }
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -62,17 +62,16 @@
     dispatchSoon();
 }
 
-bool JobScheduler::isDelegable(const TaskState &task, bool recovering)
+bool JobScheduler::isDelegable(const TaskState &task, RecoveryStage stage)
 {
     // A task whose open runs may still decide its verdict waits for it here, because only this partition can ask.
-    return task.phase == RunPhase::Waiting && !(recovering && mayRunUnknown(task))
-        && judge(task.crashes) == CrashVerdict::Retry;
+    return task.phase == RunPhase::Waiting && !isHeldBack(task, stage) && judge(task.crashes) == CrashVerdict::Retry;
 }
 
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
 {
     const Instant now = m_environment.clock.now();
-    const bool recovering = isRecovering();
+    const RecoveryStage stage = recoveryStage();
     std::vector<UnplacedStep> steps;
     for (const JobState *job : m_unfinishedJobs) {
         if (job->ownedElsewhere || job->specification.repeatCount > 0) {
@@ -83,7 +82,7 @@
                 const StepSpecification &specification = step.specification();
                 const bool movable = specification.longRunning && !specification.gang && specification.after.empty();
                 const auto ready = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-                    [recovering](const TaskState &task) { return isDelegable(task, recovering); }));
+                    [stage](const TaskState &task) { return isDelegable(task, stage); }));
                 const bool waits = ready > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
                 if (movable && waits && surveyPlacement(m_workers, step, now).available == 0) {
                     steps.push_back({job->specification.id, step.number, ready});
@@ -100,11 +99,11 @@
     if (found == m_jobs.end() || found->second->isFinished()) {
         return;
     }
-    const bool recovering = isRecovering();
+    const RecoveryStage stage = recoveryStage();
     for (auto &[number, occurrence] : found->second->occurrences) {
         for (StepState &step : occurrence.steps) {
             for (TaskState &task : step.tasks) {
-                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, recovering)) {
+                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, stage)) {
                     continue;
                 }
                 --count;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -44,13 +44,13 @@
         return;
     }
     const Instant now = m_environment.clock.now();
-    const bool recovering = isRecovering();
+    const RecoveryStage stage = recoveryStage();
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
         bool waits = false;
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
-                waits = waits || (readyCount(step, recovering) > 0 && occurrence.isEligible(step));
+                waits = waits || (readyCount(step, stage) > 0 && occurrence.isEligible(step));
             }
         }
         if (waits) {
@@ -64,12 +64,12 @@
     for (const auto &[rank, job] : queue) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (StepState &step : occurrence.steps) {
-                if (readyCount(step, recovering) == 0 || job->isFinished() || !occurrence.isEligible(step)) {
+                if (readyCount(step, stage) == 0 || job->isFinished() || !occurrence.isEligible(step)) {
                     continue;
                 }
                 openStep(step);
-                placeStep(step, recovering);
-                const int unplaced = readyCount(step, recovering);
+                placeStep(step, stage);
+                const int unplaced = readyCount(step, stage);
                 if (unplaced == 0) {
                     step.unplacedSince.reset();
                     continue;
@@ -140,11 +140,11 @@
     }
 }
 
-void JobScheduler::placeStep(StepState &step, bool recovering)
+void JobScheduler::placeStep(StepState &step, RecoveryStage stage)
 {
     if (step.specification().gang) {
         // The members start together, so all of them have to be ready.
-        if (readyCount(step, recovering) == static_cast<int>(step.tasks.size())) {
+        if (readyCount(step, stage) == static_cast<int>(step.tasks.size())) {
             placeGang(step);
         }
         return;
@@ -155,7 +155,7 @@
     const Instant now = m_environment.clock.now();
     std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
-        if (!mayPlace(task) || (recovering && mayRunUnknown(task))) {
+        if (!mayPlace(task) || isHeldBack(task, stage)) {
             continue;
         }
         WorkerState *worker = choose(step, task);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -1,5 +1,6 @@
 // JobScheduler: reports, leases and health of the workers.
 #include "scheduling/JobScheduler.h"
+#include "scheduling/UnreadEnd.h"
 #include "scheduling/WorkerChoice.h"
 #include "workers/WorkerCodec.h"
 
@@ -38,6 +39,8 @@
 // A task without progress for this long is moved. It covers several reports and is longer than any restore from a
 // checkpoint.
 constexpr Milliseconds StallTimeout {1'800};
+// How long after the expiry of its leases the owner waits for the run ends of a worker that the platform still lists.
+constexpr Milliseconds LongestEndWait {10'000};
 
 }
 
@@ -448,16 +451,24 @@
 
 void JobScheduler::expireLeases(WorkerState &worker)
 {
+    const Instant now = m_environment.clock.now();
     const std::optional<Instant> expiry = worker.leaseExpiry();
-    const bool expired = worker.consecutiveUnanswered > 0 && expiry && m_environment.clock.now() >= *expiry;
-    if (!expired || worker.tasks.empty()) {
+    const bool expired = worker.consecutiveUnanswered > 0 && expiry && now >= *expiry;
+    if (!expired) {
+        return;
+    }
+    const bool mayAnswer = worker.listed && now < *expiry + LongestEndWait;
+    std::vector<TaskState *> lost;
+    std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(lost),
+        [&](const TaskState *task) { return !mayAnswer || !mayHaveCompleted(*task, worker.lastContact, *expiry); });
+    if (lost.empty()) {
         return;
     }
-    const auto silence = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - worker.lastContact);
+    const auto silence = std::chrono::duration_cast<Milliseconds>(now - worker.lastContact);
     m_environment.listener.logDecision("worker-leases-expired", worker.listing.name,
-        {{"tasks", worker.tasks.size()}, {"listed", worker.listed}, {"unanswered", worker.consecutiveUnanswered},
-            {"last_contact_age_ms", silence.count()}});
-    noteLostRuns(worker);
+        {{"tasks", lost.size()}, {"awaited", worker.tasks.size() - lost.size()}, {"listed", worker.listed},
+            {"unanswered", worker.consecutiveUnanswered}, {"last_contact_age_ms", silence.count()}});
+    noteLostRuns(worker, lost);
 }
 
 void JobScheduler::retryOrders(WorkerState &worker)
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -77,26 +77,23 @@
     return found == m_unconfirmedWorkers.end() ? Instant() : found->second;
 }
 
-bool LeaseHandover::mayRunTasks(const WorkerState *worker, Instant leaseExpiresAt, Instant now)
+RecoveryStage LeaseHandover::recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const
 {
-    if (now < leaseExpiresAt) {
-        return true;
+    RecoveryStage stage = RecoveryStage::Over;
+    for (const auto &[name, leaseExpiresAt] : m_unconfirmedWorkers) {
+        if (now < leaseExpiresAt) {
+            return RecoveryStage::Leases;
+        }
+        // An owner that is short of processor time may not yet have read the reports of live workers. The last owner
+        // has got no answer from workers whose leases expired sooner than all others.
+        const auto worker = workers.find(name);
+        const bool isAlive
+            = worker != workers.end() && worker->second.listed && leaseExpiresAt >= m_priorLeasesExpireAt;
+        if (isAlive && now < leaseExpiresAt + MaximumExtraRecovery) {
+            stage = RecoveryStage::Reports;
+        }
     }
-    // An owner that is short of processor time may not yet have processed the reports of live workers, which list runs
-    // that ended long ago.
-    const bool isAlive = worker != nullptr && worker->listed && !worker->isUnreachable();
-    return isAlive && now < leaseExpiresAt + MaximumExtraRecovery;
-}
-
-bool LeaseHandover::isRecoveryPending(Instant now, const std::map<std::string, WorkerState> &workers) const
-{
-    return std::any_of(m_unconfirmedWorkers.begin(), m_unconfirmedWorkers.end(), [&, now](const auto &entry) {
-        const auto worker = workers.find(entry.first);
-        // The last owner has got no answer from workers whose leases expire sooner than all others.
-        const bool wasLostBefore = entry.second < m_priorLeasesExpireAt;
-        const bool mayBeAlive = worker != workers.end() && !wasLostBefore;
-        return mayRunTasks(mayBeAlive ? &worker->second : nullptr, entry.second, now);
-    });
+    return stage;
 }
 
 bool LeaseHandover::isRecoveryActive() const
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -24,6 +24,15 @@
     Milliseconds longestLease {0};
 };
 
+// What tasks of earlier leader terms wait for whose runs are not known.
+enum class RecoveryStage {
+    // Runs may go on, because workers that have not answered may hold leases.
+    Leases,
+    // All leases have expired, but live workers that have not answered may list ends of runs.
+    Reports,
+    Over,
+};
+
 // A record of the lease holders that is to be stored.
 struct BegunLeaseRecord
 {
@@ -60,8 +69,8 @@
     // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
     [[nodiscard]] Instant leaseExpiryOf(const std::string &worker) const;
 
-    // Returns whether a task whose worker is unknown may still run on an unconfirmed worker.
-    [[nodiscard]] bool isRecoveryPending(Instant now, const std::map<std::string, WorkerState> &workers) const;
+    // Returns what the unconfirmed workers may still run or list.
+    [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
     // Whether workers have been awaited since the last call of endRecovery().
     [[nodiscard]] bool isRecoveryActive() const;
@@ -100,8 +109,6 @@
         std::set<std::string> expiring;
     };
 
-    [[nodiscard]] static bool mayRunTasks(const WorkerState *worker, Instant leaseExpiresAt, Instant now);
-
     // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
         const WorkerState &worker, SchedulingAuthority authority) const;
