Scheduling: Delegate no tasks while live workers are missing from the list

Delegated tasks are not delegated on.

Nothing is delegated while no worker is listed, or while workers answer that are not listed. The new test was written together with the fix and was not run without it.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -130,7 +130,7 @@
         const std::vector<DelegatedTask> &tasks);
 
     // Returns the steps with long-running tasks that have waited for longer than the given time and for which no worker
-    // has room now.
+    // has room now. There are none as long as live workers are missing from the platform's list.
     [[nodiscard]] std::vector<UnplacedStep> unplacedLongRunning(Milliseconds longerThan) const;
 
     // Delegates up to the given number of waiting tasks of a step to another partition. They must not be sent there
@@ -211,6 +211,7 @@
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
     void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
+    [[nodiscard]] bool isWorkerListComplete(Instant now) const;
     [[nodiscard]] static bool isDelegable(const TaskState &task, RecoveryStage stage);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -68,11 +68,23 @@
     return task.phase == RunPhase::Waiting && !isHeldBack(task, stage) && judge(task.crashes) == CrashVerdict::Retry;
 }
 
+bool JobScheduler::isWorkerListComplete(Instant now) const
+{
+    const bool anyListed
+        = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &entry) { return entry.second.listed; });
+    return anyListed && std::none_of(m_workers.begin(), m_workers.end(), [now](const auto &entry) {
+        return entry.second.mayBeListedAgain(now);
+    });
+}
+
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
 {
     const Instant now = m_environment.clock.now();
     const RecoveryStage stage = recoveryStage();
     std::vector<UnplacedStep> steps;
+    if (!isWorkerListComplete(now)) {
+        return steps;
+    }
     for (const JobState *job : m_unfinishedJobs) {
         if (job->ownedElsewhere || job->specification.repeatCount > 0) {
             continue;
--- a/source/tenure/tests/OutageHandOverTest.cpp
+++ b/source/tenure/tests/OutageHandOverTest.cpp
@@ -116,4 +116,26 @@
     EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
 }
 
+// The entries of all workers lapsed with the outage. Another partition would take the tasks on although this one has
+// room for them as soon as its workers are listed again.
+TEST_F(OutageHandOver, delegatesNoTasksBeforeItsWorkersAreListedAgain)
+{
+    m_cluster.workers.setBehaviour("watch", {Milliseconds(100), 0, true});
+    JobRecord watch = TestCluster::job("watch", 1, TestCluster::WorkerCount + 1);
+    watch.specification.steps[0].perWorkerLimit = 1;
+    watch.specification.steps[0].longRunning = true;
+    m_cluster.owner()->router.submit(watch, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second * 2);
+    ASSERT_EQ(jobs().unplacedLongRunning(Second).size(), 1U);
+    const int number = m_cluster.owner()->self.name.back() - '0';
+    m_cluster.kill(number);
+    m_cluster.start(number);
+    m_cluster.listAllWorkersExcept({"worker-0", "worker-1", "worker-2", "worker-3"});
+    m_cluster.advance(Second * 4);
+    EXPECT_EQ(jobs().unplacedLongRunning(Second).size(), 0U);
+    m_cluster.listAllWorkersExcept({});
+    m_cluster.advance(Second * 2);
+    EXPECT_EQ(jobs().unplacedLongRunning(Second).size(), 1U);
+}
+
 }
