--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -79,3 +79,10 @@
         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
     add_test(NAME platform.losses COMMAND python3 ${CMAKE_SOURCE_DIR}/platform/tests/losses_test.py)
 endif()
+
+# A stand-in of the platform in its published protocol, on which wagtail-node runs as on the real one.
+add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp
+    ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp ${CMAKE_SOURCE_DIR}/standins/PlatformProgram.cpp
+    ${CMAKE_SOURCE_DIR}/standins/PlatformStoreApi.cpp ${CMAKE_SOURCE_DIR}/standins/PlatformWorker.cpp
+    ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
+target_link_libraries(wagtail-standin-platform PRIVATE wagtail-standins wagtail-logging)
--- /dev/null
+++ b/standins/FaultyRelay.cpp
@@ -0,0 +1,184 @@
+#include "FaultyRelay.h"
+
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+
+constexpr std::size_t BufferBytes = 16'384;
+constexpr Milliseconds HoldPeriod {20};
+
+tcp::endpoint loopback(std::uint16_t port)
+{
+    return {asio::ip::address_v4::loopback(), port};
+}
+
+}
+
+class FaultyRelay::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(asio::io_context &context, tcp::socket client, const Faults &faults)
+        : m_faults(faults), m_requests(context, std::move(client)), m_answers(context, tcp::socket(context))
+    {
+    }
+
+    void open(const tcp::endpoint &target)
+    {
+        m_answers.source.async_connect(target, [self = shared_from_this()](const asio::error_code &error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            asio::error_code ignored;
+            self->m_answers.source.set_option(tcp::no_delay(true), ignored);
+            self->m_requests.source.set_option(tcp::no_delay(true), ignored);
+            self->read(self->m_requests);
+            self->read(self->m_answers);
+        });
+    }
+
+    void silence()
+    {
+        m_silent = true;
+    }
+
+    void reset()
+    {
+        asio::error_code ignored;
+        m_requests.source.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_answers.source.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
+private:
+    struct Direction
+    {
+        Direction(asio::io_context &context, tcp::socket socket) : source(std::move(socket)), timer(context)
+        {
+        }
+
+        tcp::socket source;
+        asio::steady_timer timer;
+        std::array<char, BufferBytes> buffer {};
+    };
+
+    [[nodiscard]] bool isCut(const Direction &direction) const
+    {
+        return &direction == &m_requests ? m_faults.requestsCut : m_faults.answersCut;
+    }
+
+    void read(Direction &direction)
+    {
+        direction.source.async_read_some(asio::buffer(direction.buffer),
+            [self = shared_from_this(), &direction](const asio::error_code &error, std::size_t size) {
+                if (error) {
+                    self->close();
+                } else if (self->m_silent) {
+                    self->read(direction);
+                } else {
+                    self->hold(direction, size, self->m_faults.delay);
+                }
+            });
+    }
+
+    void hold(Direction &direction, std::size_t size, Milliseconds delay)
+    {
+        if (delay.count() == 0 && !isCut(direction)) {
+            write(direction, size);
+            return;
+        }
+        direction.timer.expires_after(std::max(delay, HoldPeriod));
+        direction.timer.async_wait([self = shared_from_this(), &direction, size](const asio::error_code &error) {
+            if (!error) {
+                self->hold(direction, size, Milliseconds(0));
+            }
+        });
+    }
+
+    void write(Direction &direction, std::size_t size)
+    {
+        if (m_silent) {
+            read(direction);
+            return;
+        }
+        tcp::socket &sink = &direction == &m_requests ? m_answers.source : m_requests.source;
+        asio::async_write(sink, asio::buffer(direction.buffer, size),
+            [self = shared_from_this(), &direction](const asio::error_code &error, std::size_t) {
+                if (error) {
+                    self->close();
+                } else {
+                    self->read(direction);
+                }
+            });
+    }
+
+    void close()
+    {
+        asio::error_code ignored;
+        m_requests.source.close(ignored);
+        m_answers.source.close(ignored);
+        m_requests.timer.cancel();
+        m_answers.timer.cancel();
+    }
+
+    const Faults &m_faults;
+    // The sources of both directions: the client and the target.
+    Direction m_requests;
+    Direction m_answers;
+    bool m_silent = false;
+};
+
+FaultyRelay::FaultyRelay(asio::io_context &context, std::uint16_t port, std::uint16_t targetPort)
+    : m_context(context), m_acceptor(context, loopback(port)), m_target(loopback(targetPort))
+{
+    accept();
+}
+
+void FaultyRelay::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        std::erase_if(m_connections, [](const auto &connection) { return connection.expired(); });
+        auto connection = std::make_shared<Connection>(m_context, std::move(socket), m_faults);
+        m_connections.push_back(connection);
+        connection->open(m_target);
+        accept();
+    });
+}
+
+void FaultyRelay::setFaults(const Faults &faults)
+{
+    m_faults = faults;
+}
+
+void FaultyRelay::resetConnections()
+{
+    for (const auto &known : m_connections) {
+        if (const auto connection = known.lock()) {
+            connection->reset();
+        }
+    }
+}
+
+void FaultyRelay::silenceConnections(std::size_t every)
+{
+    std::size_t index = 0;
+    for (const auto &known : m_connections) {
+        const auto connection = known.lock();
+        if (connection && index++ % every == 0) {
+            connection->silence();
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/standins/FaultyRelay.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "base/Clock.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace Wagtail
+{
+
+// Forwards connections from one port of the loopback interface to another one, with the faults of a network between.
+class FaultyRelay
+{
+public:
+    // The faults of all connections, including new ones. Bytes of a cut direction arrive when the cut is over.
+    struct Faults
+    {
+        Milliseconds delay {0};
+        bool requestsCut = false;
+        bool answersCut = false;
+    };
+
+    FaultyRelay(asio::io_context &context, std::uint16_t port, std::uint16_t targetPort);
+
+    void setFaults(const Faults &faults);
+    // Resets all open connections.
+    void resetConnections();
+    // Every n-th open connection delivers nothing more, without a reset.
+    void silenceConnections(std::size_t every);
+
+private:
+    class Connection;
+
+    void accept();
+
+    asio::io_context &m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::endpoint m_target;
+    Faults m_faults;
+    std::vector<std::weak_ptr<Connection>> m_connections;
+};
+
+}
--- /dev/null
+++ b/standins/PlatformProgram.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "FaultyRelay.h"
+#include "PlatformStoreApi.h"
+#include "PlatformWorker.h"
+#include "RunLedger.h"
+#include "WorkerRegistration.h"
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <vector>
+
+namespace Wagtail
+{
+
+// The platform that wagtail-node runs on: a store, workers that register in it, and a link from each instance to the
+// store. Faults are switched on and off, and violations are read, over HTTP on the control port.
+class PlatformProgram
+{
+public:
+    struct Settings
+    {
+        std::uint16_t controlPort = 0;
+        std::uint16_t storePort = 0;
+        // The first of the ports at which the instances reach the store, one for each.
+        std::uint16_t linkPort = 0;
+        std::uint16_t workerPort = 0;
+        int instances = 1;
+        int workers = 1;
+        std::vector<std::string> dataCentres;
+        Milliseconds longestLease {10'000};
+        std::uint64_t seed = 1;
+        PlatformStoreApi::Limits limits;
+    };
+
+    PlatformProgram(asio::io_context &context, const Clock &clock, Settings settings);
+
+    // Opens all ports and begins to serve.
+    [[nodiscard]] Status open();
+
+private:
+    // A worker with what listens and registers for it.
+    struct Machine
+    {
+        std::unique_ptr<PlatformWorker> worker;
+        std::unique_ptr<WorkerRegistration> registration;
+    };
+
+    void addWorker(int index);
+    void tick();
+    void control(const HttpRequest &request, const HttpServer::Responder &respond);
+    void changeStore(const Json &order);
+    void changeLink(const Json &order);
+    void changeWorkers(const Json &order);
+    [[nodiscard]] Status listen(std::uint16_t port, HttpServer::Handler handler);
+
+    asio::io_context &m_context;
+    const Clock &m_clock;
+    Settings m_settings;
+    RunLedger m_ledger;
+    PlatformStoreApi m_api;
+    std::vector<Machine> m_machines;
+    std::vector<std::unique_ptr<FaultyRelay>> m_links;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+    asio::steady_timer m_timer;
+};
+
+}
--- /dev/null
+++ b/standins/PlatformWorker.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "RunLedger.h"
+#include "base/Clock.h"
+#include "base/Resources.h"
+#include "http/HttpMessages.h"
+
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace Wagtail
+{
+
+// A stand-in for a worker in the platform's published protocol: starts, stops and paces runs under a lease on its own
+// clock, and lists what runs and what has ended. What a run does is told by its payload, a JSON object with run_ms,
+// millicores, memory_mb, fail_first (so many runs of the task fail), lasting and saves (checkpoints its progress).
+class PlatformWorker
+{
+public:
+    using Respond = std::function<void(HttpResponse)>;
+    // Calls a function after a delay.
+    using Schedule = std::function<void(Milliseconds, std::function<void()>)>;
+
+    struct Settings
+    {
+        std::string name;
+        std::string address;
+        std::string dataCentre;
+        std::string rack;
+        Resources capacity;
+        // The speed of the worker's clock.
+        double clockRate = 1.0;
+        Milliseconds longestLease {10'000};
+        Milliseconds longestStop {900};
+        std::uint64_t seed = 1;
+    };
+
+    // The shares of calls, from 0 to 1, that meet a fault.
+    struct Faults
+    {
+        double loseAnswers = 0.0;
+        double carryOutLate = 0.0;
+        double refuse = 0.0;
+        bool silent = false;
+    };
+
+    PlatformWorker(const Clock &clock, RunLedger &ledger, Schedule schedule, Settings settings);
+
+    void handle(const HttpRequest &request, const Respond &respond);
+
+    // Ends runs that are over or whose lease has expired, and begins a new life after a crash. Call it often.
+    void advance();
+
+    // Ends everything that runs. The worker answers nothing until it starts again under its name or a new one.
+    void crash(Milliseconds downtime, bool underNewName);
+
+    void setFaults(const Faults &faults);
+    [[nodiscard]] bool isUp() const;
+    [[nodiscard]] const std::string &name() const;
+    // Returns what the worker registers about itself.
+    [[nodiscard]] Json entry() const;
+
+private:
+    struct Run
+    {
+        RunLedger::Run name;
+        Resources demand;
+        Milliseconds workNeeded {0};
+        Milliseconds workDone {0};
+        Instant progressFrom;
+        int percent = 100;
+        bool fails = false;
+        bool lasting = false;
+        bool saves = false;
+        std::optional<Instant> stopsAt = std::nullopt;
+    };
+
+    struct End
+    {
+        std::uint64_t number = 0;
+        RunLedger::Run run;
+        std::string how;
+        std::string checkpoint;
+        Instant at;
+        // How often the worker's lease had expired before the end.
+        int lapses = 0;
+    };
+
+    // A request for a report that waits for an end.
+    struct WaitingReport
+    {
+        Instant until;
+        Respond respond;
+    };
+
+    void carryOut(const HttpRequest &request, const Respond &respond);
+    void start(const Json &order, const Respond &respond);
+    void stop(const Json &order, const Respond &respond);
+    void pace(const Json &order, const Respond &respond);
+    void report(const Json &order, const Respond &respond);
+    void begin(const Json &order);
+    void end(const Run &run, const std::string &how);
+    void extendLease(const Json &order);
+    void updateProgress(Run &run) const;
+    void startNextLife();
+    void answerWaitingReports(bool endListed);
+    [[nodiscard]] Run *find(const std::string &task, std::uint64_t run);
+    [[nodiscard]] Resources used() const;
+    [[nodiscard]] std::int64_t clock() const;
+    [[nodiscard]] HttpResponse reportNow();
+    [[nodiscard]] HttpResponse reply(int status, Json body = Json::object()) const;
+    [[nodiscard]] HttpResponse refusal(const char *reason) const;
+    [[nodiscard]] bool happens(double share);
+    [[nodiscard]] Milliseconds upTo(Milliseconds least, Milliseconds most);
+
+    const Clock &m_clock;
+    RunLedger &m_ledger;
+    Schedule m_schedule;
+    Settings m_settings;
+    Faults m_faults;
+    std::mt19937_64 m_random;
+    std::string m_name;
+    int m_life = 0;
+    Instant m_bornAt;
+    std::int64_t m_bornWallMilliseconds = 0;
+    std::optional<Instant> m_downUntil;
+    bool m_newNameAfterCrash = false;
+    std::uint64_t m_token = 0;
+    std::int64_t m_leaseUntil = 0;
+    int m_lapses = 0;
+    std::vector<Run> m_running;
+    std::vector<End> m_ends;
+    std::uint64_t m_nextEnd = 1;
+    std::map<std::string, std::uint64_t> m_closed;
+    std::vector<WaitingReport> m_waiting;
+};
+
+}
--- /dev/null
+++ b/standins/RunLedger.cpp
@@ -0,0 +1,123 @@
+#include "RunLedger.h"
+
+#include "logging/Log.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+Json describe(const RunLedger::Run &run)
+{
+    return {{"run", run.number}, {"worker", run.worker}};
+}
+
+}
+
+Json RunLedger::describe(const Task &task)
+{
+    Json runs = Json::array();
+    for (const Start &start : task.starts) {
+        Json run = Wagtail::describe(start.run);
+        run["began_ms"] = start.wallMilliseconds;
+        if (start.endedAt) {
+            const auto lasted = std::chrono::duration_cast<Milliseconds>(*start.endedAt - start.at);
+            run["over_ms"] = start.wallMilliseconds + lasted.count();
+            run["how"] = start.how;
+        }
+        runs.push_back(std::move(run));
+    }
+    return runs;
+}
+
+RunLedger::RunLedger(const Clock &clock) : m_clock(clock)
+{
+}
+
+void RunLedger::recordStart(const Run &run)
+{
+    log(LogLevel::Info, "run-began", {{"subject", run.task}, {"run", run.number}, {"worker", run.worker}});
+    Task &task = m_tasks[run.task];
+    for (const Start &start : task.starts) {
+        if (!start.endedAt) {
+            recordViolation("two runs at once", start.run, run);
+        }
+    }
+    if (task.acknowledged) {
+        recordViolation("started after an acknowledged end as done", *task.acknowledged, run);
+    }
+    task.starts.push_back({run, m_clock.now(), m_clock.wallMilliseconds(), std::nullopt, {}});
+}
+
+void RunLedger::recordEnd(const Run &run, const std::string &how)
+{
+    log(LogLevel::Info, "run-over", {{"subject", run.task}, {"run", run.number}, {"worker", run.worker}, {"how", how}});
+    Task &task = m_tasks[run.task];
+    for (Start &start : task.starts) {
+        if (!start.endedAt && start.run.number == run.number && start.run.worker == run.worker) {
+            start.endedAt = m_clock.now();
+            start.how = how;
+        }
+    }
+    if (how == "failed") {
+        ++task.failures;
+    }
+}
+
+void RunLedger::recordAcknowledgement(const Run &run, Instant endedAt)
+{
+    Task &task = m_tasks[run.task];
+    if (task.acknowledged) {
+        return;
+    }
+    task.acknowledged = run;
+    task.doneAt = endedAt;
+    for (const Start &start : task.starts) {
+        if (start.at > endedAt) {
+            recordViolation("started after an acknowledged end as done", run, start.run);
+        }
+    }
+}
+
+void RunLedger::recordViolation(const std::string &what, const Run &earlier, const Run &later)
+{
+    Json violation = {{"subject", later.task}, {"what", what}, {"earlier", Wagtail::describe(earlier)},
+        {"later", Wagtail::describe(later)}, {"runs", describe(m_tasks[later.task])}};
+    log(LogLevel::Error, "violation", violation);
+    if (m_violations.size() < MaximumViolations) {
+        violation["time_ms"] = m_clock.wallMilliseconds();
+        m_violations.push_back(std::move(violation));
+    }
+}
+
+int RunLedger::failures(const std::string &task) const
+{
+    const auto found = m_tasks.find(task);
+    return found == m_tasks.end() ? 0 : found->second.failures;
+}
+
+const Json &RunLedger::violations() const
+{
+    return m_violations;
+}
+
+Json RunLedger::jobs() const
+{
+    Json jobs = Json::object();
+    for (const auto &[name, task] : m_tasks) {
+        Json &job = jobs[name.substr(0, name.find('.'))];
+        const bool done = std::any_of(
+            task.starts.begin(), task.starts.end(), [](const Start &start) { return start.how == "done"; });
+        job["starts"] = memberOr(job, "starts", std::size_t {0}) + task.starts.size();
+        job["done"] = memberOr(job, "done", 0) + (done ? 1 : 0);
+        const auto crashes = std::count_if(
+            task.starts.begin(), task.starts.end(), [](const Start &start) { return start.how == "crashed"; });
+        job["crashes"] = std::max(memberOr(job, "crashes", std::int64_t {0}), std::int64_t {crashes});
+    }
+    return jobs;
+}
+
+}
--- /dev/null
+++ b/standins/RunLedger.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "base/JsonReader.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Wagtail
+{
+
+// Records all runs of all stand-in workers, and what must never be seen from outside.
+class RunLedger
+{
+public:
+    // One run of a task, as the worker that runs it sees it.
+    struct Run
+    {
+        std::string task;
+        std::uint64_t number = 0;
+        std::string worker;
+    };
+
+    explicit RunLedger(const Clock &clock);
+
+    void recordStart(const Run &run);
+    // The end has one of the names that workers list.
+    void recordEnd(const Run &run, const std::string &how);
+    // Records that an owner has acknowledged the end of a run as done, with no lapse of the worker's lease in between.
+    void recordAcknowledgement(const Run &run, Instant endedAt);
+
+    // Returns how many runs of the task have failed.
+    [[nodiscard]] int failures(const std::string &task) const;
+    [[nodiscard]] const Json &violations() const;
+    // Returns for each job how many runs of its tasks have started, how many tasks have ended as done, and under how
+    // many runs of one task workers have crashed at most.
+    [[nodiscard]] Json jobs() const;
+
+private:
+    struct Start
+    {
+        Run run;
+        Instant at;
+        std::int64_t wallMilliseconds = 0;
+        std::optional<Instant> endedAt;
+        std::string how;
+    };
+
+    struct Task
+    {
+        std::vector<Start> starts;
+        std::optional<Run> acknowledged;
+        Instant doneAt;
+        int failures = 0;
+    };
+
+    void recordViolation(const std::string &what, const Run &earlier, const Run &later);
+    // Returns all runs of a task with the times of their starts and ends.
+    [[nodiscard]] static Json describe(const Task &task);
+
+    // A run that breaks the rules in masses would otherwise fill the memory with its report.
+    static constexpr std::size_t MaximumViolations = 1'000;
+
+    const Clock &m_clock;
+    std::map<std::string, Task> m_tasks;
+    Json m_violations = Json::array();
+};
+
+}
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -196,6 +196,25 @@
     }
 }
 
+void StandinStore::expireLeases()
+{
+    for (auto &[identifier, lease] : m_leases) {
+        lease.expiry = m_clock.now();
+    }
+    advance();
+}
+
+void StandinStore::dropHistory()
+{
+    m_history.clear();
+    m_compacted = m_revision;
+}
+
+StoreRevision StandinStore::revision() const
+{
+    return m_revision;
+}
+
 void StandinStore::record(StoreEntry entry, bool erased)
 {
     m_history.push_back({std::move(entry), erased});
--- a/standins/StandinStore.h
+++ b/standins/StandinStore.h
@@ -39,6 +39,14 @@
     // Ends leases and waits whose time has come. Call it often.
     void advance();
 
+    // Ends all leases, as when the store was away for longer than they last.
+    void expireLeases();
+
+    // Drops the changes so far, so that watches that have not read them fail.
+    void dropHistory();
+
+    [[nodiscard]] StoreRevision revision() const;
+
     // Gives all leases the time that passed while nobody could renew them.
     void extendLeases(Milliseconds duration);
 
--- /dev/null
+++ b/tests/history/node_callers.py
@@ -0,0 +1,170 @@
+"""Callers that hand jobs in through the front of the instances, ask for them and cancel some."""
+
+import http.client
+import json
+import random
+import threading
+import time
+
+from node_deployment import HOST, QUEUES
+
+DEADLINE_S = 3.0
+MOST_ATTEMPTS = 6
+
+
+class Job:
+    """One job with what was asked and answered about it."""
+
+    def __init__(self, generator):
+        self.id = f"{generator.getrandbits(64):016x}"
+        self.queue = generator.choice(list(QUEUES))
+        run_ms = generator.choice([100, 300, 800, 2000, 4000, 6000])
+        first = {"Count": generator.choice([1, 2, 4, 8, 20]), "Cpu": generator.choice([2000, 7000, 14000]),
+                 "MemMb": 4000, "EstimatedMs": run_ms}
+        steps = [first]
+        if generator.random() < 0.3:
+            steps.append(dict(first, Count=generator.choice([1, 4]), After=[0]))
+        saves = generator.random() < 0.3
+        for step in steps:
+            if saves:
+                step["Checkpointing"] = True
+        payload = {"run_ms": run_ms, "millicores": first["Cpu"], "memory_mb": first["MemMb"],
+                   "fail_first": generator.choice([0, 0, 0, 0, 0, 1]), "saves": saves}
+        self.body = json.dumps({"Spec": json.dumps(payload), "Steps": steps}).encode()
+        self.tasks = sum(step["Count"] for step in steps)
+        self.statuses = []
+        self.accepted_at = None
+        self.cancelled = False
+        self.state = None
+
+    def path(self):
+        return QUEUES[self.queue] + self.id
+
+    def is_over(self):
+        return self.state in ("done", "failed", "canceled")
+
+
+class Connections:
+    """The open connections of one caller. Each is used until it is closed."""
+
+    def __init__(self):
+        self.open = {}
+
+    def call(self, port, method, path, body=None):
+        """Sends one call and returns (status, body); status 0 stands for no answer."""
+        connection = self.open.get(port)
+        if connection is None:
+            connection = self.open[port] = http.client.HTTPConnection("127.0.0.1", port, timeout=DEADLINE_S)
+        try:
+            connection.request(method, path, body, {"Host": HOST, "Content-Type": "application/json",
+                                                    "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            del self.open[port]
+            return 0, b""
+
+    def close(self):
+        for connection in self.open.values():
+            connection.close()
+
+
+class Callers:
+    """All callers of one run, with the jobs that they have handed in."""
+
+    def __init__(self, deployment, seed, jobs_per_s):
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.jobs = []
+        self.failures = []
+        self.lock = threading.Lock()
+        self.unfinished = {}
+        self.submitting = threading.Event()
+        self.asking = threading.Event()
+        self.threads = []
+        self.jobs_per_s = jobs_per_s
+
+    def start(self, submitters, askers):
+        self.submitting.set()
+        self.asking.set()
+        for number in range(submitters + askers):
+            target = self.submit_jobs if number < submitters else self.ask_for_jobs
+            thread = threading.Thread(target=self.guard, args=(target, self.random.getrandbits(64), submitters))
+            thread.daemon = True
+            thread.start()
+            self.threads.append(thread)
+
+    def guard(self, target, seed, submitters):
+        connections = Connections()
+        try:
+            target(random.Random(seed), connections, submitters)
+        except Exception as failure:  # pylint: disable=broad-except
+            self.failures.append(f"a caller failed: {failure!r}")
+        finally:
+            connections.close()
+
+    def submit_jobs(self, generator, connections, submitters):
+        while self.submitting.is_set():
+            job = Job(generator)
+            self.jobs.append(job)
+            self.submit(job, generator, connections)
+            if job.accepted_at and generator.random() < 0.05:
+                self.cancel(job, generator, connections)
+            if job.accepted_at and generator.random() < 0.03:
+                # A repeated request that arrives late.
+                connections.call(generator.choice(self.deployment.caller_ports()), "POST", job.path(), job.body)
+            time.sleep(generator.expovariate(self.jobs_per_s / submitters))
+
+    def submit(self, job, generator, connections):
+        for _ in range(MOST_ATTEMPTS):
+            port = generator.choice(self.deployment.caller_ports())
+            status, _ = connections.call(port, "POST", job.path(), job.body)
+            job.statuses.append(status)
+            if 200 <= status < 300:
+                job.accepted_at = time.time()
+                with self.lock:
+                    self.unfinished[job.id] = job
+                return
+            if not self.submitting.is_set():
+                return
+            time.sleep(generator.uniform(0.1, 0.6))
+
+    def cancel(self, job, generator, connections):
+        job.cancelled = True
+        for _ in range(MOST_ATTEMPTS):
+            port = generator.choice(self.deployment.caller_ports())
+            if connections.call(port, "DELETE", job.path())[0] in (200, 410):
+                return
+            time.sleep(0.3)
+
+    def ask_for_jobs(self, generator, connections, _):
+        while self.asking.is_set():
+            with self.lock:
+                job = generator.choice(list(self.unfinished.values())) if self.unfinished else None
+            if job is not None:
+                self.ask(job, generator, connections)
+            time.sleep(0.02)
+
+    def ask(self, job, generator, connections):
+        port = generator.choice(self.deployment.caller_ports())
+        status, content = connections.call(port, "GET", job.path())
+        if status == 410:
+            job.state = "unknown to " + str(port)
+        elif status == 200:
+            job.state = json.loads(content).get("State")
+            if job.is_over():
+                with self.lock:
+                    self.unfinished.pop(job.id, None)
+
+    def owed(self):
+        """Returns the accepted jobs that were not cancelled and are not over yet."""
+        with self.lock:
+            return [job for job in self.unfinished.values() if not job.cancelled]
+
+    def stop(self):
+        self.asking.clear()
+        for thread in self.threads:
+            thread.join(timeout=60)
+        if any(thread.is_alive() for thread in self.threads):
+            self.failures.append("a caller did not come to its end")
--- /dev/null
+++ b/tests/history/node_deployment.py
@@ -0,0 +1,227 @@
+"""Starts wagtail-node processes and the stand-in of their platform on loopback."""
+
+import base64
+import json
+import os
+import re
+import signal
+import threading
+import time
+
+from deployment import Deployment, call, document, wait_until
+
+TEMPLATE = os.path.join(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))),
+                        "deploy", "settings.toml.in")
+NAMES = ["depot", "office", "pumphouse", "harbour", "siding", "reservoir"]
+HOST = "rig.example"
+QUEUES = {"bill": "/bill/", "tariff": "/tariff/", "watch": "/watch/"}
+LEASE_MS = 10_000
+GRACE_S = 6.0
+PORTS_PER_INSTANCE = 4
+
+
+def render(template, values):
+    """Fills in the placeholders and the sections of a settings template, as the platform does."""
+    def section(match):
+        rows = values.get(match[1], {}).items()
+        return "".join(match[2].replace("{{@}}", key).replace("{{.}}", value) for key, value in rows)
+    text = re.sub(r"{{#(\w+)}}(.*?){{/\1}}", section, template, flags=re.DOTALL)
+
+    def placeholder(match):
+        value = values
+        for name in match[1].split("."):
+            value = value[int(name)] if isinstance(value, list) else value[name]
+        return str(value)
+    return re.sub(r"{{([\w.]+)}}", placeholder, text)
+
+
+class NodeDeployment(Deployment):
+    """The platform, the instances and the balancer in front of them."""
+
+    def __init__(self, folder, base_port, instances, workers, seed):
+        super().__init__(folder, base_port)
+        self.instances = instances
+        self.worker_count = workers
+        self.seed = seed
+        self.zones = NAMES[:min(len(NAMES), max(2, instances // 6))]
+        self.control = base_port
+        self.links = base_port + 2
+        self.node_ports = self.links + instances
+        self.worker_ports = self.node_ports + instances * PORTS_PER_INSTANCE
+        self.faults = []
+        self.restarts = 0
+        # When to start a process again that was ended, and when to kill one that was asked to end.
+        self.restart_at = {}
+        self.kill_at = {}
+        self.restart_delay = {}
+        self.rotation = []
+        self.stopping = threading.Event()
+
+    def name(self, index):
+        return f"{self.zones[index % len(self.zones)]}-{index // len(self.zones)}"
+
+    def port(self, index):
+        """Returns the instance's port for callers; those for readiness, peers and metrics follow it."""
+        return self.node_ports + PORTS_PER_INSTANCE * index
+
+    def start_platform(self):
+        self.start("platform", "wagtail-standin-platform", [
+            f"--control={self.control}", f"--store={self.control + 1}", f"--links={self.links}",
+            f"--worker-ports={self.worker_ports}", f"--instances={self.instances}",
+            f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={LEASE_MS}",
+            f"--seed={self.seed}", f"--writes={70 * self.instances}", f"--reads={340 * self.instances}"])
+        wait_until(lambda: call(self.control, "GET", "/violations")[0] == 200, 20, "the platform")
+        self.configure(1)
+
+    def configure(self, version):
+        routes = [{"Host": HOST, "Prefix": prefix, "Name": name, "Service": "workers", "Priority": priority,
+                   "MaxAttempts": 4, "Stretch": 2.0, "TargetLatencyMs": 2000}
+                  for priority, (name, prefix) in enumerate(QUEUES.items())]
+        manifest = {"Version": version, "Routes": routes, "Services": [{"Name": "workers", "RejectsOverload": True}],
+                    "Limits": {"MaxBodyBytes": 262144}}
+        value = base64.b64encode(json.dumps(manifest).encode()).decode()
+        body = {"Precondition": [], "Remove": [], "Writes": [{"Key": "op/config", "Value": value, "Lease": 0}]}
+        assert call(self.control + 1, "POST", "/-/kv-txn", body, {"Operator": "1"})[0] == 200
+
+    def start_node(self, index):
+        port = self.port(index)
+        zone = self.zones[index % len(self.zones)]
+        regions = {name: ["wheatbelt", "coastal"][number % 2] for number, name in enumerate(self.zones)}
+        values = {"Node": self.name(index), "Zone": zone, "Region": regions[zone], "Zones": regions, "Ip": "127.0.0.1",
+                  "Listen": {"Front": f"127.0.0.1:{port}", "ReadyAddr": f"127.0.0.1:{port + 1}"},
+                  "PortRange": [port + 2], "platform": {"Address": f"127.0.0.1:{self.links + index}"}, "Advice": "",
+                  "Limits": {"CpuShare": 0.5 if index % 3 == 0 else 0.12},
+                  "Bounds": {"MaxHoldMs": LEASE_MS, "DrainMs": 5000, "status_s": 300, "GraceS": GRACE_S}}
+        with open(TEMPLATE, encoding="utf-8") as file:
+            # The template gives all instances one port for their metrics, since each has a machine of its own.
+            text = render(file.read(), values).replace("127.0.0.1:9464", f"127.0.0.1:{port + 3}")
+        path = os.path.join(self.folder, self.name(index) + ".toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        self.start(self.name(index), "wagtail-node", ["--settings", path])
+
+    def start_all(self):
+        self.start_platform()
+        for index in range(self.instances):
+            self.start_node(index)
+        threading.Thread(target=self.balance, daemon=True).start()
+        wait_until(lambda: len(self.rotation) == self.instances, 60, "all instances to be ready")
+
+    def balance(self):
+        """Asks each instance once a second whether it is ready. It leaves the rotation after two misses."""
+        misses = dict.fromkeys(range(self.instances), 2)
+        while not self.stopping.is_set():
+            begin = time.time()
+            for index in range(self.instances):
+                ready = call(self.port(index) + 1, "GET", "/-/ready", timeout=0.3)[0] == 200
+                misses[index] = 0 if ready else misses[index] + 1
+            self.rotation = [self.port(index) for index, missed in misses.items() if missed < 2]
+            self.stopping.wait(max(0.0, begin + 1.0 - time.time()))
+
+    def caller_ports(self):
+        everyone = [self.port(index) for index in range(self.instances)]
+        return self.rotation if len(self.rotation) * 2 >= self.instances else everyone
+
+    # The actions of a schedule.
+
+    def do_store(self, **fault):
+        call(self.control, "POST", "/store", fault)
+
+    def do_link(self, **fault):
+        call(self.control, "POST", "/link", fault)
+
+    def do_workers(self, **fault):
+        call(self.control, "POST", "/workers", fault)
+
+    def do_terminate(self, instance, restart_after_s):
+        name = self.name(instance)
+        if name in self.processes and name not in self.restart_delay:
+            self.restart_delay[name] = (instance, restart_after_s)
+            self.kill_at[name] = time.time() + GRACE_S
+            self.signal(name, signal.SIGTERM)
+
+    def do_kill(self, instance, restart_after_s):
+        name = self.name(instance)
+        if name in self.processes:
+            self.restart_delay[name] = (instance, restart_after_s)
+            self.kill_at[name] = 0.0
+
+    def do_pause(self, instance):
+        name = self.name(instance)
+        if name in self.processes and name not in self.restart_delay:
+            self.signal(name, signal.SIGSTOP)
+
+    def do_resume(self, instance):
+        name = self.name(instance)
+        if name in self.processes:
+            self.signal(name, signal.SIGCONT)
+
+    def supervise(self):
+        """Kills what did not end in time, notices what ended by itself, and starts instances again."""
+        now = time.time()
+        for name, at in list(self.kill_at.items()):
+            if now >= at:
+                process = self.processes[name]
+                process.kill()
+                process.wait()
+                self.note_end(name, now)
+        for name, process in list(self.processes.items()):
+            status = process.poll()
+            if status is None:
+                continue
+            if name not in self.restart_delay or status != 0:
+                self.faults.append(f"{name} ended by itself with status {status}")
+            if name == "platform":
+                raise AssertionError("the stand-in of the platform ended")
+            self.note_end(name, now)
+        for index, at in list(self.restart_at.items()):
+            if now >= at:
+                del self.restart_at[index]
+                self.restarts += 1
+                self.start_node(index)
+
+    def note_end(self, name, now):
+        self.processes.pop(name, None)
+        self.kill_at.pop(name, None)
+        index = next(i for i in range(self.instances) if self.name(i) == name)
+        _, delay = self.restart_delay.pop(name, (index, 1.0))
+        self.restart_at[index] = now + delay
+
+    def calm(self):
+        """Ends all faults."""
+        self.do_store()
+        everyone = list(range(self.worker_count))
+        self.do_workers(workers=everyone)
+        for index in range(self.instances):
+            self.do_link(link=index)
+            self.do_resume(index)
+
+    def violations(self):
+        return document(call(self.control, "GET", "/violations", timeout=30))
+
+    def runs_of_jobs(self):
+        return document(call(self.control, "GET", "/jobs", timeout=30))
+
+    def close(self):
+        self.stopping.set()
+        super().close()
+
+    def merge_logs(self):
+        """Writes the log lines of all processes in the order of time and returns the path."""
+        lines = []
+        for entry in sorted(os.listdir(self.folder)):
+            if not entry.endswith(".log") or entry == "merged.log":
+                continue
+            with open(os.path.join(self.folder, entry), encoding="utf-8", errors="replace") as file:
+                last = 0
+                for line in file:
+                    try:
+                        last = json.loads(line).get("time_ms", last)
+                    except (ValueError, AttributeError):
+                        pass
+                    lines.append((last, entry[:-len(".log")], line))
+        lines.sort(key=lambda item: item[0])
+        path = os.path.join(self.folder, "merged.log")
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(f"{name} {line}" for _, name, line in lines)
+        return path
--- /dev/null
+++ b/tests/history/node_schedule.py
@@ -0,0 +1,94 @@
+"""Seeded schedules of faults for run_node.py. The same arguments always give the same schedule."""
+
+import random
+
+WARM_UP_S = 8.0
+
+
+class Schedule:
+    """A list of (time in seconds, action, arguments), in the order of time."""
+
+    def __init__(self, seed, seconds, instances, workers):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.instances = instances
+        self.workers = workers
+        self.events = []
+        self.add_store_faults()
+        self.add_process_faults()
+        self.add_link_faults()
+        self.add_worker_faults()
+        self.events.sort(key=lambda event: event[0])
+
+    def add(self, at, action, **arguments):
+        # All faults are over at the end of the schedule.
+        if at < self.seconds:
+            self.events.append((round(at, 3), action, arguments))
+
+    def times(self, mean_gap):
+        """Returns random times between the warm-up and the end, so far apart on average."""
+        times = []
+        at = WARM_UP_S + self.random.expovariate(1 / mean_gap)
+        while at < self.seconds:
+            times.append(at)
+            at += self.random.expovariate(1 / mean_gap)
+        return times
+
+    def add_store_faults(self):
+        """Alternates series of outages, which expire all leases, with milder faults."""
+        at = WARM_UP_S + self.random.uniform(0, 3)
+        while at < self.seconds - 4:
+            if self.random.random() < 0.75:
+                at = self.add_outages(at)
+            else:
+                fault = self.random.choice([{"delay_ms": 60}, {"lose_answers": 0.3}, {"refuse": 0.4},
+                                            {"drop_history": True}, {"silent": True, "leases_expire": False}])
+                self.add(at, "store", **fault)
+                at += self.random.uniform(1, 5)
+                self.add(at, "store")
+            at += self.random.uniform(1, 6)
+
+    def add_outages(self, at):
+        """The store is silent, back for a second or two, and silent again, several times."""
+        late = self.random.choice([0.0, 0.0, 0.3])
+        for number in range(self.random.randint(2, 4)):
+            longest = min(60.0, self.seconds / 4) if number == 0 and self.random.random() < 0.25 else 7.5
+            self.add(at, "store", silent=True, carry_out_late=late)
+            at += self.random.uniform(3.0, max(3.0, longest))
+            self.add(at, "store", expire_leases=True)
+            at += self.random.uniform(0.8, 3.0)
+        return at
+
+    def add_process_faults(self):
+        for at in self.times(max(0.5, 16.0 / self.instances)):
+            instance = self.random.randrange(self.instances)
+            kind = self.random.random()
+            if kind < 0.4:
+                self.add(at, "terminate", instance=instance, restart_after_s=self.random.uniform(0.1, 1.0))
+            elif kind < 0.7:
+                self.add(at, "kill", instance=instance, restart_after_s=self.random.uniform(0.1, 3.0))
+            else:
+                self.add(at, "pause", instance=instance)
+                self.add(at + self.random.choice([0.3, 1.5, 4.0, 9.0]), "resume", instance=instance)
+
+    def add_link_faults(self):
+        for at in self.times(max(0.5, 24.0 / self.instances)):
+            link = self.random.randrange(self.instances)
+            fault = self.random.choice([{"delay_ms": self.random.choice([50, 300, 1200])}, {"requests_cut": True},
+                                        {"answers_cut": True}, {"reset": True}, {"silence_every": 2},
+                                        {"silence_every": 1}, {"requests_cut": True, "answers_cut": True}])
+            self.add(at, "link", link=link, **fault)
+            self.add(at + self.random.uniform(0.5, 5.0), "link", link=link)
+
+    def add_worker_faults(self):
+        for at in self.times(5.0):
+            share = self.random.choice([0.05, 0.2, 0.5])
+            workers = sorted(self.random.sample(range(self.workers), max(1, int(self.workers * share))))
+            fault = self.random.choice([{"lose_answers": 0.3}, {"carry_out_late": 0.3}, {"refuse": 0.5},
+                                        {"silent": True}, {"lose_answers": 0.2, "carry_out_late": 0.2},
+                                        {"downtime_ms": self.random.choice([500, 4000]),
+                                         "new_name": self.random.random() < 0.5}])
+            if "downtime_ms" in fault:
+                workers = workers[:max(1, self.workers // 25)]
+            self.add(at, "workers", workers=workers, **fault)
+            self.add(at + self.random.uniform(1, 6), "workers", workers=workers)
--- /dev/null
+++ b/tests/history/run_node.py
@@ -0,0 +1,98 @@
+"""Runs wagtail-node processes on a stand-in of their platform under faults, and checks what is seen from outside.
+
+usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--port P] [--keep] [--print-schedule]
+
+Exits with 1 and names the folder with the logs, merged by time, if a check fails.
+"""
+
+import argparse
+import os
+import shutil
+import sys
+import tempfile
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [HERE, os.path.join(os.path.dirname(os.path.dirname(HERE)), "scripts")]
+from node_callers import Callers  # noqa: E402
+from node_checkers import check_jobs, check_runs  # noqa: E402
+from node_deployment import LEASE_MS, NodeDeployment  # noqa: E402
+from node_schedule import Schedule  # noqa: E402
+
+# What may pass after the last fault until every job is done: the longest lease on a clock that is 2 % slow, the time
+# until the workers are listed again, the longest chain of work of a job with its failures, and the platform's finish_s.
+CALM_S = 1.02 * LEASE_MS / 1000 + 2 + 18 + 14
+STEP_S = 0.02
+
+
+def play(deployment, schedule, seconds):
+    """Carries the schedule out and returns when it is over."""
+    begin = time.time()
+    pending = list(schedule.events)
+    while time.time() < begin + seconds:
+        while pending and begin + pending[0][0] <= time.time():
+            _, action, arguments = pending.pop(0)
+            getattr(deployment, "do_" + action)(**arguments)
+        deployment.supervise()
+        time.sleep(STEP_S)
+
+
+def await_jobs(deployment, callers):
+    """Waits until all accepted jobs are done, or for as long as that may take, and returns the seconds."""
+    begin = time.time()
+    while time.time() < begin + CALM_S and (callers.owed() or deployment.restart_at or deployment.kill_at):
+        deployment.supervise()
+        time.sleep(STEP_S)
+    return time.time() - begin
+
+
+def run(deployment, arguments):
+    schedule = Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers)
+    deployment.start_all()
+    callers = Callers(deployment, arguments.seed, arguments.workers / 12)
+    callers.start(submitters=8 + arguments.instances, askers=4)
+    play(deployment, schedule, arguments.seconds)
+    deployment.calm()
+    callers.submitting.clear()
+    calm_s = await_jobs(deployment, callers)
+    callers.stop()
+    jobs = deployment.runs_of_jobs()
+    faults = check_runs(deployment.violations()) + check_jobs(callers.jobs, jobs) + deployment.faults
+    faults += callers.failures
+    accepted = sum(1 for job in callers.jobs if job.accepted_at)
+    starts = sum(job["starts"] for job in jobs.values())
+    print(f"node seed {arguments.seed}: {len(callers.jobs)} jobs, {accepted} accepted, {starts} runs, "
+          f"{deployment.restarts} restarts, all over {calm_s:.1f} s after the last fault, {len(faults)} violations",
+          flush=True)
+    return faults
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=45)
+    parser.add_argument("--instances", type=int, default=8)
+    parser.add_argument("--workers", type=int, default=100)
+    parser.add_argument("--port", type=int, default=20000)
+    parser.add_argument("--keep", action="store_true", help="keep the logs also if all checks pass")
+    parser.add_argument("--print-schedule", action="store_true", help="print the faults and exit")
+    arguments = parser.parse_args()
+    if arguments.print_schedule:
+        for event in Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers).events:
+            print(*event)
+        return 0
+    folder = tempfile.mkdtemp(prefix="wagtailbank-node-")
+    with NodeDeployment(folder, arguments.port, arguments.instances, arguments.workers, arguments.seed) as deployment:
+        faults = run(deployment, arguments)
+    for fault in faults[:20]:
+        print("violation:", fault)
+    if faults or arguments.keep:
+        print(f"logs: {deployment.merge_logs()}; repeat with: run_node.py --seed {arguments.seed} "
+              f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers}")
+    else:
+        shutil.rmtree(folder)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
