--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -86,3 +86,8 @@
     ${CMAKE_SOURCE_DIR}/standins/PlatformStoreApi.cpp ${CMAKE_SOURCE_DIR}/standins/PlatformWorker.cpp
     ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
 target_link_libraries(wagtail-standin-platform PRIVATE wagtail-standins wagtail-logging)
+
+# Instances of wagtail-node under a seeded schedule of faults.
+add_test(NAME history.node
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --seed 4 --seconds 40 --port 20000)
+set_tests_properties(history.node PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
--- a/standins/PlatformStoreApi.cpp
+++ b/standins/PlatformStoreApi.cpp
@@ -1,6 +1,7 @@
 #include "PlatformStoreApi.h"
 
 #include "http/HttpStatus.h"
+#include "logging/Log.h"
 
 #include <algorithm>
 
@@ -11,7 +12,7 @@
 {
 
 constexpr int StatusForbidden = 403;
-constexpr std::size_t MaximumKeysPerTransaction = 32;
+constexpr std::size_t MaximumEntriesPerTransaction = 32;
 constexpr std::size_t MaximumItemsPerPage = 500;
 constexpr std::size_t MaximumBytesPerPage = 1U << 20U;
 constexpr std::size_t MaximumKeyBytes = 200;
@@ -81,8 +82,8 @@
     const auto isBad = [](const std::string &key) {
         return key.empty() || key.size() > MaximumKeyBytes;
     };
-    if (keys.size() > MaximumKeysPerTransaction || std::any_of(keys.begin(), keys.end(), isBad)
-        || transaction.conditions.size() > MaximumKeysPerTransaction) {
+    if (keys.size() + transaction.conditions.size() > MaximumEntriesPerTransaction
+        || std::any_of(keys.begin(), keys.end(), isBad)) {
         return HttpStatus::BadRequest;
     }
     if (!byOperator && std::any_of(keys.begin(), keys.end(), isReserved)) {
@@ -294,6 +295,9 @@
     const StoreTransaction transaction = parseTransaction(std::get<Json>(parsed));
     const bool byOperator = request.header("Operator").has_value();
     if (const std::optional<int> status = rejectionOf(transaction, byOperator)) {
+        log(LogLevel::Error, "transaction-rejected",
+            {{"status", *status}, {"conditions", transaction.conditions.size()}, {"writes", transaction.writes.size()},
+                {"erasures", transaction.erasures.size()}});
         respond(answer(*status));
         return;
     }
