Standins: Keep keys without a lease when an unknown lease is ended

An instance that stops before it has a lease ends lease 0. The platform's store answers such a call and changes nothing.

--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -140,7 +140,10 @@
 
 void StandinStore::revokeLease(LeaseIdentifier lease)
 {
-    m_leases.erase(lease);
+    // Keys without a lease have the lease 0, which nobody holds.
+    if (m_leases.erase(lease) == 0) {
+        return;
+    }
     std::vector<std::string> keys;
     for (const auto &[key, entry] : m_entries) {
         if (entry.lease == lease) {
