--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -81,11 +81,19 @@
 endif()
 
 # A stand-in of the platform in its published protocol, on which wagtail-node runs as on the real one.
-add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp
-    ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp ${CMAKE_SOURCE_DIR}/standins/PlatformProgram.cpp
-    ${CMAKE_SOURCE_DIR}/standins/PlatformStoreApi.cpp ${CMAKE_SOURCE_DIR}/standins/PlatformWorker.cpp
+file(GLOB platform_standin_files CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/Platform*.cpp)
+add_library(wagtail-platform-standins STATIC ${platform_standin_files} ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp
     ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
-target_link_libraries(wagtail-standin-platform PRIVATE wagtail-standins wagtail-logging)
+target_link_libraries(wagtail-platform-standins PUBLIC wagtail-standins wagtail-logging)
+add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp)
+target_link_libraries(wagtail-standin-platform PRIVATE wagtail-platform-standins)
+if(WAGTAIL_TESTS)
+    file(GLOB platform_standin_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/tests/*.cpp)
+    add_executable(wagtail-platform-standins-tests ${platform_standin_tests})
+    target_link_libraries(wagtail-platform-standins-tests PRIVATE wagtail-platform-standins GTest::gtest
+        GTest::gtest_main)
+    gtest_discover_tests(wagtail-platform-standins-tests DISCOVERY_TIMEOUT 60)
+endif()
 
 # Instances of wagtail-node under a seeded schedule of faults.
 add_test(NAME history.node
--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -76,7 +76,8 @@
     task.acknowledged = run;
     task.doneAt = endedAt;
     for (const Start &start : task.starts) {
-        if (start.at > endedAt) {
+        const bool isSame = start.run.number == run.number && start.run.worker == run.worker;
+        if (start.at >= endedAt && !isSame) {
             recordViolation("started after an acknowledged end as done", run, start.run);
         }
     }
--- /dev/null
+++ b/standins/tests/PlatformWorkerTest.cpp
@@ -0,0 +1,154 @@
+#include "PlatformWorker.h"
+#include "http/HttpStatus.h"
+#include "testing/ManualClock.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// A worker and its ledger at a time that the test sets.
+class PlatformWorkerTest : public ::testing::Test
+{
+protected:
+    static constexpr std::int64_t LeaseMilliseconds = 5'000;
+
+    PlatformWorkerTest()
+        : m_worker(m_clock, m_ledger, [](Milliseconds, const std::function<void()> &) {},
+            {"worker-0", "127.0.0.1:1", "depot", "depot-0", {64'000, 256'000, 0}, 1.0})
+    {
+    }
+
+    HttpResponse call(const std::string &path, Json body)
+    {
+        body.emplace("FencingToken", 1);
+        std::optional<HttpResponse> answer;
+        m_worker.handle({"POST", path, {}, {{"Expect-Instance", "worker-0"}}, writeJson(body)},
+            [&answer](HttpResponse response) { answer = std::move(response); });
+        return answer.value_or(HttpResponse {0, {}, {}});
+    }
+
+    HttpResponse start(std::uint64_t run, std::int64_t until = LeaseMilliseconds)
+    {
+        return call(
+            "/-/run-start", {{"Task", "job.0.0.0"}, {"Run", run}, {"UntilMs", until}, {"Spec", R"({"run_ms":1000})"}});
+    }
+
+    Json report(std::uint64_t seen)
+    {
+        return Json::parse(call("/-/hold", {{"LastSeen", seen}}).body);
+    }
+
+    void advance(Milliseconds duration)
+    {
+        m_clock.advance(duration);
+        m_worker.advance();
+    }
+
+    static std::string reasonOf(const HttpResponse &response)
+    {
+        return memberOr(Json::parse(response.body), "Reason", std::string());
+    }
+
+    ManualClock m_clock;
+    RunLedger m_ledger {m_clock};
+    PlatformWorker m_worker;
+};
+
+}
+
+TEST_F(PlatformWorkerTest, listsAnEndUntilItIsAcknowledged)
+{
+    start(1);
+    EXPECT_EQ(report(0)["Running"].size(), 1U);
+    advance(Milliseconds(1'000));
+    const Json ended = report(0)["Ended"];
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0], Json({1, "job.0.0.0", 1, "done", ""}));
+    EXPECT_EQ(report(1)["Ended"].size(), 0U);
+}
+
+TEST_F(PlatformWorkerTest, reportsAStartAfterAnAcknowledgedEndAsDone)
+{
+    start(1);
+    advance(Milliseconds(1'000));
+    report(1);
+    start(2);
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
+TEST_F(PlatformWorkerTest, reportsAStartBetweenAnEndAsDoneAndItsAcknowledgement)
+{
+    start(1);
+    advance(Milliseconds(1'000));
+    start(2);
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+    report(1);
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
+TEST_F(PlatformWorkerTest, allowsAnotherStartIfTheLeaseExpiredBetweenTheEndAndItsAcknowledgement)
+{
+    start(1);
+    advance(Milliseconds(1'000));
+    advance(Milliseconds(LeaseMilliseconds));
+    report(1);
+    start(2, 2 * LeaseMilliseconds);
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+}
+
+TEST_F(PlatformWorkerTest, endsRunsWhenTheLeaseExpires)
+{
+    start(1, 500);
+    advance(Milliseconds(501));
+    EXPECT_EQ(report(0)["Ended"][0][3], "lapsed");
+}
+
+TEST_F(PlatformWorkerTest, refusesOldLateAndFencedStarts)
+{
+    EXPECT_EQ(reasonOf(start(1, 0)), "late");
+    call("/-/run-stop", {{"Task", "job.0.0.0"}, {"Run", 3}, {"FencingToken", 2}});
+    EXPECT_EQ(reasonOf(start(4)), "fence");
+    EXPECT_EQ(reasonOf(call("/-/run-start", {{"Task", "job.0.0.0"}, {"Run", 3}, {"FencingToken", 2}})), "old");
+    EXPECT_EQ(m_ledger.jobs().size(), 0U);
+}
+
+TEST_F(PlatformWorkerTest, listsAtMost500EndsAtOnce)
+{
+    constexpr int Runs = 600;
+    for (int run = 1; run <= Runs; ++run) {
+        call("/-/run-start",
+            {{"Task", "job.0.0." + std::to_string(run)}, {"Run", 1}, {"UntilMs", LeaseMilliseconds},
+                {"Spec", R"({"run_ms":0})"}});
+        advance(Milliseconds(1));
+    }
+    EXPECT_EQ(report(0)["Ended"].size(), 500U);
+    EXPECT_EQ(report(500)["Ended"].size(), 100U);
+}
+
+TEST_F(PlatformWorkerTest, forgetsEverythingInACrash)
+{
+    start(1);
+    m_worker.crash(Milliseconds(500), false);
+    EXPECT_EQ(start(1).status, 0);
+    advance(Milliseconds(500));
+    EXPECT_EQ(report(0)["Running"].size(), 0U);
+    EXPECT_EQ(start(1).status, HttpStatus::Ok);
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+}
+
+TEST(RunLedgerTest, reportsTwoRunsAtOnce)
+{
+    const ManualClock clock;
+    RunLedger ledger(clock);
+    ledger.recordStart({"job.0.0.0", 1, "worker-0"});
+    ledger.recordStart({"job.0.0.1", 1, "worker-1"});
+    EXPECT_EQ(ledger.violations().size(), 0U);
+    ledger.recordStart({"job.0.0.0", 2, "worker-1"});
+    EXPECT_EQ(ledger.violations().size(), 1U);
+}
+
+}
