--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -79,3 +79,23 @@
         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
     add_test(NAME platform.losses COMMAND python3 ${CMAKE_SOURCE_DIR}/platform/tests/losses_test.py)
 endif()
+
+# A stand-in of the platform in its published protocol, on which wagtail-node runs as on the real one.
+file(GLOB platform_standin_files CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/Platform*.cpp)
+add_library(wagtail-platform-standins STATIC ${platform_standin_files} ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp
+    ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
+target_link_libraries(wagtail-platform-standins PUBLIC wagtail-standins wagtail-logging)
+add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp)
+target_link_libraries(wagtail-standin-platform PRIVATE wagtail-platform-standins)
+if(WAGTAIL_TESTS)
+    file(GLOB platform_standin_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/tests/*.cpp)
+    add_executable(wagtail-platform-standins-tests ${platform_standin_tests})
+    target_link_libraries(wagtail-platform-standins-tests PRIVATE wagtail-platform-standins GTest::gtest
+        GTest::gtest_main)
+    gtest_discover_tests(wagtail-platform-standins-tests DISCOVERY_TIMEOUT 60)
+endif()
+
+# Instances of wagtail-node under a seeded schedule of faults.
+add_test(NAME history.node
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --seed 4 --seconds 40 --port 20000)
+set_tests_properties(history.node PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
--- a/standins/StandinStore.cpp
+++ b/standins/StandinStore.cpp
@@ -140,7 +140,10 @@
 
 void StandinStore::revokeLease(LeaseIdentifier lease)
 {
-    m_leases.erase(lease);
+    // Keys without a lease have the lease 0, which nobody holds.
+    if (m_leases.erase(lease) == 0) {
+        return;
+    }
     std::vector<std::string> keys;
     for (const auto &[key, entry] : m_entries) {
         if (entry.lease == lease) {
@@ -196,6 +199,25 @@
     }
 }
 
+void StandinStore::expireLeases()
+{
+    for (auto &[identifier, lease] : m_leases) {
+        lease.expiry = m_clock.now();
+    }
+    advance();
+}
+
+void StandinStore::dropHistory()
+{
+    m_history.clear();
+    m_compacted = m_revision;
+}
+
+StoreRevision StandinStore::revision() const
+{
+    return m_revision;
+}
+
 void StandinStore::record(StoreEntry entry, bool erased)
 {
     m_history.push_back({std::move(entry), erased});
