Base: Refuse documents that nest more than 64 levels

Callers saw: one entry of a worker with 200,000 brackets ended each process that read the list, again after each start. So did an operators' configuration, and a submission of 262,121 bytes, which any caller can send; with 20,000 to 120,000 brackets a submission became a job with a step of default values instead of an error.

Cause: the library parses and destroys nested documents without recursion, but copies and writes them recursively, and memberOr() copies what it returns.

A TOML key of 200,000 parts ended the parser with SIGSEGV, and one of 10,000 parts became a text of 400 MB.

Fix: parseJson() is the one place where text becomes a document. It counts brackets outside of texts before it parses, and refuses more than 64 levels with a typed error, so the deep document is never built. TOML is checked before it is written as JSON, and by its number of dots before it is parsed. Messages between daemons get a limit of depth, and of sizes that their headers may claim.

--- a/source/base/JsonReader.h
+++ b/source/base/JsonReader.h
@@ -11,7 +11,12 @@
 
 using Json = nlohmann::json;
 
-// Returns the parsed document, or InvalidInput that names what is being parsed and where it breaks.
+// The most levels of arrays and objects inside each other that a document may have. Documents are copied and written
+// recursively, so deeper ones could overflow the stack.
+inline constexpr std::size_t MaximumJsonDepth = 64;
+
+// Returns the parsed document, or InvalidInput that names what is being parsed and where it breaks or that it nests
+// deeper than MaximumJsonDepth.
 [[nodiscard]] Result<Json> parseJson(std::string_view text, std::string_view subject);
 
 // Returns the named member, or the fallback when it is missing or of another type.
--- a/source/peers/PeerMessages.h
+++ b/source/peers/PeerMessages.h
@@ -124,8 +124,12 @@
 // Returns the message, or nothing when the bytes are no such message.
 template<typename Message> [[nodiscard]] std::optional<Message> decodeMessage(const std::string &bytes)
 {
+    constexpr std::size_t MaximumDepth = 16;
+    // Each element takes at least one byte. The library reserves memory for as many elements as a header claims.
+    const std::size_t most = bytes.size();
+    const msgpack::unpack_limit limit(most, most, most, most, most, MaximumDepth);
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         return handle.get().as<Message>();
     } catch (const std::exception &) {
         return std::nullopt;
--- a/source/peers/tests/PeerMessagesTest.cpp
+++ b/source/peers/tests/PeerMessagesTest.cpp
@@ -129,6 +129,19 @@
     (void)decodeMessage<DocumentMessage>(bytes);
 }
 
+// Guards against a few bytes that reserve gigabytes, or nest deeply.
+TEST(PeerMessages, rejectsDeepNestingAndHeadersThatClaimMoreThanTheBytesHold)
+{
+    const std::string deep(1'000'000, '\x91');
+    EXPECT_FALSE(decodeMessage<DocumentMessage>(deep + "\xc0").has_value());
+    EXPECT_FALSE(decodeMessage<Gossip>(std::string("\xdd\x7f\xff\xff\xff", 5)).has_value());
+    std::string claims;
+    for (int i = 0; i < 10; ++i) {
+        claims += std::string("\xdd\x0f\xff\xff\xff", 5);
+    }
+    EXPECT_FALSE(decodeMessage<Gossip>(claims).has_value());
+}
+
 RC_GTEST_PROP(PeerMessages, survivesItsEncoding, (const std::string &body, const std::string &key, std::int64_t time))
 {
     const ForwardedRequest sent {"id", "profile", key, time, 1, 7, body};
--- a/source/settings/tests/NodeSettingsTest.cpp
+++ b/source/settings/tests/NodeSettingsTest.cpp
@@ -64,4 +64,23 @@
     }
 }
 
+// Guards against settings that overflow the stack, or whose text as JSON fills the memory, when they are read again.
+TEST(NodeSettings, rejectTablesThatNestDeeply)
+{
+    for (const std::size_t depth : {100UL, 5'000UL, 9'000UL, 300'000UL}) {
+        std::string key;
+        for (std::size_t i = 0; i < depth; ++i) {
+            key += "a.";
+        }
+        for (const std::string &deep : {key + "a = 1\n", "[" + key + "a]\n"}) {
+            const auto parsed = parseNodeSettings(deep + Valid, "node.toml");
+            const auto *errors = std::get_if<std::vector<Error>>(&parsed);
+            ASSERT_NE(errors, nullptr) << depth;
+            EXPECT_NE(errors->front().detail.find("node.toml is nested too deeply"), std::string::npos);
+        }
+    }
+    const auto parsed = parseNodeSettings("a = " + std::string(200, '[') + std::string(200, ']') + Valid, "node.toml");
+    EXPECT_TRUE(std::holds_alternative<std::vector<Error>>(parsed));
+}
+
 }
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -1,7 +1,9 @@
 #include "TestCluster.h"
 
+#include "tenure/LeaseHolderRecord.h"
 #include "tenure/StoreRelay.h"
 #include "testing/CorruptedJson.h"
+#include "testing/NestedJson.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -12,6 +14,9 @@
 namespace
 {
 
+// More levels than a stack of 8 MB bears when the library copies a document.
+constexpr std::size_t DeepLevels = 200'000;
+
 Json recordOfAJob()
 {
     JobRecord record = TestCluster::job("job", 2, 2);
@@ -85,4 +90,66 @@
     RC_ASSERT(answers == 1);
 }
 
+// Guards against a record or a peer's message that overflows the stack of each instance that reads it.
+TEST(MalformedMessages, deeplyNestedRecordsAreRejected)
+{
+    for (const std::string &deep : {nestedArrays(DeepLevels), nestedObjects(DeepLevels)}) {
+        for (const char *member : {"job", "policy", "delegated", "record", "given_up", "instance", "address"}) {
+            for (const char *request : {"submit", "cancel", "delegate", "give-up"}) {
+                const std::string text
+                    = R"({"request":")" + std::string(request) + R"(",")" + member + "\":" + deep + "}";
+                EXPECT_NE(errorOf(parseInboxEntry(text)), nullptr) << request << " " << member;
+                EXPECT_NE(errorOf(parseJobRecord(text)), nullptr) << member;
+                EXPECT_NE(errorOf(parseInstanceEntry(text)), nullptr) << member;
+                EXPECT_NE(errorOf(parseOwnerEntry(text)), nullptr) << member;
+            }
+        }
+        EXPECT_TRUE(parseLeaseHolderRecord(R"({"i-1":)" + deep + "}").workers.empty());
+    }
+}
+
+TEST(MalformedMessages, deeplyNestedCallsOfOtherInstancesAreRejected)
+{
+    TestCluster cluster;
+    cluster.advance(Milliseconds(1'500));
+    TestInstance *owner = cluster.owner();
+    ASSERT_NE(owner, nullptr);
+    for (const char *member : {"job", "policy", "delegated"}) {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/v1/partitions/fleet/jobs";
+        request.body = "{\"" + std::string(member) + "\":" + nestedArrays(DeepLevels) + "}";
+        int status = 0;
+        ASSERT_TRUE(owner->api.handle(request, [&status](const HttpResponse &response) { status = response.status; }));
+        EXPECT_EQ(status, 400) << member;
+    }
+}
+
+// Guards against a stored entry that ends each owner of the partition in turn.
+TEST(MalformedMessages, deeplyNestedStoredStateDoesNotEndTheNextOwner)
+{
+    TestCluster cluster;
+    cluster.advance(Milliseconds(1'500));
+    const std::string deep = nestedArrays(DeepLevels);
+    const std::string entry = R"({"job":)" + deep + R"(,"occurrences":)" + deep + R"(,"pairs":)" + deep + "}";
+    const std::string partition = "fleet";
+    for (const std::string &key : {JobKeys::jobs(partition) + "odd", JobKeys::progress(partition) + "odd",
+             JobKeys::leaseHolders(partition), JobKeys::interferenceModel(partition), JobKeys::head(partition),
+             JobKeys::inboxSubmission(partition, "odd"), JobKeys::Instances + "odd"}) {
+        static_cast<void>(cluster.state.write({key, entry, std::nullopt, 0}));
+    }
+    for (int number = 0; number < TestCluster::InstanceCount; ++number) {
+        if (cluster.instances[number]->ownership.leader(partition) != nullptr) {
+            cluster.kill(number);
+            break;
+        }
+    }
+    cluster.advance(Milliseconds(15'000));
+    TestInstance *owner = cluster.owner();
+    ASSERT_NE(owner, nullptr);
+    owner->router.submit(TestCluster::job("job", 1, 1), cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+    cluster.advance(Milliseconds(15'000));
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Done);
+}
+
 }
--- a/tests/history/run_bad_input.py
+++ b/tests/history/run_bad_input.py
@@ -14,6 +14,9 @@
 sys.path[:0] = [os.path.join(os.path.dirname(os.path.dirname(HERE)), "scripts")]
 from deployment import Deployment, call, document, key_now  # noqa: E402
 
+# Deeper than a stack bears when such a document is copied, and within the limit of a body.
+DEEP = b"[" * 200_000 + b"]" * 200_000
+
 CASES = [
     ("POST", "/v1/requests/nothing", b"x", {}, 404),
     ("GET", "/v1/requests/check", None, {}, 405),
@@ -31,6 +34,13 @@
     ("POST", "/v1/tasks", {"profile": "nothing"}, {}, 404),
     ("POST", "/v1/tasks", {"profile": "check"}, {}, 400),
     ("POST", "/v1/tasks", {"profile": "huge"}, {}, 422),
+    ("POST", "/v1/tasks", DEEP, {}, 400),
+    ("POST", "/v1/tasks", b'{"profile":"night","payload":' + DEEP + b"}", {}, 400),
+    ("POST", "/v1/tasks", b'{"profile":"night","deadline_ms":1e400}', {}, 400),
+    ("PUT", "/v1/profiles/check", b'{"class":' + DEEP + b"}", {}, 400),
+    ("PUT", "/v1/profiles/check", {"class": "quick", "priority": 10**30}, {}, 400),
+    ("PUT", "/v1/teams/finance", b'{"millicores":' + DEEP + b"}", {}, 400),
+    ("PUT", "/v1/teams/finance", {"millicores": 2**64 - 1}, {}, 400),
     ("POST", "/v1/watchers", {"profile": "night"}, {}, 400),
     ("GET", "/v1/tasks/nothing", None, {}, 404),
     ("GET", "/v1/tasks/depot.0:nothing", None, {}, 404),
