--- a/source/tenure/InstanceEntry.cpp
+++ b/source/tenure/InstanceEntry.cpp
@@ -1,6 +1,7 @@
 #include "tenure/InstanceEntry.h"
 
 #include "base/JsonReader.h"
+#include "http/HostAndPort.h"
 
 namespace Wagtail
 {
@@ -14,11 +15,16 @@
         {"region", entry.region}, {"incarnation", entry.incarnation}, {"millicores", entry.milliCores}};
 }
 
-InstanceEntry parseInstance(const Json &document)
+Result<InstanceEntry> parseInstance(const Json &document)
 {
-    return {memberOr(document, "name", std::string()), memberOr(document, "address", std::string()),
+    InstanceEntry entry {memberOr(document, "name", std::string()), memberOr(document, "address", std::string()),
         memberOr(document, "data_centre", std::string()), memberOr(document, "region", std::string()),
         memberOr(document, "incarnation", std::string()), memberOr(document, "millicores", std::int64_t {0})};
+    if (entry.name.empty() || !hasOnlyHostCharacters(entry.address)) {
+        return Error {ErrorKind::InvalidInput, "the instance's entry has no name or an address that is no host",
+            "restart the instance, which writes its entry again"};
+    }
+    return entry;
 }
 
 }
@@ -49,8 +55,11 @@
         return *error;
     }
     const Json &members = std::get<Json>(document);
-    return OwnerEntry {
-        parseInstance(memberOr(members, "instance", Json::object())), memberOr(members, "tenure", std::uint64_t {0})};
+    Result<InstanceEntry> instance = parseInstance(memberOr(members, "instance", Json::object()));
+    if (const Error *error = errorOf(instance)) {
+        return *error;
+    }
+    return OwnerEntry {std::get<InstanceEntry>(std::move(instance)), memberOr(members, "tenure", std::uint64_t {0})};
 }
 
 }
