Scheduling: Refuse or bound numbers that are out of range

Callers saw: numbers were taken for others. Two steps of 60,000 tasks each were accepted, and so were 1,000 steps of 100,000 tasks, whose states (some 600 bytes each) fill the memory of each owner in turn. All due occurrences of a repeated job were created at once, however many.

Cause: the JSON library converts numbers with casts, whose result is undefined or cut off when the type can't hold them, and sums and products of large ones overflow.

Fix: memberOr() returns the fallback for a number, or a list of numbers, that the type can't hold. A job has at most 100,000 tasks in all, and declared amounts and times are bounded, so that sums stay within 64 bits. Due occurrences wait while 100,000 tasks of earlier ones are unfinished. Records and messages of other instances are bounded where they are read.

--- a/source/base/MemberReader.cpp
+++ b/source/base/MemberReader.cpp
@@ -40,12 +40,12 @@
         fault(name + " is not a whole number", remedy);
         return fallback;
     }
-    const auto value = member->get<std::int64_t>();
-    if (value < least || value > most) {
+    const std::optional<std::int64_t> value = numberOf<std::int64_t>(*member);
+    if (!value || *value < least || *value > most) {
         fault(name + " is out of range", remedy);
         return fallback;
     }
-    return value;
+    return *value;
 }
 
 bool MemberReader::boolean(const std::string &name, bool fallback)
--- a/source/scheduling/BackfillInterferenceModel.cpp
+++ b/source/scheduling/BackfillInterferenceModel.cpp
@@ -22,6 +22,9 @@
 constexpr double MinimumStep = 0.05;
 // Changes of use below this share of a worker can't be told from changes of the serving task's own load.
 constexpr double MinimumChangeOfUse = 0.04;
+// The largest number of images with which a record is read on. Each pair of them takes memory.
+constexpr std::size_t MaximumRestoredImages = 1'000;
+constexpr int MaximumRestoredObservations = 1'000'000;
 
 }
 
@@ -102,6 +105,9 @@
 void BackfillInterferenceModel::restore(const Json &document)
 {
     for (const auto &[name, tail] : memberOr(document, "lowest_tails_ms", std::map<std::string, double>())) {
+        if (m_images.size() >= MaximumRestoredImages) {
+            break;
+        }
         std::optional<double> &lowest = m_images[static_cast<std::size_t>(idOf(name))].lowestTail;
         lowest = std::min(lowest.value_or(tail), tail);
     }
@@ -109,8 +115,8 @@
         const std::string serving = memberOr(member, "serving", std::string());
         const std::string backfilling = memberOr(member, "backfilling", std::string());
         const double coefficient = memberOr(member, "coefficient", UnknownCoefficient);
-        const int observations = memberOr(member, "observations", 0);
-        if (serving.empty() || backfilling.empty()) {
+        const int observations = std::clamp(memberOr(member, "observations", 0), 0, MaximumRestoredObservations);
+        if (serving.empty() || backfilling.empty() || m_images.size() >= MaximumRestoredImages) {
             continue;
         }
         const ImageId servingId = idOf(serving);
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -161,7 +161,11 @@
 {
     const std::int64_t count = std::max<std::int64_t>(1, job.specification.repeatCount);
     const std::int64_t now = m_environment.clock.wallMilliseconds();
-    while (job.nextOccurrence < count && job.specification.dueTime(job.nextOccurrence) <= now) {
+    // Occurrences that are due wait while too many tasks of earlier ones are unfinished.
+    const std::int64_t mostOpen
+        = std::max<std::int64_t>(1, MaximumTasks / std::max<std::int64_t>(1, job.specification.taskCount()));
+    while (job.nextOccurrence < count && job.specification.dueTime(job.nextOccurrence) <= now
+        && job.nextOccurrence - job.finishedOccurrences < mostOpen) {
         assignImageIds(createOccurrence(job, job.nextOccurrence));
         ++job.nextOccurrence;
         dispatchSoon();
--- a/source/scheduling/JobSpecification.cpp
+++ b/source/scheduling/JobSpecification.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/JobSpecification.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Wagtail
 {
@@ -9,7 +10,6 @@
 {
 
 constexpr int MaximumSteps = 1'000;
-constexpr int MaximumTasksPerStep = 100'000;
 
 Error invalid(std::string detail, std::string remedy)
 {
@@ -72,6 +72,12 @@
 
 }
 
+std::int64_t JobSpecification::taskCount() const
+{
+    return std::accumulate(steps.begin(), steps.end(), std::int64_t {0},
+        [](std::int64_t count, const StepSpecification &step) { return count + step.count; });
+}
+
 bool JobSpecification::isLongRunning() const
 {
     return std::any_of(steps.begin(), steps.end(), [](const StepSpecification &step) { return step.longRunning; });
@@ -129,14 +135,22 @@
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         const StepSpecification &step = job.steps[number];
         const std::string name = "step " + std::to_string(number);
-        if (step.count < 1 || step.count > MaximumTasksPerStep) {
+        if (step.count < 1 || step.count > MaximumTasks) {
             return invalid(
-                name + " has an invalid count", "set count to 1 to " + std::to_string(MaximumTasksPerStep) + " tasks");
+                name + " has an invalid count", "set count to 1 to " + std::to_string(MaximumTasks) + " tasks");
         }
         if (step.demand.milliCores < 0 || step.demand.memoryMegabytes < 0 || step.demand.accelerators < 0) {
             return invalid(
                 name + " has a negative resource demand", "set millicores, memory_mb and accelerators to 0 or more");
         }
+        if (!step.demand.fitsInto({MaximumAmount, MaximumAmount, MaximumAmount})) {
+            return invalid(name + " has a resource demand that no worker can meet",
+                "set millicores, memory_mb and accelerators to at most " + std::to_string(MaximumAmount));
+        }
+        if (step.estimate > MaximumTime || step.tailTarget > MaximumTime) {
+            return invalid(name + " has an estimate or a tail target that is too long",
+                "set both to at most " + std::to_string(MaximumTime.count()) + " ms");
+        }
         for (const int earlier : step.after) {
             if (earlier < 0 || static_cast<std::size_t>(earlier) >= number) {
                 return invalid(
@@ -144,6 +158,14 @@
             }
         }
     }
+    if (job.taskCount() > MaximumTasks) {
+        return invalid("the steps have more than " + std::to_string(MaximumTasks) + " tasks in all", "split the job");
+    }
+    if (job.firstRun < 0 || job.firstRun > MaximumWallTime || job.interval < 0
+        || job.interval > MaximumWallTime / std::max<std::int64_t>(1, job.repeatCount)) {
+        return invalid("a run of the repeated job is due at a time that is out of range",
+            "set first_run_ms and all later times to 0 to " + std::to_string(MaximumWallTime));
+    }
     if (job.repeatCount < 0 || (job.repeatCount > 1 && job.interval <= 0)) {
         return invalid("a repeated job needs a positive interval", "set interval_ms to more than 0");
     }
--- a/source/scheduling/JobSpecification.h
+++ b/source/scheduling/JobSpecification.h
@@ -10,6 +10,15 @@
 namespace Wagtail
 {
 
+// The most tasks that one execution of a job may have.
+inline constexpr std::int64_t MaximumTasks = 100'000;
+// The longest time and the latest wall time that can be declared. Sums and small multiples of it stay far within 64
+// bits, also in nanoseconds.
+inline constexpr Milliseconds MaximumTime {1'000'000'000'000};
+inline constexpr std::int64_t MaximumWallTime = 10'000'000'000'000;
+// The largest declared amount of a resource. The sum over all tasks of many jobs stays far within 64 bits.
+inline constexpr std::int64_t MaximumAmount = 1'000'000'000;
+
 // One step of a job: tasks of the same kind that may run in parallel.
 struct StepSpecification
 {
@@ -66,6 +75,9 @@
     // Returns whether any step runs until the job is cancelled.
     [[nodiscard]] bool isLongRunning() const;
 
+    // Returns the number of tasks of one execution of the steps.
+    [[nodiscard]] std::int64_t taskCount() const;
+
     // Returns when an occurrence is due, in milliseconds of wall time; 0 for a job that runs once.
     [[nodiscard]] std::int64_t dueTime(std::int64_t occurrence) const;
 };
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -3,6 +3,7 @@
 #include "base/NameTable.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Wagtail
 {
@@ -17,6 +18,20 @@
 constexpr NameTable<JobPhase, 5> PhaseNames {{{{JobPhase::Pending, "pending"}, {JobPhase::Running, "running"},
     {JobPhase::Done, "done"}, {JobPhase::Failed, "failed"}, {JobPhase::Cancelled, "cancelled"}}}};
 
+// The most tasks that are restored from the record of a job's progress.
+constexpr std::int64_t MaximumRestoredTasks = 2 * MaximumTasks;
+
+// Returns the number of an occurrence, or nothing if the text is not one of the job's.
+std::optional<std::int64_t> parseOccurrence(const JobState &job, const std::string &text)
+{
+    std::int64_t number = -1;
+    const char *last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number);
+    const bool isValid = error == std::errc() && end == last && number >= 0
+        && number < std::max<std::int64_t>(1, job.specification.repeatCount) && !job.occurrences.contains(number);
+    return isValid ? std::optional(number) : std::nullopt;
+}
+
 // Returns the progress of a task that the store keeps besides its completion, or null if there is none.
 Json describeTask(const TaskState &task)
 {
@@ -87,7 +102,7 @@
         task.delegatedTo = memberOr(entry, "delegated_to", std::string());
         if (!task.delegatedTo.empty() && task.phase == RunPhase::Waiting) {
             task.phase = RunPhase::Delegated;
-            task.run = memberOr(entry, "last_run", task.run);
+            task.run = std::min(memberOr(entry, "last_run", task.run), MaximumRunNumber);
             --step.waitingCount;
         }
     }
@@ -220,14 +235,19 @@
     job.recordedPhase = job.phase;
     job.formerDelegates = memberOr(document, "delegates", std::set<std::string>());
     job.hasStarted = memberOr(document, "started", false);
-    job.nextOccurrence = memberOr(document, "next", std::int64_t {0});
-    job.finishedOccurrences = memberOr(document, "finished", std::int64_t {0});
+    const std::int64_t count = std::max<std::int64_t>(1, job.specification.repeatCount);
+    job.nextOccurrence = std::clamp(memberOr(document, "next", std::int64_t {0}), std::int64_t {0}, count);
+    job.finishedOccurrences
+        = std::clamp(memberOr(document, "finished", std::int64_t {0}), std::int64_t {0}, job.nextOccurrence);
+    const std::int64_t mostOccurrences
+        = std::max<std::int64_t>(1, MaximumRestoredTasks / std::max<std::int64_t>(1, job.specification.taskCount()));
     const Json occurrences = memberOr(document, "occurrences", Json::object());
     for (const auto &[key, steps] : occurrences.items()) {
-        if (!steps.is_array()) {
+        const std::optional<std::int64_t> number = parseOccurrence(job, key);
+        if (!number || !steps.is_array() || std::cmp_greater_equal(job.occurrences.size(), mostOccurrences)) {
             continue;
         }
-        OccurrenceState &occurrence = createOccurrence(job, std::strtoll(key.c_str(), nullptr, 10));
+        OccurrenceState &occurrence = createOccurrence(job, *number);
         for (std::size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
             StepState &step = occurrence.steps[i];
             restoreStep(step, steps[i]);
--- a/source/scheduling/PoolHeadroom.cpp
+++ b/source/scheduling/PoolHeadroom.cpp
@@ -2,9 +2,32 @@
 
 #include "workers/WorkerCodec.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
+namespace
+{
+
+// The largest amount that is read. The sum over all partitions stays far within 64 bits.
+constexpr std::int64_t MaximumHeadroom = 1'000'000'000'000'000;
+
+std::int64_t amountOf(const Json &item, const char *name)
+{
+    return std::clamp(memberOr(item, name, std::int64_t {0}), -MaximumHeadroom, MaximumHeadroom);
+}
+
+Resources resourcesOf(const Json &item, const char *name)
+{
+    const Resources largest {MaximumHeadroom, MaximumHeadroom, MaximumHeadroom};
+    const Resources resources = parseResources(memberOr(item, name, Json::object()));
+    const bool isPlausible = resources.fitsInto(largest) && (Resources {} - largest).fitsInto(resources);
+    return isPlausible ? resources : Resources {};
+}
+
+}
+
 void PoolHeadroom::reserveForLongRunning(std::int64_t milliCores)
 {
     freeBesideLongRunning -= milliCores;
@@ -31,12 +54,12 @@
     }
     for (const auto &[pool, item] : document.items()) {
         PoolHeadroom &headroom = headrooms[pool];
-        headroom.capacity = memberOr(item, "capacity", headroom.capacity);
-        headroom.freeBesideLongRunning = memberOr(item, "free_beside_lasting", headroom.freeBesideLongRunning);
-        headroom.freeForBatch = memberOr(item, "free_for_passing", headroom.freeForBatch);
-        headroom.batchDemand = memberOr(item, "passing", headroom.batchDemand);
-        headroom.largestGap = parseResources(memberOr(item, "largest_gap", Json::object()));
-        headroom.largestWorker = parseResources(memberOr(item, "largest_worker", Json::object()));
+        headroom.capacity = amountOf(item, "capacity");
+        headroom.freeBesideLongRunning = amountOf(item, "free_beside_lasting");
+        headroom.freeForBatch = amountOf(item, "free_for_passing");
+        headroom.batchDemand = amountOf(item, "passing");
+        headroom.largestGap = resourcesOf(item, "largest_gap");
+        headroom.largestWorker = resourcesOf(item, "largest_worker");
         headroom.labels = memberOr(item, "labels", headroom.labels);
         headroom.racks = memberOr(item, "racks", headroom.racks);
     }
--- a/source/scheduling/QueuePolicy.cpp
+++ b/source/scheduling/QueuePolicy.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/QueuePolicy.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -16,9 +18,11 @@
     policy.queue = memberOr(document, "queue", policy.queue);
     policy.pool = memberOr(document, "pool", policy.pool);
     policy.priority = memberOr(document, "priority", policy.priority);
-    policy.maximumAttempts = memberOr(document, "attempts", policy.maximumAttempts);
-    policy.stretch = memberOr(document, "stretch", policy.stretch);
-    policy.latencyTarget = Milliseconds(memberOr(document, "latency_target_ms", policy.latencyTarget.count()));
+    policy.maximumAttempts = std::max(1, memberOr(document, "attempts", policy.maximumAttempts));
+    policy.stretch = std::clamp(memberOr(document, "stretch", policy.stretch), 0.0, MaximumStretch);
+    policy.latencyTarget
+        = std::clamp(Milliseconds(memberOr(document, "latency_target_ms", policy.latencyTarget.count())),
+            Milliseconds(0), MaximumLatencyTarget);
     policy.advised = memberOr(document, "advised", policy.advised);
     return policy;
 }
--- a/source/scheduling/QueuePolicy.h
+++ b/source/scheduling/QueuePolicy.h
@@ -8,6 +8,10 @@
 namespace Wagtail
 {
 
+// Bounds that keep the latency objective of any job far within 64 bits, also in nanoseconds.
+inline constexpr double MaximumStretch = 10'000.0;
+inline constexpr Milliseconds MaximumLatencyTarget {1'000'000'000'000};
+
 // Scheduling policy for the jobs of one queue.
 struct QueuePolicy
 {
--- a/source/scheduling/TaskName.h
+++ b/source/scheduling/TaskName.h
@@ -9,6 +9,9 @@
 namespace Wagtail
 {
 
+// The highest run number that is read from a message or a record. Higher ones leave no room for the runs that follow.
+inline constexpr std::uint64_t MaximumRunNumber = std::uint64_t {1} << 53U;
+
 // Identifies one task of a job by its occurrence (0 unless the job repeats), its step and its index in the step.
 struct TaskName
 {
--- a/source/scheduling/tests/JobStateTest.cpp
+++ b/source/scheduling/tests/JobStateTest.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/RemainingWorkOrder.h"
 #include "scheduling/WorkerChoice.h"
 #include "scheduling/WorkerClock.h"
+#include "testing/SchedulerHarness.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -184,4 +185,36 @@
     EXPECT_FALSE(placementCost(worker, query));
 }
 
+// Guards against a job whose occurrences fill the memory when many of them are due at once.
+TEST(JobScheduler, createsOnlyAsManyDueOccurrencesAsFitIntoMemory)
+{
+    SchedulerHarness harness;
+    JobSpecification job;
+    job.id = "job";
+    job.queue = "queue";
+    job.steps.resize(1);
+    job.steps[0].count = 40'000;
+    job.repeatCount = 4;
+    job.interval = 1;
+    harness.submit(job, {Milliseconds(100), 0, false});
+    EXPECT_EQ(harness.jobs().find("job")->occurrences.size(), 2U);
+}
+
+TEST(JobScheduler, runsTheOccurrencesThatWaitedForEarlierOnes)
+{
+    SchedulerHarness harness;
+    harness.addWorker("worker", 64'000, 64'000);
+    JobSpecification job;
+    job.id = "job";
+    job.queue = "queue";
+    job.steps.resize(1);
+    job.steps[0].demand = {1'000, 100, 0};
+    job.steps[0].estimate = Milliseconds(100);
+    job.repeatCount = 20;
+    job.interval = 1;
+    harness.submit(job, {Milliseconds(100), 0, false});
+    harness.advance(Milliseconds(10'000));
+    EXPECT_TRUE(harness.durationOf("job").has_value());
+}
+
 }
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -2,6 +2,8 @@
 
 #include "base/NameTable.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -19,14 +21,15 @@
     return document;
 }
 
-// Returns nothing if the task has no valid name.
+// Returns nothing if the task has no valid name or last run.
 std::optional<DelegatedTask> parseDelegatedTask(const Json &entry)
 {
     const std::optional<TaskName> task = TaskName::parse(memberOr(entry, "task", std::string()));
-    if (!task) {
+    const auto lastRun = memberOr(entry, "last_run", std::uint64_t {0});
+    if (!task || lastRun > MaximumRunNumber) {
         return std::nullopt;
     }
-    return DelegatedTask {*task, memberOr(entry, "last_run", std::uint64_t {0}), CrashHistory::parse(entry)};
+    return DelegatedTask {*task, lastRun, CrashHistory::parse(entry)};
 }
 
 std::vector<DelegatedTask> parseGivenUpTasks(const Json &entries)
@@ -59,11 +62,12 @@
     }
     record.specification = std::get<JobSpecification>(std::move(specification));
     record.policy = parseQueuePolicy(memberOr(document, "policy", Json::object()));
-    record.acceptedWall = memberOr(document, "accepted_ms", std::int64_t {0});
+    record.acceptedWall
+        = std::clamp(memberOr(document, "accepted_ms", std::int64_t {0}), std::int64_t {0}, MaximumWallTime);
     for (const Json &member : memberOr(document, "delegated", Json::array())) {
         std::optional<DelegatedTask> task = parseDelegatedTask(member);
         if (!task) {
-            return Error {ErrorKind::InvalidInput, "a delegated task in the job record has an invalid name",
+            return Error {ErrorKind::InvalidInput, "a delegated task in the job record has an invalid name or last run",
                 "run the same version on all instances"};
         }
         record.delegated.push_back(*std::move(task));
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -5,6 +5,7 @@
 #include "tenure/JobApi.h"
 #include "tenure/JobKeys.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Wagtail
@@ -26,6 +27,8 @@
 // Submitting through an owner in another region takes about 100 ms, or 600 ms while the store is slow.
 constexpr Milliseconds MinSubmissionTime {700};
 constexpr std::size_t MaxCachedHomes = 20'000;
+// The largest number of waiting jobs that an owner is believed. The sum over all partitions stays within an int.
+constexpr int MaximumWaitingCount = 1'000'000;
 
 // Returns a string member of an owner's JSON answer, or an empty string if there is none.
 std::string textMember(const std::string &answer, const char *member)
@@ -459,7 +462,9 @@
             const Result<Json> document = parseJson(answer.body, "the owner's answer");
             const Json *body = std::get_if<Json>(&document);
             const bool answered = answer.delivery == Delivery::Answered && answer.status == HttpStatus::Ok;
-            addCount(answered && body != nullptr ? std::optional(memberOr(*body, "waiting", 0)) : std::nullopt);
+            addCount(answered && body != nullptr
+                    ? std::optional(std::clamp(memberOr(*body, "waiting", 0), 0, MaximumWaitingCount))
+                    : std::nullopt);
         });
         if (!sent) {
             addCount(std::nullopt);
--- a/source/tenure/PartitionChoice.cpp
+++ b/source/tenure/PartitionChoice.cpp
@@ -1,5 +1,7 @@
 #include "tenure/PartitionChoice.h"
 
+#include "scheduling/JobRank.h"
+
 #include <algorithm>
 
 namespace Wagtail
@@ -34,13 +36,13 @@
 // Returns the job's work whose data is in the partition, in core-milliseconds.
 std::int64_t workNearData(const PoolHeadroom &headroom, const JobSpecification &job)
 {
-    std::int64_t work = 0;
+    double work = 0.0;
     for (const StepSpecification &step : job.steps) {
         if (!step.dataRack.empty() && headroom.racks.contains(step.dataRack)) {
-            work += step.count * step.demand.milliCores * step.estimate.count() / 1'000;
+            work += step.count * workOfTask(step);
         }
     }
-    return work;
+    return static_cast<std::int64_t>(work);
 }
 
 double freeShareWith(const PoolHeadroom &headroom, std::int64_t demand)
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -20,6 +20,8 @@
 constexpr std::int64_t RanksPerOwnedPartition = 2;
 // All instances of a fleet start within 0.3 s. Until then the list of candidates is incomplete.
 constexpr Milliseconds SettleTime {500};
+// Higher terms in a partition's head were not written by an owner. Run numbers are multiples of the term.
+constexpr std::uint64_t MaximumTerm = 1'000'000'000;
 
 }
 
@@ -177,8 +179,10 @@
     std::uint64_t term = 0;
     if (head) {
         const Result<Json> document = parseJson(head->value, "the partition's head");
-        term = errorOf(document) == nullptr ? memberOr(std::get<Json>(document), "tenure", std::uint64_t {0}) + 1
-                                            : head->revision;
+        const Json *members = std::get_if<Json>(&document);
+        const std::uint64_t last = members == nullptr ? MaximumTerm : memberOr(*members, "tenure", std::uint64_t {0});
+        // The revision is higher than any term before it.
+        term = last < MaximumTerm ? last + 1 : head->revision;
     }
     StoreTransaction transaction;
     transaction.conditions = {
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -6,6 +6,7 @@
 #include "testing/NestedJson.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 namespace Wagtail
@@ -152,4 +153,109 @@
     EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Done);
 }
 
+// Guards against a record that makes the owner create more occurrences than fit into its memory, or the same one twice.
+TEST(MalformedMessages, oddOccurrencesInProgressAreLeftOut)
+{
+    JobState read;
+    read.specification = TestCluster::job("job", 1, 50'000).specification;
+    read.specification.repeatCount = 10;
+    read.specification.interval = 1'000;
+    Json occurrences = Json::object();
+    for (const char *key : {"0", "00", "1", "2", "3", "4", "5", "-1", "10", "x", "", "99999999999999999999999"}) {
+        occurrences[key] = Json::array({{{"done", "0"}}});
+    }
+    restoreProgress(read, {{"next", 1e300}, {"finished", -7}, {"occurrences", std::move(occurrences)}});
+    EXPECT_EQ(read.occurrences.size(), 4);
+    for (const auto &[number, occurrence] : read.occurrences) {
+        EXPECT_EQ(occurrence.steps.size(), 1);
+        EXPECT_GE(number, 0);
+        EXPECT_LT(number, 10);
+    }
+    EXPECT_GE(read.nextOccurrence, 0);
+    EXPECT_EQ(read.finishedOccurrences, 0);
+}
+
+TEST(MalformedMessages, positionsOfTheScheduleStayWithinTheJob)
+{
+    for (const Json &number : {Json(-1e18), Json(1'000'000), Json(std::numeric_limits<std::int64_t>::min())}) {
+        JobState read;
+        read.specification = TestCluster::job("job", 1, 1).specification;
+        restoreProgress(read, {{"next", number}, {"finished", number}});
+        EXPECT_GE(read.nextOccurrence, 0);
+        EXPECT_LE(read.nextOccurrence, 1);
+        EXPECT_LE(read.finishedOccurrences, read.nextOccurrence);
+    }
+}
+
+TEST(MalformedMessages, timesAndRunNumbersOfRecordsAreBounded)
+{
+    Json record = recordOfAJob();
+    record["accepted_ms"] = std::numeric_limits<std::int64_t>::min();
+    record["policy"]["stretch"] = 1e300;
+    record["policy"]["latency_target_ms"] = std::numeric_limits<std::int64_t>::max();
+    const Result<JobRecord> read = parseJobRecord(writeJson(record));
+    ASSERT_EQ(errorOf(read), nullptr);
+    EXPECT_EQ(std::get<JobRecord>(read).acceptedWall, 0);
+    EXPECT_LE(std::get<JobRecord>(read).policy.stretch, MaximumStretch);
+    EXPECT_LE(std::get<JobRecord>(read).policy.latencyTarget, MaximumLatencyTarget);
+    record["delegated"][0]["last_run"] = std::numeric_limits<std::uint64_t>::max();
+    EXPECT_NE(errorOf(parseJobRecord(writeJson(record))), nullptr);
+    record = recordOfAJob();
+    record["job"]["steps"][0]["millicores"] = std::numeric_limits<std::int64_t>::max();
+    EXPECT_NE(errorOf(parseJobRecord(writeJson(record))), nullptr);
+}
+
+TEST(MalformedMessages, headroomsOfOtherInstancesStayWithinWhatCanBeAdded)
+{
+    const std::int64_t huge = std::numeric_limits<std::int64_t>::max();
+    const Json document {{"pool",
+        {{"capacity", huge}, {"free_beside_lasting", -huge}, {"passing", huge},
+            {"largest_gap", {{"millicores", huge}}}}}};
+    const PoolHeadroom headroom = parsePoolHeadrooms(document).at("pool");
+    EXPECT_LE(headroom.capacity, huge / 1'000);
+    EXPECT_GE(headroom.freeBesideLongRunning, -huge / 1'000);
+    EXPECT_LE(headroom.batchDemand, huge / 1'000);
+    EXPECT_LE(headroom.largestGap.milliCores, huge / 1'000);
+}
+
+// Guards against a record that reserves memory for the pairs of very many images, or makes the learning rate infinite.
+TEST(MalformedMessages, largeInterferenceModelsAreReadInPart)
+{
+    constexpr int Images = 20'000;
+    Json tails = Json::object();
+    for (int i = 0; i < Images; ++i) {
+        tails["image-" + std::to_string(i)] = 5.0;
+    }
+    Json pairs = Json::array({{{"serving", "image-0"}, {"backfilling", "image-1"}, {"observations", -2}}});
+    for (int i = 0; i < Images; ++i) {
+        const std::string name = "other-" + std::to_string(i);
+        pairs.push_back({{"serving", name}, {"backfilling", name}, {"observations", 3}});
+    }
+    BackfillInterferenceModel model;
+    model.restore({{"lowest_tails_ms", std::move(tails)}, {"pairs", std::move(pairs)}});
+    EXPECT_LE(model.describe()["lowest_tails_ms"].size(), 1'000);
+    EXPECT_LE(model.describe()["pairs"].size(), 1'000);
+}
+
+TEST(MalformedMessages, termsOutOfRangeInTheHeadDoNotWrapAround)
+{
+    for (const char *head : {R"({"tenure":18446744073709551615})", R"({"tenure":184467440737095})"}) {
+        TestCluster cluster;
+        cluster.advance(Milliseconds(1'500));
+        static_cast<void>(cluster.state.write({JobKeys::head("fleet"), head, std::nullopt, 0}));
+        for (int number = 0; number < TestCluster::InstanceCount; ++number) {
+            if (cluster.instances[number]->ownership.leader("fleet") != nullptr) {
+                cluster.kill(number);
+                break;
+            }
+        }
+        cluster.advance(Milliseconds(15'000));
+        TestInstance *owner = cluster.owner();
+        ASSERT_NE(owner, nullptr);
+        const std::uint64_t term = owner->ownership.leader("fleet")->position().term;
+        EXPECT_GT(term, 0);
+        EXPECT_LE(term, 1'000'000'000);
+    }
+}
+
 }
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -33,9 +33,14 @@
         job.id = id;
         job.queue = "queue";
         job.steps = std::move(steps);
-        workers.setBehaviour(id, std::move(behaviour));
+        submit(job, std::move(behaviour));
+    }
+
+    void submit(const JobSpecification &job, FakeWorkers::Behaviour behaviour)
+    {
+        workers.setBehaviour(job.id, std::move(behaviour));
         m_jobs.add(job, {"queue", "pool", 0, 3, 2.0, Milliseconds(1'000), false}, clock.wallMilliseconds());
-        m_submittedAt[id] = clock.now();
+        m_submittedAt[job.id] = clock.now();
     }
 
     void advance(Milliseconds duration)
