Scheduling: Ignore crash histories of steps that are no list

Callers saw: if the steps of an occurrence in the recorded progress of a delegated job were an object, loading the partition ended with an exception at each take-over, so the partition stayed without an owner that serves it.

Evidence: MalformedMessages.crashHistoriesOfSteps* failed before with the type_error "cannot use operator[] with a numeric argument".

Fix: such steps are skipped, as restoreProgress() does.

--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -261,6 +261,9 @@
     const Json occurrences = memberOr(document, "occurrences", Json::object());
     for (auto &[number, occurrence] : job.occurrences) {
         const Json steps = memberOr(occurrences, std::to_string(number).c_str(), Json::array());
+        if (!steps.is_array()) {
+            continue;
+        }
         for (std::size_t i = 0; i < occurrence.steps.size() && i < steps.size(); ++i) {
             std::vector<TaskState> &tasks = occurrence.steps[i].tasks;
             for (const Json &entry : memberOr(steps[i], "tasks", Json::array())) {
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -187,6 +187,17 @@
     }
 }
 
+// Guards against an exception at each take-over of a partition with a delegated job.
+TEST(MalformedMessages, crashHistoriesOfStepsThatAreNoListAreIgnored)
+{
+    JobState read;
+    read.specification = TestCluster::job("job", 2, 2).specification;
+    createOccurrence(read, 0);
+    for (const Json &steps : {Json {{"a", 1}, {"b", 2}}, Json("text"), Json(7)}) {
+        EXPECT_NO_THROW(restoreCrashHistories(read, {{"occurrences", {{"0", steps}}}}));
+    }
+}
+
 TEST(MalformedMessages, timesAndRunNumbersOfRecordsAreBounded)
 {
     Json record = recordOfAJob();
