Tenure: Use no lease times that are out of range

Callers could see: a lease whose recorded end is out of range wraps around to the past when it is added to the time now, and its worker's tasks would start elsewhere while it still runs them. Only another writer leaves such a record.

Evidence: MalformedMessages.leaseTimesOutOfRange* failed before: both times were taken over as they stood.

Fix: ends and durations above 1e12 ms (31 years) count as not recorded, so the longest lease applies.

--- a/source/tenure/LeaseHolderRecord.cpp
+++ b/source/tenure/LeaseHolderRecord.cpp
@@ -5,6 +5,14 @@
 namespace Wagtail
 {
 
+namespace
+{
+
+// Longer times were not written by an owner, and would not fit into nanoseconds.
+constexpr std::int64_t MaximumMilliseconds = 1'000'000'000'000;
+
+}
+
 std::string serialize(const LeaseHolderRecord &record)
 {
     Json holders = Json::object();
@@ -43,11 +51,11 @@
         record.workers.push_back(std::move(worker));
         record.term = std::max(record.term, memberOr(item, "term", std::uint64_t {0}));
         const auto expiry = memberOr(item, "expires_ms", std::int64_t {-1});
-        if (expiry >= 0) {
+        if (expiry >= 0 && expiry <= MaximumMilliseconds) {
             record.finalExpiries[name] = Milliseconds(expiry);
         }
         const auto duration = memberOr(item, "lease_ms", std::int64_t {0});
-        complete = complete && duration > 0;
+        complete = complete && duration > 0 && duration <= MaximumMilliseconds;
         longest = std::max(longest, Milliseconds(duration));
     }
     if (complete) {
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -216,6 +216,17 @@
     EXPECT_NE(errorOf(parseJobRecord(writeJson(record))), nullptr);
 }
 
+// Guards against a lease whose end wraps around to the past, after which another run would start too early.
+TEST(MalformedMessages, leaseTimesOutOfRangeAreNotUsed)
+{
+    const LeaseHolderRecord record = parseLeaseHolderRecord(
+        R"({"i-1":{"address":"a:1","lease_ms":6000,"expires_ms":9223372036854775807,"term":3},
+            "i-2":{"address":"a:2","lease_ms":9223372036854775807,"expires_ms":4000,"term":3}})");
+    EXPECT_EQ(record.workers.size(), 2);
+    EXPECT_FALSE(record.leaseDuration.has_value());
+    EXPECT_EQ(record.finalExpiries, (std::map<std::string, Milliseconds> {{"i-2", Milliseconds(4'000)}}));
+}
+
 TEST(MalformedMessages, headroomsOfOtherInstancesStayWithinWhatCanBeAdded)
 {
     const std::int64_t huge = std::numeric_limits<std::int64_t>::max();
