Tenure: Take over partitions whose owner entry can't be read

Callers saw: after another writer had replaced the entry that names a partition's owner, the owner gave the partition up, and no instance took it over, because the entry was neither missing nor readable.

Evidence: MalformedMessages.replacedOwnerEntries* failed before: 15 s later the partition had no owner.

Fix: an unreadable entry counts as vacant after the usual delay. The take-over is conditional on that entry's revision, so a readable entry that replaces it first wins.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -86,19 +86,20 @@
     if (state.takingOver || m_releasing || !m_environment.lease.isHeld()) {
         return;
     }
-    const bool vacant = entry == nullptr || entry->revision <= state.endedToken;
-    if (vacant) {
+    const bool ended = entry == nullptr || entry->revision <= state.endedToken;
+    const Result<OwnerEntry> parsed = ended ? Result<OwnerEntry>(Error()) : parseOwnerEntry(entry->value);
+    const auto *owner = std::get_if<OwnerEntry>(&parsed);
+    if (owner == nullptr) {
+        // There is no owner, or another writer has replaced its entry. Then the owner has given up the partition.
         const Instant now = m_environment.clock.now();
         state.vacantSince = std::max(state.vacantSince.value_or(now), m_startedAt + SettleTime);
         if (now - *state.vacantSince >= takeOverDelay(partition)) {
-            takeOver(partition, MustNotExist);
+            takeOver(partition, ended ? MustNotExist : entry->revision);
         }
         return;
     }
     state.vacantSince.reset();
-    const Result<OwnerEntry> parsed = parseOwnerEntry(entry->value);
-    const auto *owner = std::get_if<OwnerEntry>(&parsed);
-    if (owner == nullptr || owner->instance.name != m_self.name) {
+    if (owner->instance.name != m_self.name) {
         return;
     }
     if (owner->instance.incarnation == m_self.incarnation) {
--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -259,6 +259,24 @@
     EXPECT_LE(model.describe()["pairs"].size(), 1'000);
 }
 
+// Guards against a partition that nobody takes over any more.
+TEST(MalformedMessages, replacedOwnerEntriesDoNotLeaveThePartitionWithoutAnOwner)
+{
+    for (const char *entry : {"{", "{}", R"({"instance":{"name":"odd","address":"a/b"},"tenure":3})"}) {
+        TestCluster cluster;
+        cluster.advance(Milliseconds(1'500));
+        ASSERT_NE(cluster.owner(), nullptr);
+        static_cast<void>(cluster.state.write({JobKeys::owner("fleet"), entry, std::nullopt, 0}));
+        cluster.advance(Milliseconds(15'000));
+        TestInstance *owner = cluster.owner();
+        ASSERT_NE(owner, nullptr) << entry;
+        owner->router.submit(
+            TestCluster::job("job", 1, 1), cluster.clock.now() + Milliseconds(3'000), [](RouteOutcome) {});
+        cluster.advance(Milliseconds(15'000));
+        EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Done) << entry;
+    }
+}
+
 TEST(MalformedMessages, termsOutOfRangeInTheHeadDoNotWrapAround)
 {
     for (const char *head : {R"({"tenure":18446744073709551615})", R"({"tenure":184467440737095})"}) {
