Http: Send no control characters and bound answers

Callers saw: a worker's name from another writer, such as "i-1\r\nX: y", added a header to each order, and a method with line breaks became several requests. An answer without end filled the memory until its call timed out.

Fix: a call with control characters in its method, URL or headers is not sent and says so. A transfer ends with an error after 64 MiB of the answer's body.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -1,9 +1,11 @@
 #include "http/CurlHttpClient.h"
 
+#include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cassert>
+#include <cctype>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -40,9 +42,31 @@
     bool writeWaiting = false;
 };
 
+// Several times the largest page or list of changes that a store sends.
+constexpr std::size_t MaximumAnswerBytes = 64U << 20U;
+
+// Returns whether the text would end a line of a request and begin another one.
+bool hasControlCharacters(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](unsigned char byte) { return std::iscntrl(byte) != 0; });
+}
+
+bool isSendable(const HttpCall &call)
+{
+    return !hasControlCharacters(call.method) && !hasControlCharacters(call.url)
+        && std::none_of(call.headers.begin(), call.headers.end(), [](const HttpHeader &header) {
+               return hasControlCharacters(header.name) || hasControlCharacters(header.value);
+           });
+}
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
 {
-    static_cast<Transfer *>(target)->answer.body.append(data, size * count);
+    std::string &body = static_cast<Transfer *>(target)->answer.body;
+    if (body.size() + size * count > MaximumAnswerBytes) {
+        // Ends the transfer with an error.
+        return 0;
+    }
+    body.append(data, size * count);
     return size * count;
 }
 
@@ -100,6 +124,12 @@
 
     void send(HttpCall call, Handler handler)
     {
+        if (!isSendable(call)) {
+            HttpAnswer unsent;
+            unsent.failure = "the method, the URL or a header of the call has a control character";
+            asio::post(m_context, [handler = std::move(handler), unsent] { handler(unsent); });
+            return;
+        }
         auto transfer = std::make_unique<Transfer>();
         transfer->call = std::move(call);
         transfer->handler = std::move(handler);
