Routing: Refuse idempotency keys whose time is no number

Callers saw: one request with the Idempotency-Key "--------------7---------------------" ended wagtaild. The key passed the check of its form, which allows a dash at each place, and the conversion of its first part then threw an exception.

Evidence: history.bad-input with this key ended with "connection refused" by the daemon before.

Fix: the time is read without exceptions and signs, and a key without one is refused with 400.

--- a/source/routing/RequestRouter.cpp
+++ b/source/routing/RequestRouter.cpp
@@ -3,6 +3,8 @@
 #include "base/Identifier.h"
 #include "routing/ForwardingTime.h"
 
+#include <charconv>
+
 namespace Wagtail
 {
 
@@ -41,7 +43,12 @@
     if (!wellFormed) {
         return std::nullopt;
     }
-    return std::stoll(key.substr(0, 8) + key.substr(9, 4), nullptr, 16);
+    constexpr int HexadecimalBase = 16;
+    const std::string digits = key.substr(0, 8) + key.substr(9, 4);
+    const char *last = digits.data() + digits.size();
+    std::uint64_t time = 0;
+    const auto [end, error] = std::from_chars(digits.data(), last, time, HexadecimalBase);
+    return error == std::errc() && end == last ? std::optional(static_cast<std::int64_t>(time)) : std::nullopt;
 }
 
 bool isNoRoom(const RequestResult &result)
--- a/tests/history/run_bad_input.py
+++ b/tests/history/run_bad_input.py
@@ -26,6 +26,8 @@
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "not-a-key"}, 400),
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": key_now(-10_000_000)}, 400),
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": key_now(10_000_000)}, 504),
+    ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "--------------7---------------------"}, 400),
+    ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "-1234567-1234-7000-8000-000000000000"}, 400),
     ("POST", "/v1/requests/night", b"x", {}, 400),
     ("POST", "/v1/requests/check", b"x" * (1 << 21), {}, 413),
     ("POST", "/v1/tasks", b"{", {}, 400),
