Peers: Call no port that is out of range

A port is now a whole number from 1 to 65535. Guarded by PeerConnection.callsNoPortThatIsOutOfRange.

--- a/source/peers/Http2PeerCaller.cpp
+++ b/source/peers/Http2PeerCaller.cpp
@@ -1,6 +1,7 @@
 #include "peers/Http2PeerCaller.h"
 
 #include <asio/post.hpp>
+#include <charconv>
 
 namespace Wagtail
 {
@@ -16,12 +17,16 @@
     const std::size_t colon = address.rfind(':');
     asio::error_code error;
     const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-    constexpr int LargestPort = 65535;
-    if (error || port <= 0 || port > LargestPort) {
+    std::uint16_t port = 0;
+    if (colon != std::string::npos) {
+        const char *last = address.data() + address.size();
+        const auto [end, failure] = std::from_chars(address.data() + colon + 1, last, port);
+        port = failure == std::errc() && end == last ? port : 0;
+    }
+    if (error || port == 0) {
         return Error {ErrorKind::InvalidInput, "'" + address + "' is no address", "give ip:port"};
     }
-    return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+    return asio::ip::tcp::endpoint(ip, port);
 }
 
 }
--- a/source/peers/tests/PeerMessagesTest.cpp
+++ b/source/peers/tests/PeerMessagesTest.cpp
@@ -109,6 +109,23 @@
     EXPECT_EQ(errorOf(*unsent)->kind, ErrorKind::Unavailable);
 }
 
+// Guards against a port out of range that is cut off to another one.
+TEST(PeerConnection, callsNoPortThatIsOutOfRange)
+{
+    EchoPair pair;
+    constexpr std::uint64_t Overflow = 1ULL << 32U;
+    for (const std::string &port : {std::to_string(Overflow + TestPort), std::to_string(65'536 + TestPort),
+             std::to_string(TestPort) + "x", "-" + std::to_string(TestPort)}) {
+        std::optional<Result<std::string>> answer;
+        pair.caller.call("127.0.0.1:" + port, {"echo", "x"}, Milliseconds(500),
+            [&answer](Result<std::string> result) { answer = std::move(result); });
+        EXPECT_EQ(pair.call("echo", "y"), Result<std::string>("y"));
+        ASSERT_TRUE(answer.has_value()) << port;
+        EXPECT_NE(errorOf(*answer), nullptr) << port;
+    }
+    EXPECT_EQ(pair.served, 4);
+}
+
 // Any bytes on the socket close at most their own connection; the server goes on serving others.
 TEST(PeerConnection, survivesForeignBytes)
 {
