--- a/source/peers/tests/PeerMessagesTest.cpp
+++ b/source/peers/tests/PeerMessagesTest.cpp
@@ -109,6 +109,23 @@
     EXPECT_EQ(errorOf(*unsent)->kind, ErrorKind::Unavailable);
 }
 
+// Guards against a port out of range that is cut off to another one.
+TEST(PeerConnection, callsNoPortThatIsOutOfRange)
+{
+    EchoPair pair;
+    constexpr std::uint64_t Overflow = 1ULL << 32U;
+    for (const std::string &port : {std::to_string(Overflow + TestPort), std::to_string(65'536 + TestPort),
+             std::to_string(TestPort) + "x", "-" + std::to_string(TestPort)}) {
+        std::optional<Result<std::string>> answer;
+        pair.caller.call("127.0.0.1:" + port, {"echo", "x"}, Milliseconds(500),
+            [&answer](Result<std::string> result) { answer = std::move(result); });
+        EXPECT_EQ(pair.call("echo", "y"), Result<std::string>("y"));
+        ASSERT_TRUE(answer.has_value()) << port;
+        EXPECT_NE(errorOf(*answer), nullptr) << port;
+    }
+    EXPECT_EQ(pair.served, 4);
+}
+
 // Any bytes on the socket close at most their own connection; the server goes on serving others.
 TEST(PeerConnection, survivesForeignBytes)
 {
@@ -129,6 +146,19 @@
     (void)decodeMessage<DocumentMessage>(bytes);
 }
 
+// Guards against a few bytes that reserve gigabytes, or nest deeply.
+TEST(PeerMessages, rejectsDeepNestingAndHeadersThatClaimMoreThanTheBytesHold)
+{
+    const std::string deep(1'000'000, '\x91');
+    EXPECT_FALSE(decodeMessage<DocumentMessage>(deep + "\xc0").has_value());
+    EXPECT_FALSE(decodeMessage<Gossip>(std::string("\xdd\x7f\xff\xff\xff", 5)).has_value());
+    std::string claims;
+    for (int i = 0; i < 10; ++i) {
+        claims += std::string("\xdd\x0f\xff\xff\xff", 5);
+    }
+    EXPECT_FALSE(decodeMessage<Gossip>(claims).has_value());
+}
+
 RC_GTEST_PROP(PeerMessages, survivesItsEncoding, (const std::string &body, const std::string &key, std::int64_t time))
 {
     const ForwardedRequest sent {"id", "profile", key, time, 1, 7, body};
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -23,6 +23,8 @@
 // Running instances register again within this time after an outage in which the store dropped their leases. A new
 // process does not know of them before.
 constexpr Milliseconds ReregistrationTime {2'000};
+// Higher terms in a partition's head were not written by an owner. Run numbers are multiples of the term.
+constexpr std::uint64_t MaximumTerm = 1'000'000'000;
 
 }
 
@@ -92,19 +94,20 @@
         state.vacantSince.reset();
         return;
     }
-    const bool vacant = entry == nullptr || entry->revision <= state.endedToken;
-    if (vacant) {
+    const bool ended = entry == nullptr || entry->revision <= state.endedToken;
+    const Result<OwnerEntry> parsed = ended ? Result<OwnerEntry>(Error()) : parseOwnerEntry(entry->value);
+    const auto *owner = std::get_if<OwnerEntry>(&parsed);
+    if (owner == nullptr) {
+        // There is no owner, or another writer has replaced its entry. Then the owner has given up the partition.
         const Instant now = m_environment.clock.now();
         state.vacantSince = std::max(state.vacantSince.value_or(now), m_startedAt + SettleTime);
         if (now - *state.vacantSince >= takeOverDelay(partition)) {
-            takeOver(partition, MustNotExist);
+            takeOver(partition, ended ? MustNotExist : entry->revision);
         }
         return;
     }
     state.vacantSince.reset();
-    const Result<OwnerEntry> parsed = parseOwnerEntry(entry->value);
-    const auto *owner = std::get_if<OwnerEntry>(&parsed);
-    if (owner == nullptr || owner->instance.name != m_self.name) {
+    if (owner->instance.name != m_self.name) {
         return;
     }
     if (owner->instance.incarnation == m_self.incarnation) {
@@ -194,8 +197,10 @@
     std::uint64_t term = 0;
     if (head) {
         const Result<Json> document = parseJson(head->value, "the partition's head");
-        term = errorOf(document) == nullptr ? memberOr(std::get<Json>(document), "tenure", std::uint64_t {0}) + 1
-                                            : head->revision;
+        const Json *members = std::get_if<Json>(&document);
+        const std::uint64_t last = members == nullptr ? MaximumTerm : memberOr(*members, "tenure", std::uint64_t {0});
+        // The revision is higher than any term before it.
+        term = last < MaximumTerm ? last + 1 : head->revision;
     }
     StoreTransaction transaction;
     transaction.conditions = {
--- a/tests/history/run_bad_input.py
+++ b/tests/history/run_bad_input.py
@@ -14,6 +14,9 @@
 sys.path[:0] = [os.path.join(os.path.dirname(os.path.dirname(HERE)), "scripts")]
 from deployment import Deployment, call, document, key_now  # noqa: E402
 
+# Deeper than a stack bears when such a document is copied, and within the limit of a body.
+DEEP = b"[" * 200_000 + b"]" * 200_000
+
 CASES = [
     ("POST", "/v1/requests/nothing", b"x", {}, 404),
     ("GET", "/v1/requests/check", None, {}, 405),
@@ -23,6 +26,8 @@
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "not-a-key"}, 400),
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": key_now(-10_000_000)}, 400),
     ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": key_now(10_000_000)}, 504),
+    ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "--------------7---------------------"}, 400),
+    ("POST", "/v1/requests/bill", b"x", {"Idempotency-Key": "-1234567-1234-7000-8000-000000000000"}, 400),
     ("POST", "/v1/requests/night", b"x", {}, 400),
     ("POST", "/v1/requests/check", b"x" * (1 << 21), {}, 413),
     ("POST", "/v1/tasks", b"{", {}, 400),
@@ -31,6 +36,13 @@
     ("POST", "/v1/tasks", {"profile": "nothing"}, {}, 404),
     ("POST", "/v1/tasks", {"profile": "check"}, {}, 400),
     ("POST", "/v1/tasks", {"profile": "huge"}, {}, 422),
+    ("POST", "/v1/tasks", DEEP, {}, 400),
+    ("POST", "/v1/tasks", b'{"profile":"night","payload":' + DEEP + b"}", {}, 400),
+    ("POST", "/v1/tasks", b'{"profile":"night","deadline_ms":1e400}', {}, 400),
+    ("PUT", "/v1/profiles/check", b'{"class":' + DEEP + b"}", {}, 400),
+    ("PUT", "/v1/profiles/check", {"class": "quick", "priority": 10**30}, {}, 400),
+    ("PUT", "/v1/teams/finance", b'{"millicores":' + DEEP + b"}", {}, 400),
+    ("PUT", "/v1/teams/finance", {"millicores": 2**64 - 1}, {}, 400),
     ("POST", "/v1/watchers", {"profile": "night"}, {}, 400),
     ("GET", "/v1/tasks/nothing", None, {}, 404),
     ("GET", "/v1/tasks/depot.0:nothing", None, {}, 404),
