Scheduling: Take the answer of a worker's successor for its crash

What callers saw: a task that crashes each worker was started a sixth time, because one crash counted nowhere. Cause: a crash was proven only if another worker answered a request meant for the lost one (421), which is sent once a second. The next worker at the address may be listed, be started on and crash within that time; 15 s after the leases of the lost one its run was forgotten, although the next one had answered in between. Change: a lost run counts as crashed once another worker at the address has answered a report request that was sent after the last contact with the lost one (WorkerSuccession). Ruled out: a worker that moves to the address takes its former answers along (reset on a change of address); an answer that was requested before the last contact.

--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/CrashVerdict.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/WorkerChoice.h"
+#include "scheduling/WorkerSuccession.h"
 
 #include <algorithm>
 
@@ -311,6 +312,10 @@
 
 void JobScheduler::forgetLostRuns(WorkerState &worker)
 {
+    // The next worker at the address may be gone again before this one is asked, and then nothing answers for it.
+    if (!worker.lostRuns.empty() && hasSuccessor(worker, m_workers)) {
+        onWorkerReplaced(worker);
+    }
     const Instant now = m_environment.clock.now();
     std::erase_if(worker.lostRuns, [&](const LostRun &lost) {
         const bool isOld = now > lost.lostAt + LostRunRetention;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -93,6 +93,7 @@
     // A restart at the same address is acted upon when the next incarnation has reported, because starts may have
     // reached it.
     if (addressChanged) {
+        worker.answeredRequestSentAt = {};
         const Instant now = m_environment.clock.now();
         onWorkerRestarted(worker, listing.incarnation, {{}, now, now});
     }
@@ -201,6 +202,9 @@
     }
     applyReport(*worker, std::get<RunReport>(result), sentAt);
     worker->lastContact = m_environment.clock.now();
+    if (address == worker->listing.address) {
+        worker->answeredRequestSentAt = std::max(worker->answeredRequestSentAt, sentAt);
+    }
     dispatchSoon();
     requestReport(*worker);
 }
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -42,6 +42,8 @@
     Instant lastAnswer;
     // When the worker last gave an answer of any kind.
     Instant lastContact;
+    // When the last report request was sent that the worker has answered at its present address.
+    Instant answeredRequestSentAt;
     int consecutiveUnanswered = 0;
     bool reportPending = false;
     std::optional<Instant> drainingSince;
--- a/source/tenure/tests/CrashingTaskTest.cpp
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -274,6 +274,53 @@
     EXPECT_EQ(starts("job"), 3U);
 }
 
+namespace
+{
+
+// Crashes the worker of a task by chance, and the next worker at its address as soon as the owner has heard of it.
+// Returns how many crashes count for the task in the end.
+std::size_t crashesAfterShortSuccession(Milliseconds downtime)
+{
+    TestCluster cluster;
+    for (int i = 0; i < TestCluster::WorkerCount; ++i) {
+        cluster.workers.setRecovery(cluster.workerName(i), {Identity::NewName, downtime});
+    }
+    cluster.advance(Second * 2);
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second * 60;
+    cluster.workers.setBehaviour("job", behaviour);
+    cluster.owner()->router.submit(
+        TestCluster::job("job", 1, 1), cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    cluster.advance(Second);
+    const JobScheduler &jobs = cluster.owner()->ownership.leader("fleet")->jobScheduler();
+    const TaskState &task = jobs.find("job")->occurrences.at(0).steps[0].tasks[0];
+    const std::string worker = task.worker;
+    const std::string address = worker + ":1";
+    cluster.workers.crash(worker);
+    const auto isSuccessorHeard = [&] {
+        const auto successor = jobs.workers().find(cluster.workers.nameAt(address));
+        return successor != jobs.workers().end() && successor->first != worker && successor->second.hasAnswered;
+    };
+    for (int i = 0; i < 1'000 && !isSuccessorHeard(); ++i) {
+        cluster.advance(ShortDelay);
+    }
+    const std::string successor = cluster.workers.nameAt(address);
+    cluster.workers.setRecovery(successor, {Identity::NewName, Second * 30});
+    cluster.workers.crash(successor);
+    cluster.advance(Second * 20);
+    return task.crashes.crashes().size();
+}
+
+}
+
+// The former worker was asked once a second, and the next one was up for little longer than that.
+TEST(SuccessorOfALostWorker, provesItsCrashAlthoughItIsGoneAgainSoon)
+{
+    for (Milliseconds downtime {4'000}; downtime < Milliseconds(5'600); downtime += Milliseconds(100)) {
+        EXPECT_EQ(crashesAfterShortSuccession(downtime), 1U) << downtime.count();
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Recoveries, CrashingTask, testing::Values(Identity::SameName, Identity::NewName));
 
 }
