Scheduling: Count the wait for isolation only while there is a worker

What callers saw: an innocent long-running job was given up beside one task that crashes its workers. Cause: a suspect may share a worker with another one after it has waited for 1.5 s (10 s if it is not long-running). The wait also ran while all workers were down, so the suspects of one crash were placed together on the first worker that came back, and shared the next crashes until both had four. Change: the wait begins anew while no worker could take the task now or once batch tasks have ended (PlacementSurvey). While workers are merely full it goes on, so that a busy pool can't hold a suspect back for ever. Evidence: DelegationModel.givesUpDelegatedTasksThatCrashTheirWorkers, shrunk: job-1.0.0.1 loses four runs with job-2.0.0.1; at 1022.26 s both are placed on worker-2.2 as soon as it answers, at 1026.14 and 1026.44 s both on worker-0. Ruled out: counting only time with free room; a suspect could then wait without end, because others take each room at once.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -357,6 +357,8 @@
     void reserveWorkers(const StepState &step, int count);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
+    // Notes that a task that must be kept away from others has found no worker.
+    void noteIsolationWait(TaskState &task) const;
     [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -152,7 +152,6 @@
     if (m_failedPlacements.covers(step)) {
         return;
     }
-    const Instant now = m_environment.clock.now();
     std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
         if (!mayPlace(task) || (recovering && mayRunUnknown(task))) {
@@ -161,7 +160,7 @@
         WorkerState *worker = choose(step, task);
         if (worker == nullptr && task.crashes.isSuspect()) {
             // Other tasks may still find a worker, because they need not be kept apart.
-            task.isolatedSince = task.isolatedSince.value_or(now);
+            noteIsolationWait(task);
             continue;
         }
         if (worker == nullptr) {
@@ -196,7 +195,6 @@
 
 void JobScheduler::placeGang(StepState &step)
 {
-    const Instant now = m_environment.clock.now();
     for (const TaskState &task : step.tasks) {
         if (!mayPlace(task)) {
             return;
@@ -207,15 +205,15 @@
     for (TaskState &task : step.tasks) {
         WorkerState *worker = choose(step, task);
         if (worker == nullptr) {
-            // The members wait together.
-            for (TaskState &member : step.tasks) {
-                member.isolatedSince = member.isolatedSince.value_or(now);
-            }
             // No start order was sent yet, so the run number can be reused.
             for (auto member = placed.rbegin(); member != placed.rend(); ++member) {
                 undoPlacement(**member);
             }
             step.highestRun = run - 1;
+            // The members wait together.
+            for (TaskState &member : step.tasks) {
+                noteIsolationWait(member);
+            }
             return;
         }
         place(task, *worker, run);
@@ -240,6 +238,18 @@
     ++task.step->waitingCount;
 }
 
+void JobScheduler::noteIsolationWait(TaskState &task) const
+{
+    const Instant now = m_environment.clock.now();
+    const PlacementSurvey survey = surveyPlacement(m_workers, *task.step, now);
+    // While no worker would take the task anyway, it does not wait for its isolation.
+    if (survey.available + survey.busy == 0) {
+        task.isolatedSince.reset();
+        return;
+    }
+    task.isolatedSince = task.isolatedSince.value_or(now);
+}
+
 IsolationStrictness JobScheduler::isolationStrictness(const TaskState &task) const
 {
     const bool longRunning = task.step->specification().longRunning;
