Scheduling: Delegate no task whose lost runs may decide with one more crash

What callers saw: a delegated task that crashes its workers was started a sixth time. Cause: a task was kept at home only while its lost runs could decide its verdict by themselves. With two crashes counted and a third not proven yet it was delegated; the other partition counted the next crash as the third one and started the task again, while the proof of the missing one arrived at home. Change: the task also waits at home while its lost runs and one more crash would decide (mayLostRunsDecide). Evidence: DelegationModel.givesUpDelegatedTasksThatCrashTheirWorkersAtOnce, shrunk: run 300002 crashes at 1029.48 s and is proven at 1039.02; the task is delegated at 1033.82 and starts for the sixth time at 1037.98.

--- a/source/scheduling/CrashVerdict.cpp
+++ b/source/scheduling/CrashVerdict.cpp
@@ -28,23 +28,50 @@
     return isPromptProof || sole >= SoleCrashesToGiveUp || crashes.size() >= CrashesToGiveUp;
 }
 
-}
-
-CrashVerdict judge(const CrashHistory &history)
+std::vector<CrashTiming> countedCrashes(const CrashHistory &history)
 {
     std::vector<CrashTiming> crashes;
     for (const auto &[run, crash] : history.crashes()) {
         crashes.push_back(crash.timing);
     }
-    if (isProof(crashes)) {
-        return CrashVerdict::GiveUp;
-    }
+    return crashes;
+}
+
+// Adds the crashes of which it is being found out whether they happened.
+std::vector<CrashTiming> possibleCrashes(const CrashHistory &history)
+{
+    std::vector<CrashTiming> crashes = countedCrashes(history);
     for (const auto &[run, openRun] : history.openRuns()) {
         if (openRun.timingIfCrashed) {
             crashes.push_back(*openRun.timingIfCrashed);
         }
     }
-    return isProof(crashes) ? CrashVerdict::Wait : CrashVerdict::Retry;
+    return crashes;
+}
+
+}
+
+CrashVerdict judge(const CrashHistory &history)
+{
+    if (isProof(countedCrashes(history))) {
+        return CrashVerdict::GiveUp;
+    }
+    return isProof(possibleCrashes(history)) ? CrashVerdict::Wait : CrashVerdict::Retry;
+}
+
+bool isNearlyProven(const CrashHistory &history)
+{
+    if (history.isEmpty()) {
+        return false;
+    }
+    std::vector<CrashTiming> crashes = possibleCrashes(history);
+    crashes.push_back(CrashTiming::Late);
+    return isProof(crashes);
+}
+
+bool mayLostRunsDecide(const CrashHistory &history)
+{
+    return possibleCrashes(history).size() > history.crashes().size() && isNearlyProven(history);
 }
 
 }
--- a/source/scheduling/CrashVerdict.h
+++ b/source/scheduling/CrashVerdict.h
@@ -20,4 +20,11 @@
 // Load pattern: a single poison task among thousands that run beside it, on workers that also crash by chance.
 [[nodiscard]] CrashVerdict judge(const CrashHistory &history);
 
+// Returns whether one more late crash that no other task may have caused would prove that the task is the cause.
+[[nodiscard]] bool isNearlyProven(const CrashHistory &history);
+
+// Returns whether the same holds and it is still being found out whether workers have crashed under lost runs, so that
+// the next crash can't be judged without them.
+[[nodiscard]] bool mayLostRunsDecide(const CrashHistory &history);
+
 }
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -64,9 +64,10 @@
 
 bool JobScheduler::isDelegable(const TaskState &task, bool recovering)
 {
-    // A task whose open runs may still decide its verdict waits for it here, because only this partition can ask.
+    // A task whose lost runs may still decide its verdict, or may after one more crash, waits for them here, because
+    // only this partition can ask their workers and the other one would judge that crash without them.
     return task.phase == RunPhase::Waiting && !(recovering && mayRunUnknown(task))
-        && judge(task.crashes) == CrashVerdict::Retry;
+        && judge(task.crashes) == CrashVerdict::Retry && !mayLostRunsDecide(task.crashes);
 }
 
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
--- a/source/scheduling/tests/CrashVerdictTest.cpp
+++ b/source/scheduling/tests/CrashVerdictTest.cpp
@@ -86,4 +86,22 @@
     EXPECT_EQ(judge(history), CrashVerdict::Retry);
 }
 
+TEST(CrashVerdict, tellsWhenLostRunsAndTheNextCrashMayDecideTogether)
+{
+    CrashHistory history;
+    history.open(1, {"worker-1", "worker-1:1", 7, CrashTiming::Ambiguous});
+    history.addCrash(2, {"worker-2", CrashTiming::Ambiguous});
+    EXPECT_FALSE(isNearlyProven(history));
+    EXPECT_FALSE(mayLostRunsDecide(history));
+    history.addCrash(3, {"worker-3", CrashTiming::Ambiguous});
+    EXPECT_EQ(judge(history), CrashVerdict::Retry);
+    EXPECT_TRUE(mayLostRunsDecide(history));
+    history.close(1);
+    EXPECT_FALSE(mayLostRunsDecide(history));
+    history.addCrash(4, {"worker-4", CrashTiming::Ambiguous});
+    EXPECT_TRUE(isNearlyProven(history));
+    EXPECT_FALSE(mayLostRunsDecide(history));
+    EXPECT_FALSE(isNearlyProven({}));
+}
+
 }
--- a/source/tenure/tests/DelegationTest.cpp
+++ b/source/tenure/tests/DelegationTest.cpp
@@ -243,6 +243,36 @@
     expectGivenUp(3);
 }
 
+// The task was delegated with one crash counted and the next one not proven yet. The other partition judged its crashes
+// without that one and started the task once more than needed, in the worst case a sixth time.
+TEST_F(DelegatedCrash, isNotDelegatedWhileACrashAtHomeMayStillCount)
+{
+    const auto setHomeDowntime = [this](Milliseconds downtime) {
+        for (const std::string name : {"worker-0", "worker-2"}) {
+            m_cluster.workers.setRecovery(name, {FakeWorkers::Recovery::Identity::SameName, downtime});
+        }
+    };
+    const auto advanceToCrash = [this](int number) {
+        for (int i = 0; i < 1'000 && crashes() < number; ++i) {
+            m_cluster.advance(Milliseconds(20));
+        }
+    };
+    for (const std::string name : {"worker-1", "worker-3"}) {
+        m_cluster.workers.setRecovery(name, {FakeWorkers::Recovery::Identity::SameName, Second});
+    }
+    setHomeDowntime(Second);
+    setBehaviour(FakeWorkers::Crash {Second * 3, 0});
+    m_cluster.owner()->router.submit(longRunningJob("job"), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    advanceToCrash(1);
+    setHomeDowntime(Second * 14);
+    advanceToCrash(2);
+    for (const std::string name : {"worker-0", "worker-2"}) {
+        m_cluster.workers.setCapacity(name, {500, 8'000, 0});
+    }
+    m_cluster.advance(Second * 60);
+    expectGivenUp(3);
+}
+
 TEST_F(DelegatedCrash, isGivenUpAlthoughTheOtherOwnerIsKilledAfterEachCrash)
 {
     submitCrashing(ShortDelay, Second);
