Scheduling: Clear a task of crashes when a run of it has ended by itself

What callers saw: an innocent job was given up because of four crashes beside other tasks, although one or two of its runs had ended as failed on workers that lived on. Cause: only long-running tasks were ever cleared of crashes. A run that reaches its end shows just as well that the task does not crash each worker that starts it. Change: when a failed run of a task that is not long-running is counted, crashes up to that run count no more, also if they are proven later (clearCrashes, clearedRun). Failures are bounded by the attempts of the job, so starts remain bounded. Long-running tasks keep their rule, because their failures are not bounded.

--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -1,4 +1,5 @@
 // JobScheduler: workers that crash, and tasks that crash them.
+#include "scheduling/CrashClearance.h"
 #include "scheduling/CrashVerdict.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/WorkerChoice.h"
@@ -198,7 +199,8 @@
     std::vector<TaskState *> suspects;
     for (const CrashEvidence &item : evidence) {
         TaskState *task = findTask(item.run.task);
-        if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()) {
+        if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()
+            || item.run.run <= task->clearedRun) {
             continue;
         }
         const CrashTiming timing = countedTiming(item, evidence);
@@ -354,8 +356,7 @@
     }
     task.endUnknown = false;
     if (task.step->specification().longRunning && !task.crashes.isEmpty()) {
-        task.crashes.clear();
-        task.clearedRun = task.run;
+        clearCrashes(task, task.run);
         m_environment.listener.progressChanged(task.step->occurrence->job->specification.id);
     }
 }
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -1,4 +1,5 @@
 // JobScheduler: start, stop and end of runs.
+#include "scheduling/CrashClearance.h"
 #include "scheduling/JobScheduler.h"
 
 #include <algorithm>
@@ -360,6 +361,9 @@
             {"attempts", job.policy.maximumAttempts}});
     if (counted) {
         task.avoidedWorkers.insert(worker.listing.name);
+        if (!task.crashes.isEmpty()) {
+            clearCrashes(task, run.run);
+        }
         m_environment.listener.progressChanged(job.specification.id);
     }
     if (current) {
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -67,7 +67,7 @@
     CrashHistory crashes;
     // When the task was last placed on a worker.
     Instant placedAt;
-    // A run that lived so long that crashes under it and earlier runs count no more, or 0.
+    // A run that lived so long, or ended by itself, that crashes up to it count no more, or 0.
     std::uint64_t clearedRun = 0;
     // When the first start order of the current run was sent, or when the run was adopted.
     std::optional<Instant> runStartedAt;
--- a/source/tenure/tests/CrashingTaskTest.cpp
+++ b/source/tenure/tests/CrashingTaskTest.cpp
@@ -196,6 +196,30 @@
     }
 }
 
+// A task that had run to its end, and failed, was given up for crashes by chance before and after that.
+TEST_P(CrashingTask, isNotGivenUpIfARunHasEndedByItself)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.duration = Second;
+    behaviour.failures = 1;
+    m_cluster.workers.setBehaviour("job", behaviour);
+    submit(TestCluster::job("job", 1, 1));
+    const auto crashDuringStart = [this](std::size_t number) {
+        for (int i = 0; i < 2'000 && starts("job") < number; ++i) {
+            m_cluster.advance(ShortDelay);
+        }
+        m_cluster.advance(Second / 2);
+        crashWorkerOf("job");
+    };
+    crashDuringStart(1);
+    crashDuringStart(2);
+    crashDuringStart(4);
+    m_cluster.advance(Second * 30);
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
+    EXPECT_EQ(m_cluster.workers.crashesUnder({"job", 0, 0, 0}), 3);
+    EXPECT_EQ(starts("job"), 5U);
+}
+
 // While the store is away a first start goes on, but a task that lost its worker waits for its start to be recorded.
 TEST_P(CrashingTask, isNotStartedAgainBeforeTheStoreKnowsOfTheStart)
 {
