Scheduling: Keep a task apart if the next crash may convict it

What callers saw: an innocent job was given up after a crash beside a task that had crashed two workers before. Cause: a task is kept apart from others only if one of its crashes was not late. A task with two late crashes that nothing else explains lacks one more to be convicted, but was placed beside another suspect. Then the third crash counts as shared: it proves nothing against the one and counts against the other as well. Change: a task that one more late crash without another cause would convict (isNearlyProven) is kept apart like one that may be the cause.

--- a/source/scheduling/SuspectIsolation.cpp
+++ b/source/scheduling/SuspectIsolation.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/SuspectIsolation.h"
 
+#include "scheduling/CrashVerdict.h"
+
 #include <algorithm>
 
 namespace Wagtail
@@ -52,13 +54,21 @@
     });
 }
 
+// Returns whether the next crash under the task must show whether the task is its cause.
+bool needsClearEvidence(const CrashHistory &history)
+{
+    return history.mayBeCause() || isNearlyProven(history);
+}
+
 // Returns whether two tasks must be kept apart to find out which one crashes workers.
 bool areRivals(const CrashHistory &left, const CrashHistory &right)
 {
-    if (!left.mayBeCause() && !right.mayBeCause()) {
+    const bool isLeftOpen = needsClearEvidence(left);
+    const bool isRightOpen = needsClearEvidence(right);
+    if (!isLeftOpen && !isRightOpen) {
         return false;
     }
-    if (left.mayBeCause() && right.mayBeCause()) {
+    if (isLeftOpen && isRightOpen) {
         return true;
     }
     const auto &crashes = left.crashes();
@@ -80,7 +90,7 @@
         cost += wasStartedLately(*other, query.now) ? SharedStartCost : SharedWorkerCost;
         const bool isRival = areRivals(task.crashes, other->crashes);
         const bool isStarting
-            = task.crashes.mayBeCause() && isOnProbation(*other, query.now) && !startTogether(task, *other);
+            = needsClearEvidence(task.crashes) && isOnProbation(*other, query.now) && !startTogether(task, *other);
         if (!isRival && !isStarting) {
             continue;
         }
@@ -100,7 +110,7 @@
         return costOfSuspect(task, query, worker);
     }
     const bool meetsSuspect = std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const TaskState *other) {
-        return other->crashes.mayBeCause() && isOnProbation(*other, query.now) && !startTogether(task, *other);
+        return needsClearEvidence(other->crashes) && isOnProbation(*other, query.now) && !startTogether(task, *other);
     });
     if (!meetsSuspect) {
         return 0.0;
--- a/source/scheduling/tests/SuspectIsolationTest.cpp
+++ b/source/scheduling/tests/SuspectIsolationTest.cpp
@@ -65,6 +65,22 @@
     EXPECT_NE(cost(), std::nullopt);
 }
 
+// Two late crashes had nearly proven that a task crashes its workers. It crashed the next one beside a task that was
+// suspected for another crash: for the one the crash proved nothing any more, and for the other it counted as well.
+TEST_F(SuspectIsolationTest, keepsTasksApartIfTheNextCrashWouldProveOneOfThemTheCause)
+{
+    m_other.crashes.addCrash(1, {"worker", CrashTiming::Late, 7});
+    m_worker.tasks = {&m_other};
+    EXPECT_NE(cost(), std::nullopt);
+    m_other.crashes.addCrash(2, {"worker", CrashTiming::Late, 8});
+    EXPECT_EQ(cost(), std::nullopt);
+    m_other.crashes.clear();
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        m_other.crashes.addCrash(run, {"worker", CrashTiming::LateShared, static_cast<std::int64_t>(run)});
+    }
+    EXPECT_EQ(cost(), std::nullopt);
+}
+
 // Two tasks that lost a worker together shared the next ones as well, and the innocent one was given up.
 TEST_F(SuspectIsolationTest, keepsATaskThatRanForLongApartFromASuspectOfTheSameCrash)
 {
