--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -1,7 +1,9 @@
 // JobScheduler: workers that crash, and tasks that crash them.
+#include "scheduling/CrashClearance.h"
 #include "scheduling/CrashVerdict.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/WorkerChoice.h"
+#include "scheduling/WorkerSuccession.h"
 
 #include <algorithm>
 
@@ -196,7 +198,8 @@
     std::vector<TaskState *> suspects;
     for (const CrashEvidence &item : evidence) {
         TaskState *task = findTask(item.run.task);
-        if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()) {
+        if (task == nullptr || task->phase == RunPhase::Done || task->step->occurrence->job->isFinished()
+            || item.run.run <= task->clearedRun) {
             continue;
         }
         const CrashTiming timing = countedTiming(item, evidence);
@@ -310,6 +313,10 @@
 
 void JobScheduler::forgetLostRuns(WorkerState &worker)
 {
+    // The next worker at the address may be gone again before this one is asked, and then nothing answers for it.
+    if (!worker.lostRuns.empty() && hasSuccessor(worker, m_workers)) {
+        onWorkerReplaced(worker);
+    }
     const Instant now = m_environment.clock.now();
     std::erase_if(worker.lostRuns, [&](const LostRun &lost) {
         const bool isOld = now > lost.lostAt + LostRunRetention;
@@ -348,8 +355,7 @@
     }
     task.endUnknown = false;
     if (task.step->specification().longRunning && !task.crashes.isEmpty()) {
-        task.crashes.clear();
-        task.clearedRun = task.run;
+        clearCrashes(task, task.run);
         m_environment.listener.progressChanged(task.step->occurrence->job->specification.id);
     }
 }
