--- a/source/tenure/tests/MalformedMessagesTest.cpp
+++ b/source/tenure/tests/MalformedMessagesTest.cpp
@@ -1,6 +1,6 @@
 #include "TestCluster.h"
 
-#include "tenure/LeaseHolderRecord.h"
+#include "scheduling/LeaseHolderRecord.h"
 #include "tenure/StoreRelay.h"
 #include "testing/CorruptedJson.h"
 #include "testing/NestedJson.h"
