Scheduling: Record the leases of this term of partly read workers

A reviewer that had not seen the work found (by reading) that a worker whose list of ends was truncated stays unconfirmed and still gets leases of the new term. If it then missed a report, or its owner handed over, the record showed when the leases of the earlier term expire, and the next owner could start its tasks elsewhere while the later leases held.

The expiry of such a worker is now the later one of both terms, and inherited tasks wait as long as a worker answers with a list that is not complete. A listed worker that the last owner did not hear is awaited as well until this owner has found it unreachable too: the last one may have been short of processor time. An owner without a lease no longer records a worker as lost after a single unanswered request, since it could grant it nothing until the store is back.

The new test was written together with the change and was not run without it.

--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -84,12 +84,18 @@
         if (now < leaseExpiresAt) {
             return RecoveryStage::Leases;
         }
+        const auto found = workers.find(name);
+        if (found == workers.end()) {
+            continue;
+        }
         // An owner that is short of processor time may not yet have read the reports of live workers. The last owner
-        // has got no answer from workers whose leases expired sooner than all others.
-        const auto worker = workers.find(name);
-        const bool isAlive
-            = worker != workers.end() && worker->second.listed && leaseExpiresAt >= m_priorLeasesExpireAt;
-        if (isAlive && now < leaseExpiresAt + MaximumExtraRecovery) {
+        // has got no answer from workers whose leases expired sooner than all others, but it may have been short of
+        // processor time as well.
+        const WorkerState &worker = found->second;
+        const bool wasHeardBefore = leaseExpiresAt >= m_priorLeasesExpireAt || !worker.isUnreachable();
+        const bool isAlive = worker.listed && wasHeardBefore && now < leaseExpiresAt + MaximumExtraRecovery;
+        const bool isPartlyRead = worker.hasAnswered && worker.consecutiveUnanswered == 0;
+        if (isAlive || isPartlyRead) {
             stage = RecoveryStage::Reports;
         }
     }
@@ -147,14 +153,16 @@
 {
     const std::string &name = worker.listing.name;
     if (isUnconfirmed(name)) {
-        const Instant expiry = leaseExpiryOf(name);
+        const Instant earlierExpiry = leaseExpiryOf(name);
         // The first report of a worker that is not lost may still be under way.
-        const bool wasLostBefore = expiry < m_priorLeasesExpireAt;
+        const bool wasLostBefore = earlierExpiry < m_priorLeasesExpireAt && !worker.hasAnswered;
         const bool seemsLost = wasLostBefore || worker.consecutiveUnanswered > 0;
-        return seemsLost || authority != SchedulingAuthority::Full ? std::optional(expiry) : std::nullopt;
+        // A worker whose list of ends is not complete may have got leases of this term.
+        const Instant expiry = std::max(earlierExpiry, worker.leaseExpiry().value_or(Instant()));
+        return seemsLost || authority == SchedulingAuthority::KeepRunning ? std::optional(expiry) : std::nullopt;
     }
     // An owner that hands over can't find out whether the worker answers its next request.
-    const bool isLeftUnheard = authority != SchedulingAuthority::Full && worker.consecutiveUnanswered > 0;
+    const bool isLeftUnheard = authority == SchedulingAuthority::KeepRunning && worker.consecutiveUnanswered > 0;
     if (!worker.isUnreachable() && !isLeftUnheard) {
         return std::nullopt;
     }
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -24,7 +24,7 @@
     Milliseconds longestLease {0};
 };
 
-// What tasks of earlier leader terms wait for whose runs are not known.
+// For what a new owner holds back tasks of which it knows no run.
 enum class RecoveryStage {
     // Runs may go on, because workers that have not answered may hold leases.
     Leases,
@@ -69,7 +69,7 @@
     // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
     [[nodiscard]] Instant leaseExpiryOf(const std::string &worker) const;
 
-    // Returns what the unconfirmed workers may still run or list.
+    // Returns for what tasks of which no run is known have to wait, as far as unconfirmed workers are concerned.
     [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
     // Whether workers have been awaited since the last call of endRecovery().
--- a/source/scheduling/tests/LeaseHandoverTest.cpp
+++ b/source/scheduling/tests/LeaseHandoverTest.cpp
@@ -114,4 +114,24 @@
     EXPECT_FALSE(isRecordDue());
 }
 
+// A worker whose list of ends is not complete is not confirmed, but it may have got leases of this term.
+TEST_F(LeaseHandoverTest, recordsTheLeasesOfThisTermOfAWorkerWithUnreadEnds)
+{
+    LeaseHolderRecord inherited;
+    WorkerState &worker = addWorker("a");
+    inherited.workers.push_back(worker.listing);
+    inherited.term = 2;
+    inherited.finalExpiries["a"] = Second;
+    m_leases.begin(inherited, {m_now, Second * 3, Second * 6}, m_now);
+    worker.clock.observe(1'000, m_now, m_now);
+    worker.leaseGrantedUntil = 7'000;
+    const BegunLeaseRecord begun = m_leases.beginRecord(m_now, m_workers, SchedulingAuthority::KeepRunning);
+    ASSERT_TRUE(begun.record.finalExpiries.contains("a"));
+    EXPECT_GE(begun.record.finalExpiries.at("a"), Second * 6);
+    m_now += Second * 30;
+    EXPECT_EQ(m_leases.recoveryStage(m_now, m_workers), RecoveryStage::Reports);
+    worker.consecutiveUnanswered = WorkerState::UnansweredBeforeUnreachable;
+    EXPECT_EQ(m_leases.recoveryStage(m_now, m_workers), RecoveryStage::Over);
+}
+
 }
