Tenure: Write the record of lease holders before other changes

Since workers get no lease before the stored record names them, the record must not wait behind the progress of hundreds of jobs after a take-over: a batch held keys like it only if the 32 entries of the transaction left room. Found by review and in traces (tasks-waiting with 49 to 72 open workers and nothing placed). These keys are at most two and now come first. The order does not matter for safety: a worker with ends that are not recorded stays in the record.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -170,6 +170,13 @@
     transaction.writes.push_back(
         {JobKeys::head(m_position.partition), writeJson({{"tenure", m_position.term}}), std::nullopt, 0});
     std::size_t entries = FixedEntries;
+    // These are few, and workers get no lease before the record that names them is stored.
+    while (!m_puts.empty() && entries < MaxTransactionEntries) {
+        auto node = m_puts.extract(m_puts.begin());
+        transaction.writes.push_back({node.key(), node.mapped(), std::nullopt, 0});
+        batch.puts.insert(std::move(node));
+        ++entries;
+    }
     fillDelegations(batch, entries);
     // A job's progress shows its delegations, so it must not be written before the transaction that delegates them.
     std::set<std::string> jobsWithPendingDelegation;
@@ -201,12 +208,6 @@
         batch.accepts.push_back(std::move(accept));
         entries += EntriesPerAccept;
     }
-    while (!m_puts.empty() && entries < MaxTransactionEntries) {
-        auto node = m_puts.extract(m_puts.begin());
-        transaction.writes.push_back({node.key(), node.mapped(), std::nullopt, 0});
-        batch.puts.insert(std::move(node));
-        ++entries;
-    }
     while (!m_erasures.empty() && entries < MaxTransactionEntries) {
         transaction.erasures.push_back(*m_erasures.begin());
         m_erasures.erase(m_erasures.begin());
