Scheduling: Judge by progress of known age whether a run may have ended

Review of the wait for unread ends: an answer that is read late made old progress look new, so that a run counted as far from its end that had ended. The progress now dates from when its report was requested, and runs that don't work at an even speed (gangs, backfilling tasks, runs from a checkpoint) always count as possibly completed. Workers whose entry has just lapsed are awaited like listed ones.

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -39,6 +39,7 @@
     task.runAdopted = false;
     task.isWithNextIncarnation = false;
     task.percent = 0;
+    task.progressRequestedAt = {};
     task.speedPercent = 100;
     task.usage = 0;
     task.overTargetSince.reset();
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -79,7 +79,7 @@
     worker.updateListing(listing);
     worker.listed = true;
     if (newlyListed && !worker.hasAnswered && m_environment.clock.now() < m_leaseHandover.priorLeasesExpireAt()) {
-        // The last owner may have granted leases to a worker that it had not recorded yet.
+        // A last owner of an earlier version may have granted leases to a worker that it had not recorded yet.
         m_leaseHandover.expect(listing.name);
     }
     if (capacityChanged) {
@@ -273,6 +273,7 @@
             markRunning(*task, sentAt);
         }
         updateProgress(*task, running);
+        task->progressRequestedAt = sentAt;
         clearSuspicion(*task);
         return;
     }
@@ -461,10 +462,10 @@
     if (!expired) {
         return;
     }
-    const bool mayAnswer = worker.listed && now < *expiry + LongestEndWait;
+    const bool mayAnswer = worker.mayBeAlive(now) && now < *expiry + LongestEndWait;
     std::vector<TaskState *> lost;
     std::copy_if(worker.tasks.begin(), worker.tasks.end(), std::back_inserter(lost),
-        [&](const TaskState *task) { return !mayAnswer || !mayHaveCompleted(*task, worker.lastContact, *expiry); });
+        [&](const TaskState *task) { return !mayAnswer || !mayHaveCompleted(*task, *expiry); });
     if (lost.empty()) {
         return;
     }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -92,8 +92,9 @@
     bool orderPending = false;
     Instant lastOrderSent;
     Instant lastOrderAnswered;
-    // Progress of the current run.
+    // Progress of the current run, and when the report that showed it was requested.
     int percent = 0;
+    Instant progressRequestedAt;
     Instant progressedAt;
     // See RunningTask::usage.
     std::int64_t usage = 0;
--- a/source/scheduling/UnreadEnd.cpp
+++ b/source/scheduling/UnreadEnd.cpp
@@ -14,21 +14,25 @@
 
 }
 
-bool mayHaveCompleted(const TaskState &task, Instant lastContact, Instant by)
+bool mayHaveCompleted(const TaskState &task, Instant leasesExpireAt)
 {
-    if (task.step->specification().longRunning || task.awaitsRecording) {
+    const StepSpecification &step = task.step->specification();
+    if (step.longRunning || task.awaitsRecording) {
         return false;
     }
+    // These do not work at an even speed: members of a gang wait for each other, backfilling tasks are paused, and a
+    // checkpoint is restored first.
+    const bool isUneven = step.gang || step.backfills || !task.checkpoint.empty();
     const bool isProgressKnown
-        = task.runConfirmed && !task.runAdopted && task.runStartedAt && lastContact > *task.runStartedAt;
-    if (!isProgressKnown) {
+        = task.runConfirmed && !task.runAdopted && task.runStartedAt && task.progressRequestedAt > *task.runStartedAt;
+    if (isUneven || !isProgressKnown) {
         return true;
     }
     // The percentage is rounded down.
     const int percent = std::min(task.percent + 1, CompletePercent);
-    const auto worked = lastContact - *task.runStartedAt;
+    const auto worked = task.progressRequestedAt - *task.runStartedAt;
     const auto remaining = worked * (CompletePercent - percent) / percent;
-    return lastContact + remaining / LargestSpeedUp <= by;
+    return task.progressRequestedAt + remaining / LargestSpeedUp <= leasesExpireAt;
 }
 
 }
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -36,6 +36,11 @@
     return !listed && isAlive && !listing.draining && now - unlistedSince < LongestRelisting;
 }
 
+bool WorkerState::mayBeAlive(Instant now) const
+{
+    return listed || (!listing.draining && now - unlistedSince < LongestRelisting);
+}
+
 bool WorkerState::hasUnrecordedEnds() const
 {
     return appliedEnd > recordedEnd;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -97,6 +97,10 @@
     // outage of the store and come back.
     [[nodiscard]] bool mayBeListedAgain(Instant now) const;
 
+    // Returns whether the worker may be alive as far as the platform's list shows. An entry that lapsed during an
+    // outage of the store may come back.
+    [[nodiscard]] bool mayBeAlive(Instant now) const;
+
     // Returns whether run ends have been applied that the store does not have yet.
     [[nodiscard]] bool hasUnrecordedEnds() const;
 
