Tenure: Let candidates with little processor time wait longer

Candidates beyond the sixth waited for 1.5 s, but strong instances register again up to 2.2 s after an outage, so that instances with 0.12 of a core still took single partitions. The twelfth and later candidates now wait 3 s.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -14,7 +14,7 @@
 // How long each candidate for a vacant partition waits for the one before it.
 constexpr Milliseconds DelayPerRank {250};
 // Candidates beyond this rank all try at the same time; the store lets only one succeed.
-constexpr std::int64_t MaxRank = 6;
+constexpr std::int64_t MaxRank = 12;
 // An instance waits longer for each partition that it owns, because it does not know yet how much processor time that
 // partition needs.
 constexpr std::int64_t RanksPerOwnedPartition = 2;
@@ -22,7 +22,7 @@
 constexpr Milliseconds SettleTime {500};
 // Running instances register again within this time after an outage in which the store dropped their leases. A new
 // process does not know of them before.
-constexpr Milliseconds ReregistrationTime {2'000};
+constexpr Milliseconds NewProcessDelay {2'000};
 // Higher terms in a partition's head were not written by an owner. Run numbers are multiples of the term.
 constexpr std::uint64_t MaximumTerm = 1'000'000'000;
 
@@ -181,7 +181,7 @@
                 m_partitions[partition].takingOver = false;
                 return;
             }
-            const Instant complete = m_registeredAt.value_or(m_environment.clock.now()) + ReregistrationTime;
+            const Instant complete = m_registeredAt.value_or(m_environment.clock.now()) + NewProcessDelay;
             if (ownerRevision == MustNotExist && *head && m_environment.clock.now() < complete) {
                 m_partitions[partition].takingOver = false;
                 m_partitions[partition].vacantSince = complete;
