--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -182,8 +182,7 @@
     // their phase or one of their tasks is still assigned to a worker.
     [[nodiscard]] std::vector<RemovedJob> removeFinished(Instant endedBefore);
 
-    // Returns the workers that may hold a lease of this leader term or an earlier one, and the listed workers that do
-    // not answer.
+    // Returns the workers that may hold a lease of this leader term or an earlier one, and those that may get one.
     [[nodiscard]] std::vector<WorkerListing> leaseHolders() const;
 
     // Returns whether the store needs a new record of the lease holders.
