--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -24,6 +24,15 @@
     Milliseconds longestLease {0};
 };
 
+// What tasks of earlier leader terms wait for whose runs are not known.
+enum class RecoveryStage {
+    // Runs may go on, because workers that have not answered may hold leases.
+    Leases,
+    // All leases have expired, but live workers that have not answered may list ends of runs.
+    Reports,
+    Over,
+};
+
 // A record of the lease holders that is to be stored.
 struct BegunLeaseRecord
 {
@@ -48,7 +57,8 @@
     // Returns when all leases of earlier terms have surely expired.
     [[nodiscard]] Instant priorLeasesExpireAt() const;
 
-    // Awaits a worker that the record does not name, until all leases of earlier terms have expired.
+    // Awaits a worker that the record does not name, until all leases of earlier terms have expired. Has no effect if
+    // the last owner granted leases only to workers of the record.
     void expect(const std::string &worker);
 
     // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
@@ -59,8 +69,8 @@
     // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
     [[nodiscard]] Instant leaseExpiryOf(const std::string &worker) const;
 
-    // Returns whether a task whose worker is unknown may still run on an unconfirmed worker.
-    [[nodiscard]] bool isRecoveryPending(Instant now, const std::map<std::string, WorkerState> &workers) const;
+    // Returns what the unconfirmed workers may still run or list.
+    [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
     // Whether workers have been awaited since the last call of endRecovery().
     [[nodiscard]] bool isRecoveryActive() const;
@@ -99,8 +109,6 @@
         std::set<std::string> expiring;
     };
 
-    [[nodiscard]] static bool mayRunTasks(const WorkerState *worker, Instant leaseExpiresAt, Instant now);
-
     // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
         const WorkerState &worker, SchedulingAuthority authority) const;
@@ -116,6 +124,7 @@
     // The expiry of their last leases by worker.
     std::map<std::string, Instant> m_unconfirmedWorkers;
     bool m_recoveryActive = false;
+    bool m_allHoldersKnown = false;
 
     std::uint64_t m_lastNumber = 0;
     // The record that the store has, and those of this term that it may get. Number 0 is that of an earlier term, whose
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -20,6 +20,9 @@
 constexpr std::int64_t RanksPerOwnedPartition = 2;
 // All instances of a fleet start within 0.3 s. Until then the list of candidates is incomplete.
 constexpr Milliseconds SettleTime {500};
+// Running instances register again within this time after an outage in which the store dropped their leases. A new
+// process does not know of them before.
+constexpr Milliseconds ReregistrationTime {2'000};
 
 }
 
@@ -74,14 +77,19 @@
     const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
     if (state.leader) {
         const StoreRevision token = state.leader->position().ownerRevision;
-        const bool lost = entry == nullptr ? m_environment.cluster.revision() > token : entry->revision > token;
-        if (lost) {
+        const bool replaced = entry == nullptr ? m_environment.cluster.revision() > token : entry->revision > token;
+        if (replaced || state.ownerLease != m_environment.lease.lease()) {
             m_environment.log("partition-ownership-lost", partition, {{"token", token}});
             dropLeader(partition);
         }
         return;
     }
-    if (state.takingOver || m_releasing || !m_environment.lease.isHeld()) {
+    if (state.takingOver || m_releasing) {
+        return;
+    }
+    if (!m_environment.lease.isHeld()) {
+        // The stronger instances may not be able to take the partition either.
+        state.vacantSince.reset();
         return;
     }
     const bool vacant = entry == nullptr || entry->revision <= state.endedToken;
@@ -101,6 +109,7 @@
     }
     if (owner->instance.incarnation == m_self.incarnation) {
         // This process wrote the entry, but the store's answer was lost.
+        state.ownerLease = entry->lease;
         startTerm(partition, owner->term, entry->revision);
         return;
     }
@@ -113,6 +122,8 @@
     const Instant now = m_environment.clock.now();
     if (!m_environment.lease.isHeld()) {
         m_instances.noteLeaseMissing(now);
+    } else {
+        m_registeredAt = m_registeredAt.value_or(now);
     }
     // Reviews are frequent and changes of the cluster's entries are rare, so entries are parsed only after a change.
     if (m_listedRevision != m_environment.cluster.revision()) {
@@ -167,6 +178,12 @@
                 m_partitions[partition].takingOver = false;
                 return;
             }
+            const Instant complete = m_registeredAt.value_or(m_environment.clock.now()) + ReregistrationTime;
+            if (ownerRevision == MustNotExist && *head && m_environment.clock.now() < complete) {
+                m_partitions[partition].takingOver = false;
+                m_partitions[partition].vacantSince = complete;
+                return;
+            }
             writeOwner(partition, ownerRevision, *head);
         });
 }
@@ -186,6 +203,7 @@
     transaction.writes
         = {{JobKeys::owner(partition), serialize(OwnerEntry {m_self, term}), std::nullopt, m_environment.lease.lease()},
             {JobKeys::head(partition), writeJson({{"tenure", term}}), std::nullopt, 0}};
+    m_partitions[partition].ownerLease = m_environment.lease.lease();
     m_environment.store.commit(
         std::move(transaction), [this, alive = m_alive, partition, term](const Result<StoreTransactionResult> &result) {
             if (!*alive) {
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -65,6 +65,8 @@
         // that no further changes arrive.
         bool releasing = false;
         std::optional<Instant> vacantSince;
+        // The store's lease under which the owner key was written last. The key ends with it.
+        LeaseIdentifier ownerLease = 0;
         // The fencing token of the last term of this instance. The cluster's entries may lag behind the store and still
         // show it.
         StoreRevision endedToken = 0;
@@ -85,6 +87,8 @@
     InstanceEntry m_self;
     PartitionLeader::Limits m_limits;
     Instant m_startedAt;
+    // When this process first held a lease.
+    std::optional<Instant> m_registeredAt;
     KnownInstances m_instances;
     // The registered instances, and the revision of the cluster's entries from which they were read.
     std::vector<InstanceEntry> m_listedInstances;
