--- a/review/2/case.py
+++ b/review/2/case.py
@@ -70,12 +70,12 @@
     # In touch again, then the time after which a cancelled task has to be gone, then a second.
     time.sleep((BOUNDS["ContactMs"] + BOUNDS["cancel_ms"] + BOUNDS["StopTimeoutMs"]) / 1000 + 1)
     broken = []
-    for worker, runs in rig.runs().items():
+    for runs in rig.runs().values():
         for task, number in runs:
             job = task.split(".")[0]
             if job in cancelled:
                 age = time.monotonic() - cancelled[job]
-                broken.append(f"UNASKED: {task} run {number} runs on {worker} {age:.1f} s after the ack of its cancelling")
+                broken.append(f"UNASKED: {task} run {number} runs {age:.1f} s after the ack of its cancelling")
                 rig.call(owner, "GET", job)
     rig.record(f"{len(cancelled)} submissions cancelled, {len(broken)} of these still run")
     return broken
--- a/review/rig/platform_standin.py
+++ b/review/rig/platform_standin.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import time
 import urllib.parse
 
@@ -21,6 +22,8 @@
         self.address, self.port, self.handler = address, port, handler
         self.server = None
         self.writers = set()
+        # Whether every channel is reset as soon as it is opened.
+        self.resets = False
 
     async def open(self):
         self.server = await asyncio.start_server(self.serve, self.address, self.port)
@@ -34,6 +37,9 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
+            if self.resets:
+                writer.transport.abort()
+                return
             while True:
                 line = await reader.readline()
                 if not line:
@@ -63,6 +69,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    def set_down(self, down):
+        """Resets all channels, the open ones and all new ones, until the server is up again."""
+        self.resets = down
+        if down:
+            self.reset()
+
     def reset(self):
         """Resets all open channels."""
         for writer in list(self.writers):
@@ -84,6 +96,7 @@
         self.loses = lambda transaction: False
         self.writes = 0
         self.lost = 0
+        self.down = False
 
     def put(self, key, value, lease=0):
         before = self.items.get(key)
@@ -196,19 +209,59 @@
         return 200, {"Revision": self.revision}
 
 
+class Gangs:
+    """Which members of a gang are present, by step and run, and how much work they have done together."""
+
+    def __init__(self):
+        self.gangs = {}
+
+    @staticmethod
+    def key(task, run):
+        return task.rsplit(".", 1)[0], run
+
+    def join(self, task, run, size, saved_ms):
+        gang = self.gangs.setdefault(self.key(task, run), {"size": size, "members": set(), "began": None, "over": None})
+        gang["members"].add(task)
+        if len(gang["members"]) == size and gang["over"] is None:
+            gang["began"] = steady_ms() - saved_ms
+
+    def work_done(self, task, run):
+        began = self.gangs[self.key(task, run)]["began"]
+        return 0 if began is None else max(0, steady_ms() - began)
+
+    def leave(self, task, run, how):
+        """Without one of its members a gang is broken, unless it was done."""
+        gang = self.gangs.get(self.key(task, run))
+        if gang and gang["over"] is None:
+            gang["over"] = "done" if how == "done" else "broken"
+
+    def end_of(self, task, run, run_ms):
+        """Returns how a member has to end now, or nothing."""
+        gang = self.gangs[self.key(task, run)]
+        if gang["over"] is None and gang["began"] is not None and steady_ms() >= gang["began"] + run_ms:
+            gang["over"] = "done"
+        return gang["over"]
+
+    def is_complete(self, task, run):
+        return self.gangs[self.key(task, run)]["began"] is not None
+
+
 class Worker:
     """A worker: runs tasks under a lease on its own clock and lists what runs and what has ended.
 
     The payload of a submission tells what its tasks do: {"run_ms": N}, {"run_ms": N, "fails": true}, or
-    {"lasting": true}, with "serves": true for tasks with a tail. No task disturbs another one.
+    {"lasting": true}, with "serves": true for tasks with a tail, "gang": N for the members of a gang, and "saves": true
+    for checkpoints. A list under "steps" tells it for each step. No task disturbs another one.
     """
 
-    def __init__(self, store, record, name, address, zone, rack, bounds):
-        self.store, self.record = store, record
+    def __init__(self, store, gangs, record, name, address, zone, rack, bounds):
+        self.store, self.gangs, self.record = store, gangs, record
         self.name, self.zone, self.rack, self.bounds = name, zone, rack, bounds
         self.http = HttpServer(address, 0, self.handle)
         self.up = False
         self.life = 0
+        # The orders that started something, as task, run number and checkpoint.
+        self.starts = []
         # The tail of its tasks that serve, in milliseconds.
         self.tail_ms = 10
 
@@ -234,6 +287,8 @@
         self.register()
 
     def register(self):
+        if self.store.down:
+            return
         self.sequence += 1
         self.store.write_own("servers/" + self.name, {
             "Service": "workers", "Address": f"{self.http.address}:{self.http.port}", "Zone": self.zone,
@@ -260,6 +315,8 @@
         """Ends the life of the worker at once. Its channels are reset, and nothing listens until restart()."""
         for (task, run) in self.running:
             self.record(f"{self.name} crashed under {task} run {run}")
+            self.gangs.leave(task, run, "crashed")
+        self.record(f"{self.name} crashes")
         self.up = False
         self.running = {}
         self.http.close()
@@ -276,22 +333,45 @@
                 self.end(task, run, "lapsed")
             elif state["stops_at"] is not None and steady_ms() >= state["stops_at"]:
                 self.end(task, run, "stopped")
+            elif state["gang"]:
+                self.advance_member(task, run, state)
             elif state["stops_at"] is None and not state["lasting"] and self.work_done(state) >= state["run_ms"]:
                 self.end(task, run, "failed" if state["fails"] else "done")
         if lapsed:
             self.lease_until = 0
 
+    def advance_member(self, task, run, state):
+        how = self.gangs.end_of(task, run, state["run_ms"])
+        if how is not None:
+            self.end(task, run, how)
+        elif not self.gangs.is_complete(task, run) and steady_ms() >= state["began"] + self.bounds["GangTimeoutMs"]:
+            self.end(task, run, "alone")
+
+    def checkpoint(self, task, run, state):
+        """Returns the checkpoint of a run: the work in it, and a number that each member chooses anew each time."""
+        if not state["saves"]:
+            return ""
+        work = self.gangs.work_done(task, run) if state["gang"] else self.work_done(state)
+        period = self.bounds["CheckpointS"] * 1000
+        saved = int(work // period * period)
+        if saved > state["saved"]:
+            state["saved"] = saved
+            state["checkpoint"] = f"{saved:08x}{random.getrandbits(32):08x}"
+        return state["checkpoint"]
+
     @staticmethod
     def work_done(state):
-        now = steady_ms()
+        now = max(steady_ms(), state["since"])
         state["work"] += (now - state["since"]) * state["percent"] / 100
         state["since"] = now
         return state["work"]
 
     def end(self, task, run, how):
-        del self.running[(task, run)]
+        saved = self.checkpoint(task, run, self.running[(task, run)])
+        if self.running.pop((task, run))["gang"]:
+            self.gangs.leave(task, run, how)
         self.closed[task] = max(run, self.closed.get(task, 0))
-        self.ends.append([self.next_end, task, run, how, ""])
+        self.ends.append([self.next_end, task, run, how, saved])
         self.next_end += 1
         self.record(f"{self.name} ended {task} run {run} {how}")
         self.listed_change.set()
@@ -339,10 +419,23 @@
             return self.refuse("late")
         self.extend(order)
         payload = json.loads(order["Spec"])
+        if "steps" in payload:
+            payload = payload["steps"][int(task.split(".")[2])]
         self.running[(task, run)] = {"since": steady_ms(), "work": 0.0, "percent": 100, "stops_at": None,
                                      "run_ms": payload.get("run_ms", 0), "fails": payload.get("fails", False),
-                                     "lasting": payload.get("lasting", False), "serves": payload.get("serves", False)}
-        self.record(f"{self.name} started {task} run {run}")
+                                     "lasting": payload.get("lasting", False), "serves": payload.get("serves", False),
+                                     "gang": payload.get("gang", 0), "began": steady_ms(),
+                                     "saves": payload.get("saves", False), "checkpoint": order.get("Checkpoint", ""),
+                                     "saved": 0}
+        saved = int(order["Checkpoint"][:8], 16) if order.get("Checkpoint") else 0
+        state = self.running[(task, run)]
+        state["work"] = state["saved"] = saved
+        state["since"] += self.bounds["RestoreMs"] if saved else 0
+        if payload.get("gang"):
+            self.gangs.join(task, run, payload["gang"], saved)
+        self.starts.append((task, run, order.get("Checkpoint", "")))
+        checkpoint = f" from {order['Checkpoint']}" if order.get("Checkpoint") else ""
+        self.record(f"{self.name} started {task} run {run}{checkpoint}")
         return self.reply(200, {})
 
     def stop(self, order):
@@ -376,5 +469,6 @@
         running = []
         for (task, run), state in self.running.items():
             percent = 100 if state["lasting"] else min(99, int(100 * self.work_done(state) / max(1, state["run_ms"])))
-            running.append([task, run, "", percent, self.tail_ms if state["serves"] else 10 * state["percent"]])
+            usage = self.tail_ms if state["serves"] else 10 * state["percent"]
+            running.append([task, run, self.checkpoint(task, run, state), percent, usage])
         return self.reply(200, {"Running": running, "Ended": self.ends[:MAXIMUM_ENDS]})
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -1,6 +1,7 @@
 """Starts wagtail-node processes against the stand-in of their platform, and plays their clients and the operator."""
 
 import asyncio
+import base64
 import http.client
 import json
 import os
@@ -15,14 +16,15 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from platform_standin import HttpServer, Store, Worker  # noqa: E402
+from platform_standin import Gangs, HttpServer, Store, Worker  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "review.example"
 PREFIX = "/jobs/"
 # The figures of sites/wcwp-grid.toml.
-BOUNDS = {"ContactMs": 4000, "MaxHoldMs": 6000, "DrainMs": 3000, "GraceS": 6, "StopTimeoutMs": 200, "cancel_ms": 3000,
-          "visible_ms": 3000, "status_s": 120, "HeartbeatMs": 1100, "finish_s": 14}
+BOUNDS = {"ContactMs": 4000, "MaxHoldMs": 6000, "DrainMs": 3000, "GraceS": 6, "StopTimeoutMs": 200,
+          "GangTimeoutMs": 3000, "CheckpointS": 2, "RestoreMs": 600, "cancel_ms": 3000, "visible_ms": 3000,
+          "status_s": 120, "HeartbeatMs": 1100, "finish_s": 14}
 ZONES = {"depot": "wheatbelt", "pumphouse": "wheatbelt", "office": "coastal"}
 
 
@@ -111,10 +113,10 @@
         await self.store_server.open()
         zones = list(ZONES)
         self.workers = []
+        gangs = Gangs()
         for index in range(self.worker_count):
             zone = zones[index % len(zones)]
-            worker = Worker(self.store, self.record, f"w{index}", self.network + "2", zone, f"{zone}-{index // 8}",
-                            BOUNDS)
+            worker = Worker(self.store, gangs, self.record, f"w{index}", self.network + "2", zone, zone + "-0", BOUNDS)
             await worker.open()
             self.workers.append(worker)
         route = {"Host": HOST, "Prefix": PREFIX, "Name": "jobs", "Service": "workers", "Priority": 0, "MaxAttempts": 4,
@@ -123,6 +125,15 @@
                                            "Services": [{"Name": "workers", "RejectsOverload": True}],
                                            "Limits": {"MaxBodyBytes": 262144}})
 
+    def set_store_down(self, down):
+        """While the store is down, all channels to it are reset, and leases run out."""
+        self.record("the store is down" if down else "the store is up again")
+
+        def change():
+            self.store.down = down
+            self.store_server.set_down(down)
+        self.do(change)
+
     def start_node(self, index):
         zone = list(ZONES)[index % len(ZONES)]
         name, address = f"node-{index}", f"{self.network}{index + 10}"
@@ -179,11 +190,9 @@
 
     def owner(self):
         """Returns the index of the node that holds the partition, as the store shows it."""
-        import base64
         for key, item in self.do(lambda: dict(self.store.items)).items():
             if key.startswith("wagtail/cluster/owners/"):
-                name = json.loads(base64.b64decode(item["Value"])).get("name") or base64.b64decode(item["Value"]).decode()
-                return int(re.search(r"node-(\d+)", name)[1])
+                return int(re.search(r"node-(\d+)", base64.b64decode(item["Value"]).decode())[1])
         return None
 
     def runs(self):
