--- a/review/rig/platform_standin.py
+++ b/review/rig/platform_standin.py
@@ -24,6 +24,11 @@
         self.writers = set()
         # Whether every channel is reset as soon as it is opened.
         self.resets = False
+        # The most channels that may be open at a time, and how many of these lead to machines that have lost power.
+        self.channels = None
+        self.silent = 0
+        # Whether the machine at the other end of the channels that end now is losing its power.
+        self.peer_loses_power = False
 
     async def open(self):
         self.server = await asyncio.start_server(self.serve, self.address, self.port)
@@ -40,6 +45,11 @@
             if self.resets:
                 writer.transport.abort()
                 return
+            if self.channels is not None and len(self.writers) + self.silent > self.channels:
+                # All channels are taken: a new one hangs.
+                self.writers.discard(writer)
+                await reader.read()
+                return
             while True:
                 line = await reader.readline()
                 if not line:
@@ -66,7 +76,10 @@
         except (OSError, ValueError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.writers.discard(writer)
+            if writer in self.writers:
+                self.writers.discard(writer)
+                # A machine without power closes nothing, so the channel stays open at this end.
+                self.silent += self.peer_loses_power
             writer.close()
 
     def set_down(self, down):
--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -25,6 +25,8 @@
 BOUNDS = {"ContactMs": 4000, "MaxHoldMs": 6000, "DrainMs": 3000, "GraceS": 6, "StopTimeoutMs": 200,
           "GangTimeoutMs": 3000, "CheckpointS": 2, "RestoreMs": 600, "cancel_ms": 3000, "visible_ms": 3000,
           "status_s": 120, "HeartbeatMs": 1100, "finish_s": 14}
+# "64 channels each" (SYSTEM.md).
+CHANNELS = 64
 ZONES = {"depot": "wheatbelt", "pumphouse": "wheatbelt", "office": "coastal"}
 
 
@@ -118,6 +120,7 @@
             zone = zones[index % len(zones)]
             worker = Worker(self.store, gangs, self.record, f"w{index}", self.network + "2", zone, zone + "-0", BOUNDS)
             await worker.open()
+            worker.http.channels = CHANNELS
             self.workers.append(worker)
         route = {"Host": HOST, "Prefix": PREFIX, "Name": "jobs", "Service": "workers", "Priority": 0, "MaxAttempts": 4,
                  "Stretch": 2.0, "TargetLatencyMs": 2000}
@@ -156,6 +159,21 @@
                                                  env=environment, stdout=log, stderr=log)
         log.close()
 
+    def lose_power(self, index):
+        """Ends a node as if its machine had lost power: its channels to the workers stay open at their end."""
+        self.record(f"node-{index} loses power")
+
+        def change(losing):
+            for worker in self.workers:
+                worker.http.peer_loses_power = losing
+        self.do(change, True)
+        self.processes[index].kill()
+        self.processes[index].wait()
+        time.sleep(0.2)
+        self.do(change, False)
+        taken = {worker.name: (len(worker.http.writers), worker.http.silent) for worker in self.workers}
+        self.record(f"channels at the workers, open and silent: {taken}")
+
     def is_ready(self, index):
         address, _, port = self.fronts[index]
         return self.call_port(address, port, "GET", "/-/ready", timeout=0.5)[0] == 200
