Tenure: Keep cancellations until a job's acceptance is settled

Cause: the owner erased a cancellation from its inbox if its scheduler did not know the job. While the answer to the accepting transaction is outstanding the store has the job, and other instances say so to callers, but the owner's scheduler does not. The logs show the cancellation applied 211 ms before "job-accepted". Now such a cancellation stays in the inbox and is applied when the job is added, before any of its tasks is placed.

Ruled out: a second acceptance of the same job, and an inbox that is read late.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -54,6 +54,15 @@
     schedule(Urgency::High);
 }
 
+bool JobJournal::isAccepting(const std::string &job) const
+{
+    const auto concernsJob = [&job](const PendingAccept &accept) {
+        return accept.record.specification.id == job;
+    };
+    return std::any_of(m_accepts.begin(), m_accepts.end(), concernsJob)
+        || (m_batch && std::any_of(m_batch->accepts.begin(), m_batch->accepts.end(), concernsJob));
+}
+
 void JobJournal::progressChanged(const std::string &job, Urgency urgency)
 {
     m_changed.insert(job);
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -84,6 +84,9 @@
     // Records a new job unless a job of the same id exists. Fails at once while the store does not answer.
     void accept(JobRecord record, AcceptHandler handler);
 
+    // Returns whether the outcome of recording the job is still unknown. The store may have the job already.
+    [[nodiscard]] bool isAccepting(const std::string &job) const;
+
     // How soon a change must be written.
     enum class Urgency {
         // A caller waits for the change.
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -126,6 +126,10 @@
         if (result.outcome == AcceptOutcome::Accepted) {
             m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
         }
+        // With an unknown outcome the term has ended, and the next owner reads the inbox.
+        if (result.outcome != AcceptOutcome::Unknown) {
+            applyKeptCancellation(record.specification.id);
+        }
         handler(result);
     });
 }
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -102,6 +102,11 @@
     void onInboxChanged(const std::string &key);
     void applyInboxEntry(const std::string &key, const InboxEntry &entry);
     void restoreJob(const StoreEntry &entry, const std::string *progress);
+
+    // Applies a cancellation from the inbox. Keeps it there while the job's acceptance has no known outcome.
+    void applyCancellation(const std::string &key, const std::string &id);
+    // Applies the cancellation that was kept until the outcome of the job's acceptance was known, if there is one.
+    void applyKeptCancellation(const std::string &id);
     void cancelLocally(const JobState &job, std::function<void(bool)> handler);
 
     // Fails a job by the verdict of another partition. Erases the verdict's key once the store has the end of the job.
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -97,16 +97,39 @@
         m_journal.erase(key);
         return;
     }
+    if (entry.request == InboxRequest::Cancel) {
+        applyCancellation(key, entry.job);
+        return;
+    }
     const JobState *job = m_jobScheduler.find(entry.job);
     if (job == nullptr) {
         m_journal.erase(key);
         return;
     }
-    if (entry.request == InboxRequest::GiveUp) {
-        failDelegated(*job, key, entry);
+    failDelegated(*job, key, entry);
+}
+
+void PartitionLeader::applyCancellation(const std::string &key, const std::string &id)
+{
+    const JobState *job = m_jobScheduler.find(id);
+    if (job != nullptr) {
+        cancelLocally(*job, [this, key](bool) { m_journal.erase(key); });
         return;
     }
-    cancelLocally(*job, [this, key](bool) { m_journal.erase(key); });
+    if (m_journal.isAccepting(id)) {
+        m_environment.log("cancellation-kept", id, {{"reason", "the outcome of the acceptance is unknown"}});
+        return;
+    }
+    m_environment.log("cancellation-dropped", id, {{"reason", "the partition does not know the job"}});
+    m_journal.erase(key);
+}
+
+void PartitionLeader::applyKeptCancellation(const std::string &id)
+{
+    const std::string key = JobKeys::inboxCancellation(m_position.partition, id);
+    if (m_inbox.find(key) != nullptr) {
+        onInboxChanged(key);
+    }
 }
 
 void PartitionLeader::failDelegated(const JobState &job, const std::string &key, const InboxEntry &verdict)
