Scheduling: Complete all members of a gang by one end as done

Cause: the end of one member completed only those with the same present run number. A successor knows that number only of runs that it has adopted, so a member whose worker had lost its list of ends stayed behind, and a gang is placed only as a whole. The node's log shows "earlier-run-done" for three of four members with "current_run" 0, and then "tasks-waiting" without end. Now one end as done completes all members, a later run of a member is stopped, and a gang that the store has as done in part is restored as done.

Ruled out: tasks held back by the recovery, which had ended 0.2 s after the term began, and workers without room.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -216,6 +216,10 @@
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
     void completeTask(TaskState &task);
+    // Completes a task, or all members of its gang, because a run of it has ended as done.
+    void completeByRun(TaskState &task, std::uint64_t run, bool isCurrent);
+    // Takes the present run, which is no longer needed, off its task and stops it.
+    void discardRun(TaskState &task);
     void completeStep(StepState &step);
     // If tasks of the completed step ran under this leader term, no earlier term can have started the steps after it.
     static void markDependentsUnstarted(const StepState &step);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -323,35 +323,44 @@
             {{"worker", worker.listing.name}, {"run", ended.run.run}, {"phase", nameOf(task->phase)},
                 {"current_worker", task->worker}, {"current_run", task->run}});
     }
-    if (task->phase != RunPhase::Done && !current && !task->worker.empty()) {
-        // An earlier run has completed the task, so the current one is no longer needed.
-        WorkerState *other = findWorker(task->worker);
-        const RunName obsolete {ended.run.task, task->run};
-        const bool mayStillStart = task->deliveryUncertain || task->orderPending;
-        detach(*task);
-        if (other != nullptr) {
-            other->mayReceiveObsoleteStart = other->mayReceiveObsoleteStart || mayStillStart;
-            other->orphanRuns.insert(obsolete);
-            stopOrphan(*other, obsolete);
-        }
-    }
     if (current) {
         detach(*task);
     }
-    if (task->phase == RunPhase::Done) {
+    // An end as done represents all members of a gang, also those of which this term knows no run or another one.
+    if (!task->step->specification().gang) {
+        completeByRun(*task, ended.run.run, current);
         return;
     }
-    StepState &step = *task->step;
-    // The last owner may have noted the end of another run than the current one and opened the steps after this one.
-    task->isPlaceKnown = task->isPlaceKnown && current;
-    completeTask(*task);
-    if (!step.specification().gang) {
+    for (TaskState &member : task->step->tasks) {
+        completeByRun(member, ended.run.run, current);
+    }
+}
+
+void JobScheduler::completeByRun(TaskState &task, std::uint64_t run, bool isCurrent)
+{
+    if (task.phase == RunPhase::Done) {
         return;
     }
-    for (TaskState &member : step.tasks) {
-        if (member.phase != RunPhase::Done && member.run == ended.run.run) {
-            completeTask(member);
-        }
+    // The worker of a member that took part in the run lists its end as well.
+    const bool isMemberOfRun = task.step->specification().gang && task.run == run;
+    if (!task.worker.empty() && !isMemberOfRun) {
+        discardRun(task);
+    }
+    // The last owner may have noted the end of another run than the current one and opened the steps after this one.
+    task.isPlaceKnown = task.isPlaceKnown && isCurrent;
+    completeTask(task);
+}
+
+void JobScheduler::discardRun(TaskState &task)
+{
+    WorkerState *worker = findWorker(task.worker);
+    const RunName obsolete {nameOf(task), task.run};
+    const bool mayStillStart = task.deliveryUncertain || task.orderPending;
+    detach(task);
+    if (worker != nullptr) {
+        worker->mayReceiveObsoleteStart = worker->mayReceiveObsoleteStart || mayStillStart;
+        worker->orphanRuns.insert(obsolete);
+        stopOrphan(*worker, obsolete);
     }
 }
 
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -79,6 +79,16 @@
     return document;
 }
 
+// Completes the members that an earlier version left unfinished when others were done. Members end as done together.
+void completeGang(StepState &step)
+{
+    for (TaskState &task : step.tasks) {
+        task.phase = RunPhase::Done;
+    }
+    step.doneCount = static_cast<int>(step.tasks.size());
+    step.waitingCount = 0;
+}
+
 void restoreStep(StepState &step, const Json &document)
 {
     const std::string completed = memberOr(document, "done", std::string());
@@ -90,6 +100,9 @@
             --step.waitingCount;
         }
     }
+    if (step.specification().gang && step.doneCount > 0) {
+        completeGang(step);
+    }
     for (const Json &entry : memberOr(document, "tasks", Json::array())) {
         const int index = memberOr(entry, "index", -1);
         if (index < 0 || static_cast<std::size_t>(index) >= step.tasks.size()) {
