Tenure: Write no delegation after the cancellation of its job

Found while looking for the cause of lost cancellations on related paths; no caller is known to have met it.

That partition then erases the cancellation of an unknown job and runs the tasks for good. A delegation that is not stored yet is now dropped once its cancellation is to be written.

Writing delegations first was ruled out: workers get no lease before the record of lease holders, which is a value too.

JobJournalTest.writesNoDelegationAfterItsCancellation fails without the change: both the delegation and the job are stored in the other partition.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -69,9 +69,9 @@
     schedule(urgency);
 }
 
-void JobJournal::delegate(const std::string &job, std::vector<StoreWrite> writes)
+void JobJournal::delegate(const std::string &job, const std::string &partition, std::vector<StoreWrite> writes)
 {
-    PendingDelegation delegation {job, std::move(writes)};
+    PendingDelegation delegation {job, partition, std::move(writes)};
     std::erase_if(
         m_delegations, [&delegation](const PendingDelegation &earlier) { return delegation.replaces(earlier); });
     m_delegations.push_back(std::move(delegation));
@@ -179,6 +179,7 @@
     transaction.writes.push_back(
         {JobKeys::head(m_position.partition), writeJson({{"tenure", m_position.term}}), std::nullopt, 0});
     std::size_t entries = FixedEntries;
+    dropCancelledDelegations();
     // These are few, and workers get no lease before the record that names them is stored.
     while (!m_puts.empty() && entries < MaxTransactionEntries) {
         auto node = m_puts.extract(m_puts.begin());
@@ -239,6 +240,15 @@
     ++entries;
 }
 
+void JobJournal::dropCancelledDelegations()
+{
+    // The other partition erases a cancellation of a job that it does not know, so one that came before the delegation
+    // would have no effect.
+    std::erase_if(m_delegations, [this](const PendingDelegation &delegation) {
+        return m_puts.contains(JobKeys::inboxCancellation(delegation.partition, delegation.job));
+    });
+}
+
 void JobJournal::fillDelegations(Batch &batch, std::size_t &entries)
 {
     while (!m_delegations.empty()) {
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -98,9 +98,10 @@
     // Schedules the job's progress to be written.
     void progressChanged(const std::string &job, Urgency urgency);
 
-    // Schedules the job's progress to be written in one transaction with the given keys of another partition. Replaces
-    // a pending delegation whose first key is the same.
-    void delegate(const std::string &job, std::vector<StoreWrite> writes);
+    // Schedules the job's progress to be written in one transaction with the given keys of the partition to which tasks
+    // of the job are delegated. Replaces a pending delegation whose first key is the same. A pending delegation is
+    // dropped if the job's cancellation is put into the inbox of that partition.
+    void delegate(const std::string &job, const std::string &partition, std::vector<StoreWrite> writes);
 
     // Requests onSyncStarting() and onSynced() even if no job has changed.
     void requestSync();
@@ -125,6 +126,7 @@
     struct PendingDelegation
     {
         std::string job;
+        std::string partition;
         std::vector<StoreWrite> writes;
 
         [[nodiscard]] bool replaces(const PendingDelegation &earlier) const;
@@ -149,6 +151,7 @@
     void writeAfter(Milliseconds delay, bool &scheduled);
     void write();
     void fill(Batch &batch);
+    void dropCancelledDelegations();
     void fillDelegations(Batch &batch, std::size_t &entries);
     void writeProgress(Batch &batch, const std::string &job, std::size_t &entries);
     void send();
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -51,7 +51,7 @@
     const std::string &id = job.specification.id;
     const JobRecord record {job.specification, job.policy, job.acceptedWall, tasksDelegatedTo(job, partition)};
     const InboxEntry entry {InboxRequest::Delegate, id, record};
-    m_journal.delegate(id,
+    m_journal.delegate(id, partition,
         {{JobKeys::jobs(partition) + id, serialize(record), std::nullopt, 0},
             {JobKeys::inboxDelegation(partition, id), serialize(entry), std::nullopt, 0}});
 }
--- a/source/tenure/tests/JobJournalTest.cpp
+++ b/source/tenure/tests/JobJournalTest.cpp
@@ -131,7 +131,7 @@
     for (int i = 0; i < Jobs; ++i) {
         m_journal->progressChanged("job-" + std::to_string(i), JobJournal::Urgency::Low);
     }
-    m_journal->delegate("zz", {{"wagtail/partitions/other/jobs/zz", "record", {}, 0}});
+    m_journal->delegate("zz", "other", {{"wagtail/partitions/other/jobs/zz", "record", {}, 0}});
     m_journal->progressChanged("zz", JobJournal::Urgency::Low);
     static_cast<void>(countTransactions(Milliseconds(200)));
     const auto revisionOf = [this](const std::string &key) {
@@ -140,6 +140,26 @@
     EXPECT_EQ(revisionOf("wagtail/partitions/other/jobs/zz"), revisionOf(JobKeys::progress("fleet") + "zz"));
 }
 
+// The other partition erased a cancellation that came before the delegation, and ran the tasks for good.
+TEST_F(JobJournalTest, writesNoDelegationAfterItsCancellation)
+{
+    // The delegations of both jobs do not fit into the transaction that carries the cancellation.
+    for (const std::string job : {"first", "second"}) {
+        for (int i = 0; i < 10; ++i) {
+            const std::string partition = job == "second" && i == 0 ? "other" : "partition-" + std::to_string(i);
+            m_journal->delegate(job, partition,
+                {{JobKeys::jobs(partition) + job, "record", {}, 0},
+                    {JobKeys::inboxDelegation(partition, job), "entry", {}, 0}});
+        }
+    }
+    m_journal->put(JobKeys::inboxCancellation("other", "second"), "cancellation");
+    static_cast<void>(countTransactions(Milliseconds(200)));
+    EXPECT_TRUE(m_state.read(JobKeys::inboxCancellation("other", "second")));
+    EXPECT_FALSE(m_state.read(JobKeys::inboxDelegation("other", "second")));
+    EXPECT_FALSE(m_state.read(JobKeys::jobs("other") + "second"));
+    EXPECT_TRUE(m_state.read(JobKeys::inboxDelegation("partition-9", "second")));
+}
+
 // A hand-over needs the record of the lease holders, even if the changed jobs alone fill a transaction.
 TEST_F(JobJournalTest, endsAFlushOnlyWhenAllValuesAreStored)
 {
