Tests: Widen the rig of real processes

The rig left cancelled jobs out of its checks and knew no gangs and no tasks that last. Cancelled tasks that start late or run on, and lasting tasks that don't run, are violations now. Jobs may have gangs or last, one in ten is cancelled as soon as it is accepted. Workers carry out report requests late, lose their present owner but not its successor, and are reborn behind a cut. Single instances lose their lease, get a share of their time only, and most of them lose the store at once. Worker leases are 6 s and stops take 0.2 s at most.

--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -30,6 +30,7 @@
     , m_clock(clock)
     , m_settings(std::move(settings))
     , m_ledger(clock)
+    , m_gangs(clock)
     , m_api(context, clock, m_settings.limits, m_settings.seed)
     , m_timer(context)
 {
@@ -82,13 +83,14 @@
     settings.capacity = {WorkerMilliCores, WorkerMemoryMegabytes, 0};
     settings.clockRate = index % SlowClockEvery == 0 ? SlowestClockRate : 1.0;
     settings.longestLease = m_settings.longestLease;
+    settings.longestStop = m_settings.longestStop;
     settings.seed = m_settings.seed + static_cast<std::uint64_t>(index);
     const auto schedule = [this](Milliseconds delay, std::function<void()> action) {
         auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
         timer->async_wait([timer, action = std::move(action)](const asio::error_code &) { action(); });
     };
     Machine machine;
-    machine.worker = std::make_unique<PlatformWorker>(m_clock, m_ledger, schedule, settings);
+    machine.worker = std::make_unique<PlatformWorker>(m_clock, m_ledger, m_gangs, schedule, settings);
     machine.registration = std::make_unique<WorkerRegistration>(m_clock, m_api.store(), *machine.worker, settings.seed);
     m_machines.push_back(std::move(machine));
 }
@@ -157,6 +159,10 @@
     if (memberOr(order, "drop_history", false)) {
         m_api.store().dropHistory();
     }
+    const std::string dropped = memberOr(order, "drop_lease_of", std::string());
+    if (const auto entry = dropped.empty() ? std::nullopt : m_api.store().read(dropped)) {
+        m_api.store().revokeLease(entry->lease);
+    }
     m_api.setFaults(faults);
 }
 
@@ -183,8 +189,11 @@
     PlatformWorker::Faults faults;
     faults.loseAnswers = memberOr(order, "lose_answers", 0.0);
     faults.carryOutLate = memberOr(order, "carry_out_late", 0.0);
+    faults.reportLate = memberOr(order, "report_late", 0.0);
     faults.refuse = memberOr(order, "refuse", 0.0);
     faults.silent = memberOr(order, "silent", false);
+    faults.ownerRequestsCut = memberOr(order, "owner_requests_cut", false);
+    faults.ownerAnswersCut = memberOr(order, "owner_answers_cut", false);
     const Milliseconds downtime(memberOr(order, "downtime_ms", std::int64_t {0}));
     for (const std::size_t index : memberOr(order, "workers", std::vector<std::size_t>())) {
         if (index >= m_machines.size()) {
--- a/standins/PlatformProgram.h
+++ b/standins/PlatformProgram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FaultyRelay.h"
+#include "GangRegistry.h"
 #include "PlatformStoreApi.h"
 #include "PlatformWorker.h"
 #include "RunLedger.h"
@@ -29,6 +30,8 @@
         int workers = 1;
         std::vector<std::string> dataCentres;
         Milliseconds longestLease {10'000};
+        // How long a worker takes to stop a run at most.
+        Milliseconds longestStop {900};
         std::uint64_t seed = 1;
         PlatformStoreApi::Limits limits;
     };
@@ -58,6 +61,7 @@
     const Clock &m_clock;
     Settings m_settings;
     RunLedger m_ledger;
+    GangRegistry m_gangs;
     PlatformStoreApi m_api;
     std::vector<Machine> m_machines;
     std::vector<std::unique_ptr<FaultyRelay>> m_links;
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -18,6 +18,15 @@
 constexpr int FullSpeed = 100;
 // How much later than its call an order is carried out at most.
 constexpr Milliseconds LongestOrderDelay {4'000};
+// How long a member of a gang waits for the others.
+constexpr Milliseconds GangTimeout {3'000};
+
+// Returns whether a task, whose name has the form JOB.OCCURRENCE.STEP.INDEX, belongs to its job's first step.
+bool isOfFirstStep(const std::string &task)
+{
+    const std::size_t index = task.rfind('.');
+    return index != std::string::npos && index >= 2 && task.substr(index - 2, 2) == ".0";
+}
 
 std::string checkpointAt(Milliseconds work)
 {
@@ -28,9 +37,11 @@
 
 }
 
-PlatformWorker::PlatformWorker(const Clock &clock, RunLedger &ledger, Schedule schedule, Settings settings)
+PlatformWorker::PlatformWorker(
+    const Clock &clock, RunLedger &ledger, GangRegistry &gangs, Schedule schedule, Settings settings)
     : m_clock(clock)
     , m_ledger(ledger)
+    , m_gangs(gangs)
     , m_schedule(std::move(schedule))
     , m_settings(std::move(settings))
     , m_random(m_settings.seed)
@@ -62,6 +73,9 @@
     }
     for (const Run &run : m_running) {
         m_ledger.recordEnd(run.name, "crashed");
+        if (run.gang) {
+            m_gangs.leave(*run.gang);
+        }
     }
     m_running.clear();
     m_waiting.clear();
@@ -72,6 +86,14 @@
 void PlatformWorker::setFaults(const Faults &faults)
 {
     m_faults = faults;
+    m_highestCutToken = m_token;
+}
+
+bool PlatformWorker::isFromCutOwner(const HttpRequest &request) const
+{
+    const Result<Json> parsed = parseJson(request.body, "the order");
+    const Json *order = std::get_if<Json>(&parsed);
+    return order != nullptr && memberOr(*order, "FencingToken", std::uint64_t {0}) <= m_highestCutToken;
 }
 
 bool PlatformWorker::isUp() const
@@ -132,7 +154,11 @@
         respond(reply(HttpStatus::ServiceUnavailable));
         return;
     }
-    if (request.path != "/-/hold" && happens(m_faults.carryOutLate)) {
+    const bool cutOff = (m_faults.ownerRequestsCut || m_faults.ownerAnswersCut) && isFromCutOwner(request);
+    if (cutOff && m_faults.ownerRequestsCut) {
+        return;
+    }
+    if (happens(request.path == "/-/hold" ? m_faults.reportLate : m_faults.carryOutLate)) {
         // The worker has taken the order in, so it is lost with this life of the worker.
         m_schedule(upTo(Milliseconds(500), LongestOrderDelay), [this, request, life = m_life] {
             if (isUp() && m_life == life) {
@@ -141,7 +167,7 @@
         });
         return;
     }
-    if (happens(m_faults.loseAnswers)) {
+    if (cutOff || happens(m_faults.loseAnswers)) {
         carryOut(request, [](const HttpResponse &) {});
         return;
     }
@@ -231,6 +257,12 @@
     run.fails = m_ledger.failures(task) < memberOr(work, "fail_first", 0);
     run.lasting = memberOr(work, "lasting", false);
     run.saves = memberOr(work, "saves", false);
+    run.startedAt = m_clock.now();
+    const int members = memberOr(work, "gang", 0);
+    if (members > 0 && isOfFirstStep(task)) {
+        run.gang = GangRegistry::Member {task, number, members, run.workNeeded};
+        m_gangs.join(*run.gang);
+    }
     m_ledger.recordStart(run.name);
     m_running.push_back(std::move(run));
     respond(reply(HttpStatus::Ok));
@@ -329,15 +361,14 @@
     std::vector<std::pair<Run, std::string>> over;
     for (Run &run : m_running) {
         updateProgress(run);
-        const Milliseconds needed = run.fails ? run.workNeeded / 2 : run.workNeeded;
         if (lapsed) {
             over.emplace_back(run, "lapsed");
         } else if (run.stopsAt) {
             if (m_clock.now() >= *run.stopsAt) {
                 over.emplace_back(run, "stopped");
             }
-        } else if (!run.lasting && run.workDone >= needed) {
-            over.emplace_back(run, run.fails ? "failed" : "done");
+        } else if (const std::optional<std::string> how = endOf(run)) {
+            over.emplace_back(run, *how);
         }
     }
     for (const auto &[run, how] : over) {
@@ -346,6 +377,27 @@
     answerWaitingReports(!over.empty());
 }
 
+std::optional<std::string> PlatformWorker::endOf(const Run &run) const
+{
+    if (run.gang) {
+        switch (m_gangs.stateOf(*run.gang)) {
+        case GangRegistry::State::Assembling:
+            return m_clock.now() - run.startedAt >= GangTimeout ? std::optional<std::string>("alone") : std::nullopt;
+        case GangRegistry::State::Working:
+            return std::nullopt;
+        case GangRegistry::State::Done:
+            return "done";
+        case GangRegistry::State::Broken:
+            return "broken";
+        }
+    }
+    const Milliseconds needed = run.fails ? run.workNeeded / 2 : run.workNeeded;
+    if (run.lasting || run.workDone < needed) {
+        return std::nullopt;
+    }
+    return run.fails ? "failed" : "done";
+}
+
 void PlatformWorker::end(const Run &run, const std::string &how)
 {
     std::uint64_t &closed = m_closed[run.name.task];
@@ -353,6 +405,9 @@
     const std::string checkpoint = run.saves && how == "stopped" ? checkpointAt(run.workDone) : std::string();
     m_ends.push_back({m_nextEnd++, run.name, how, checkpoint, m_clock.now(), m_lapses});
     m_ledger.recordEnd(run.name, how);
+    if (run.gang) {
+        m_gangs.leave(*run.gang);
+    }
     std::erase_if(m_running,
         [&run](const Run &other) { return other.name.task == run.name.task && other.name.number == run.name.number; });
 }
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "GangRegistry.h"
 #include "RunLedger.h"
 #include "base/Clock.h"
 #include "base/Resources.h"
@@ -15,7 +16,8 @@
 
 // A stand-in for a worker in the platform's published protocol: starts, stops and paces runs under a lease on its own
 // clock, and lists what runs and what has ended. What a run does is told by its payload, a JSON object with run_ms,
-// millicores, memory_mb, fail_first (so many runs of the task fail), lasting and saves (checkpoints its progress).
+// millicores, memory_mb, fail_first (so many runs of the task fail), lasting, saves (checkpoints its progress) and gang
+// (the tasks of the first step are a gang of so many members).
 class PlatformWorker
 {
 public:
@@ -42,11 +44,17 @@
     {
         double loseAnswers = 0.0;
         double carryOutLate = 0.0;
+        // The same for report requests, which also extend leases.
+        double reportLate = 0.0;
         double refuse = 0.0;
         bool silent = false;
+        // Calls with the highest fencing token that the worker has seen when the fault begins, or a lower one, don't
+        // arrive, or are carried out and not answered: the present owner is cut off and its successor is not.
+        bool ownerRequestsCut = false;
+        bool ownerAnswersCut = false;
     };
 
-    PlatformWorker(const Clock &clock, RunLedger &ledger, Schedule schedule, Settings settings);
+    PlatformWorker(const Clock &clock, RunLedger &ledger, GangRegistry &gangs, Schedule schedule, Settings settings);
 
     void handle(const HttpRequest &request, const Respond &respond);
 
@@ -75,6 +83,8 @@
         bool lasting = false;
         bool saves = false;
         std::optional<Instant> stopsAt = std::nullopt;
+        Instant startedAt = {};
+        std::optional<GangRegistry::Member> gang = std::nullopt;
     };
 
     struct End
@@ -100,7 +110,10 @@
     void stop(const Json &order, const Respond &respond);
     void pace(const Json &order, const Respond &respond);
     void report(const Json &order, const Respond &respond);
-    void begin(const Json &order);
+    // Returns how the run has ended by itself, or nothing while it goes on.
+    [[nodiscard]] std::optional<std::string> endOf(const Run &run) const;
+    // Returns whether the call comes from an owner that is cut off.
+    [[nodiscard]] bool isFromCutOwner(const HttpRequest &request) const;
     void end(const Run &run, const std::string &how);
     void extendLease(const Json &order);
     void updateProgress(Run &run) const;
@@ -117,6 +130,7 @@
 
     const Clock &m_clock;
     RunLedger &m_ledger;
+    GangRegistry &m_gangs;
     Schedule m_schedule;
     Settings m_settings;
     Faults m_faults;
@@ -128,6 +142,7 @@
     std::optional<Instant> m_downUntil;
     bool m_newNameAfterCrash = false;
     std::uint64_t m_token = 0;
+    std::uint64_t m_highestCutToken = 0;
     std::int64_t m_leaseUntil = 0;
     int m_lapses = 0;
     std::vector<Run> m_running;
--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -114,6 +114,12 @@
             task.starts.begin(), task.starts.end(), [](const Start &start) { return start.how == "done"; });
         job["starts"] = memberOr(job, "starts", std::size_t {0}) + task.starts.size();
         job["done"] = memberOr(job, "done", 0) + (done ? 1 : 0);
+        const bool runs
+            = std::any_of(task.starts.begin(), task.starts.end(), [](const Start &start) { return !start.endedAt; });
+        job["running"] = memberOr(job, "running", 0) + (runs ? 1 : 0);
+        for (const Start &start : task.starts) {
+            job["last_began_ms"] = std::max(memberOr(job, "last_began_ms", std::int64_t {0}), start.wallMilliseconds);
+        }
         const auto crashes = std::count_if(
             task.starts.begin(), task.starts.end(), [](const Start &start) { return start.how == "crashed"; });
         job["crashes"] = std::max(memberOr(job, "crashes", std::int64_t {0}), std::int64_t {crashes});
--- a/standins/RunLedger.h
+++ b/standins/RunLedger.h
@@ -35,8 +35,8 @@
     // Returns how many runs of the task have failed.
     [[nodiscard]] int failures(const std::string &task) const;
     [[nodiscard]] const Json &violations() const;
-    // Returns for each job how many runs of its tasks have started, how many tasks have ended as done, and under how
-    // many runs of one task workers have crashed at most.
+    // Returns for each job how many runs of its tasks have started, when the last one did, how many of its tasks run,
+    // how many have ended as done, and under how many runs of one task workers have crashed at most.
     [[nodiscard]] Json jobs() const;
 
 private:
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -7,7 +7,8 @@
 #include <sstream>
 
 // Runs the stand-in of the platform: --control=PORT, --store=PORT, --links=PORT (one for each of --instances=N),
-// --worker-ports=PORT (one for each of --workers=N), --data-centres=A,B, --lease-ms, --seed, --writes, --reads.
+// --worker-ports=PORT (one for each of --workers=N), --data-centres=A,B, --lease-ms, --stop-ms, --seed, --writes,
+// --reads.
 int main(int count, char **arguments)
 {
     const auto options = Wagtail::readOptions(count, arguments);
@@ -25,6 +26,7 @@
     settings.instances = number("instances", "1");
     settings.workers = number("workers", "1");
     settings.longestLease = Wagtail::Milliseconds(number("lease-ms", "10000"));
+    settings.longestStop = Wagtail::Milliseconds(number("stop-ms", "900"));
     settings.seed = static_cast<std::uint64_t>(number("seed", "1"));
     settings.limits.writesPerSecond = number("writes", "400");
     settings.limits.readsPerSecond = number("reads", "2000");
--- a/standins/tests/PlatformWorkerTest.cpp
+++ b/standins/tests/PlatformWorkerTest.cpp
@@ -17,7 +17,7 @@
     static constexpr std::int64_t LeaseMilliseconds = 5'000;
 
     PlatformWorkerTest()
-        : m_worker(m_clock, m_ledger, [](Milliseconds, const std::function<void()> &) {},
+        : m_worker(m_clock, m_ledger, m_gangs, [](Milliseconds, const std::function<void()> &) {},
             {"worker-0", "127.0.0.1:1", "depot", "depot-0", {64'000, 256'000, 0}, 1.0})
     {
     }
@@ -55,6 +55,7 @@
 
     ManualClock m_clock;
     RunLedger m_ledger {m_clock};
+    GangRegistry m_gangs {m_clock};
     PlatformWorker m_worker;
 };
 
@@ -151,4 +152,47 @@
     EXPECT_EQ(ledger.violations().size(), 1U);
 }
 
+// A successor must be able to reach a worker that its predecessor can't reach.
+TEST_F(PlatformWorkerTest, answersNewOwnersWhileTheFormerOneIsCutOff)
+{
+    ASSERT_EQ(start(1).status, HttpStatus::Ok);
+    PlatformWorker::Faults faults;
+    faults.ownerAnswersCut = true;
+    m_worker.setFaults(faults);
+    EXPECT_EQ(call("/-/run-stop", {{"Task", "job.0.0.0"}, {"Run", 1}}).status, 0);
+    EXPECT_EQ(call("/-/hold", {{"LastSeen", 0}, {"FencingToken", 2}}).status, HttpStatus::Ok);
+}
+
+// The members of a gang work only together.
+TEST_F(PlatformWorkerTest, endsAMemberOfAGangThatStaysAlone)
+{
+    const Json order {
+        {"Task", "job.0.0.0"}, {"Run", 1}, {"UntilMs", LeaseMilliseconds}, {"Spec", R"({"run_ms":100,"gang":2})"}};
+    ASSERT_EQ(call("/-/run-start", order).status, HttpStatus::Ok);
+    advance(Milliseconds(3'000));
+    const Json ended = report(0)["Ended"];
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0][3], "alone");
+}
+
+// One member that ends early breaks the others off, and the end of all as done comes at the same time.
+TEST(GangRegistry, knowsWhenAGangIsDoneOrBroken)
+{
+    ManualClock clock;
+    GangRegistry gangs(clock);
+    const GangRegistry::Member first {"job.0.0.0", 1, 2, Milliseconds(100)};
+    const GangRegistry::Member second {"job.0.0.1", 1, 2, Milliseconds(100)};
+    gangs.join(first);
+    EXPECT_EQ(gangs.stateOf(first), GangRegistry::State::Assembling);
+    gangs.join(second);
+    EXPECT_EQ(gangs.stateOf(first), GangRegistry::State::Working);
+    clock.advance(Milliseconds(100));
+    gangs.leave(first);
+    EXPECT_EQ(gangs.stateOf(second), GangRegistry::State::Done);
+    const GangRegistry::Member other {"job.0.0.1", 2, 2, Milliseconds(100)};
+    gangs.join(other);
+    gangs.leave({"job.0.0.0", 2, 2, Milliseconds(100)});
+    EXPECT_EQ(gangs.stateOf(other), GangRegistry::State::Broken);
+}
+
 }
--- a/tests/history/node_callers.py
+++ b/tests/history/node_callers.py
@@ -19,22 +19,32 @@
         self.id = f"{generator.getrandbits(64):016x}"
         self.queue = generator.choice(list(QUEUES))
         run_ms = generator.choice([100, 300, 800, 2000, 4000, 6000])
+        kind = generator.random()
+        self.lasting = kind < 0.08
+        gang = 0.08 <= kind < 0.2
+        saves = generator.random() < 0.3 and not gang
         first = {"Count": generator.choice([1, 4, 10, 30]), "Cpu": generator.choice([7000, 14000, 21000]),
                  "MemMb": 4000, "EstimatedMs": run_ms}
-        steps = [first]
-        if generator.random() < 0.3:
+        if self.lasting or gang:
+            first.update({"Count": generator.choice([2, 4]), "AntiAffinity": 1})
+        steps = [dict(first, Gang=True) if gang else dict(first, LongRunning=True) if self.lasting else first]
+        if generator.random() < 0.3 and not self.lasting:
             steps.append(dict(first, Count=generator.choice([1, 4]), After=[0]))
-        saves = generator.random() < 0.3
         for step in steps:
             if saves:
                 step["Checkpointing"] = True
+        # Some jobs are cancelled as soon as they are accepted, and those that last after a while.
+        self.prompt_cancel = generator.random() < 0.1
+        self.stay_s = generator.uniform(1, 40) if self.lasting else 0.0
         payload = {"run_ms": run_ms, "millicores": first["Cpu"], "memory_mb": first["MemMb"],
-                   "fail_first": generator.choice([0, 0, 0, 0, 0, 1]), "saves": saves}
+                   "fail_first": 0 if gang else generator.choice([0, 0, 0, 0, 0, 1]), "saves": saves,
+                   "lasting": self.lasting, "gang": first["Count"] if gang else 0}
         self.body = json.dumps({"Spec": json.dumps(payload), "Steps": steps}).encode()
         self.tasks = sum(step["Count"] for step in steps)
         self.statuses = []
         self.accepted_at = None
         self.cancelled = False
+        self.cancelled_at = None
         self.state = None
 
     def path(self):
@@ -109,8 +119,11 @@
             job = Job(generator)
             self.jobs.append(job)
             self.submit(job, generator, connections)
-            if job.accepted_at and generator.random() < 0.05:
+            if job.accepted_at and (job.prompt_cancel or generator.random() < 0.05):
+                if not job.prompt_cancel:
+                    time.sleep(generator.uniform(0, 2))
                 self.cancel(job, generator, connections)
+            self.cancel_over_stayed(generator, connections)
             if job.accepted_at and generator.random() < 0.03:
                 # A repeated request that arrives late.
                 connections.call(generator.choice(self.deployment.caller_ports()), "POST", job.path(), job.body)
@@ -130,11 +143,23 @@
                 return
             time.sleep(generator.uniform(0.1, 0.6))
 
+    def cancel_over_stayed(self, generator, connections):
+        """Cancels the oldest job that lasts and has stayed for its time."""
+        now = time.time()
+        with self.lock:
+            due = next((job for job in self.unfinished.values()
+                        if job.lasting and not job.cancelled and now - job.accepted_at > job.stay_s), None)
+            if due is not None:
+                due.cancelled = True
+        if due is not None:
+            self.cancel(due, generator, connections)
+
     def cancel(self, job, generator, connections):
         job.cancelled = True
         for _ in range(MOST_ATTEMPTS):
             port = generator.choice(self.deployment.caller_ports())
             if connections.call(port, "DELETE", job.path())[0] in (200, 410):
+                job.cancelled_at = time.time()
                 return
             time.sleep(0.3)
 
@@ -158,9 +183,9 @@
                     self.unfinished.pop(job.id, None)
 
     def owed(self):
-        """Returns the accepted jobs that were not cancelled and are not over yet."""
+        """Returns the accepted jobs that were not cancelled, don't last and are not over yet."""
         with self.lock:
-            return [job for job in self.unfinished.values() if not job.cancelled]
+            return [job for job in self.unfinished.values() if not job.cancelled and not job.lasting]
 
     def stop(self):
         self.asking.clear()
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -15,7 +15,8 @@
 NAMES = ["depot", "office", "pumphouse", "harbour", "siding", "reservoir"]
 HOST = "rig.example"
 QUEUES = {"bill": "/bill/", "tariff": "/tariff/", "watch": "/watch/"}
-LEASE_MS = 10_000
+LEASE_MS = 6_000
+STOP_MS = 200
 GRACE_S = 6.0
 PORTS_PER_INSTANCE = 4
 
@@ -55,6 +56,9 @@
         self.restart_at = {}
         self.kill_at = {}
         self.restart_delay = {}
+        # Until when instances get only a share of each period, and how long that is, by name.
+        self.starved = {}
+        self.paused = set()
         self.rotation = []
         self.stopping = threading.Event()
 
@@ -69,7 +73,7 @@
         self.start("platform", "wagtail-standin-platform", [
             f"--control={self.control}", f"--store={self.control + 1}", f"--links={self.links}",
             f"--worker-ports={self.worker_ports}", f"--instances={self.instances}",
-            f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={LEASE_MS}",
+            f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={LEASE_MS}", f"--stop-ms={STOP_MS}",
             f"--seed={self.seed}", f"--writes={70 * self.instances}", f"--reads={340 * self.instances}"])
         wait_until(lambda: call(self.control, "GET", "/violations")[0] == 200, 20, "the platform")
         self.configure(1)
@@ -140,6 +144,8 @@
             self.restart_delay[name] = (instance, restart_after_s)
             self.kill_at[name] = time.time() + GRACE_S
             self.signal(name, signal.SIGTERM)
+            if name not in self.paused:
+                self.signal(name, signal.SIGCONT)
 
     def do_kill(self, instance, restart_after_s):
         name = self.name(instance)
@@ -150,16 +156,37 @@
     def do_pause(self, instance):
         name = self.name(instance)
         if name in self.processes and name not in self.restart_delay:
+            self.paused.add(name)
             self.signal(name, signal.SIGSTOP)
 
     def do_resume(self, instance):
         name = self.name(instance)
+        self.paused.discard(name)
+        self.starved.pop(name, None)
         if name in self.processes:
             self.signal(name, signal.SIGCONT)
 
+    def do_drop_lease(self, instance):
+        """Takes the lease of one instance away, with its entry and what it owns."""
+        self.do_store(drop_lease_of="wagtail/cluster/instances/" + self.name(instance))
+
+    def do_starve(self, instance, for_s, share, period_s):
+        self.starved[self.name(instance)] = (time.time() + for_s, share, period_s)
+
+    def starve(self, now):
+        """Stops and continues the starved instances in turn."""
+        for name, (until, share, period_s) in list(self.starved.items()):
+            over = now >= until
+            if over:
+                del self.starved[name]
+            if name in self.processes and name not in self.paused and name not in self.restart_delay:
+                runs = over or now % period_s < share * period_s
+                self.signal(name, signal.SIGCONT if runs else signal.SIGSTOP)
+
     def supervise(self):
         """Kills what did not end in time, notices what ended by itself, and starts instances again."""
         now = time.time()
+        self.starve(now)
         for name, at in list(self.kill_at.items()):
             if now >= at:
                 process = self.processes[name]
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -18,6 +18,7 @@
         self.add_process_faults()
         self.add_link_faults()
         self.add_worker_faults()
+        self.add_owner_faults()
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -99,10 +100,40 @@
             share = self.random.choice([0.05, 0.2, 0.5])
             workers = sorted(self.random.sample(range(self.workers), max(1, int(self.workers * share))))
             fault = self.random.choice([{"lose_answers": 0.3}, {"carry_out_late": 0.3}, {"refuse": 0.5},
-                                        {"silent": True}, {"lose_answers": 0.2, "carry_out_late": 0.2},
+                                        {"silent": True}, {"report_late": 0.3},
+                                        {"silent": True, "downtime_ms": 500}, {"lose_answers": 0.2, "carry_out_late": 0.2},
                                         {"downtime_ms": self.random.choice([500, 4000]),
                                          "new_name": self.random.random() < 0.5}])
             if "downtime_ms" in fault:
                 workers = workers[:max(1, self.workers // 25)]
             self.add(at, "workers", workers=workers, **fault)
             self.add(at + self.random.uniform(1, 6), "workers", workers=workers)
+
+    def add_owner_faults(self):
+        """Takes the store leases of single instances away, cuts owners off from workers, and starves instances."""
+        for at in self.times(max(0.5, 60.0 / self.instances)):
+            self.add(at, "drop_lease", instance=self.random.randrange(self.instances))
+        for at in self.times(5.0):
+            share = self.random.choice([0.05, 0.2])
+            workers = sorted(self.random.sample(range(self.workers), max(1, int(self.workers * share))))
+            fault = self.random.choice([{"owner_requests_cut": True}, {"owner_answers_cut": True}])
+            self.add(at, "workers", workers=workers, **fault)
+            self.add(at + self.random.uniform(2, 9), "workers", workers=workers)
+        for at in self.times(max(0.5, 60.0 / self.instances)):
+            self.add(at, "starve", instance=self.random.randrange(self.instances),
+                     for_s=self.random.uniform(1.0, 8.0), share=self.random.choice([0.1, 0.25]),
+                     period_s=self.random.choice([0.2, 0.2, 1.5]))
+        for at in self.times(25.0):
+            self.add_cut_majority(at)
+
+    def add_cut_majority(self, at):
+        """Cuts most instances off from the store while the others, which reach it, answer their peers late."""
+        count = self.random.randint(self.instances // 2, self.instances - 1)
+        cut = set(self.random.sample(range(self.instances), count))
+        for_s = self.random.uniform(4.0, 14.0)
+        for instance in range(self.instances):
+            if instance in cut:
+                self.add(at, "link", link=instance, requests_cut=True, answers_cut=True)
+                self.add(at + for_s, "link", link=instance)
+            else:
+                self.add(at, "starve", instance=instance, for_s=for_s, share=0.25, period_s=1.5)
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -17,13 +17,17 @@
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(os.path.dirname(HERE)), "scripts")]
 import deployment as programs  # noqa: E402
 from node_callers import Callers  # noqa: E402
-from node_checkers import check_jobs, check_runs  # noqa: E402
-from node_deployment import LEASE_MS, NodeDeployment  # noqa: E402
+from node_checkers import (CANCEL_S, CONTACT_S, LASTING_S, check_cancelled, check_jobs,  # noqa: E402
+                           check_lasting, check_runs)
+from node_deployment import LEASE_MS, STOP_MS, NodeDeployment  # noqa: E402
 from node_schedule import Schedule  # noqa: E402
 
 # What may pass after the last fault until every job is done: the longest lease on a clock that is 2 % slow, the time
 # until the workers are listed again, the longest chain of work of a job with its failures, and the platform's finish_s.
 CALM_S = 1.02 * LEASE_MS / 1000 + 2 + 18 + 14
+# When the last cancelled task has to be gone and the last one that lasts has to run again, after the last fault or
+# cancellation.
+SETTLED_S = max(CONTACT_S + CANCEL_S + STOP_MS / 1000, 1.02 * LEASE_MS / 1000 + 2 + LASTING_S)
 STEP_S = 0.02
 
 
@@ -55,12 +59,17 @@
     callers.start(submitters=16 + 2 * arguments.instances, askers=4)
     play(deployment, schedule, arguments.seconds)
     deployment.calm()
+    calm_at = time.time()
     callers.submitting.clear()
     calm_s = await_jobs(deployment, callers)
     callers.stop()
+    settled_at = max([calm_at] + [job.cancelled_at for job in callers.jobs if job.cancelled_at]) + SETTLED_S
+    while time.time() < settled_at:
+        deployment.supervise()
+        time.sleep(STEP_S)
     jobs = deployment.runs_of_jobs()
     faults = check_runs(deployment.violations()) + check_jobs(callers.jobs, jobs) + deployment.faults
-    faults += callers.failures
+    faults += check_cancelled(callers.jobs, jobs, calm_at) + check_lasting(callers.jobs, jobs) + callers.failures
     accepted = sum(1 for job in callers.jobs if job.accepted_at)
     starts = sum(job["starts"] for job in jobs.values())
     print(f"node seed {arguments.seed}: {len(callers.jobs)} jobs, {accepted} accepted, {starts} runs, "
