Scheduling: Prove the ownership before lost runs start again

Cause: an owner that had lost a worker took the leases there for expired and started the tasks elsewhere, while a successor that it knew nothing of had adopted the runs and renewed their leases. The store may take an owner's lease away at once; the owner relies on it for up to 2.7 s more. Tasks of workers that did not drain were safe, because their next start waits until the store has it, for the sake of crash histories. Now this holds for all runs that were given up for expired leases, whatever becomes of their worker.

Ruled out: withholding renewals from adopted runs until the predecessor has surely stopped. After a crash of the owner too little is left of their leases.

ReplacedOwner.startsNoTaskAgainWhoseRunItsSuccessorRenewsOnADrainingWorker fails without the change: "job.0.0.0 runs on worker-0 and worker-1". FaultyStore no longer answers a watch that began before the store went down; the old owner learned of its successor by it.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -291,7 +291,8 @@
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
 
     // Crashes
-    // Whether a run of the task may have crashed its worker without the store knowing of the run.
+    // Whether the task may only be started once the store has the start: a run of it may have crashed its worker
+    // without the store knowing of the run, or may go on under a successor of this owner.
     [[nodiscard]] static bool needsOpenRun(const TaskState &task);
     [[nodiscard]] bool mayPlace(const TaskState &task) const;
     void holdStart(TaskState &task);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -30,7 +30,7 @@
 
 bool JobScheduler::needsOpenRun(const TaskState &task)
 {
-    return task.crashes.isSuspect() || task.endUnknown || mayRunUnknown(task);
+    return task.crashes.isSuspect() || task.endUnknown || task.mayHaveBeenRenewed || mayRunUnknown(task);
 }
 
 bool JobScheduler::mayPlace(const TaskState &task) const
@@ -283,6 +283,7 @@
         const bool wasSent = !task->awaitsRecording;
         requeue(*task, Milliseconds(0));
         task->endUnknown = task->endUnknown || (wasSent && !worker.listing.draining);
+        task->mayHaveBeenRenewed = task->mayHaveBeenRenewed || wasSent;
     }
     for (const auto &[run, incarnation, timing] : evidence) {
         TaskState *task = findTask(run.task);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -77,6 +77,7 @@
     order.leaseUntil = grantLease(*worker);
     task.orderPending = true;
     task.isPlaceKnown = true;
+    task.mayHaveBeenRenewed = false;
     const Instant sentAt = m_environment.clock.now();
     task.lastOrderSent = sentAt;
     task.runStartedAt = task.runStartedAt.value_or(sentAt);
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -79,6 +79,9 @@
     bool awaitsRecording = false;
     // Whether an earlier run may have crashed its worker without having been counted.
     bool endUnknown = false;
+    // Whether the last run was given up because its leases had expired by the account of this term. A successor may
+    // have renewed them, so the next start is held back until the store has it, which shows that there is no successor.
+    bool mayHaveBeenRenewed = false;
     // Since when the task has found no worker, if it must be kept away from other tasks.
     std::optional<Instant> isolatedSince;
     std::string checkpoint;
--- /dev/null
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -0,0 +1,65 @@
+#include "HandOverFixture.h"
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// An owner loses its store lease at once and does not learn of it. Some workers are reached by it alone, and the others
+// by its successor alone.
+class ReplacedOwner : public HandOver
+{
+protected:
+    // Lets the owner lose the given worker and then its store lease, while its successor reaches that worker only.
+    // The old owner still relies on its lease when the leases that it granted on that worker run out.
+    void replaceOwnerThatHasLost(const std::string &worker)
+    {
+        m_owner = m_cluster.owner();
+        ASSERT_NE(m_owner, nullptr);
+        m_owner->gateway.cutWorkers.insert(worker);
+        m_cluster.advance(Milliseconds(700));
+        m_owner->store.down = true;
+        for (const auto &[number, instance] : m_cluster.instances) {
+            if (instance.get() == m_owner) {
+                continue;
+            }
+            for (const auto &[name, listing] : m_cluster.workers.listings()) {
+                if (name != worker) {
+                    instance->gateway.cutWorkers.insert(name);
+                }
+            }
+        }
+        m_cluster.state.revokeLease(m_owner->lease.lease());
+    }
+
+    TestInstance *m_owner = nullptr;
+};
+
+}
+
+// The successor renewed the lease of a run that the replaced owner took for expired, and each had a run of the task.
+TEST_F(ReplacedOwner, startsNoTaskAgainWhoseRunItsSuccessorRenews)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    replaceOwnerThatHasLost(worker);
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+}
+
+// The same for a worker that drains, whose exit does not count as a crash.
+TEST_F(ReplacedOwner, startsNoTaskAgainWhoseRunItsSuccessorRenewsOnADrainingWorker)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    replaceOwnerThatHasLost(worker);
+    std::map<std::string, WorkerListing> listings = m_cluster.workers.listings();
+    listings.at(worker).draining = true;
+    m_owner->ownership.updateWorkers(listings);
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+}
+
+}
--- a/source/testing/FaultyStore.h
+++ b/source/testing/FaultyStore.h
@@ -89,6 +89,11 @@
             return;
         }
         m_state.watch(prefix, after, wait, [this, handler = std::move(handler)](Result<StoreEvents> result) {
+            if (down) {
+                // The answer to a watch that began before does not arrive either.
+                fail<StoreEvents>(handler);
+                return;
+            }
             m_scheduler.post([handler, result = std::move(result)] { handler(result); });
         });
     }
