Tests: Show leases of replaced owners in the rig

The rig could not see an owner that goes on beside its successor unless a task ran twice by it. A lease that an owner grants over 3 s after its successor's first one is a violation now, since successors reckon with 3 s. Workers can be cut off from successors only. The schedule cuts most instances off from the store while the others answer late, and replaces owners that have lost workers which their successor reaches.

--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -194,6 +194,7 @@
     faults.silent = memberOr(order, "silent", false);
     faults.ownerRequestsCut = memberOr(order, "owner_requests_cut", false);
     faults.ownerAnswersCut = memberOr(order, "owner_answers_cut", false);
+    faults.successorsCut = memberOr(order, "successors_cut", false);
     const Milliseconds downtime(memberOr(order, "downtime_ms", std::int64_t {0}));
     for (const std::size_t index : memberOr(order, "workers", std::vector<std::size_t>())) {
         if (index >= m_machines.size()) {
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -86,14 +86,15 @@
 void PlatformWorker::setFaults(const Faults &faults)
 {
     m_faults = faults;
-    m_highestCutToken = m_token;
+    m_tokenAtFault = m_token;
 }
 
-bool PlatformWorker::isFromCutOwner(const HttpRequest &request) const
+void PlatformWorker::recordGrant(const Json &order)
 {
-    const Result<Json> parsed = parseJson(request.body, "the order");
-    const Json *order = std::get_if<Json>(&parsed);
-    return order != nullptr && memberOr(*order, "FencingToken", std::uint64_t {0}) <= m_highestCutToken;
+    const std::uint64_t token = memberOr(order, "FencingToken", std::uint64_t {0});
+    if (order.contains("UntilMs") && token >= m_token) {
+        m_ledger.recordGrant(m_settings.dataCentre, token);
+    }
 }
 
 bool PlatformWorker::isUp() const
@@ -154,10 +155,19 @@
         respond(reply(HttpStatus::ServiceUnavailable));
         return;
     }
-    const bool cutOff = (m_faults.ownerRequestsCut || m_faults.ownerAnswersCut) && isFromCutOwner(request);
+    const Result<Json> parsed = parseJson(request.body, "the order");
+    const Json *order = std::get_if<Json>(&parsed);
+    const bool isOfOwner = order == nullptr || memberOr(*order, "FencingToken", std::uint64_t {0}) <= m_tokenAtFault;
+    const bool cutOff = isOfOwner && (m_faults.ownerRequestsCut || m_faults.ownerAnswersCut);
+    if (!isOfOwner && m_faults.successorsCut) {
+        return;
+    }
     if (cutOff && m_faults.ownerRequestsCut) {
         return;
     }
+    if (order != nullptr) {
+        recordGrant(*order);
+    }
     if (happens(request.path == "/-/hold" ? m_faults.reportLate : m_faults.carryOutLate)) {
         // The worker has taken the order in, so it is lost with this life of the worker.
         m_schedule(upTo(Milliseconds(500), LongestOrderDelay), [this, request, life = m_life] {
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -52,6 +52,8 @@
         // arrive, or are carried out and not answered: the present owner is cut off and its successor is not.
         bool ownerRequestsCut = false;
         bool ownerAnswersCut = false;
+        // The opposite: calls with a higher token don't arrive.
+        bool successorsCut = false;
     };
 
     PlatformWorker(const Clock &clock, RunLedger &ledger, GangRegistry &gangs, Schedule schedule, Settings settings);
@@ -112,8 +114,7 @@
     void report(const Json &order, const Respond &respond);
     // Returns how the run has ended by itself, or nothing while it goes on.
     [[nodiscard]] std::optional<std::string> endOf(const Run &run) const;
-    // Returns whether the call comes from an owner that is cut off.
-    [[nodiscard]] bool isFromCutOwner(const HttpRequest &request) const;
+    void recordGrant(const Json &order);
     void end(const Run &run, const std::string &how);
     void extendLease(const Json &order);
     void updateProgress(Run &run) const;
@@ -142,7 +143,7 @@
     std::optional<Instant> m_downUntil;
     bool m_newNameAfterCrash = false;
     std::uint64_t m_token = 0;
-    std::uint64_t m_highestCutToken = 0;
+    std::uint64_t m_tokenAtFault = 0;
     std::int64_t m_leaseUntil = 0;
     int m_lapses = 0;
     std::vector<Run> m_running;
--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -83,6 +83,21 @@
     }
 }
 
+void RunLedger::recordGrant(const std::string &dataCentre, std::uint64_t token)
+{
+    Owners &owners = m_owners[dataCentre];
+    const auto [owner, isNew] = owners.emplace(token, m_clock.now());
+    const auto successor = std::next(owner);
+    if (successor == owners.end()) {
+        return;
+    }
+    const auto late = std::chrono::duration_cast<Milliseconds>(m_clock.now() - successor->second);
+    if (late > LongestOwnerLease) {
+        recordViolation("lease granted by an owner that was replaced " + std::to_string(late.count()) + " ms before",
+            {dataCentre, successor->first, {}}, {dataCentre, token, {}});
+    }
+}
+
 void RunLedger::recordViolation(const std::string &what, const Run &earlier, const Run &later)
 {
     Json violation = {{"subject", later.task}, {"what", what}, {"earlier", Wagtail::describe(earlier)},
--- a/standins/RunLedger.h
+++ b/standins/RunLedger.h
@@ -32,6 +32,10 @@
     // Records that an owner has acknowledged the end of a run as done, with no lapse of the worker's lease in between.
     void recordAcknowledgement(const Run &run, Instant endedAt);
 
+    // Records that an owner of the data centre's workers has granted a lease. It is a violation if its successor has
+    // granted one so long before that it no longer reckons with leases of its predecessor.
+    void recordGrant(const std::string &dataCentre, std::uint64_t token);
+
     // Returns how many runs of the task have failed.
     [[nodiscard]] int failures(const std::string &task) const;
     [[nodiscard]] const Json &violations() const;
@@ -57,6 +61,9 @@
         int failures = 0;
     };
 
+    // When an owner was first seen to grant leases, by its fencing token.
+    using Owners = std::map<std::uint64_t, Instant>;
+
     void recordViolation(const std::string &what, const Run &earlier, const Run &later);
     // Returns all runs of a task with the times of their starts and ends.
     [[nodiscard]] static Json describe(const Task &task);
@@ -64,8 +71,13 @@
     // A run that breaks the rules in masses would otherwise fill the memory with its report.
     static constexpr std::size_t MaximumViolations = 1'000;
 
+    // For so long after the end of its store lease an owner may grant leases, as its successors reckon.
+    static constexpr Milliseconds LongestOwnerLease {3'000};
+
     const Clock &m_clock;
     std::map<std::string, Task> m_tasks;
+    // By data centre.
+    std::map<std::string, Owners> m_owners;
     Json m_violations = Json::array();
 };
 
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -126,11 +126,33 @@
         for at in self.times(25.0):
             self.add_cut_majority(at)
 
+        for at in self.times(9.0):
+            self.add_replaced_owner(at)
+
+    def add_replaced_owner(self, at):
+        """Replaces an owner that does not learn of it while its leases on some workers run out. It reaches the workers
+        that its successor can't reach, and not those that the successor reaches."""
+        instance = self.random.randrange(self.instances)
+        workers = self.random.sample(range(self.workers), self.workers)
+        lost, kept = sorted(workers[:self.workers // 3]), sorted(workers[self.workers // 3:])
+        self.add(at, "workers", workers=lost, owner_requests_cut=True)
+        replaced = at + self.random.uniform(4.0, 5.5)
+        self.add(replaced, "workers", workers=kept, successors_cut=True)
+        self.add(replaced, "link", link=instance, requests_cut=True, answers_cut=True)
+        self.add(replaced, "drop_lease", instance=instance)
+        for group in (lost, kept):
+            self.add(replaced + 4.0, "workers", workers=group)
+        self.add(replaced + 4.0, "link", link=instance)
+
     def add_cut_majority(self, at):
-        """Cuts most instances off from the store while the others, which reach it, answer their peers late."""
+        """Cuts most instances off from the store while the others, which reach it, answer their peers late and don't
+        reach some workers."""
         count = self.random.randint(self.instances // 2, self.instances - 1)
         cut = set(self.random.sample(range(self.instances), count))
         for_s = self.random.uniform(4.0, 14.0)
+        workers = sorted(self.random.sample(range(self.workers), max(1, self.workers // 5)))
+        self.add(at, "workers", workers=workers, successors_cut=True)
+        self.add(at + for_s + 4, "workers", workers=workers)
         for instance in range(self.instances):
             if instance in cut:
                 self.add(at, "link", link=instance, requests_cut=True, answers_cut=True)
