Tenure: Keep replaced owners from going on in a later outage

An owner that had lost its store lease, and had stopped, went on as soon as an outage of the store was confirmed, also if that outage began long after a successor had taken over. It then started tasks on workers that its successor did not reach, while these ran elsewhere. A store that is away again and again, and back for a second in which one instance misses the change of owner, is the load that the users reported double runs under.

Cause: the authority of an owner was "has the lease, or an outage is confirmed" at that moment, without asking whether the outage had lasted since the lease was held.

Ruled out: asking each instance when it last reached the store.

ReplacedOwner.doesNotGoOnInALaterOutage fails without the change: "job.0.0.0 runs on worker-1 and worker-0".

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -264,10 +264,10 @@
 void PartitionOwnership::tick()
 {
     review();
-    const bool mayRenewLeases = m_environment.lease.isHeld() || m_storeOutage;
-    const SchedulingAuthority authority = !mayRenewLeases ? SchedulingAuthority::Observe
-        : m_releasing                                     ? SchedulingAuthority::KeepRunning
-                                                          : SchedulingAuthority::Full;
+    m_outageTenure.observe(m_environment.lease.isHeld(), m_storeOutage, m_environment.clock.now());
+    const SchedulingAuthority authority = !m_outageTenure.mayGoOn() ? SchedulingAuthority::Observe
+        : m_releasing                                               ? SchedulingAuthority::KeepRunning
+                                                                    : SchedulingAuthority::Full;
     for (auto &[partition, state] : m_partitions) {
         if (state.leader) {
             state.leader->setAuthority(authority);
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -3,6 +3,7 @@
 #include "membership/InstanceLease.h"
 #include "tenure/InstanceEntry.h"
 #include "tenure/KnownInstances.h"
+#include "tenure/OutageTenure.h"
 #include "tenure/PartitionLeader.h"
 #include "tenure/PartitionPlan.h"
 
@@ -98,6 +99,7 @@
     std::map<std::string, QueuePolicy> m_policies;
     bool m_releasing = false;
     bool m_storeOutage = false;
+    OutageTenure m_outageTenure;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -62,4 +62,32 @@
     EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
 }
 
+// A replaced owner that had stopped took an outage that came later for a reason to go on. It started the task on a
+// worker that its successor did not reach, which ran it elsewhere.
+TEST_F(ReplacedOwner, doesNotGoOnInALaterOutage)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    m_owner = m_cluster.owner();
+    m_owner->store.down = true;
+    for (const auto &[name, listing] : m_cluster.workers.listings()) {
+        if (name != worker) {
+            m_owner->gateway.cutWorkers.insert(name);
+        }
+    }
+    for (const auto &[number, instance] : m_cluster.instances) {
+        if (instance.get() != m_owner) {
+            instance->gateway.cutWorkers.insert(worker);
+        }
+    }
+    m_cluster.advance(Second * 20);
+    ASSERT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = true;
+        instance->ownership.setStoreOutage(true);
+    }
+    m_cluster.advance(Second * 5);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+}
+
 }
