Tenure: Confirm outages by fresh answers of all known instances

An owner goes on without its store lease while the other instances confirm an outage of the store. The answers were dated from when they were read, so that an owner short of processor time went on for up to 2.5 s after that, past the 3 s that its successor reckons with. A confirmation now dates from the question, a poll with too few answers changes nothing, and instances whose entries have disappeared lately are asked as well.

Ruled out: asking for answers of all instead of half. One instance that is down would stop all owners in each outage.

StoreRelayTest.confirmsNoOutageByAnswersThatAreReadLate and keepsAConfirmedOutageForAWhileWithoutAnswers fail without the change; ReplacedOwner.countsInstancesWhoseEntriesHaveLapsed covers the list that is new.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -281,6 +281,13 @@
     m_storeOutage = confirmed;
 }
 
+std::vector<InstanceEntry> PartitionOwnership::otherInstances() const
+{
+    std::vector<InstanceEntry> instances = m_instances.candidates(m_environment.clock.now());
+    std::erase_if(instances, [this](const InstanceEntry &instance) { return instance.name == m_self.name; });
+    return instances;
+}
+
 std::map<std::string, WorkerListing> PartitionOwnership::workersOf(const std::string &partition) const
 {
     std::map<std::string, WorkerListing> workers;
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -57,6 +57,9 @@
     // can reach the store to take over.
     void setStoreOutage(bool confirmed);
 
+    // Returns the other instances, including those whose entries have disappeared lately while this one had no lease.
+    [[nodiscard]] std::vector<InstanceEntry> otherInstances() const;
+
 private:
     struct PartitionState
     {
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -203,6 +203,7 @@
     m_lastPoll = now;
     struct PeerPoll
     {
+        Instant sentAt;
         std::size_t asked = 0;
         std::size_t withoutStore = 0;
         std::size_t pending = 0;
@@ -210,6 +211,7 @@
     };
     const std::vector<std::string> peers = m_environment.peers();
     auto poll = std::make_shared<PeerPoll>();
+    poll->sentAt = now;
     poll->asked = peers.size();
     poll->pending = peers.size();
     for (const std::string &peer : peers) {
@@ -231,15 +233,20 @@
                 return;
             }
             m_peersReachingStore = poll->reachingStore;
-            if (!m_peersReachingStore.empty() || poll->withoutStore * 2 < poll->asked) {
+            if (!m_peersReachingStore.empty()) {
                 m_outageConfirmedAt.reset();
                 return;
             }
+            // Too few answers neither confirm the outage nor show that it is over.
+            if (poll->withoutStore * 2 < poll->asked) {
+                return;
+            }
             if (!m_outageConfirmedAt) {
                 m_environment.log(
                     "store-outage-confirmed", "store", {{"asked", poll->asked}, {"without_store", poll->withoutStore}});
             }
-            m_outageConfirmedAt = m_environment.clock.now();
+            // An instance that is short of processor time may read the answers when they are no longer true.
+            m_outageConfirmedAt = poll->sentAt;
         });
     }
 }
--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -90,4 +90,19 @@
     EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
 }
 
+// After an outage that drops all leases the first instance sees no other one registered. A single one that has come
+// back must not confirm the next outage for all.
+TEST_F(ReplacedOwner, countsInstancesWhoseEntriesHaveLapsed)
+{
+    m_owner = m_cluster.owner();
+    m_cluster.state.expireLeases();
+    m_cluster.advance(Milliseconds(20));
+    for (const auto &[number, instance] : m_cluster.instances) {
+        instance->store.down = true;
+    }
+    m_cluster.advance(Second * 4);
+    EXPECT_FALSE(m_owner->lease.isHeld());
+    EXPECT_EQ(m_owner->ownership.otherInstances().size(), TestCluster::InstanceCount - 1U);
+}
+
 }
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -20,9 +20,23 @@
     {
         const bool direct = call.url.starts_with("http://store/");
         calls.push_back(std::move(call));
+        if (!direct && keepsPeersWaiting) {
+            waiting.push_back(std::move(handler));
+            return;
+        }
         handler(direct ? toStore : toPeer);
     }
 
+    // Delivers the answers of peers that were kept.
+    void answerWaiting()
+    {
+        for (const Handler &handler : std::exchange(waiting, {})) {
+            handler(toPeer);
+        }
+    }
+
+    bool keepsPeersWaiting = false;
+    std::vector<Handler> waiting;
     std::vector<HttpCall> calls;
     HttpAnswer toStore;
     HttpAnswer toPeer;
@@ -104,4 +118,30 @@
     EXPECT_FALSE(m_relay.isOutageConfirmed());
 }
 
+// An owner that was short of processor time read answers from before a take-over and went on beside its successor.
+TEST_F(StoreRelayTest, confirmsNoOutageByAnswersThatAreReadLate)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(502);
+    m_client.keepsPeersWaiting = true;
+    m_relay.pollPeers();
+    m_clock.advance(Second * 3);
+    m_client.answerWaiting();
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+}
+
+// One poll without answers, in an outage that goes on, does not end it.
+TEST_F(StoreRelayTest, keepsAConfirmedOutageForAWhileWithoutAnswers)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(502);
+    m_relay.pollPeers();
+    m_clock.advance(Second);
+    m_client.toPeer = lost();
+    m_relay.pollPeers();
+    EXPECT_TRUE(m_relay.isOutageConfirmed());
+    m_clock.advance(Second * 2);
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+}
+
 }
