Tests: Count a gang as done that ended just before a crash

Trace: the members of its gang start at 235.339 s and work 300 ms; one of their workers crashes at 235.644 s, 5 ms after the gang was done, and the owner reads the end from another member at 235.648 s. Members end as done together and one such end represents all of them, so the job was right and the stand-in wrong: it noted the member as crashed. It asks the gang now. The check itself is unchanged.

PlatformWorkerTest.countsAGangAsDoneThatEndedJustBeforeACrash fails without the change.

--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -72,7 +72,9 @@
         return;
     }
     for (const Run &run : m_running) {
-        m_ledger.recordEnd(run.name, "crashed");
+        // A gang that was done just before counts as done, although this worker lists no end of it any more.
+        const bool done = run.gang && m_gangs.stateOf(*run.gang) == GangRegistry::State::Done;
+        m_ledger.recordEnd(run.name, done ? "done" : "crashed");
         if (run.gang) {
             m_gangs.leave(*run.gang);
         }
--- a/standins/tests/PlatformWorkerTest.cpp
+++ b/standins/tests/PlatformWorkerTest.cpp
@@ -175,6 +175,17 @@
     EXPECT_EQ(ended[0][3], "alone");
 }
 
+// A job was reported as shown done too early, because a worker crashed a few milliseconds after its gang was done.
+TEST_F(PlatformWorkerTest, countsAGangAsDoneThatEndedJustBeforeACrash)
+{
+    const Json order {
+        {"Task", "job.0.0.0"}, {"Run", 1}, {"UntilMs", LeaseMilliseconds}, {"Spec", R"({"run_ms":100,"gang":1})"}};
+    ASSERT_EQ(call("/-/run-start", order).status, HttpStatus::Ok);
+    m_clock.advance(Milliseconds(101));
+    m_worker.crash(Milliseconds(500), false);
+    EXPECT_EQ(m_ledger.jobs()["job"]["done"], 1);
+}
+
 // One member that ends early breaks the others off, and the end of all as done comes at the same time.
 TEST(GangRegistry, knowsWhenAGangIsDoneOrBroken)
 {
