History: Check the limit of tasks per worker in runs of real processes

Jobs carried a limit per worker (AntiAffinity), and nothing checked it. The ledger of the stand-in workers now counts, at each start, how many tasks of the same step of one occurrence are at work on the worker, those that are being stopped included. Starts beyond the limit are violations. The payload tells the stand-in the limit.

--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -119,6 +119,10 @@
         respond(answer(HttpStatus::Ok, m_ledger.violations()));
         return;
     }
+    if (request.path == "/counts") {
+        respond(answer(HttpStatus::Ok, {{"limited_starts", m_ledger.limitedStarts()}}));
+        return;
+    }
     if (request.path == "/jobs") {
         respond(answer(HttpStatus::Ok, m_ledger.jobs()));
         return;
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -275,7 +275,7 @@
         run.gang = GangRegistry::Member {task, number, members, run.workNeeded};
         m_gangs.join(*run.gang);
     }
-    m_ledger.recordStart(run.name);
+    m_ledger.recordStart(run.name, memberOr(work, "per_worker", 0));
     m_running.push_back(std::move(run));
     respond(reply(HttpStatus::Ok));
 }
--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -37,7 +37,12 @@
 {
 }
 
-void RunLedger::recordStart(const Run &run)
+RunLedger::StepOnWorker RunLedger::stepOf(const Run &run)
+{
+    return {run.worker, run.task.substr(0, run.task.rfind('.'))};
+}
+
+void RunLedger::recordStart(const Run &run, int perWorkerLimit)
 {
     log(LogLevel::Info, "run-began", {{"subject", run.task}, {"run", run.number}, {"worker", run.worker}});
     Task &task = m_tasks[run.task];
@@ -49,6 +54,15 @@
     if (task.acknowledged) {
         recordViolation("started after an acknowledged end as done", *task.acknowledged, run);
     }
+    const int atWork = ++m_atWork[stepOf(run)];
+    if (perWorkerLimit > 0) {
+        ++m_limitedStarts;
+        if (atWork > perWorkerLimit) {
+            recordViolation(
+                "beyond the limit per worker: " + std::to_string(atWork) + " of " + std::to_string(perWorkerLimit), run,
+                run);
+        }
+    }
     task.starts.push_back({run, m_clock.now(), m_clock.wallMilliseconds(), std::nullopt, {}});
 }
 
@@ -60,6 +74,10 @@
         if (!start.endedAt && start.run.number == run.number && start.run.worker == run.worker) {
             start.endedAt = m_clock.now();
             start.how = how;
+            const auto atWork = m_atWork.find(stepOf(run));
+            if (--atWork->second == 0) {
+                m_atWork.erase(atWork);
+            }
         }
     }
     if (how == "failed") {
@@ -115,6 +133,11 @@
     return found == m_tasks.end() ? 0 : found->second.failures;
 }
 
+std::size_t RunLedger::limitedStarts() const
+{
+    return m_limitedStarts;
+}
+
 const Json &RunLedger::violations() const
 {
     return m_violations;
--- a/standins/RunLedger.h
+++ b/standins/RunLedger.h
@@ -26,7 +26,8 @@
 
     explicit RunLedger(const Clock &clock);
 
-    void recordStart(const Run &run);
+    // A limit above 0 is the number of tasks of the same step of one occurrence that may be at work on one worker.
+    void recordStart(const Run &run, int perWorkerLimit = 0);
     // The end has one of the names that workers list.
     void recordEnd(const Run &run, const std::string &how);
     // Records that an owner has acknowledged the end of a run as done, with no lapse of the worker's lease in between.
@@ -39,6 +40,8 @@
     // Returns how many runs of the task have failed.
     [[nodiscard]] int failures(const std::string &task) const;
     [[nodiscard]] const Json &violations() const;
+    // Returns how many starts had a limit per worker.
+    [[nodiscard]] std::size_t limitedStarts() const;
     // Returns for each job how many runs of its tasks have started, when the last one did, how many of its tasks run,
     // how many have ended as done, and under how many runs of one task workers have crashed at most.
     [[nodiscard]] Json jobs() const;
@@ -61,10 +64,14 @@
         int failures = 0;
     };
 
+    // A worker, and the name of a step of one occurrence.
+    using StepOnWorker = std::pair<std::string, std::string>;
+
     // When an owner was first seen to grant leases, by its fencing token.
     using Owners = std::map<std::uint64_t, Instant>;
 
     void recordViolation(const std::string &what, const Run &earlier, const Run &later);
+    [[nodiscard]] static StepOnWorker stepOf(const Run &run);
     // Returns all runs of a task with the times of their starts and ends.
     [[nodiscard]] static Json describe(const Task &task);
 
@@ -76,6 +83,9 @@
 
     const Clock &m_clock;
     std::map<std::string, Task> m_tasks;
+    // The tasks at work, including those that are being stopped.
+    std::map<StepOnWorker, int> m_atWork;
+    std::size_t m_limitedStarts = 0;
     // By data centre.
     std::map<std::string, Owners> m_owners;
     Json m_violations = Json::array();
--- a/standins/tests/PlatformWorkerTest.cpp
+++ b/standins/tests/PlatformWorkerTest.cpp
@@ -152,6 +152,26 @@
     EXPECT_EQ(ledger.violations().size(), 1U);
 }
 
+// Runs that are being stopped still count against the limit of tasks per worker.
+TEST_F(PlatformWorkerTest, reportsAStartBeyondTheLimitPerWorker)
+{
+    const auto startTask = [this](const std::string &task) {
+        call("/-/run-start",
+            {{"Task", task}, {"Run", 1}, {"UntilMs", LeaseMilliseconds},
+                {"Spec", R"({"run_ms":1000,"per_worker":1})"}});
+    };
+    startTask("job.0.0.0");
+    startTask("job.0.1.0");
+    startTask("job.1.0.0");
+    EXPECT_EQ(m_ledger.violations().size(), 0U);
+    call("/-/run-stop", {{"Task", "job.0.0.0"}, {"Run", 1}});
+    startTask("job.0.0.1");
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+    advance(Milliseconds(1'000));
+    startTask("job.0.0.2");
+    EXPECT_EQ(m_ledger.violations().size(), 1U);
+}
+
 // A successor must be able to reach a worker that its predecessor can't reach.
 TEST_F(PlatformWorkerTest, answersNewOwnersWhileTheFormerOneIsCutOff)
 {
--- a/tests/history/node_callers.py
+++ b/tests/history/node_callers.py
@@ -27,6 +27,14 @@
                  "MemMb": 4000, "EstimatedMs": run_ms}
         if self.lasting or gang:
             first.update({"Count": generator.choice([2, 4]), "AntiAffinity": 1})
+        per_worker = 1 if self.lasting or gang else 0
+        if generator.random() < 0.4 and not gang:
+            # More tasks than one data centre has workers for.
+            per_worker = generator.choice([1, 2])
+            first.update({"AntiAffinity": per_worker,
+                          "Count": 8 if self.lasting else generator.choice([10, 30 * per_worker]),
+                          "Cpu": 4000, "MemMb": 1000})
+            run_ms = first["EstimatedMs"] = min(run_ms, 2000)
         steps = [dict(first, Gang=True) if gang else dict(first, LongRunning=True) if self.lasting else first]
         if generator.random() < 0.3 and not self.lasting:
             steps.append(dict(first, Count=generator.choice([1, 4]), After=[0]))
@@ -38,7 +46,7 @@
         self.stay_s = generator.uniform(1, 40) if self.lasting else 0.0
         payload = {"run_ms": run_ms, "millicores": first["Cpu"], "memory_mb": first["MemMb"],
                    "fail_first": 0 if gang else generator.choice([0, 0, 0, 0, 0, 1]), "saves": saves,
-                   "lasting": self.lasting, "gang": first["Count"] if gang else 0}
+                   "lasting": self.lasting, "gang": first["Count"] if gang else 0, "per_worker": per_worker}
         self.body = json.dumps({"Spec": json.dumps(payload), "Steps": steps}).encode()
         self.tasks = sum(step["Count"] for step in steps)
         self.statuses = []
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -228,6 +228,9 @@
     def violations(self):
         return document(call(self.control, "GET", "/violations", timeout=30))
 
+    def counts(self):
+        return document(call(self.control, "GET", "/counts", timeout=30))
+
     def runs_of_jobs(self):
         return document(call(self.control, "GET", "/jobs", timeout=30))
 
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -72,8 +72,9 @@
     faults += check_cancelled(callers.jobs, jobs, calm_at) + check_lasting(callers.jobs, jobs) + callers.failures
     accepted = sum(1 for job in callers.jobs if job.accepted_at)
     starts = sum(job["starts"] for job in jobs.values())
+    counts = deployment.counts()
     print(f"node seed {arguments.seed}: {len(callers.jobs)} jobs, {accepted} accepted, {starts} runs, "
-          f"{deployment.restarts} restarts, all over {calm_s:.1f} s after the last fault, {len(faults)} violations",
+          f"{counts['limited_starts']} with a limit per worker, {deployment.restarts} restarts, all over {calm_s:.1f} s after the last fault, {len(faults)} violations",
           flush=True)
     return faults
 
