History: Let workers drain and leave in runs of real processes

The stand-in workers always registered as ready. The evacuation of workers and the loss of runs on draining ones were exercised in-process only.

A worker that drains announces it in its entry, goes on for a while after the store has accepted that, ends everything that runs, removes its entry and starts again under a new name. The schedule drains groups of workers, in series and overlapping with outages of the store, with orders and reports that are carried out late, and with changes of the owner. Some leave before the announced time is over. DrainMs of the run is 3 s.

Runs that end so are no crashes, so they don't excuse a job that was given up.

--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -3,6 +3,8 @@
 #include "http/HttpStatus.h"
 #include "logging/Log.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -120,7 +122,9 @@
         return;
     }
     if (request.path == "/counts") {
-        respond(answer(HttpStatus::Ok, {{"limited_starts", m_ledger.limitedStarts()}}));
+        const auto draining = std::count_if(
+            m_machines.begin(), m_machines.end(), [](const Machine &machine) { return machine.worker->isDraining(); });
+        respond(answer(HttpStatus::Ok, {{"limited_starts", m_ledger.limitedStarts()}, {"draining", draining}}));
         return;
     }
     if (request.path == "/jobs") {
@@ -204,6 +208,7 @@
     faults.ownerRequestsCut = memberOr(order, "owner_requests_cut", false);
     faults.ownerAnswersCut = memberOr(order, "owner_answers_cut", false);
     faults.successorsCut = memberOr(order, "successors_cut", false);
+    const Milliseconds drain(memberOr(order, "drain_ms", std::int64_t {0}));
     const Milliseconds downtime(memberOr(order, "downtime_ms", std::int64_t {0}));
     for (const std::size_t index : memberOr(order, "workers", std::vector<std::size_t>())) {
         if (index >= m_machines.size()) {
@@ -211,7 +216,9 @@
         }
         PlatformWorker &worker = *m_machines[index].worker;
         worker.setFaults(faults);
-        if (downtime.count() > 0) {
+        if (drain.count() > 0) {
+            worker.drain(drain, downtime);
+        } else if (downtime.count() > 0) {
             worker.crash(downtime, memberOr(order, "new_name", false));
         }
     }
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -52,11 +52,12 @@
 
 void PlatformWorker::startNextLife()
 {
-    if (m_newNameAfterCrash) {
+    if (m_newNameInNextLife) {
         m_name = m_settings.name + "-" + std::to_string(m_life);
     }
     ++m_life;
     m_downUntil.reset();
+    m_drain.reset();
     m_bornAt = m_clock.now();
     m_bornWallMilliseconds = m_clock.wallMilliseconds();
     m_token = 0;
@@ -68,20 +69,49 @@
 
 void PlatformWorker::crash(Milliseconds downtime, bool underNewName)
 {
-    if (!isUp()) {
-        return;
+    if (isUp()) {
+        m_drain.reset();
+        goDown(downtime, underNewName, "crashed");
+    }
+}
+
+void PlatformWorker::drain(Milliseconds duration, Milliseconds downtime)
+{
+    if (isUp() && !m_drain) {
+        m_drain = {duration, downtime};
     }
+}
+
+void PlatformWorker::notifyDrainingPublished()
+{
+    if (m_drain && !m_drain->leavesAt) {
+        m_drain->leavesAt = m_clock.now() + m_drain->duration;
+    }
+}
+
+bool PlatformWorker::isDraining() const
+{
+    return isUp() && m_drain;
+}
+
+bool PlatformWorker::hasLeft() const
+{
+    return !isUp() && m_drain;
+}
+
+void PlatformWorker::goDown(Milliseconds downtime, bool underNewName, const char *how)
+{
     for (const Run &run : m_running) {
         // A gang that was done just before counts as done, although this worker lists no end of it any more.
         const bool done = run.gang && m_gangs.stateOf(*run.gang) == GangRegistry::State::Done;
-        m_ledger.recordEnd(run.name, done ? "done" : "crashed");
+        m_ledger.recordEnd(run.name, done ? "done" : how);
         if (run.gang) {
             m_gangs.leave(*run.gang);
         }
     }
     m_running.clear();
     m_waiting.clear();
-    m_newNameAfterCrash = underNewName;
+    m_newNameInNextLife = underNewName;
     m_downUntil = m_clock.now() + downtime;
 }
 
@@ -112,8 +142,8 @@
 Json PlatformWorker::entry() const
 {
     return {{"Service", "workers"}, {"Address", m_settings.address}, {"Zone", m_settings.dataCentre}, {"Version", "1"},
-        {"Slots", 8}, {"State", "ready"}, {"ColdRemainingMs", 0}, {"Seq", 1}, {"born", m_bornWallMilliseconds},
-        {"Labels", {"a", m_settings.rack}},
+        {"Slots", 8}, {"State", m_drain ? "draining" : "ready"}, {"ColdRemainingMs", 0}, {"Seq", 1},
+        {"born", m_bornWallMilliseconds}, {"Labels", {"a", m_settings.rack}},
         {"Capacity",
             {{"Cpu", m_settings.capacity.milliCores}, {"MemMb", m_settings.capacity.memoryMegabytes}, {"Gpu", 0}}}};
 }
@@ -365,6 +395,10 @@
         }
         return;
     }
+    if (m_drain && m_drain->leavesAt && m_clock.now() >= *m_drain->leavesAt) {
+        goDown(m_drain->downtime, true, "left");
+        return;
+    }
     const bool lapsed = m_leaseUntil > 0 && clock() > m_leaseUntil;
     if (lapsed) {
         m_leaseUntil = 0;
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -17,8 +17,8 @@
 // A stand-in for a worker in the platform's published protocol: starts, stops and paces runs under a lease on its own
 // clock, and lists what runs and what has ended. What a run does is told by its payload, a JSON object with run_ms,
 // millicores, memory_mb, fail_first (so many runs of the task fail), lasting, saves (checkpoints its progress), gang
-// (the tasks of the first step are a gang of so many members) and per_worker (at most so many tasks of a step may be at
-// work on one worker; 0 stands for no limit).
+// (the tasks of the first step are a gang of so many members) and per_worker (at
+// most so many tasks of a step may be at work on one worker; 0 stands for no limit).
 class PlatformWorker
 {
 public:
@@ -67,6 +67,15 @@
     // Ends everything that runs. The worker answers nothing until it starts again under its name or a new one.
     void crash(Milliseconds downtime, bool underNewName);
 
+    // Announces that the worker will leave and end everything that runs so long after the store has the announcement.
+    // It starts again under a new name after the downtime.
+    void drain(Milliseconds duration, Milliseconds downtime);
+    // The store has the entry that says that the worker drains.
+    void notifyDrainingPublished();
+    [[nodiscard]] bool isDraining() const;
+    // Returns whether the worker is down because it has left as announced.
+    [[nodiscard]] bool hasLeft() const;
+
     void setFaults(const Faults &faults);
     [[nodiscard]] bool isUp() const;
     [[nodiscard]] const std::string &name() const;
@@ -101,6 +110,13 @@
         int lapses = 0;
     };
 
+    struct Drain
+    {
+        Milliseconds duration {0};
+        Milliseconds downtime {0};
+        std::optional<Instant> leavesAt = std::nullopt;
+    };
+
     // A request for a report that waits for an end.
     struct WaitingReport
     {
@@ -119,6 +135,7 @@
     void end(const Run &run, const std::string &how);
     void extendLease(const Json &order);
     void updateProgress(Run &run) const;
+    void goDown(Milliseconds downtime, bool underNewName, const char *how);
     void startNextLife();
     void answerWaitingReports(bool endListed);
     [[nodiscard]] Run *find(const std::string &task, std::uint64_t run);
@@ -142,7 +159,8 @@
     Instant m_bornAt;
     std::int64_t m_bornWallMilliseconds = 0;
     std::optional<Instant> m_downUntil;
-    bool m_newNameAfterCrash = false;
+    bool m_newNameInNextLife = false;
+    std::optional<Drain> m_drain;
     std::uint64_t m_token = 0;
     std::uint64_t m_tokenAtFault = 0;
     std::int64_t m_leaseUntil = 0;
--- a/standins/WorkerRegistration.cpp
+++ b/standins/WorkerRegistration.cpp
@@ -16,7 +16,7 @@
 }
 
 WorkerRegistration::WorkerRegistration(
-    const Clock &clock, StandinStore &store, const PlatformWorker &worker, std::uint64_t seed)
+    const Clock &clock, StandinStore &store, PlatformWorker &worker, std::uint64_t seed)
     : m_clock(clock), m_store(store), m_worker(worker), m_random(seed), m_nextHeartbeat(clock.now())
 {
 }
@@ -25,6 +25,9 @@
 {
     const Instant now = m_clock.now();
     if (!m_worker.isUp()) {
+        if (m_worker.hasLeft()) {
+            m_store.revokeLease(std::exchange(m_lease, 0));
+        }
         return;
     }
     const std::string key = "servers/" + m_worker.name();
@@ -51,6 +54,9 @@
     m_lease = m_store.grantLease(EntryDuration);
     m_written = value;
     (void)m_store.write({key, std::move(value), std::nullopt, m_lease});
+    if (m_worker.isDraining()) {
+        m_worker.notifyDrainingPublished();
+    }
 }
 
 }
--- a/standins/WorkerRegistration.h
+++ b/standins/WorkerRegistration.h
@@ -9,10 +9,11 @@
 {
 
 // Keeps the entry of a stand-in worker in the store, under a lease that the worker's heartbeats renew.
+// Removes the entry of a worker that has left.
 class WorkerRegistration
 {
 public:
-    WorkerRegistration(const Clock &clock, StandinStore &store, const PlatformWorker &worker, std::uint64_t seed);
+    WorkerRegistration(const Clock &clock, StandinStore &store, PlatformWorker &worker, std::uint64_t seed);
 
     // Sends a heartbeat if one is due. Call it often while the store is reachable, and not while it is away.
     void advance();
@@ -22,7 +23,7 @@
 
     const Clock &m_clock;
     StandinStore &m_store;
-    const PlatformWorker &m_worker;
+    PlatformWorker &m_worker;
     std::mt19937_64 m_random;
     LeaseIdentifier m_lease = 0;
     std::string m_written;
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -9,6 +9,7 @@
 import time
 
 from deployment import Deployment, call, document, wait_until
+from node_schedule import DRAIN_MS
 
 TEMPLATE = os.path.join(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))),
                         "deploy", "settings.toml.in")
@@ -97,7 +98,7 @@
                   "Listen": {"Front": f"127.0.0.1:{port}", "ReadyAddr": f"127.0.0.1:{port + 1}"},
                   "PortRange": [port + 2], "platform": {"Address": f"127.0.0.1:{self.links + index}"}, "Advice": "",
                   "Limits": {"CpuShare": 0.5 if index % 3 == 0 else 0.12},
-                  "Bounds": {"MaxHoldMs": LEASE_MS, "DrainMs": 5000, "status_s": 300, "GraceS": GRACE_S}}
+                  "Bounds": {"MaxHoldMs": LEASE_MS, "DrainMs": DRAIN_MS, "status_s": 300, "GraceS": GRACE_S}}
         with open(TEMPLATE, encoding="utf-8") as file:
             # The template gives all instances one port for their metrics, since each has a machine of its own.
             text = render(file.read(), values).replace("127.0.0.1:9464", f"127.0.0.1:{port + 3}")
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -3,6 +3,8 @@
 import random
 
 WARM_UP_S = 8.0
+# For so long a worker goes on at least after the store knows that it drains.
+DRAIN_MS = 3_000
 
 
 class Schedule:
@@ -14,11 +16,13 @@
         self.instances = instances
         self.workers = workers
         self.events = []
+        self.outages = []
         self.add_store_faults()
         self.add_process_faults()
         self.add_link_faults()
         self.add_worker_faults()
         self.add_owner_faults()
+        self.add_drains()
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -56,6 +60,7 @@
         for number in range(self.random.randint(2, 4)):
             longest = min(60.0, self.seconds / 4) if number == 0 and self.random.random() < 0.25 else 7.5
             self.add(at, "store", silent=True, carry_out_late=late)
+            self.outages.append(at)
             at += self.random.uniform(3.0, max(3.0, longest))
             self.add(at, "store", expire_leases=True)
             at += self.random.uniform(0.8, 3.0)
@@ -130,6 +135,29 @@
         for at in self.times(9.0):
             self.add_replaced_owner(at)
 
+    def add_drains(self):
+        """Drains groups of workers one after the other, some of them shortly before an outage of the store, while they
+        carry orders out late or instances are deprived of their lease or restarted."""
+        times = self.times(9.0)
+        if self.outages:
+            times.append(self.random.choice(self.outages) - self.random.uniform(0.0, 4.0))
+        for at in times:
+            for _ in range(self.random.randint(1, 3)):
+                share = self.random.choice([0.04, 0.1, 0.2])
+                workers = sorted(self.random.sample(range(self.workers), max(1, int(self.workers * share))))
+                late = self.random.choice([0.0, 0.0, 0.3])
+                self.add(at, "workers", workers=workers, carry_out_late=late, report_late=late,
+                         drain_ms=self.random.choice([2000, DRAIN_MS + 100, DRAIN_MS + 1000, DRAIN_MS + 5000]),
+                         downtime_ms=self.random.choice([500, 3000]))
+                if late:
+                    self.add(at + self.random.uniform(1, 6), "workers", workers=workers)
+                at += self.random.uniform(0.5, 3.0)
+            kind = self.random.random()
+            if kind < 0.4:
+                self.add(at, "drop_lease", instance=self.random.randrange(self.instances))
+            elif kind < 0.6:
+                self.add(at, "kill", instance=self.random.randrange(self.instances), restart_after_s=0.3)
+
     def add_replaced_owner(self, at):
         """Replaces an owner that does not learn of it while its leases on some workers run out. It reaches the workers
         that its successor can't reach, and not those that the successor reaches."""
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -28,6 +28,8 @@
 # When the last cancelled task has to be gone and the last one that lasts has to run again, after the last fault or
 # cancellation.
 SETTLED_S = max(CONTACT_S + CANCEL_S + STOP_MS / 1000, 1.02 * LEASE_MS / 1000 + 2 + LASTING_S)
+# The longest time that a worker drains, with its last report and the downtime after it.
+DRAINED_S = 16.0
 STEP_S = 0.02
 
 
@@ -43,6 +45,17 @@
         time.sleep(STEP_S)
 
 
+def await_drained(deployment):
+    """Waits until the workers that drain have left. That is the last fault."""
+    end = time.time() + DRAINED_S
+    while deployment.counts().get("draining", 1):
+        if time.time() > end:
+            deployment.faults.append("a worker that drains has not left")
+            return
+        deployment.supervise()
+        time.sleep(STEP_S)
+
+
 def await_jobs(deployment, callers):
     """Waits until all accepted jobs are done, or for as long as that may take, and returns the seconds."""
     begin = time.time()
@@ -59,6 +72,7 @@
     callers.start(submitters=16 + 2 * arguments.instances, askers=4)
     play(deployment, schedule, arguments.seconds)
     deployment.calm()
+    await_drained(deployment)
     calm_at = time.time()
     callers.submitting.clear()
     calm_s = await_jobs(deployment, callers)
