History: Vary leases, kinds of steps and the configuration in runs of real processes

The run had leases of 6 s and stops of 200 ms only, one version of the configuration, and no jobs that repeat or fill.

The seed now chooses leases of 3 or 6 s (--lease-ms overrides it) and stops of 900 or 200 ms. Jobs may repeat, with occurrences that overlap or don't, have chains of three steps, and fill. Versions of the configuration add and drop a route while the store comes and goes; jobs on that route are checked for double runs, limits and cancellation, but not for their end. The settings of instances change with SIGHUP.

--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -284,8 +284,9 @@
         return;
     }
     const Json &work = std::get<Json>(payload);
+    const bool fills = memberOr(work, "fills", false);
     const Resources demand {
-        memberOr(work, "millicores", std::int64_t {0}), memberOr(work, "memory_mb", std::int64_t {0}), 0};
+        fills ? 0 : memberOr(work, "millicores", std::int64_t {0}), memberOr(work, "memory_mb", std::int64_t {0}), 0};
     if (!(used() + demand).fitsInto(m_settings.capacity)) {
         respond(refusal("room"));
         return;
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -17,7 +17,7 @@
 // A stand-in for a worker in the platform's published protocol: starts, stops and paces runs under a lease on its own
 // clock, and lists what runs and what has ended. What a run does is told by its payload, a JSON object with run_ms,
 // millicores, memory_mb, fail_first (so many runs of the task fail), lasting, saves (checkpoints its progress), gang
-// (the tasks of the first step are a gang of so many members) and per_worker (at
+// (the tasks of the first step are a gang of so many members), fills (its processors don't count) and per_worker (at
 // most so many tasks of a step may be at work on one worker; 0 stands for no limit).
 class PlatformWorker
 {
--- a/tests/history/node_callers.py
+++ b/tests/history/node_callers.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from node_deployment import HOST, QUEUES
+from node_deployment import HOST, QUEUES, TEMPORARY_QUEUES
 
 DEADLINE_S = 3.0
 MOST_ATTEMPTS = 6
@@ -17,17 +17,21 @@
 
     def __init__(self, generator):
         self.id = f"{generator.getrandbits(64):016x}"
-        self.queue = generator.choice(list(QUEUES))
+        self.queue = generator.choice(list(QUEUES if generator.random() < 0.9 else TEMPORARY_QUEUES))
         run_ms = generator.choice([100, 300, 800, 2000, 4000, 6000])
         kind = generator.random()
         self.lasting = kind < 0.08
         gang = 0.08 <= kind < 0.2
+        repeats = 0.2 <= kind < 0.35
+        fills = 0.35 <= kind < 0.42
         saves = generator.random() < 0.3 and not gang
         first = {"Count": generator.choice([1, 4, 10, 30]), "Cpu": generator.choice([7000, 14000, 21000]),
                  "MemMb": 4000, "EstimatedMs": run_ms}
         if self.lasting or gang:
             first.update({"Count": generator.choice([2, 4]), "AntiAffinity": 1})
         per_worker = 1 if self.lasting or gang else 0
+        if repeats:
+            run_ms = first["EstimatedMs"] = min(run_ms, 800)
         if generator.random() < 0.4 and not gang:
             # More tasks than one data centre has workers for.
             per_worker = generator.choice([1, 2])
@@ -38,6 +42,10 @@
         steps = [dict(first, Gang=True) if gang else dict(first, LongRunning=True) if self.lasting else first]
         if generator.random() < 0.3 and not self.lasting:
             steps.append(dict(first, Count=generator.choice([1, 4]), After=[0]))
+            if run_ms <= 2000 and generator.random() < 0.5:
+                steps.append(dict(first, Count=generator.choice([1, 4]), After=[0, 1]))
+        if fills:
+            steps = [dict(step, Fills=True) for step in steps]
         for step in steps:
             if saves:
                 step["Checkpointing"] = True
@@ -46,9 +54,15 @@
         self.stay_s = generator.uniform(1, 40) if self.lasting else 0.0
         payload = {"run_ms": run_ms, "millicores": first["Cpu"], "memory_mb": first["MemMb"],
                    "fail_first": 0 if gang else generator.choice([0, 0, 0, 0, 0, 1]), "saves": saves,
-                   "lasting": self.lasting, "gang": first["Count"] if gang else 0, "per_worker": per_worker}
-        self.body = json.dumps({"Spec": json.dumps(payload), "Steps": steps}).encode()
-        self.tasks = sum(step["Count"] for step in steps)
+                   "lasting": self.lasting, "gang": first["Count"] if gang else 0, "per_worker": per_worker, "fills": fills}
+        document = {"Spec": json.dumps(payload), "Steps": steps}
+        times = generator.choice([2, 3]) if repeats else 1
+        if repeats:
+            # Occurrences that overlap, and others that don't.
+            document.update({"RepeatCount": times, "IntervalMs": generator.choice([300, 1500]),
+                             "FirstRunMs": int(time.time() * 1000) + generator.randrange(1500)})
+        self.body = json.dumps(document).encode()
+        self.tasks = times * sum(step["Count"] for step in steps)
         self.statuses = []
         self.accepted_at = None
         self.cancelled = False
@@ -56,7 +70,11 @@
         self.state = None
 
     def path(self):
-        return QUEUES[self.queue] + self.id
+        return {**QUEUES, **TEMPORARY_QUEUES}[self.queue] + self.id
+
+    def is_owed(self):
+        """Returns whether the job has to be done."""
+        return self.accepted_at and not self.cancelled and not self.lasting and self.queue in QUEUES
 
     def is_over(self):
         return self.state in ("done", "failed", "canceled")
@@ -191,9 +209,9 @@
                     self.unfinished.pop(job.id, None)
 
     def owed(self):
-        """Returns the accepted jobs that were not cancelled, don't last and are not over yet."""
+        """Returns the jobs that have to be done and are not over yet."""
         with self.lock:
-            return [job for job in self.unfinished.values() if not job.cancelled and not job.lasting]
+            return [job for job in self.unfinished.values() if job.is_owed()]
 
     def stop(self):
         self.asking.clear()
--- a/tests/history/node_checkers.py
+++ b/tests/history/node_checkers.py
@@ -1,5 +1,7 @@
 """Checks of what the stand-ins and the callers of run_node.py saw. Each returns a list of violations in words."""
 
+from node_deployment import QUEUES
+
 CRASHES_BEFORE_GIVING_UP = 2
 # After the last fault an instance is in touch again within this time.
 CONTACT_S = 4.0
@@ -22,8 +24,7 @@
     for job in jobs:
         seen = runs.get(job.id, {"starts": 0, "done": 0, "crashes": 0})
         given_up = job.state == "failed" and seen["crashes"] >= CRASHES_BEFORE_GIVING_UP
-        owed = job.accepted_at and not job.cancelled and not job.lasting
-        if owed and job.state != "done" and not given_up:
+        if job.is_owed() and job.state != "done" and not given_up:
             faults.append(f"{job.id} was accepted at {job.accepted_at:.3f} and is lost: {job.state}, {seen}")
         if job.state == "done" and seen["done"] < job.tasks:
             faults.append(f"{job.id} is shown as done, but only {seen['done']} of its {job.tasks} tasks are")
@@ -52,4 +53,4 @@
     """All tasks of a job that lasts run as long as nobody cancels it."""
     return [f"{job.id} lasts, and {runs.get(job.id, {'running': 0})['running']} of its {job.tasks} tasks run"
             for job in jobs if job.lasting and job.accepted_at and not job.cancelled
-            and runs.get(job.id, {"running": 0})["running"] < job.tasks]
+            and job.queue in QUEUES and runs.get(job.id, {"running": 0})["running"] < job.tasks]
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -16,8 +16,9 @@
 NAMES = ["depot", "office", "pumphouse", "harbour", "siding", "reservoir"]
 HOST = "rig.example"
 QUEUES = {"bill": "/bill/", "tariff": "/tariff/", "watch": "/watch/"}
-LEASE_MS = 6_000
-STOP_MS = 200
+# A queue that versions of the configuration add and drop. What becomes of its jobs meanwhile is not promised.
+TEMPORARY_QUEUES = {"yard": "/yard/"}
+STOP_CHOICES_MS = [900, 200]
 GRACE_S = 6.0
 PORTS_PER_INSTANCE = 4
 
@@ -40,11 +41,19 @@
 class NodeDeployment(Deployment):
     """The platform, the instances and the balancer in front of them."""
 
-    def __init__(self, folder, base_port, instances, workers, seed):
+    def __init__(self, folder, base_port, instances, workers, seed, lease_ms):
         super().__init__(folder, base_port)
         self.instances = instances
         self.worker_count = workers
         self.seed = seed
+        self.lease_ms = lease_ms
+        # How long a worker takes to stop a run at most.
+        self.stop_ms = STOP_CHOICES_MS[seed // 2 % len(STOP_CHOICES_MS)]
+        # The newest configuration, and the version that the store has.
+        self.version = 1
+        self.queues = QUEUES
+        self.stored_version = 0
+        self.configure_at = 0.0
         # With six data centres in two regions, each has an owner of its own.
         self.zones = NAMES[:min(len(NAMES), instances)]
         self.control = base_port
@@ -74,23 +83,27 @@
         self.start("platform", "wagtail-standin-platform", [
             f"--control={self.control}", f"--store={self.control + 1}", f"--links={self.links}",
             f"--worker-ports={self.worker_ports}", f"--instances={self.instances}",
-            f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={LEASE_MS}",
-            f"--stop-ms={STOP_MS}",
+            f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={self.lease_ms}",
+            f"--stop-ms={self.stop_ms}",
             f"--seed={self.seed}", f"--writes={70 * self.instances}", f"--reads={340 * self.instances}"])
         wait_until(lambda: call(self.control, "GET", "/violations")[0] == 200, 20, "the platform")
-        self.configure(1)
+        wait_until(self.store_configuration, 20, "the configuration to be stored")
 
-    def configure(self, version):
+    def store_configuration(self):
+        """Writes the newest configuration, and returns whether the store has it."""
         routes = [{"Host": HOST, "Prefix": prefix, "Name": name, "Service": "workers", "Priority": priority,
                    "MaxAttempts": 4, "Stretch": 2.0, "TargetLatencyMs": 2000}
-                  for priority, (name, prefix) in enumerate(QUEUES.items())]
-        manifest = {"Version": version, "Routes": routes, "Services": [{"Name": "workers", "RejectsOverload": True}],
-                    "Limits": {"MaxBodyBytes": 262144}}
+                  for priority, (name, prefix) in enumerate(self.queues.items())]
+        manifest = {"Version": self.version, "Routes": routes,
+                    "Services": [{"Name": "workers", "RejectsOverload": True}], "Limits": {"MaxBodyBytes": 262144}}
         value = base64.b64encode(json.dumps(manifest).encode()).decode()
         body = {"Precondition": [], "Remove": [], "Writes": [{"Key": "op/config", "Value": value, "Lease": 0}]}
-        assert call(self.control + 1, "POST", "/-/kv-txn", body, {"Operator": "1"})[0] == 200
+        if call(self.control + 1, "POST", "/-/kv-txn", body, {"Operator": "1"}, timeout=0.15)[0] == 200:
+            self.stored_version = self.version
+        return self.stored_version == self.version
 
-    def start_node(self, index):
+    def write_settings(self, index, grace_s):
+        """Writes the settings file of an instance and returns its path."""
         port = self.port(index)
         zone = self.zones[index % len(self.zones)]
         regions = {name: ["wheatbelt", "coastal"][number % 2] for number, name in enumerate(self.zones)}
@@ -98,14 +111,18 @@
                   "Listen": {"Front": f"127.0.0.1:{port}", "ReadyAddr": f"127.0.0.1:{port + 1}"},
                   "PortRange": [port + 2], "platform": {"Address": f"127.0.0.1:{self.links + index}"}, "Advice": "",
                   "Limits": {"CpuShare": 0.5 if index % 3 == 0 else 0.12},
-                  "Bounds": {"MaxHoldMs": LEASE_MS, "DrainMs": DRAIN_MS, "status_s": 300, "GraceS": GRACE_S}}
+                  "Bounds": {"MaxHoldMs": self.lease_ms, "DrainMs": DRAIN_MS, "status_s": 300, "GraceS": grace_s}}
         with open(TEMPLATE, encoding="utf-8") as file:
             # The template gives all instances one port for their metrics, since each has a machine of its own.
             text = render(file.read(), values).replace("127.0.0.1:9464", f"127.0.0.1:{port + 3}")
         path = os.path.join(self.folder, self.name(index) + ".toml")
-        with open(path, "w", encoding="utf-8") as file:
+        with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(text)
-        self.start(self.name(index), "wagtail-node", ["--settings", path])
+        os.replace(path + ".new", path)
+        return path
+
+    def start_node(self, index):
+        self.start(self.name(index), "wagtail-node", ["--settings", self.write_settings(index, GRACE_S)])
 
     def start_all(self):
         self.start_platform()
@@ -168,6 +185,17 @@
         if name in self.processes:
             self.signal(name, signal.SIGCONT)
 
+    def do_configure(self, with_temporary):
+        self.version += 1
+        self.queues = {**QUEUES, **TEMPORARY_QUEUES} if with_temporary else QUEUES
+
+    def do_hang_up(self, instance, grace_s):
+        """Changes the settings file of an instance and tells it so, unless it has just been started."""
+        name = self.name(instance)
+        self.write_settings(instance, grace_s)
+        if name in self.processes and call(self.port(instance) + 1, "GET", "/-/ready", timeout=0.3)[0]:
+            self.signal(name, signal.SIGHUP)
+
     def do_drop_lease(self, instance):
         """Takes the lease of one instance away, with its entry and what it owns."""
         call(self.control, "POST", "/lease", {"key": "wagtail/cluster/instances/" + self.name(instance)})
@@ -189,6 +217,9 @@
         """Kills what did not end in time, notices what ended by itself, and starts instances again."""
         now = time.time()
         self.starve(now)
+        if self.stored_version != self.version and now >= self.configure_at:
+            self.configure_at = now + 1.0
+            self.store_configuration()
         for name, at in list(self.kill_at.items()):
             if now >= at:
                 process = self.processes[name]
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -23,6 +23,7 @@
         self.add_worker_faults()
         self.add_owner_faults()
         self.add_drains()
+        self.add_configurations()
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -158,6 +159,16 @@
             elif kind < 0.6:
                 self.add(at, "kill", instance=self.random.randrange(self.instances), restart_after_s=0.3)
 
+    def add_configurations(self):
+        """Adds a route, drops it and adds it again, and changes the settings of instances."""
+        with_temporary = True
+        for at in [WARM_UP_S / 2] + self.times(10.0):
+            self.add(at, "configure", with_temporary=with_temporary)
+            with_temporary = not with_temporary
+        for at in self.times(max(0.5, 60.0 / self.instances)):
+            self.add(at, "hang_up", instance=self.random.randrange(self.instances),
+                     grace_s=self.random.choice([5.0, 6.0]))
+
     def add_replaced_owner(self, at):
         """Replaces an owner that does not learn of it while its leases on some workers run out. It reaches the workers
         that its successor can't reach, and not those that the successor reaches."""
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -1,7 +1,7 @@
 """Runs wagtail-node processes on a stand-in of their platform under faults, and checks what is seen from outside.
 
-usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--port P] [--build FOLDER] [--keep]
-                   [--print-schedule]
+usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--lease-ms MS] [--port P]
+                   [--build FOLDER] [--keep] [--print-schedule]
 
 Exits with 1 and names the folder with the logs, merged by time, if a check fails.
 """
@@ -19,20 +19,29 @@
 from node_callers import Callers  # noqa: E402
 from node_checkers import (CANCEL_S, CONTACT_S, LASTING_S, check_cancelled, check_jobs,  # noqa: E402
                            check_lasting, check_runs)
-from node_deployment import LEASE_MS, STOP_MS, NodeDeployment  # noqa: E402
+from node_deployment import NodeDeployment  # noqa: E402
 from node_schedule import Schedule  # noqa: E402
 
-# What may pass after the last fault until every job is done: the longest lease on a clock that is 2 % slow, the time
-# until the workers are listed again, the longest chain of work of a job with its failures, and the platform's finish_s.
-CALM_S = 1.02 * LEASE_MS / 1000 + 2 + 18 + 14
-# When the last cancelled task has to be gone and the last one that lasts has to run again, after the last fault or
-# cancellation.
-SETTLED_S = max(CONTACT_S + CANCEL_S + STOP_MS / 1000, 1.02 * LEASE_MS / 1000 + 2 + LASTING_S)
+# The longest lease of a worker. The seed chooses one unless an argument does.
+LEASE_CHOICES_MS = [3_000, 6_000]
 # The longest time that a worker drains, with its last report and the downtime after it.
 DRAINED_S = 16.0
 STEP_S = 0.02
 
 
+def longest_calm_s(lease_ms):
+    """Returns what may pass after the last fault until every job is done: the longest lease on a clock that is 2 %
+    slow, the time until the workers are listed again, the longest chain of work of a job with its failures, and the
+    platform's finish_s."""
+    return 1.02 * lease_ms / 1000 + 2 + 18 + 14
+
+
+def settled_s(lease_ms, stop_ms):
+    """Returns when the last cancelled task has to be gone and the last one that lasts has to run again, after the last
+    fault or cancellation."""
+    return max(CONTACT_S + CANCEL_S + stop_ms / 1000, 1.02 * lease_ms / 1000 + 2 + LASTING_S)
+
+
 def play(deployment, schedule, seconds):
     """Carries the schedule out and returns when it is over."""
     begin = time.time()
@@ -59,7 +68,8 @@
 def await_jobs(deployment, callers):
     """Waits until all accepted jobs are done, or for as long as that may take, and returns the seconds."""
     begin = time.time()
-    while time.time() < begin + CALM_S and (callers.owed() or deployment.restart_at or deployment.kill_at):
+    end = begin + longest_calm_s(deployment.lease_ms)
+    while time.time() < end and (callers.owed() or deployment.restart_at or deployment.kill_at):
         deployment.supervise()
         time.sleep(STEP_S)
     return time.time() - begin
@@ -77,7 +87,8 @@
     callers.submitting.clear()
     calm_s = await_jobs(deployment, callers)
     callers.stop()
-    settled_at = max([calm_at] + [job.cancelled_at for job in callers.jobs if job.cancelled_at]) + SETTLED_S
+    settled_at = max([calm_at] + [job.cancelled_at for job in callers.jobs if job.cancelled_at])
+    settled_at += settled_s(deployment.lease_ms, deployment.stop_ms)
     while time.time() < settled_at:
         deployment.supervise()
         time.sleep(STEP_S)
@@ -99,6 +110,7 @@
     parser.add_argument("--seconds", type=float, default=45)
     parser.add_argument("--instances", type=int, default=8)
     parser.add_argument("--workers", type=int, default=100)
+    parser.add_argument("--lease-ms", type=int, help="the longest lease of a worker")
     parser.add_argument("--port", type=int, default=20000)
     parser.add_argument("--build", default=programs.BUILD, help="the folder with the programs")
     parser.add_argument("--keep", action="store_true", help="keep the logs also if all checks pass")
@@ -110,13 +122,16 @@
         return 0
     programs.BUILD = arguments.build
     folder = tempfile.mkdtemp(prefix="wagtailbank-node-")
-    with NodeDeployment(folder, arguments.port, arguments.instances, arguments.workers, arguments.seed) as deployment:
+    lease_ms = arguments.lease_ms or LEASE_CHOICES_MS[arguments.seed % len(LEASE_CHOICES_MS)]
+    with NodeDeployment(folder, arguments.port, arguments.instances, arguments.workers, arguments.seed,
+                        lease_ms) as deployment:
         faults = run(deployment, arguments)
     for fault in faults[:20]:
         print("violation:", fault)
     if faults or arguments.keep:
         print(f"logs: {deployment.merge_logs()}; repeat with: run_node.py --seed {arguments.seed} "
-              f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers}")
+              f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers} "
+              f"--lease-ms {lease_ms}")
     else:
         shutil.rmtree(folder)
     return 1 if faults else 0
