History: Revoke leases of instances shortly before outages of the store

The platform may take an instance's lease away without notice just before the store goes away for all. The schedule left that to chance. A quarter of the instances now lose their lease within 3 s before every second outage, and before one in four, half of all instances do not answer for some seconds.

A violation of the limit per worker names the run that was there first.

--- a/standins/RunLedger.cpp
+++ b/standins/RunLedger.cpp
@@ -54,13 +54,14 @@
     if (task.acknowledged) {
         recordViolation("started after an acknowledged end as done", *task.acknowledged, run);
     }
-    const int atWork = ++m_atWork[stepOf(run)];
+    std::vector<Run> &atWork = m_atWork[stepOf(run)];
+    atWork.push_back(run);
     if (perWorkerLimit > 0) {
         ++m_limitedStarts;
-        if (atWork > perWorkerLimit) {
-            recordViolation(
-                "beyond the limit per worker: " + std::to_string(atWork) + " of " + std::to_string(perWorkerLimit), run,
-                run);
+        if (atWork.size() > static_cast<std::size_t>(perWorkerLimit)) {
+            const std::string what = "beyond the limit per worker: " + std::to_string(atWork.size()) + " of "
+                + std::to_string(perWorkerLimit) + ", with " + atWork.front().task;
+            recordViolation(what, atWork.front(), run);
         }
     }
     task.starts.push_back({run, m_clock.now(), m_clock.wallMilliseconds(), std::nullopt, {}});
@@ -76,7 +77,9 @@
             start.endedAt = m_clock.now();
             start.how = how;
             const auto atWork = m_atWork.find(stepOf(run));
-            if (--atWork->second == 0) {
+            std::erase_if(atWork->second,
+                [&run](const Run &other) { return other.task == run.task && other.number == run.number; });
+            if (atWork->second.empty()) {
                 m_atWork.erase(atWork);
             }
         }
--- a/standins/RunLedger.h
+++ b/standins/RunLedger.h
@@ -86,7 +86,7 @@
     const Clock &m_clock;
     std::map<std::string, Task> m_tasks;
     // The tasks at work, including those that are being stopped.
-    std::map<StepOnWorker, int> m_atWork;
+    std::map<StepOnWorker, std::vector<Run>> m_atWork;
     std::size_t m_limitedStarts = 0;
     std::map<std::string, std::size_t> m_ends;
     // By data centre.
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -26,6 +26,7 @@
         self.add_drains()
         self.add_configurations()
         self.add_late_orders()
+        self.add_revocations()
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -172,6 +173,17 @@
                 self.add(at, "workers", workers=workers, longest_delay_ms=LONGEST_DELAY_MS, **{kind: share})
                 self.add(at + for_s, "workers", workers=workers)
 
+    def add_revocations(self):
+        """Takes the leases of instances away shortly before the store is silent, while half of all may not answer."""
+        for outage in self.outages:
+            if self.random.random() < 0.5:
+                for instance in self.random.sample(range(self.instances), max(1, self.instances // 4)):
+                    self.add(outage - self.random.uniform(0.0, 3.0), "drop_lease", instance=instance)
+            if self.random.random() < 0.25:
+                for instance in self.random.sample(range(self.instances), self.instances // 2):
+                    self.add(outage - self.random.uniform(0.0, 0.5), "pause", instance=instance)
+                    self.add(outage + self.random.uniform(1.0, 4.0), "resume", instance=instance)
+
     def add_configurations(self):
         """Adds a route, drops it and adds it again, and changes the settings of instances."""
         with_temporary = True
