Tests: Show that an adopted run that fails is restarted by two owners

Trace of task 0.0.21:

+1066 ms the owner's store lease is revoked, and its link to the store cut +1069 the successor's term starts; it adopts run 200001 on worker-54 +1104 run 200001 fails +1105 both owners log the failure; the replaced one had a report request waiting on worker-54 since before the successor's first call +1106 the replaced owner starts run 200002 on worker-48 +1107 worker-54 refuses another start of the replaced owner (fence), and its term ends +1159 the successor, which has not heard worker-48, starts run 300001 on worker-90

Cause: a task whose run a term has adopted counts as running nowhere else, also after that run has ended. For as long as the replaced owner relies on its store lease, it may have read the same end and started the task on a worker that the successor has not heard. Tasks of which the successor knows no run do wait.

The test fails: the successor has started the task a second time while three workers are unheard.

--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -62,6 +62,35 @@
     EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
 }
 
+// Both owners started a task again whose run the successor had adopted and which then failed. The worker had held a
+// report request of the replaced owner, and told it of the end as well.
+TEST_F(ReplacedOwner, leavesAnAdoptedRunThatFailedToTheReplacedOwnerWhileWorkersAreUnheard)
+{
+    m_cluster.workers.setBehaviour("job", {Milliseconds(2'500), 1, false});
+    m_cluster.owner()->router.submit(
+        TestCluster::job("job", 1, 1), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Milliseconds(500));
+    replaceOwnerThatHasLost(jobs().find("job")->occurrences.at(0).steps[0].tasks[0].worker);
+    const auto hasFailed = [this] {
+        return std::any_of(m_cluster.instances.begin(), m_cluster.instances.end(), [this](const auto &entry) {
+            TestInstance *instance = entry.second.get();
+            const auto *leader = instance == m_owner ? nullptr : instance->ownership.leader("fleet");
+            const JobState *job = leader == nullptr ? nullptr : leader->jobScheduler().find("job");
+            return job != nullptr && !job->occurrences.at(0).steps[0].tasks[0].failedRuns.empty();
+        });
+    };
+    for (int i = 0; i < 60 && !hasFailed(); ++i) {
+        m_cluster.advance(Milliseconds(50));
+    }
+    ASSERT_TRUE(hasFailed());
+    m_cluster.advance(Milliseconds(300));
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 1U);
+    // All leases of the replaced owner have expired.
+    m_cluster.advance(Second * 15);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // A replaced owner that had stopped took an outage that came later for a reason to go on. It started the task on a
 // worker that its successor did not reach, which ran it elsewhere.
 TEST_F(ReplacedOwner, doesNotGoOnInALaterOutage)
