Tests: Count the tasks of a step on a worker, and carry calls out late

Nothing checked the limit of tasks of one step per worker, and only orders could be late, by a fixed time.

FakeWorkers record a start that brings more tasks of a step of one occurrence onto a worker than a job's behaviour allows, including those that are being stopped. FakeWorkerGateway takes a filter that decides which starts, stops and reports get no answer, and after which time the worker carries them out, if ever. A lease that a start brings applies to everything on the worker, also if the start is refused as superseded or for lack of room, as the protocol says.

--- a/source/tenure/tests/FakeWorkersTest.cpp
+++ b/source/tenure/tests/FakeWorkersTest.cpp
@@ -192,4 +192,34 @@
     EXPECT_EQ(cluster.workerName(1), "worker-1.2");
 }
 
+TEST_F(FakeWorkersTest, recordAStartBeyondTheLimitOfItsStep)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.perWorkerLimit = 1;
+    behaviour.stopDuration = Second;
+    m_workers.setBehaviour("job", behaviour);
+    start({"job", 0, 0, 0});
+    start({"job", 0, 1, 0});
+    start({"job", 1, 0, 0});
+    EXPECT_EQ(m_workers.violations(), std::vector<std::string>());
+    m_workers.stop("worker", 1, {{"job", 0, 0, 0}, 1});
+    start({"job", 0, 0, 1});
+    EXPECT_EQ(m_workers.violations(),
+        (std::vector<std::string> {"job.0.0.1 was started on worker beyond the limit of its step"}));
+}
+
+// A lease that an order brings applies to everything on the worker.
+TEST_F(FakeWorkersTest, extendLeasesByAStartThatTheyRefuse)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.lasting = true;
+    m_workers.setBehaviour("job", behaviour);
+    start(Task);
+    advance(Milliseconds(1'500));
+    m_workers.stop("worker", 1, {OtherTask, 1});
+    EXPECT_EQ(start(OtherTask), OrderOutcome::Superseded);
+    advance(Milliseconds(1'500));
+    EXPECT_EQ(m_workers.runningCount(), 1U);
+}
+
 }
--- a/source/tenure/tests/FaultHistory.h
+++ b/source/tenure/tests/FaultHistory.h
@@ -142,6 +142,7 @@
             instance.gateway.cut = false;
             instance.gateway.cutWorkers.clear();
             instance.gateway.lateOrders = 0;
+            instance.gateway.filter = nullptr;
         }
     }
 
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -61,6 +61,9 @@
         Resources demand = {};
         // How long a run goes on after it was told to stop.
         Milliseconds stopDuration {0};
+        // How many tasks of one step may be on a worker at the same time, including those that are being stopped. 0 for
+        // no limit.
+        int perWorkerLimit = 0;
     };
 
     explicit FakeWorkers(ManualClock &clock) : m_clock(clock)
@@ -204,23 +207,24 @@
             return {OrderOutcome::Fenced, clockOf(worker)};
         }
         worker.token = token;
-        for (Run &run : worker.running) {
-            if (run.name == order.run) {
-                run.leaseUntil = std::max(run.leaseUntil, shortened(worker, order.leaseUntil));
-                return {OrderOutcome::Accepted, clockOf(worker)};
-            }
+        const bool isRunning = std::any_of(
+            worker.running.begin(), worker.running.end(), [&order](const Run &run) { return run.name == order.run; });
+        if (isRunning) {
+            extendLeases(worker, order.leaseUntil);
+            return {OrderOutcome::Accepted, clockOf(worker)};
         }
         if (m_advisedJobs.contains(order.run.task.job) && order.ticket != "ticket of " + name) {
             return {OrderOutcome::TicketRefused, clockOf(worker)};
         }
         const auto closed = worker.closed.find(order.run.task);
         if (closed != worker.closed.end() && order.run.run <= closed->second) {
+            extendLeases(worker, order.leaseUntil);
             return {OrderOutcome::Superseded, clockOf(worker)};
         }
         if (order.leaseUntil < clockOf(worker)) {
             return {OrderOutcome::Expired, clockOf(worker)};
         }
-        worker.leaseUntil = std::max(worker.leaseUntil, shortened(worker, order.leaseUntil));
+        extendLeases(worker, order.leaseUntil);
         const Resources demandAfter = demandOn(worker) + m_behaviours[order.run.task.job].demand;
         if (worker.guard == CapacityGuard::RefusesStarts && !demandAfter.fitsInto(worker.listing.capacity)) {
             return {OrderOutcome::NoRoom, clockOf(worker)};
@@ -286,11 +290,7 @@
         }
         worker.token = token;
         if (request.leaseUntil) {
-            const std::int64_t until = shortened(worker, *request.leaseUntil);
-            worker.leaseUntil = std::max(worker.leaseUntil, until);
-            for (Run &run : worker.running) {
-                run.leaseUntil = std::max(run.leaseUntil, until);
-            }
+            extendLeases(worker, *request.leaseUntil);
         }
         for (const EndedTask &ended : worker.ended) {
             if (ended.number <= request.recordedEnd) {
@@ -529,6 +529,28 @@
         return std::min(until, clockOf(worker) + LongestLease.count());
     }
 
+    // Extends the lease of the worker and of all that runs on it, whichever order brought the new expiry.
+    void extendLeases(Worker &worker, std::int64_t until) const
+    {
+        const std::int64_t granted = shortened(worker, until);
+        worker.leaseUntil = std::max(worker.leaseUntil, granted);
+        for (Run &run : worker.running) {
+            run.leaseUntil = std::max(run.leaseUntil, granted);
+        }
+    }
+
+    // Returns how many tasks of a step are on the worker, including those that are being stopped.
+    [[nodiscard]] static std::size_t tasksOfStep(const Worker &worker, const TaskName &task)
+    {
+        return static_cast<std::size_t>(std::count_if(worker.running.begin(), worker.running.end(),
+            [&task](const Run &run) { return isOfSameStep(run.name.task, task); }));
+    }
+
+    [[nodiscard]] static bool isOfSameStep(const TaskName &left, const TaskName &right)
+    {
+        return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+    }
+
     void begin(Worker &worker, const StartOrder &order)
     {
         const TaskName &task = order.run.task;
@@ -547,6 +569,11 @@
         if (worker.guard == CapacityGuard::None && !(demandOn(worker) + behaviour.demand).fitsInto(permitted)) {
             m_violations.push_back(task.text() + " was started on " + worker.listing.name + " over its capacity");
         }
+        const auto limit = static_cast<std::size_t>(behaviour.perWorkerLimit);
+        if (limit > 0 && tasksOfStep(worker, task) >= limit) {
+            m_violations.push_back(
+                task.text() + " was started on " + worker.listing.name + " beyond the limit of its step");
+        }
         m_starts[task].push_back(m_clock.now());
         const bool fails = failureCount(task) < static_cast<std::size_t>(behaviour.failures);
         Run run {order.run, shortened(worker, order.leaseUntil), m_clock.now(), behaviour, fails};
@@ -640,6 +667,25 @@
     }
 
     bool cut = false;
+    enum class CallKind {
+        Start,
+        Stop,
+        Report,
+    };
+
+    // What becomes of a call that gets no answer.
+    struct UnansweredCall
+    {
+        // Time until the worker carries the call out. It never does if this is missing.
+        std::optional<Milliseconds> delay;
+    };
+
+    // Decides which calls to a worker get no answer.
+    using CallFilter = std::function<std::optional<UnansweredCall>(CallKind, const std::string &worker)>;
+    CallFilter filter;
+    // Whether a worker that has restarted under its name carries out late calls to its former incarnation. If not, the
+    // calls are lost with that incarnation.
+    bool lateCallsOutliveRestarts = false;
     // Workers by the name that they had at first. They stay cut off when they come back under another name.
     std::set<std::string> cutWorkers;
     int loseAnswers = 0;
@@ -651,19 +697,19 @@
 
     void start(const OrderTarget &target, const StartOrder &order, AnswerHandler handler) override
     {
-        carry(target, std::move(handler),
+        carry(target, std::move(handler), CallKind::Start,
             [this, target, order] { return m_workers.start(target.worker, target.token, order); });
     }
 
     void stop(const OrderTarget &target, const RunName &run, AnswerHandler handler) override
     {
-        carry(target, std::move(handler),
+        carry(target, std::move(handler), CallKind::Stop,
             [this, target, run] { return m_workers.stop(target.worker, target.token, run); });
     }
 
     void throttle(const OrderTarget &target, const RunName &run, int percent, AnswerHandler handler) override
     {
-        carry(target, std::move(handler),
+        carry(target, std::move(handler), {},
             [this, target, run, percent] { return m_workers.throttle(target.worker, target.token, run, percent); });
     }
 
@@ -673,6 +719,12 @@
             m_scheduler.after(Timeout, [handler = std::move(handler)] { handler(OrderOutcome::Unknown); });
             return;
         }
+        if (const auto unanswered = filtered(CallKind::Report, target)) {
+            carryLate(target, *unanswered,
+                [this, target, request] { (void)m_workers.report(target.worker, target.token, request); });
+            m_scheduler.after(Timeout, [handler = std::move(handler)] { handler(OrderOutcome::Unknown); });
+            return;
+        }
         const Milliseconds wait = std::min(request.wait, longestWait);
         m_scheduler.after(Delay + wait, [this, target, request, handler = std::move(handler)] {
             std::variant<RunReport, OrderOutcome> result = m_workers.report(target.worker, target.token, request);
@@ -695,21 +747,38 @@
         return cut || cutWorkers.contains(FakeWorkers::firstNameOf(target.worker));
     }
 
-    template<typename Work> void carry(const OrderTarget &target, AnswerHandler handler, Work work)
+    [[nodiscard]] std::optional<UnansweredCall> filtered(std::optional<CallKind> kind, const OrderTarget &target) const
+    {
+        return filter && kind ? filter(*kind, target.worker) : std::nullopt;
+    }
+
+    void carryLate(const OrderTarget &target, const UnansweredCall &call, std::function<void()> work)
+    {
+        if (!call.delay) {
+            return;
+        }
+        const std::int64_t incarnation = m_workers.incarnationOf(target.worker);
+        m_scheduler.after(*call.delay, [this, work = std::move(work), worker = target.worker, incarnation] {
+            if (lateCallsOutliveRestarts || m_workers.incarnationOf(worker) == incarnation) {
+                work();
+            }
+        });
+    }
+
+    template<typename Work>
+    void carry(const OrderTarget &target, AnswerHandler handler, std::optional<CallKind> kind, Work work)
     {
         if (isCut(target)) {
             m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
             return;
         }
-        if (lateOrders > 0) {
+        std::optional<UnansweredCall> late = filtered(kind, target);
+        if (!late && lateOrders > 0) {
             --lateOrders;
-            // The worker has taken the order in, so it is lost when the worker restarts.
-            const std::int64_t incarnation = m_workers.incarnationOf(target.worker);
-            m_scheduler.after(LateDelay, [this, work, worker = target.worker, incarnation] {
-                if (m_workers.incarnationOf(worker) == incarnation) {
-                    work();
-                }
-            });
+            late = UnansweredCall {LateDelay};
+        }
+        if (late) {
+            carryLate(target, *late, [work] { (void)work(); });
             m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
             return;
         }
