Scheduling: Await the stop of runs that are no longer needed

Cause: a run that became obsolete, because an earlier run of its task had ended as done, got a single stop whose answer nobody awaited, and was forgotten at the next report that did not list it. If its start was still on its way and the stop was lost or later than the start, the worker took other tasks meanwhile and then started the obsolete run beside them, beyond the limit of the step. Class of fault: an order that may still take effect was taken for one that had not.

ObsoleteRuns tracks these runs for each worker. A run stays, and the worker takes no tasks, until a report that was requested after an accepted stop does not list it, until it was listed and is so no longer, until the worker lists its end, or until the leases have expired after which its start is refused. Stops are repeated until one is accepted. On the next incarnation of the worker the runs are stopped anew if unsettled starts may reach it. This replaces mayReceiveObsoleteStart and the set of orphan runs.

Test: LateOrder.ofAnObsoleteRunLeavesNoRoomForOtherTasksOfItsStep.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -245,7 +245,9 @@
     void withdrawStart(TaskState &task);
     void sendStop(TaskState &task);
     void onStopAnswer(const RunName &run, const std::string &worker, Instant sentAt, const OrderAnswer &answer);
-    void stopOrphan(WorkerState &worker, const RunName &run);
+    void stopObsolete(WorkerState &worker, const RunName &run);
+    void onObsoleteStopAnswer(
+        const std::string &workerName, const RunName &run, Instant sentAt, const OrderAnswer &answer);
     void detach(TaskState &task);
     void requeue(TaskState &task, Milliseconds delay);
     void stopTasks(JobState &job);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -147,8 +147,7 @@
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"tasks", worker.tasks.size()}});
     const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
     m_leaseHandover.confirm(name);
-    worker.orphanRuns.clear();
-    worker.mayReceiveObsoleteStart = false;
+    worker.obsoleteRuns.restart({});
     worker.priorLeaseExpiresAt = {};
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -250,17 +250,32 @@
     }
 }
 
-void JobScheduler::stopOrphan(WorkerState &worker, const RunName &run)
+void JobScheduler::stopObsolete(WorkerState &worker, const RunName &run)
 {
-    m_environment.gateway.stop(
-        target(worker), run, [weak = std::weak_ptr(m_self), name = worker.listing.name](const OrderAnswer &answer) {
-            const auto self = weak.lock();
-            if (self && answer.outcome == OrderOutcome::Fenced) {
-                (*self)->m_environment.listener.tokenRefused(name);
+    const Instant sentAt = m_environment.clock.now();
+    worker.obsoleteRuns.stopSent(run, sentAt);
+    m_environment.gateway.stop(target(worker), run,
+        [weak = std::weak_ptr(m_self), name = worker.listing.name, run, sentAt](const OrderAnswer &answer) {
+            if (const auto self = weak.lock()) {
+                (*self)->onObsoleteStopAnswer(name, run, sentAt, answer);
             }
         });
 }
 
+void JobScheduler::onObsoleteStopAnswer(
+    const std::string &workerName, const RunName &run, Instant sentAt, const OrderAnswer &answer)
+{
+    if (answer.outcome == OrderOutcome::Fenced) {
+        m_environment.listener.tokenRefused(workerName);
+    }
+    WorkerState *worker = findWorker(workerName);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->obsoleteRuns.stopAnswered(run, answer.outcome, sentAt, m_environment.clock.now());
+    requestReport(*worker);
+}
+
 void JobScheduler::detach(TaskState &task)
 {
     WorkerState *worker = findWorker(task.worker);
@@ -290,7 +305,7 @@
 
 void JobScheduler::applyEnd(WorkerState &worker, const EndedTask &ended)
 {
-    worker.orphanRuns.erase(ended.run);
+    worker.obsoleteRuns.ended(ended.run);
     TaskState *task = findTask(ended.run.task);
     if (task == nullptr) {
         return;
@@ -356,12 +371,12 @@
 {
     WorkerState *worker = findWorker(task.worker);
     const RunName obsolete {nameOf(task), task.run};
-    const bool mayStillStart = task.deliveryUncertain || task.orderPending;
     detach(task);
     if (worker != nullptr) {
-        worker->mayReceiveObsoleteStart = worker->mayReceiveObsoleteStart || mayStillStart;
-        worker->orphanRuns.insert(obsolete);
-        stopOrphan(*worker, obsolete);
+        const Instant lastStart = worker->clock.isKnown() ? worker->leaseExpiry().value_or(m_environment.clock.now())
+                                                          : longestLeaseExpiry();
+        worker->obsoleteRuns.add(obsolete, lastStart);
+        stopObsolete(*worker, obsolete);
     }
 }
 
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -250,7 +250,7 @@
         listed.insert(running.run);
         applyRunning(worker, running, sentAt);
     }
-    std::erase_if(worker.orphanRuns, [&listed](const RunName &run) { return !listed.contains(run); });
+    worker.obsoleteRuns.applyReport(listed, sentAt);
     explainLostRuns(worker, report.incarnation, next.listedRuns);
     if (!report.truncated) {
         requeueMissingRuns(worker, listed, sentAt);
@@ -280,9 +280,7 @@
     if (adoptRun(worker, running, sentAt)) {
         return;
     }
-    const bool alreadyKnown = worker.orphanRuns.contains(running.run);
-    worker.orphanRuns.insert(running.run);
-    if (!alreadyKnown) {
+    if (worker.obsoleteRuns.addListed(running.run)) {
         Json inputs = {{"worker", worker.listing.name}, {"run", running.run.run}};
         if (task != nullptr) {
             inputs.update(
@@ -290,7 +288,7 @@
         }
         m_environment.listener.logDecision("orphan-run-stopped", running.run.task.text(), inputs);
     }
-    stopOrphan(worker, running.run);
+    stopObsolete(worker, running.run);
 }
 
 bool JobScheduler::adoptRun(WorkerState &worker, const RunningTask &running, Instant sentAt)
@@ -431,11 +429,10 @@
     worker.recordedEnd = 0;
     worker.sentAcknowledgement = 0;
     worker.acknowledgedEnd = 0;
-    worker.orphanRuns.clear();
-    worker.mayReceiveObsoleteStart = worker.mayReceiveObsoleteStart && !worker.unsettledStarts.isEmpty();
+    worker.obsoleteRuns.restart(worker.unsettledStarts.isEmpty() ? std::nullopt : std::optional(longestLeaseExpiry()));
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
-    const bool mayHoldLeases = !kept.empty() || !uncertain.empty();
+    const bool mayHoldLeases = !kept.empty() || !uncertain.empty() || !worker.obsoleteRuns.isEmpty();
     worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
     worker.hasAnswered = false;
     worker.refusedForCapacity = false;
@@ -496,6 +493,12 @@
             sendStop(*task);
         }
     }
+    if (worker.consecutiveUnanswered > 0) {
+        return;
+    }
+    for (const RunName &run : worker.obsoleteRuns.dueStops(now)) {
+        stopObsolete(worker, run);
+    }
 }
 
 void JobScheduler::recordFailure(WorkerState &worker, const std::string &job)
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -53,7 +53,7 @@
     // A worker that was silent may be missing from the list that a successor reads until its restart is listed.
     return worker.listed && !worker.listing.draining && worker.hasAnswered && !worker.isRestartListed()
         && !worker.isListingOutdated() && !worker.refusedForCapacity && !holdsTooManyEnds(worker)
-        && worker.consecutiveUnanswered == 0 && worker.orphanRuns.empty() && worker.quarantinedUntil <= now;
+        && worker.consecutiveUnanswered == 0 && worker.obsoleteRuns.isEmpty() && worker.quarantinedUntil <= now;
 }
 
 bool mayRepeatStart(const WorkerState &worker, const StepState &step)
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -48,8 +48,7 @@
 
 bool WorkerState::mayRunTasks() const
 {
-    const bool mayBeObsolete = !orphanRuns.empty() || (mayReceiveObsoleteStart && leaseGrantedUntil > 0);
-    return !tasks.empty() || mayBeObsolete;
+    return !tasks.empty() || !obsoleteRuns.isEmpty();
 }
 
 Resources WorkerState::countedDemand(const StepSpecification &step)
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/BackfillThrottle.h"
 #include "scheduling/JobState.h"
+#include "scheduling/ObsoleteRuns.h"
 #include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
 #include "scheduling/WorkerGateway.h"
@@ -57,11 +58,8 @@
     std::uint64_t acknowledgedEnd = 0;
     // Tasks whose current run is assigned to this worker, in any phase.
     std::set<TaskState *> tasks;
-    // Runs that the last report listed and that are not the current run of any task. The resources that they use are
-    // not known.
-    std::set<RunName> orphanRuns;
-    // Whether an order to start a run that is no longer any task's current one may still arrive at the worker.
-    bool mayReceiveObsoleteStart = false;
+    // Runs that are not the current run of any task and that may take room on the worker now or later.
+    ObsoleteRuns obsoleteRuns;
     std::vector<LostRun> lostRuns;
     // Start orders of which it is not known which incarnation they reached, whether their runs are still wanted or not.
     UnsettledStarts unsettledStarts;
--- /dev/null
+++ b/source/tenure/tests/LateOrderTest.cpp
@@ -0,0 +1,96 @@
+#include "TestCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+
+// A cluster whose workers carry orders of the owner out late.
+class LateOrder : public testing::Test
+{
+protected:
+    using CallKind = FakeWorkerGateway::CallKind;
+    using UnansweredCall = FakeWorkerGateway::UnansweredCall;
+
+    LateOrder()
+    {
+        m_cluster.advance(Second * 2);
+    }
+
+    // Submits a job of which each worker takes one task.
+    void submit(const std::string &id, int width, Milliseconds duration)
+    {
+        FakeWorkers::Behaviour behaviour;
+        behaviour.duration = duration;
+        behaviour.perWorkerLimit = 1;
+        m_cluster.workers.setBehaviour(id, behaviour);
+        JobRecord record = TestCluster::job(id, 1, width);
+        record.specification.steps[0].perWorkerLimit = 1;
+        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    }
+
+    [[nodiscard]] const TaskState &task(int index)
+    {
+        const JobScheduler &jobs = m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+        return jobs.find("job")->occurrences.at(0).steps[0].tasks[static_cast<std::size_t>(index)];
+    }
+
+    // Cuts the worker of the first task off, which ends as done there, until its leases have expired by the owner's
+    // account and the order to start its next run on another worker is unanswered. Each such order takes 1.9 s.
+    void loseFirstTask()
+    {
+        constexpr int MostSteps = 1'000;
+        m_lost = task(0).worker;
+        m_cluster.owner()->gateway.cutWorkers.insert(m_lost);
+        m_cluster.owner()->gateway.filter = [this](CallKind kind, const std::string &worker) {
+            return filterCall(kind, worker);
+        };
+        for (int i = 0; i < MostSteps && (task(0).worker == m_lost || !task(0).deliveryUncertain); ++i) {
+            m_cluster.advance(Milliseconds(20));
+        }
+    }
+
+    // Delays starts of the first task on other workers, and loses the first stop.
+    std::optional<UnansweredCall> filterCall(CallKind kind, const std::string &worker)
+    {
+        const bool startsFirstTask
+            = kind == CallKind::Start && worker != m_lost && task(0).worker == worker && task(0).run > 1;
+        if (startsFirstTask) {
+            return UnansweredCall {Milliseconds(1'900)};
+        }
+        if (kind == CallKind::Stop && m_lostStops == 0) {
+            ++m_lostStops;
+            return UnansweredCall();
+        }
+        return std::nullopt;
+    }
+
+    TestCluster m_cluster;
+    std::string m_lost;
+    int m_lostStops = 0;
+};
+
+}
+
+// An earlier run ended as done while the start of the next one was on its way. The only stop was lost, the worker got
+// another task of the step, and then carried the obsolete start out beside it.
+TEST_F(LateOrder, ofAnObsoleteRunLeavesNoRoomForOtherTasksOfItsStep)
+{
+    submit("job", 100, Milliseconds(600));
+    m_cluster.advance(Milliseconds(300));
+    loseFirstTask();
+    ASSERT_NE(task(0).worker, m_lost);
+    ASSERT_EQ(task(0).phase, RunPhase::Starting);
+    m_cluster.owner()->gateway.cutWorkers.clear();
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_lostStops, 1);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
+}
+
+}
