--- a/source/tenure/tests/LateOrderTest.cpp
+++ b/source/tenure/tests/LateOrderTest.cpp
@@ -93,4 +93,41 @@
     EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Done);
 }
 
+// A worker had restarted under its name before a report request was sent to it that acknowledged ends of its former
+// incarnation. The request was carried out seconds later and made it forget the end of a new run that nobody had read.
+TEST_F(LateOrder, acknowledgesNoEndOfTheNextIncarnation)
+{
+    submit("earlier", 1, Milliseconds(200));
+    m_cluster.advance(Second * 2);
+    bool isDelayed = false;
+    Instant delayedAt;
+    std::string restarted;
+    m_cluster.owner()->gateway.filter = [&](CallKind kind, const std::string &worker) {
+        const JobScheduler &jobs = m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+        const WorkerState &state = jobs.workers().at(worker);
+        const bool acknowledges = state.recordedEnd > state.acknowledgedEnd;
+        const bool isUnread = isDelayed && worker == restarted && state.incarnation > 1 && !state.tasks.empty()
+            && m_cluster.clock.now() < delayedAt + Milliseconds(1'650);
+        if (kind == CallKind::Report && isUnread) {
+            return std::optional(UnansweredCall());
+        }
+        if (kind != CallKind::Report || !acknowledges || isDelayed) {
+            return std::optional<UnansweredCall>();
+        }
+        isDelayed = true;
+        delayedAt = m_cluster.clock.now();
+        restarted = worker;
+        m_cluster.workers.restart(worker);
+        return std::optional(UnansweredCall {Milliseconds(1'600)});
+    };
+    submit("next", 1, Milliseconds(200));
+    for (int i = 0; i < 200 && !isDelayed; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_TRUE(isDelayed);
+    submit("job", 400, Milliseconds(100));
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 }
