Scheduling: Count no owner's lease for workers that the new owner has heard

Cause: a new owner takes leases of earlier terms to last for the lease of the earlier owner and that of a worker after the start of its term, 9.12 s. It went on doing so for workers that had answered it. Such a worker rejects orders of earlier terms, so no earlier owner extends its leases.

Change: the leases of a worker that has answered last for the length of a lease from that answer at most. An earlier owner that still starts tasks could reach the worker's next incarnation, so this holds only once the earlier owners' leases are over, or if they have recorded that they start nothing any more. An owner that hands over records that.

HandOver.restartsTasksOfAWorkerThatLeavesAfterAHandOverOnceItsOwnLeasesHaveExpired failed before (one start instead of two after 3 s) and passes.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -234,7 +234,7 @@
     if (!worker.hasAnswered) {
         worker.hasAnswered = true;
         worker.priorLeaseExpiresAt
-            = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOf(worker.listing.name));
+            = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOnceHeard(worker.listing.name, now));
     }
     if (!report.truncated) {
         m_leaseHandover.confirm(worker.listing.name);
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -35,7 +35,9 @@
     m_recoveryActive = true;
     m_earlierLeaseDuration = record.leaseDuration.value_or(bounds.longestLease);
     m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
+    m_earlierOwnersEndAt = bounds.termBeganAt + bounds.ownerLease;
     const bool isOfLastTerm = record.term + 1 == m_term;
+    m_inheritedEndedStarts = record.endedStarts && isOfLastTerm;
     m_allHoldersKnown = record.namesAllHolders && isOfLastTerm;
     m_stored = KnownRecord();
     for (const WorkerListing &worker : record.workers) {
@@ -77,6 +79,19 @@
     return found == m_unconfirmedWorkers.end() ? Instant() : found->second;
 }
 
+Instant LeaseHandover::leaseExpiryOnceHeard(const std::string &worker, Instant now) const
+{
+    const Instant expiry = leaseExpiryOf(worker);
+    // An earlier owner that still starts tasks would reach the next incarnation of a worker that restarts.
+    return haveEarlierStartsEnded(now) ? std::min(expiry, now + WorkerClock::longestDuration(m_earlierLeaseDuration))
+                                       : expiry;
+}
+
+bool LeaseHandover::haveEarlierStartsEnded(Instant now) const
+{
+    return m_inheritedEndedStarts || now >= m_earlierOwnersEndAt;
+}
+
 RecoveryStage LeaseHandover::recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const
 {
     RecoveryStage stage = RecoveryStage::Over;
@@ -203,7 +218,8 @@
 BegunLeaseRecord LeaseHandover::beginRecord(
     Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority)
 {
-    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true}};
+    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true, false}};
+    begun.record.endedStarts = authority == SchedulingAuthority::KeepRunning && haveEarlierStartsEnded(now);
     KnownRecord known {m_lastNumber, {}, {}};
     for (const auto &[name, worker] : workers) {
         if (!isHolder(worker, now)) {
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -69,6 +69,10 @@
     // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
     [[nodiscard]] Instant leaseExpiryOf(const std::string &worker) const;
 
+    // The same for a worker that gives its first answer under this term now. It has rejected orders of earlier terms
+    // since.
+    [[nodiscard]] Instant leaseExpiryOnceHeard(const std::string &worker, Instant now) const;
+
     // Returns for what tasks of which no run is known have to wait, as far as unconfirmed workers are concerned.
     [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
@@ -113,6 +117,9 @@
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
         const WorkerState &worker, SchedulingAuthority authority) const;
 
+    // Returns whether no owner of an earlier term starts tasks any more.
+    [[nodiscard]] bool haveEarlierStartsEnded(Instant now) const;
+
     // Returns the longest lease of all terms that may still hold.
     [[nodiscard]] Milliseconds longestLease(Instant now) const;
 
@@ -120,6 +127,9 @@
     Milliseconds m_leaseDuration;
     Milliseconds m_earlierLeaseDuration {0};
     Instant m_priorLeasesExpireAt;
+    // When no earlier owner may still act, and whether the earlier ones have ended their starts by themselves.
+    Instant m_earlierOwnersEndAt;
+    bool m_inheritedEndedStarts = false;
     Instant m_beganAt;
     // The expiry of their last leases by worker.
     std::map<std::string, Instant> m_unconfirmedWorkers;
--- a/source/scheduling/LeaseHolderRecord.cpp
+++ b/source/scheduling/LeaseHolderRecord.cpp
@@ -25,6 +25,7 @@
         }
         holder["term"] = record.term;
         holder["names_all"] = record.namesAllHolders;
+        holder["ended_starts"] = record.endedStarts;
         const auto expiry = record.finalExpiries.find(worker.name);
         if (expiry != record.finalExpiries.end()) {
             holder["expires_ms"] = expiry->second.count();
@@ -43,6 +44,7 @@
     }
     bool complete = !members->empty();
     record.namesAllHolders = complete;
+    record.endedStarts = complete;
     Milliseconds longest {0};
     for (const auto &[name, item] : members->items()) {
         WorkerListing worker;
@@ -60,6 +62,7 @@
         complete = complete && duration > 0 && duration <= MaximumMilliseconds;
         longest = std::max(longest, Milliseconds(duration));
         record.namesAllHolders = record.namesAllHolders && memberOr(item, "names_all", false);
+        record.endedStarts = record.endedStarts && memberOr(item, "ended_starts", false);
     }
     if (complete) {
         record.leaseDuration = longest;
--- a/source/scheduling/LeaseHolderRecord.h
+++ b/source/scheduling/LeaseHolderRecord.h
@@ -26,6 +26,9 @@
     std::map<std::string, Milliseconds> finalExpiries;
     // Whether the term granted leases only to workers that the stored record named. Earlier versions did not.
     bool namesAllHolders = false;
+    // Whether the owner of the term, and those of earlier terms, start nothing any more. An owner that hands over says
+    // so.
+    bool endedStarts = false;
 
     bool operator==(const LeaseHolderRecord &) const = default;
 };
--- a/source/tenure/tests/HandOverTest.cpp
+++ b/source/tenure/tests/HandOverTest.cpp
@@ -151,6 +151,19 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A worker that has answered the new owner obeys no earlier one, so that no more leases of earlier terms than it had by
+// then can delay the tasks that leave with it.
+TEST_F(HandOver, restartsTasksOfAWorkerThatLeavesAfterAHandOverOnceItsOwnLeasesHaveExpired)
+{
+    m_cluster.advance(Second * 2);
+    const std::string worker = m_cluster.startLongRunning("job");
+    restartOwner();
+    lose(worker);
+    m_cluster.advance(Second * 3);
+    EXPECT_EQ(m_cluster.workers.startCount(FirstTask), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // The way to a worker may be cut although the worker still tells the platform that it is alive.
 TEST_F(HandOver, doesNotBeginTheWaitForAnUnreachableListedWorkerAnewAtEachHandOver)
 {
