Scheduling: Record when the leases of draining workers end at a hand-over

Cause: an owner that hands over states when leases end only for workers that have left a request unanswered. A worker that drains and leaves between the last report to the former owner and the first one to the next is unknown to both, so the new owner waited for the lease of the former owner and then for a whole lease of the worker.

Change: an owner that hands over states the end of the leases of draining workers as well, and renews them no longer.

HandOver.restartsTasksOfADrainingWorkerThatLeavesDuringAHandOverOnceItsLeasesHaveExpired failed before (one start instead of two 2.8 s after the hand-over) and passes. All 95 tests of scheduling and all 218 of tenure but the models pass.

--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -176,8 +176,10 @@
         const Instant expiry = std::max(earlierExpiry, worker.leaseExpiry().value_or(Instant()));
         return seemsLost || authority == SchedulingAuthority::KeepRunning ? std::optional(expiry) : std::nullopt;
     }
-    // An owner that hands over can't find out whether the worker answers its next request.
-    const bool isLeftUnheard = authority == SchedulingAuthority::KeepRunning && worker.consecutiveUnanswered > 0;
+    // An owner that hands over can't find out whether the worker answers its next request. One that drains may have
+    // left before the next owner asks it.
+    const bool mayBeLost = worker.consecutiveUnanswered > 0 || worker.listing.draining;
+    const bool isLeftUnheard = authority == SchedulingAuthority::KeepRunning && mayBeLost;
     if (!worker.isUnreachable() && !isLeftUnheard) {
         return std::nullopt;
     }
