Scheduling: Hold tasks back whose adopted run has ended until all workers are heard

Cause: a successor took a task of which it had adopted a run for known, also after that run had ended. The replaced owner still learns of the end, since the worker answers its waiting report request without regard to the higher token, and starts the task, or the steps after it, on a worker that the successor has not heard. Knowledge of one run was taken for knowledge of the task.

Change: such a task counts as known only if no earlier owner can start tasks any more when the run is adopted, or all workers have been heard when it ends. Until then it waits like tasks of which no run is known, and so do the steps after it.

AdoptedRun (two tests) failed before, with starts 2 and 1 instead of 1 and 0, and pass.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -304,7 +304,7 @@
     place(*task, worker, running.run.run);
     task->isolatedSince.reset();
     task->runAdopted = true;
-    task->isPlaceKnown = true;
+    task->isPlaceKnown = m_leaseHandover.haveEarlierStartsEnded(m_environment.clock.now());
     markRunning(*task, sentAt);
     updateProgress(*task, running);
     return true;
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -53,8 +53,8 @@
     RunPhase phase = RunPhase::Waiting;
     // Number of the current run, or of the last one.
     std::uint64_t run = 0;
-    // Whether this leader term has started or adopted a run of the task, or no earlier term can have started one. Then
-    // the task runs nowhere but on its worker.
+    // Whether this leader term has started a run of the task, or no earlier term can have started one since the run
+    // that this term has adopted. Then the task runs nowhere but on its worker.
     bool isPlaceKnown = false;
     // Number of the last run in the partition that delegated the task to this one. Runs here get higher numbers.
     std::uint64_t delegatorLastRun = 0;
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -73,6 +73,9 @@
     // since.
     [[nodiscard]] Instant leaseExpiryOnceHeard(const std::string &worker, Instant now) const;
 
+    // Returns whether no owner of an earlier term starts tasks any more.
+    [[nodiscard]] bool haveEarlierStartsEnded(Instant now) const;
+
     // Returns for what tasks of which no run is known have to wait, as far as unconfirmed workers are concerned.
     [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
@@ -117,9 +120,6 @@
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
         const WorkerState &worker, SchedulingAuthority authority) const;
 
-    // Returns whether no owner of an earlier term starts tasks any more.
-    [[nodiscard]] bool haveEarlierStartsEnded(Instant now) const;
-
     // Returns the longest lease of all terms that may still hold.
     [[nodiscard]] Milliseconds longestLease(Instant now) const;
 
