Tenure: Wait for a replaced owner that goes on in an outage

Callers saw two runs of one task at once. An owner whose store lease is taken away without notice goes on if the store then goes away for all while it still relies on that lease: it grants worker leases until the outage is over. Its successor reckoned with grants up to 3 s after the take-over, whatever happened to the store. If the store's leases pause in the outage, the successor keeps its term, and once the store is back it starts tasks again whose leases the old owner has just renewed.

PredecessorTenure bounds the grants of the last owner instead. If the store stops to confirm the successor's lease while the predecessor may still rely on its own, its grants end 3 s after the store is back, and the leases on workers that have not answered are extended accordingly.

ReplacedOwner.keepsNoRunBesideOneThatItsSuccessorStartsAfterAnOutage fails before ("job.0.0.0 runs on worker-0 and worker-1") and passes now.

The old owner still goes on, and a task whose run has failed is started again by both owners.

--- a/source/membership/InstanceLease.cpp
+++ b/source/membership/InstanceLease.cpp
@@ -56,6 +56,7 @@
             return;
         }
         m_lease = *lease;
+        m_confirmedAt = sentAt;
         m_heldUntil = sentAt + m_limits.duration - m_limits.margin;
         writeKey();
         scheduleRenewal(m_limits.renewPeriod);
@@ -98,6 +99,7 @@
             scheduleRenewal(RetryDelay);
             return;
         }
+        m_confirmedAt = sentAt;
         m_heldUntil = sentAt + m_limits.duration - m_limits.margin;
         if (!m_keyWritten) {
             writeKey();
@@ -118,6 +120,11 @@
     return m_lease != 0 && m_clock.now() < m_heldUntil;
 }
 
+Instant InstanceLease::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
 LeaseIdentifier InstanceLease::lease() const
 {
     return m_lease;
--- a/source/membership/InstanceLease.h
+++ b/source/membership/InstanceLease.h
@@ -41,6 +41,9 @@
     // Returns whether the lease is certainly still valid in the store.
     [[nodiscard]] bool isHeld() const;
 
+    // Returns the start of the last call by which the store confirmed a lease of this instance.
+    [[nodiscard]] Instant confirmedAt() const;
+
     // Returns the lease, or zero if there is none.
     [[nodiscard]] LeaseIdentifier lease() const;
 
@@ -58,6 +61,7 @@
     std::string m_description;
     LeaseIdentifier m_lease = 0;
     Instant m_heldUntil;
+    Instant m_confirmedAt;
     bool m_keyWritten = false;
     bool m_revoked = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -50,6 +50,11 @@
     }
 }
 
+void JobScheduler::extendEarlierGrants(Instant grantsEndAt)
+{
+    m_leaseHandover.extendEarlierGrants(grantsEndAt);
+}
+
 RecoveryStage JobScheduler::recoveryStage() const
 {
     return m_leaseHandover.recoveryStage(m_environment.clock.now(), m_workers);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -118,6 +118,9 @@
     // worker is unknown wait until each of the workers has answered or its leases have expired.
     void beginRecovery(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds);
 
+    // Notes that the last owner may have granted leases up to the given time, later than its store lease allows.
+    void extendEarlierGrants(Instant grantsEndAt);
+
     // Takes over a job of an earlier leader term with its recorded progress.
     void restore(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress);
 
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -49,6 +49,20 @@
     }
 }
 
+void LeaseHandover::extendEarlierGrants(Instant grantsEndAt)
+{
+    const Instant expireAt = grantsEndAt + longestDuration(m_earlierLeaseDuration);
+    if (expireAt <= m_priorLeasesExpireAt) {
+        return;
+    }
+    for (auto &[name, expiry] : m_unconfirmedWorkers) {
+        if (expiry >= m_priorLeasesExpireAt) {
+            expiry = expireAt;
+        }
+    }
+    m_priorLeasesExpireAt = expireAt;
+}
+
 Instant LeaseHandover::priorLeasesExpireAt() const
 {
     return m_priorLeasesExpireAt;
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -25,6 +25,7 @@
     , m_limits(limits)
     , m_position(std::move(position))
     , m_startedAt(m_environment.clock.now())
+    , m_predecessorTenure(m_startedAt, m_limits.ownerLease)
     , m_jobScheduler({m_environment.clock, m_environment.scheduler, m_environment.gateway, *this, m_environment.advisor,
                          m_environment.policies},
           limits.scheduling, m_position.ownerRevision, m_position.term)
@@ -206,6 +207,14 @@
     m_jobScheduler.setAuthority(m_termEnded ? SchedulingAuthority::Observe : authority);
 }
 
+void PartitionLeader::setLeaseConfirmedAt(Instant confirmedAt)
+{
+    m_predecessorTenure.observe(confirmedAt, m_environment.clock.now());
+    if (m_loaded) {
+        m_jobScheduler.extendEarlierGrants(m_predecessorTenure.grantsEndAt());
+    }
+}
+
 void PartitionLeader::tick()
 {
     if (!m_loaded || m_termEnded) {
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -5,6 +5,7 @@
 #include "tenure/GivenUpTaskReporter.h"
 #include "tenure/JobJournal.h"
 #include "tenure/PartitionChoice.h"
+#include "tenure/PredecessorTenure.h"
 
 namespace Wagtail
 {
@@ -73,6 +74,9 @@
     // Sets the headroom of another partition.
     void updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms);
     void setAuthority(SchedulingAuthority authority);
+
+    // Sets when the store last confirmed this instance's lease. Must be called before each tick.
+    void setLeaseConfirmedAt(Instant confirmedAt);
     void tick();
 
     // Calls the handler once the store has all changes up to now.
@@ -139,6 +143,7 @@
     Limits m_limits;
     JournalPosition m_position;
     Instant m_startedAt;
+    PredecessorTenure m_predecessorTenure;
     // The processor demand, by pool, of long-running tasks whose jobs are being recorded. Declared before the journal,
     // which calls their handlers when it is destroyed.
     std::map<std::string, std::int64_t> m_pendingLongRunningMilliCores;
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -270,6 +270,7 @@
                                                                     : SchedulingAuthority::Full;
     for (auto &[partition, state] : m_partitions) {
         if (state.leader) {
+            state.leader->setLeaseConfirmedAt(m_environment.lease.confirmedAt());
             state.leader->setAuthority(authority);
             state.leader->tick();
         }
--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -33,6 +33,44 @@
         m_cluster.state.revokeLease(m_owner->lease.lease());
     }
 
+    // Replaces the owner without its notice. It alone reaches the given worker, and no other one.
+    void replaceOwnerThatAloneReaches(const std::string &worker)
+    {
+        m_owner = m_cluster.owner();
+        ASSERT_NE(m_owner, nullptr);
+        m_owner->store.down = true;
+        for (const auto &[name, listing] : m_cluster.workers.listings()) {
+            for (const auto &[number, instance] : m_cluster.instances) {
+                if ((instance.get() == m_owner) != (name == worker)) {
+                    instance->gateway.cutWorkers.insert(name);
+                }
+            }
+        }
+        m_cluster.state.revokeLease(m_owner->lease.lease());
+        m_cluster.advance(Milliseconds(400));
+    }
+
+    // Keeps the store away from all instances. Its leases pause, and all instances confirm the outage in time.
+    void keepStoreAway(Milliseconds duration)
+    {
+        constexpr Milliseconds ConfirmationTime {1'700};
+        constexpr Milliseconds Step {100};
+        for (const auto &[number, instance] : m_cluster.instances) {
+            instance->store.down = true;
+        }
+        for (Milliseconds passed {0}; passed < duration; passed += Step) {
+            for (const auto &[number, instance] : m_cluster.instances) {
+                instance->ownership.setStoreOutage(passed >= ConfirmationTime);
+            }
+            m_cluster.advance(Step);
+            m_cluster.state.extendLeases(Step);
+        }
+        for (const auto &[number, instance] : m_cluster.instances) {
+            instance->ownership.setStoreOutage(false);
+            instance->store.down = instance.get() == m_owner;
+        }
+    }
+
     TestInstance *m_owner = nullptr;
 };
 
@@ -134,4 +172,16 @@
     EXPECT_EQ(m_owner->ownership.otherInstances().size(), TestCluster::InstanceCount - 1U);
 }
 
+// An owner that was replaced just before an outage went on in it. Once the store was back its successor, whose wait for
+// earlier leases had passed, started the task again beside the run that the old owner had kept until then.
+TEST_F(ReplacedOwner, keepsNoRunBesideOneThatItsSuccessorStartsAfterAnOutage)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    replaceOwnerThatAloneReaches(worker);
+    keepStoreAway(Second * 12);
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+}
+
 }
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -11,22 +11,26 @@
 class Schedule:
     """A list of (time in seconds, action, arguments), in the order of time."""
 
-    def __init__(self, seed, seconds, instances, workers):
+    def __init__(self, seed, seconds, instances, workers, sequence=None):
+        """Plays faults of all kinds, or only the named sequence again and again."""
         self.random = random.Random(seed)
         self.seconds = seconds
         self.instances = instances
         self.workers = workers
         self.events = []
         self.outages = []
-        self.add_store_faults()
-        self.add_process_faults()
-        self.add_link_faults()
-        self.add_worker_faults()
-        self.add_owner_faults()
-        self.add_drains()
-        self.add_configurations()
-        self.add_late_orders()
-        self.add_revocations()
+        if sequence is None:
+            self.add_store_faults()
+            self.add_process_faults()
+            self.add_link_faults()
+            self.add_worker_faults()
+            self.add_owner_faults()
+            self.add_drains()
+            self.add_configurations()
+            self.add_late_orders()
+            self.add_revocations()
+        else:
+            self.repeat(SEQUENCES[sequence])
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -43,6 +47,12 @@
             at += self.random.expovariate(1 / mean_gap)
         return times
 
+    def repeat(self, sequence):
+        """Adds the sequence from the warm-up to the end. It takes the time at which it begins and returns its end."""
+        at = WARM_UP_S
+        while at < self.seconds:
+            at = sequence(self, at) + self.random.uniform(6.0, 8.0)
+
     def add_store_faults(self):
         """Alternates series of outages, which expire all leases, with milder faults."""
         at = WARM_UP_S + self.random.uniform(0, 3)
@@ -224,3 +234,28 @@
                 self.add(at + for_s, "link", link=instance)
             else:
                 self.add(at, "starve", instance=instance, for_s=for_s, share=0.25, period_s=1.5)
+
+    def add_owners_replaced_before_an_outage(self, at):
+        """Replaces several owners that do not learn of it, and silences the store for all while they still rely on
+        their leases. Each worker is reached by the replaced owner alone or by its successor alone."""
+        replaced = self.random.sample(range(self.instances), max(1, self.instances // 3))
+        workers = self.random.sample(range(self.workers), self.workers)
+        lost, kept = sorted(workers[:self.workers // 2]), sorted(workers[self.workers // 2:])
+        self.add(at, "workers", workers=lost, owner_requests_cut=True)
+        self.add(at, "workers", workers=kept, successors_cut=True)
+        for instance in replaced:
+            self.add(at, "link", link=instance, requests_cut=True, answers_cut=True)
+            self.add(at, "drop_lease", instance=instance)
+        at += self.random.uniform(0.2, 2.5)
+        self.add(at, "store", silent=True, leases_expire=self.random.random() < 0.3)
+        at += self.random.uniform(10.0, 14.0)
+        self.add(at, "store")
+        for instance in replaced:
+            self.add(at, "link", link=instance)
+        at += 4.0
+        for group in (lost, kept):
+            self.add(at, "workers", workers=group)
+        return at
+
+
+SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage}
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -1,7 +1,7 @@
 """Runs wagtail-node processes on a stand-in of their platform under faults, and checks what is seen from outside.
 
 usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--lease-ms MS] [--port P]
-                   [--build FOLDER] [--keep] [--print-schedule]
+                   [--build FOLDER] [--keep] [--sequence NAME] [--print-schedule]
 
 Exits with 1 and names the folder with the logs, merged by time, if a check fails.
 """
@@ -21,7 +21,7 @@
 from node_checkers import (CANCEL_S, CONTACT_S, LASTING_S, check_cancelled, check_jobs,  # noqa: E402
                            check_lasting, check_runs)
 from node_deployment import NodeDeployment  # noqa: E402
-from node_schedule import Schedule  # noqa: E402
+from node_schedule import SEQUENCES, Schedule  # noqa: E402
 
 # The longest lease of a worker. The seed chooses one unless an argument does.
 LEASE_CHOICES_MS = [3_000, 6_000]
@@ -77,7 +77,7 @@
 
 
 def run(deployment, arguments):
-    schedule = Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers)
+    schedule = Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence)
     deployment.start_all()
     callers = Callers(deployment, arguments.seed, arguments.workers / 8)
     callers.start(submitters=16 + 2 * arguments.instances, askers=4)
@@ -116,10 +116,13 @@
     parser.add_argument("--port", type=int, default=20000)
     parser.add_argument("--build", default=programs.BUILD, help="the folder with the programs")
     parser.add_argument("--keep", action="store_true", help="keep the logs also if all checks pass")
+    parser.add_argument("--sequence", choices=list(SEQUENCES), help="play this sequence of faults only")
     parser.add_argument("--print-schedule", action="store_true", help="print the faults and exit")
     arguments = parser.parse_args()
     if arguments.print_schedule:
-        for event in Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers).events:
+        schedule = Schedule(
+            arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence)
+        for event in schedule.events:
             print(*event)
         return 0
     programs.BUILD = arguments.build
@@ -133,7 +136,7 @@
     if faults or arguments.keep:
         print(f"logs: {deployment.merge_logs()}; repeat with: run_node.py --seed {arguments.seed} "
               f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers} "
-              f"--lease-ms {lease_ms}")
+              f"--lease-ms {lease_ms}" + (f" --sequence {arguments.sequence}" if arguments.sequence else ""))
     else:
         shutil.rmtree(folder)
     return 1 if faults else 0
