Tenure: Tell instances that ask for an outage what is known of owners

Callers saw leases granted by two owners of one partition for up to 12 s and starts by both. An owner without its store lease goes on if the other instances say that the store does not answer them. They said no more than that, even if they had seen the end of its term or were its successors.

The answer now carries the revision of the last known change of each partition's owner key, also of its removal. An owner with a lower token ends its term at the first such answer. So an owner does not go on beside a successor that reaches the store and any instance that answers the owner.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -282,6 +282,34 @@
     m_storeOutage = confirmed;
 }
 
+OwnerRevisions PartitionOwnership::ownerRevisions() const
+{
+    OwnerRevisions revisions;
+    for (const auto &[partition, state] : m_partitions) {
+        const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
+        const StoreRevision seen = entry == nullptr ? m_environment.cluster.revision() : entry->revision;
+        const StoreRevision token = state.leader ? state.leader->position().ownerRevision : state.endedToken;
+        revisions[partition] = std::max(seen, token);
+    }
+    return revisions;
+}
+
+void PartitionOwnership::applyOwnerRevisions(const OwnerRevisions &revisions)
+{
+    for (auto &[partition, state] : m_partitions) {
+        const auto known = revisions.find(partition);
+        if (!state.leader || known == revisions.end()) {
+            continue;
+        }
+        const StoreRevision token = state.leader->position().ownerRevision;
+        if (known->second > token) {
+            m_environment.log(
+                "partition-ownership-lost", partition, {{"token", token}, {"seen_by_peer", known->second}});
+            dropLeader(partition);
+        }
+    }
+}
+
 std::vector<InstanceEntry> PartitionOwnership::otherInstances() const
 {
     std::vector<InstanceEntry> instances = m_instances.candidates(m_environment.clock.now());
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -6,6 +6,7 @@
 #include "tenure/OutageTenure.h"
 #include "tenure/PartitionLeader.h"
 #include "tenure/PartitionPlan.h"
+#include "tenure/StoreHealthReport.h"
 
 namespace Wagtail
 {
@@ -57,6 +58,12 @@
     // can reach the store to take over.
     void setStoreOutage(bool confirmed);
 
+    // Returns the last known changes of the partitions' owners.
+    [[nodiscard]] OwnerRevisions ownerRevisions() const;
+
+    // Ends the terms of partitions of which another instance knows a later owner, or that the term has ended.
+    void applyOwnerRevisions(const OwnerRevisions &revisions);
+
     // Returns the other instances, including those whose entries have disappeared lately while this one had no lease.
     [[nodiscard]] std::vector<InstanceEntry> otherInstances() const;
 
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -3,6 +3,7 @@
 #include "http/HttpStatus.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace Wagtail
 {
@@ -86,6 +87,7 @@
     m_consecutiveFailures = answered ? 0 : m_consecutiveFailures + 1;
     if (answered) {
         m_lastDirectAnswer = m_environment.clock.now();
+        noteStoreAnswer(*m_lastDirectAnswer);
         m_outageConfirmedAt.reset();
     }
     const bool relaying = m_consecutiveFailures >= FailuresBeforeRelay;
@@ -100,6 +102,34 @@
     }
 }
 
+void StoreRelay::noteStoreAnswer(Instant at)
+{
+    m_lastKnownAnswer = std::max(m_lastKnownAnswer.value_or(at), at);
+}
+
+StoreHealthReport StoreRelay::report() const
+{
+    StoreHealthReport report;
+    if (m_lastKnownAnswer) {
+        report.answerAge = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - *m_lastKnownAnswer);
+    }
+    report.ownerRevisions = m_environment.ownerRevisions();
+    return report;
+}
+
+void StoreRelay::applyReport(const std::string &text, Instant askedAt)
+{
+    const Result<StoreHealthReport> parsed = parseStoreHealthReport(text);
+    const auto *report = std::get_if<StoreHealthReport>(&parsed);
+    if (report == nullptr) {
+        return;
+    }
+    if (report->answerAge) {
+        noteStoreAnswer(askedAt - *report->answerAge);
+    }
+    m_environment.onOwnerRevisions(report->ownerRevisions);
+}
+
 void StoreRelay::scheduleProbe()
 {
     m_environment.scheduler.after(DirectProbePeriod, [this, alive = m_alive] {
@@ -137,12 +167,16 @@
         {TimeoutHeader, std::to_string(call.timeoutMilliseconds)}, {"Content-Type", "application/json"}};
     relayed.body = std::move(call.body);
     relayed.timeoutMilliseconds = call.timeoutMilliseconds + PeerMarginMilliseconds;
+    const Instant sentAt = m_environment.clock.now();
     m_environment.client.send(
-        std::move(relayed), [this, alive = m_alive, handler = std::move(handler)](HttpAnswer answer) {
+        std::move(relayed), [this, alive = m_alive, sentAt, handler = std::move(handler)](HttpAnswer answer) {
             if (!*alive) {
                 return;
             }
             const bool reached = answer.delivery == Delivery::Answered && answer.status != HttpStatus::BadGateway;
+            if (reached && reachedStore(answer)) {
+                noteStoreAnswer(sentAt);
+            }
             if (!reached) {
                 // The next call is relayed by another instance.
                 ++m_nextPeer;
@@ -158,7 +192,8 @@
 bool StoreRelay::handle(const HttpRequest &request, const HttpServer::Responder &respond)
 {
     if (request.path == HealthPath) {
-        respond({isDirectlyReachable() ? HttpStatus::Ok : HttpStatus::BadGateway, {}, {}});
+        respond({isDirectlyReachable() ? HttpStatus::Ok : HttpStatus::BadGateway,
+            {{"Content-Type", "application/json"}}, serialize(report())});
         return true;
     }
     if (request.path != RelayPath) {
@@ -229,11 +264,15 @@
                 poll->reachingStore.push_back(peer);
             }
             poll->withoutStore += answered && answer.status == HttpStatus::BadGateway ? 1 : 0;
+            if (answered) {
+                applyReport(answer.body, poll->sentAt);
+            }
             if (poll->pending > 0) {
                 return;
             }
             m_peersReachingStore = poll->reachingStore;
-            if (!m_peersReachingStore.empty()) {
+            const bool answeredLately = m_lastKnownAnswer && poll->sentAt - *m_lastKnownAnswer < MaxDirectAnswerAge;
+            if (!m_peersReachingStore.empty() || answeredLately) {
                 m_outageConfirmedAt.reset();
                 return;
             }
--- a/source/tenure/StoreRelay.h
+++ b/source/tenure/StoreRelay.h
@@ -4,6 +4,7 @@
 #include "base/Scheduler.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "tenure/StoreHealthReport.h"
 
 #include <memory>
 #include <optional>
@@ -28,6 +29,10 @@
         // Returns the addresses of the other instances, as ip:port, nearest first.
         std::function<std::vector<std::string>()> peers;
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
+        // Returns what this instance knows of the owners of partitions.
+        std::function<OwnerRevisions()> ownerRevisions;
+        // Called with what another instance knows of them.
+        std::function<void(const OwnerRevisions &)> onOwnerRevisions;
     };
 
     explicit StoreRelay(Environment environment);
@@ -43,8 +48,9 @@
     // Asks the other instances whether they reach the store. Must be called while no call succeeds.
     void pollPeers();
 
-    // Returns whether a recent poll has confirmed an outage: no other instance reached the store, and at least half of
-    // them answered that they do not reach it. False once the store answers this instance.
+    // Returns whether a recent poll has confirmed an outage: at least half of the other instances answered that they do
+    // not reach the store, and none has lately reached it or heard of one that did. False once the store answers this
+    // instance.
     [[nodiscard]] bool isOutageConfirmed() const;
 
     // Returns whether the store has recently answered a direct call of this instance.
@@ -54,6 +60,10 @@
     void sendDirectly(HttpCall call, Handler handler);
     void sendThroughPeer(HttpCall call, Handler handler);
     void recordDirectAttempt(bool answered);
+    void noteStoreAnswer(Instant at);
+    [[nodiscard]] StoreHealthReport report() const;
+    // Applies what another instance has answered to the query sent at the given time.
+    void applyReport(const std::string &text, Instant askedAt);
     void scheduleProbe();
     [[nodiscard]] std::string relayPeer() const;
 
@@ -62,6 +72,8 @@
     bool m_relaying = false;
     std::size_t m_nextPeer = 0;
     std::optional<Instant> m_lastDirectAnswer;
+    // The last time at which the store is known to have answered any instance.
+    std::optional<Instant> m_lastKnownAnswer;
     // The other instances that reached the store according to the last poll.
     std::vector<std::string> m_peersReachingStore;
     std::optional<Instant> m_outageConfirmedAt;
--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -184,4 +184,21 @@
     EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
 }
 
+// The replaced owner can ask an instance that has seen its successor, or only the end of its own term.
+TEST_F(ReplacedOwner, stopsWhenAnotherInstanceHasSeenTheEndOfItsTerm)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    replaceOwnerThatAloneReaches(worker);
+    for (const auto &[number, instance] : m_cluster.instances) {
+        if (instance.get() != m_owner) {
+            ASSERT_NE(m_owner->ownership.leader("fleet"), nullptr);
+            m_owner->ownership.applyOwnerRevisions(m_owner->ownership.ownerRevisions());
+            EXPECT_NE(m_owner->ownership.leader("fleet"), nullptr);
+            m_owner->ownership.applyOwnerRevisions(instance->ownership.ownerRevisions());
+            EXPECT_EQ(m_owner->ownership.leader("fleet"), nullptr);
+            break;
+        }
+    }
+}
+
 }
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -67,7 +67,12 @@
                   return HttpCall {"GET", "http://store/probe", {}, {}, 100};
               },
               [] { return std::vector<std::string> {"peer:1"}; },
-              [](std::string_view, const std::string &, const Json &) {
+              [](std::string_view, const std::string &, const Json &) {},
+              [] {
+                  return OwnerRevisions {{"depot", 7}};
+              },
+              [this](const OwnerRevisions &revisions) {
+                  m_peerRevisions = revisions;
               }})
     {
     }
@@ -84,6 +89,7 @@
     ManualScheduler m_scheduler;
     ScriptedClient m_client;
     StoreRelay m_relay;
+    OwnerRevisions m_peerRevisions;
 };
 
 }
@@ -144,4 +150,45 @@
     EXPECT_FALSE(m_relay.isOutageConfirmed());
 }
 
+// An owner cut off from its successor went on because the instances that it did reach were rejected by the store.
+TEST_F(StoreRelayTest, confirmsNoOutageWhileAPeerHasHeardOfOneThatReachesTheStore)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(502);
+    m_client.toPeer.body = serialize(StoreHealthReport {Milliseconds(600), {}});
+    m_relay.pollPeers();
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+    m_clock.advance(Second);
+    m_client.toPeer.body = serialize(StoreHealthReport {Second * 2, {}});
+    m_relay.pollPeers();
+    EXPECT_TRUE(m_relay.isOutageConfirmed());
+}
+
+// An owner that was replaced just before an outage took the outage for a reason to go on.
+TEST_F(StoreRelayTest, passesOnWhatPeersKnowOfOwnersWhenItAsksForAnOutage)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(502);
+    m_client.toPeer.body = serialize(StoreHealthReport {std::nullopt, {{"depot", 9}}});
+    m_relay.pollPeers();
+    EXPECT_EQ(m_peerRevisions, (OwnerRevisions {{"depot", 9}}));
+}
+
+TEST_F(StoreRelayTest, tellsWhenTheStoreLastAnsweredAndWhatItKnowsOfOwners)
+{
+    m_client.toStore = answered(200);
+    send();
+    m_clock.advance(Second * 2);
+    std::optional<HttpResponse> response;
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/v1/store-health";
+    EXPECT_TRUE(m_relay.handle(request, [&response](const HttpResponse &given) { response = given; }));
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 502);
+    const Result<StoreHealthReport> report = parseStoreHealthReport(response->body);
+    ASSERT_EQ(errorOf(report), nullptr);
+    EXPECT_EQ(std::get<StoreHealthReport>(report), (StoreHealthReport {Second * 2, {{"depot", 7}}}));
+}
+
 }
