--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -159,7 +159,11 @@
     m_relay.pollPeers();
     EXPECT_FALSE(m_relay.isOutageConfirmed());
     m_clock.advance(Second);
-    m_client.toPeer.body = serialize(StoreHealthReport {Second * 2, {}});
+    m_client.toPeer.body = serialize(StoreHealthReport {Milliseconds(1'600), {}});
+    m_relay.pollPeers();
+    EXPECT_FALSE(m_relay.isOutageConfirmed());
+    m_clock.advance(Second);
+    m_client.toPeer.body = serialize(StoreHealthReport {Milliseconds(2'600), {}});
     m_relay.pollPeers();
     EXPECT_TRUE(m_relay.isOutageConfirmed());
 }
