Scheduling: Reckon with starts of an owner that goes on in an outage

An owner that is replaced just before an outage of the store goes on in it and still starts tasks. Its successor took adopted runs for the last ones from 3 s after its term began on. It reckons now with starts until the last owner may grant no leases any more, and for two seconds after its store lease, within which that owner may resume.

--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -16,6 +16,9 @@
 // necessary at most.
 constexpr Milliseconds LeaseExpiryRecordPeriod {1'000};
 
+// An owner whose lease has ended resumes within this time if the store is away for all instances by then.
+constexpr Milliseconds LongestResumptionDelay {2'000};
+
 // Returns how long a lease lasts by the slowest worker clock.
 Milliseconds longestDuration(Milliseconds lease)
 {
@@ -35,7 +38,7 @@
     m_recoveryActive = true;
     m_earlierLeaseDuration = record.leaseDuration.value_or(bounds.longestLease);
     m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
-    m_earlierOwnersEndAt = bounds.termBeganAt + bounds.ownerLease;
+    m_earlierOwnersEndAt = bounds.termBeganAt + bounds.ownerLease + LongestResumptionDelay;
     const bool isOfLastTerm = record.term + 1 == m_term;
     m_inheritedEndedStarts = record.endedStarts && isOfLastTerm;
     m_allHoldersKnown = record.namesAllHolders && isOfLastTerm;
@@ -51,6 +54,7 @@
 
 void LeaseHandover::extendEarlierGrants(Instant grantsEndAt)
 {
+    m_earlierOwnersEndAt = std::max(m_earlierOwnersEndAt, grantsEndAt);
     const Instant expireAt = grantsEndAt + longestDuration(m_earlierLeaseDuration);
     if (expireAt <= m_priorLeasesExpireAt) {
         return;
--- a/source/scheduling/tests/LeaseHandoverTest.cpp
+++ b/source/scheduling/tests/LeaseHandoverTest.cpp
@@ -134,4 +134,15 @@
     EXPECT_EQ(m_leases.recoveryStage(m_now, m_workers), RecoveryStage::Over);
 }
 
+// An owner that was replaced just before an outage started tasks after its successor took them to be known.
+TEST_F(LeaseHandoverTest, reckonsWithStartsOfAnOwnerThatGoesOnInAnOutage)
+{
+    m_leases.begin({{}, Second * 6, 2, {}, true, false}, {m_now, Second * 3, Second * 6}, m_now);
+    EXPECT_FALSE(m_leases.haveEarlierStartsEnded(m_now + Second * 4)) << "it may resume if the store is away";
+    EXPECT_TRUE(m_leases.haveEarlierStartsEnded(m_now + Second * 5));
+    m_leases.extendEarlierGrants(m_now + Second * 20);
+    EXPECT_FALSE(m_leases.haveEarlierStartsEnded(m_now + Second * 19));
+    EXPECT_TRUE(m_leases.haveEarlierStartsEnded(m_now + Second * 20));
+}
+
 }
