Scheduling: Hold no task back for earlier owners that start nothing any more

Cause: since tasks whose adopted run has ended wait for all workers, also if no earlier owner is left that could have started them: after the first term, after a process that takes over from an earlier one of its own instance, and once a run has outlived the time in which earlier owners may act.

Change: the first term has no earlier owners. The record of lease holders says whether the owners before the term start nothing any more, and an instance that takes over from its own former process relies on that. Whether an adopted run was the last one is decided when it ends, by the last report that listed it.

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -285,7 +285,10 @@
     task.worker.clear();
     // An earlier owner may have learned of the end of an adopted run as well, and have started the task again, or the
     // steps after it, on workers that have not answered under this term.
-    task.isPlaceKnown = task.isPlaceKnown || (task.runAdopted && recoveryStage() == RecoveryStage::Over);
+    const bool ranOnAfterEarlierStarts
+        = task.runAdopted && m_leaseHandover.haveEarlierStartsEnded(task.progressRequestedAt);
+    task.isPlaceKnown
+        = task.isPlaceKnown || ranOnAfterEarlierStarts || (task.runAdopted && recoveryStage() == RecoveryStage::Over);
     closeOpenRun(task, task.run);
     task.awaitsRecording = false;
     task.orderPending = false;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -304,7 +304,8 @@
     place(*task, worker, running.run.run);
     task->isolatedSince.reset();
     task->runAdopted = true;
-    task->isPlaceKnown = m_leaseHandover.haveEarlierStartsEnded(m_environment.clock.now());
+    task->isPlaceKnown = false;
+    task->progressRequestedAt = sentAt;
     markRunning(*task, sentAt);
     updateProgress(*task, running);
     return true;
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -40,7 +40,8 @@
     m_priorLeasesExpireAt = bounds.termBeganAt + bounds.ownerLease + longestDuration(m_earlierLeaseDuration);
     m_earlierOwnersEndAt = bounds.termBeganAt + bounds.ownerLease + LongestResumptionDelay;
     const bool isOfLastTerm = record.term + 1 == m_term;
-    m_inheritedEndedStarts = record.endedStarts && isOfLastTerm;
+    const bool recordedEnd = record.endedStarts || (bounds.hasLastOwnerEnded && record.earlierStartsEnded);
+    m_inheritedEndedStarts = m_term == 0 || (recordedEnd && isOfLastTerm);
     m_allHoldersKnown = record.namesAllHolders && isOfLastTerm;
     m_stored = KnownRecord();
     for (const WorkerListing &worker : record.workers) {
@@ -220,7 +221,8 @@
     const bool expiriesOutdated = m_recordHasExpiries && now - m_recordedAt >= LeaseExpiryRecordPeriod;
     // A successor relies only on expiry times that this term has recorded.
     const bool isFirst = !m_stored || m_stored->number == 0;
-    if (isFirst || expiriesOutdated || longestLease(now) != m_recordedLeaseDuration) {
+    if (isFirst || expiriesOutdated || longestLease(now) != m_recordedLeaseDuration
+        || haveEarlierStartsEnded(now) != m_recordedEarlierStartsEnded) {
         return true;
     }
     std::size_t holders = 0;
@@ -238,8 +240,9 @@
 BegunLeaseRecord LeaseHandover::beginRecord(
     Instant now, const std::map<std::string, WorkerState> &workers, SchedulingAuthority authority)
 {
-    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true, false}};
-    begun.record.endedStarts = authority == SchedulingAuthority::KeepRunning && haveEarlierStartsEnded(now);
+    const bool earlierStartsEnded = haveEarlierStartsEnded(now);
+    BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true, false, earlierStartsEnded}};
+    begun.record.endedStarts = authority == SchedulingAuthority::KeepRunning && earlierStartsEnded;
     KnownRecord known {m_lastNumber, {}, {}};
     for (const auto &[name, worker] : workers) {
         if (!isHolder(worker, now)) {
@@ -256,6 +259,7 @@
     m_pending.push_back(std::move(known));
     m_recordedAt = now;
     m_recordedLeaseDuration = longestLease(now);
+    m_recordedEarlierStartsEnded = earlierStartsEnded;
     m_recordHasExpiries = std::any_of(begun.record.finalExpiries.begin(), begun.record.finalExpiries.end(),
         [](const auto &expiry) { return expiry.second > Milliseconds(0); });
     return begun;
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -22,6 +22,8 @@
     Milliseconds ownerLease {0};
     // The longest lease of an owner whose record does not state it.
     Milliseconds longestLease {0};
+    // Whether the last owner was an earlier process of this instance, which has ended.
+    bool hasLastOwnerEnded = false;
 };
 
 // For what a new owner holds back tasks of which it knows no run.
@@ -131,7 +133,7 @@
     Milliseconds m_leaseDuration;
     Milliseconds m_earlierLeaseDuration {0};
     Instant m_priorLeasesExpireAt;
-    // When no earlier owner may still act, and whether the earlier ones have ended their starts by themselves.
+    // When no earlier owner can start tasks any more, and whether it was certain from the start that none can.
     Instant m_earlierOwnersEndAt;
     bool m_inheritedEndedStarts = false;
     Instant m_beganAt;
@@ -149,6 +151,7 @@
     Instant m_recordedAt;
     Milliseconds m_recordedLeaseDuration {0};
     bool m_recordHasExpiries = false;
+    bool m_recordedEarlierStartsEnded = false;
 };
 
 }
--- a/source/scheduling/LeaseHolderRecord.cpp
+++ b/source/scheduling/LeaseHolderRecord.cpp
@@ -26,6 +26,7 @@
         holder["term"] = record.term;
         holder["names_all"] = record.namesAllHolders;
         holder["ended_starts"] = record.endedStarts;
+        holder["earlier_starts_ended"] = record.earlierStartsEnded;
         const auto expiry = record.finalExpiries.find(worker.name);
         if (expiry != record.finalExpiries.end()) {
             holder["expires_ms"] = expiry->second.count();
@@ -45,6 +46,7 @@
     bool complete = !members->empty();
     record.namesAllHolders = complete;
     record.endedStarts = complete;
+    record.earlierStartsEnded = complete;
     Milliseconds longest {0};
     for (const auto &[name, item] : members->items()) {
         WorkerListing worker;
@@ -63,6 +65,7 @@
         longest = std::max(longest, Milliseconds(duration));
         record.namesAllHolders = record.namesAllHolders && memberOr(item, "names_all", false);
         record.endedStarts = record.endedStarts && memberOr(item, "ended_starts", false);
+        record.earlierStartsEnded = record.earlierStartsEnded && memberOr(item, "earlier_starts_ended", false);
     }
     if (complete) {
         record.leaseDuration = longest;
--- a/source/scheduling/LeaseHolderRecord.h
+++ b/source/scheduling/LeaseHolderRecord.h
@@ -29,6 +29,8 @@
     // Whether the owner of the term, and those of earlier terms, start nothing any more. An owner that hands over says
     // so.
     bool endedStarts = false;
+    // Whether the owners of the terms before start nothing any more.
+    bool earlierStartsEnded = false;
 
     bool operator==(const LeaseHolderRecord &) const = default;
 };
--- a/source/scheduling/tests/AdoptedRunTest.cpp
+++ b/source/scheduling/tests/AdoptedRunTest.cpp
@@ -130,4 +130,12 @@
     EXPECT_EQ(m_workers.startCount(next), 1U);
 }
 
+// A worker that drains must be emptied in time, also while another worker can't be heard.
+TEST_F(AdoptedRun, isFollowedByAnotherOneIfItRanLongerThanEarlierOwnersStartTasks)
+{
+    takeOver({stepAfter({})}, {Second * 6, 1, false});
+    advance(Second * 8);
+    EXPECT_EQ(m_workers.startCount(First), 2U);
+}
+
 }
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -42,6 +42,11 @@
     *m_alive = false;
 }
 
+void PartitionLeader::setLastOwnerEnded()
+{
+    m_hasLastOwnerEnded = true;
+}
+
 bool PartitionLeader::isLoaded() const
 {
     return m_loaded;
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -46,6 +46,9 @@
     // Reads the state that earlier terms recorded, then starts to schedule.
     void load();
 
+    // Tells that the last owner was an earlier process of this instance, which has ended. Must be called before load().
+    void setLastOwnerEnded();
+
     // Returns whether the recorded state has been read.
     [[nodiscard]] bool isLoaded() const;
     [[nodiscard]] const JournalPosition &position() const;
@@ -144,6 +147,7 @@
     JournalPosition m_position;
     Instant m_startedAt;
     PredecessorTenure m_predecessorTenure;
+    bool m_hasLastOwnerEnded = false;
     // The processor demand, by pool, of long-running tasks whose jobs are being recorded. Declared before the journal,
     // which calls their handlers when it is destroyed.
     std::map<std::string, std::int64_t> m_pendingLongRunningMilliCores;
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -51,7 +51,7 @@
     }
     const bool isFirstTerm = m_position.term == 0;
     const Milliseconds unrecordedLease = isFirstTerm ? m_limits.scheduling.lease : m_limits.longestWorkerLease;
-    m_jobScheduler.beginRecovery(record, {m_startedAt, m_limits.ownerLease, unrecordedLease});
+    m_jobScheduler.beginRecovery(record, {m_startedAt, m_limits.ownerLease, unrecordedLease, m_hasLastOwnerEnded});
     std::size_t count = 0;
     for (const StoreEntry &entry : listing.entries) {
         if (!entry.key.starts_with(jobsPrefix)) {
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -102,6 +102,7 @@
         const Instant now = m_environment.clock.now();
         state.vacantSince = std::max(state.vacantSince.value_or(now), m_startedAt + SettleTime);
         if (now - *state.vacantSince >= takeOverDelay(partition)) {
+            state.hasLastOwnerEnded = false;
             takeOver(partition, ended ? MustNotExist : entry->revision);
         }
         return;
@@ -116,7 +117,7 @@
         startTerm(partition, owner->term, entry->revision);
         return;
     }
-    // The owner was an earlier process of this instance, which has ended.
+    state.hasLastOwnerEnded = true;
     takeOver(partition, entry->revision);
 }
 
@@ -247,6 +248,9 @@
         std::move(environment), m_limits, JournalPosition {partition, term, revision, revision});
     state.leader->updateWorkers(workersOf(partition));
     state.leader->updatePolicies(m_policies);
+    if (state.hasLastOwnerEnded) {
+        state.leader->setLastOwnerEnded();
+    }
     state.leader->load();
 }
 
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -78,6 +78,8 @@
         std::optional<Instant> vacantSince;
         // The store's lease under which the owner key was written last. The key ends with it.
         LeaseIdentifier ownerLease = 0;
+        // Whether this instance takes the partition over from an earlier process of its own, which has ended.
+        bool hasLastOwnerEnded = false;
         // The fencing token of the last term of this instance. The cluster's entries may lag behind the store and still
         // show it.
         StoreRevision endedToken = 0;
--- a/source/tenure/tests/LeaseHolderRecordTest.cpp
+++ b/source/tenure/tests/LeaseHolderRecordTest.cpp
@@ -28,7 +28,7 @@
 TEST(LeaseHolderRecord, isReadAsItWasWritten)
 {
     const LeaseHolderRecord record {
-        {workerNamed("a"), workerNamed("b")}, Milliseconds(6'000), 4, {{"b", Milliseconds(1'500)}}, true, true};
+        {workerNamed("a"), workerNamed("b")}, Milliseconds(6'000), 4, {{"b", Milliseconds(1'500)}}, true, true, true};
     EXPECT_EQ(parseLeaseHolderRecord(serialize(record)), record);
 }
 
