Scheduling: Extend lease expiries that an owner between has recorded

What callers would see: two runs of one task. An owner A is replaced by B just before an outage of the store and goes on in it. B does not reach a worker that A reaches, and hands over to C with an expiry for it that is reckoned without the outage. C extended only the workers without such an expiry, so it started the task beside A's run once the store was back. Found in a review.

Change: recorded expiries count as final in an outage only if no owner before can act any more.

--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -61,7 +61,7 @@
         return;
     }
     for (auto &[name, expiry] : m_unconfirmedWorkers) {
-        if (expiry >= m_priorLeasesExpireAt) {
+        if (expiry >= m_priorLeasesExpireAt || !m_inheritedEndedStarts) {
             expiry = expireAt;
         }
     }
--- a/source/scheduling/tests/LeaseHandoverTest.cpp
+++ b/source/scheduling/tests/LeaseHandoverTest.cpp
@@ -145,4 +145,20 @@
     EXPECT_TRUE(m_leases.haveEarlierStartsEnded(m_now + Second * 20));
 }
 
+// An owner that was replaced twice just before an outage goes on in it. The owner between has recorded when the leases
+// of the first one end, by what it knew before the outage.
+TEST_F(LeaseHandoverTest, extendsExpiriesThatTheOwnerBetweenHasRecordedForAnEarlierOne)
+{
+    WorkerState &worker = m_workers["a"];
+    worker.listing.name = "a";
+    worker.listed = true;
+    m_leases.begin({{worker.listing}, Second * 6, 2, {}, true, false}, {m_now, Second * 3, Second * 6}, m_now);
+    const BegunLeaseRecord between = m_leases.beginRecord(m_now + Second, m_workers, SchedulingAuthority::KeepRunning);
+    ASSERT_FALSE(between.record.endedStarts);
+    LeaseHandover next {4, Second * 6};
+    next.begin(between.record, {m_now + Second * 2, Second * 3, Second * 6}, m_now + Second * 2);
+    next.extendEarlierGrants(m_now + Second * 20);
+    EXPECT_GE(next.leaseExpiryOf("a"), m_now + Second * 26);
+}
+
 }
--- a/source/tenure/tests/ReplacedOwnerTest.cpp
+++ b/source/tenure/tests/ReplacedOwnerTest.cpp
@@ -201,4 +201,26 @@
     }
 }
 
+// The same if the successor hands the partition over before the outage.
+TEST_F(ReplacedOwner, keepsNoRunBesideOneOfTheNextSuccessorAfterAnOutage)
+{
+    const std::string worker = m_cluster.startLongRunning("job");
+    replaceOwnerThatAloneReaches(worker);
+    TestInstance *between = nullptr;
+    for (const auto &[number, instance] : m_cluster.instances) {
+        if (instance.get() != m_owner && instance->ownership.leader("fleet") != nullptr) {
+            between = instance.get();
+        }
+    }
+    ASSERT_NE(between, nullptr);
+    m_cluster.advance(Milliseconds(300));
+    between->ownership.release([] {});
+    m_cluster.advance(Milliseconds(600));
+    ASSERT_EQ(between->ownership.leader("fleet"), nullptr);
+    keepStoreAway(Second * 12);
+    m_cluster.advance(Second * 12);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+}
+
 }
