Scheduling: Adopt the later run of a task that an earlier owner has started again

What callers would see: two runs of one task. A new owner that has adopted run 1 hears of run 2, which the last owner has started after the end of run 1, before it reads that end. It stopped run 2 and, when it learned of the end, started run 3 while run 2 was still being stopped. Found in a review.

Change: a later run proves that the adopted one is over. It takes its place.

AdoptedRun.isNotFollowedByAnotherOneWhileALaterOneIsStopped failed before ("runs on unheard and other") and passes.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -294,6 +294,13 @@
 bool JobScheduler::adoptRun(WorkerState &worker, const RunningTask &running, Instant sentAt)
 {
     TaskState *task = findTask(running.run.task);
+    // An earlier owner started a later run only after the end of the adopted one, which this owner has not read yet.
+    const bool isLaterThanAdopted = task != nullptr && task->runAdopted && task->phase == RunPhase::Running
+        && task->run < running.run.run && task->worker != worker.listing.name && !task->step->specification().gang;
+    if (isLaterThanAdopted) {
+        discardRun(*task);
+        requeue(*task, Milliseconds(0));
+    }
     if (task == nullptr || task->phase != RunPhase::Waiting || task->run >= running.run.run) {
         return false;
     }
--- a/source/scheduling/tests/AdoptedRunTest.cpp
+++ b/source/scheduling/tests/AdoptedRunTest.cpp
@@ -138,4 +138,43 @@
     EXPECT_EQ(m_workers.startCount(First), 2U);
 }
 
+// A new owner that hears of a later run before it reads the end of the one that it has adopted stops the later one, and
+// must not start the task again until that one is over.
+TEST_F(AdoptedRun, isNotFollowedByAnotherOneWhileALaterOneIsStopped)
+{
+    m_workers.add({"other", "other:1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+    FakeWorkers::Behaviour behaviour {Second * 2, 1, false};
+    behaviour.stopDuration = Milliseconds(1'500);
+    takeOver({stepAfter({})}, behaviour);
+    advance(Second);
+    m_gateway.cutWorkers.insert("heard");
+    advance(Milliseconds(1'200));
+    ASSERT_EQ(m_workers.start("unheard", EarlierToken, {{First, 2}, {}, {}, {}, Second.count() * 5}).outcome,
+        OrderOutcome::Accepted);
+    m_gateway.cutWorkers.erase("unheard");
+    advance(Milliseconds(700));
+    m_gateway.cutWorkers.clear();
+    advance(Second);
+    EXPECT_THAT(m_workers.violations(), testing::IsEmpty());
+}
+
+// The next incarnation of a worker that has been heard takes orders of an earlier owner until it is heard as well.
+TEST_F(AdoptedRun, isNotFollowedByAnotherOneWhileAnEarlierOwnerMayReachARestartedWorker)
+{
+    m_workers.add({"other", "other:1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+    m_gateway.cutWorkers.clear();
+    takeOver({stepAfter({})}, {Second, 1, false});
+    advance(Milliseconds(600));
+    m_gateway.cutWorkers = {"heard", "unheard"};
+    // A request that is on its way still reaches the former incarnation.
+    advance(Milliseconds(200));
+    m_workers.restart("unheard");
+    advance(Milliseconds(400));
+    ASSERT_EQ(m_workers.start("unheard", EarlierToken, {{First, 2}, {}, {}, {}, Second.count() * 5}).outcome,
+        OrderOutcome::Accepted);
+    m_gateway.cutWorkers = {"unheard"};
+    advance(Milliseconds(800));
+    EXPECT_THAT(m_workers.violations(), testing::IsEmpty());
+}
+
 }
