--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -56,8 +56,8 @@
     // Awaits the workers of the record that the store has at the start of this term.
     void begin(const LeaseHolderRecord &record, const EarlierLeaseBounds &bounds, Instant now);
 
-    // Notes that the last owner may have granted leases up to the given time. Leases whose expiry its record states are
-    // not affected, as it grants no others to their workers.
+    // Notes that an earlier owner may have granted leases up to the given time. Expiries that the record states stay as
+    // they are only if no owner before its writer could start tasks any more.
     void extendEarlierGrants(Instant grantsEndAt);
 
     // Returns when all leases of earlier terms have surely expired.
