--- a/source/configuration/PrefixWatcher.cpp
+++ b/source/configuration/PrefixWatcher.cpp
@@ -12,9 +12,9 @@
 
 }
 
-PrefixWatcher::PrefixWatcher(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
+PrefixWatcher::PrefixWatcher(EntrySource &source, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
     Milliseconds watchWait, Milliseconds batchDelay)
-    : m_store(store)
+    : m_source(source)
     , m_scheduler(scheduler)
     , m_entries(entries)
     , m_prefix(std::move(prefix))
@@ -40,7 +40,7 @@
 
 void PrefixWatcher::list()
 {
-    m_store.list(m_prefix, [this, alive = m_alive](const Result<StoreListing> &result) {
+    m_source.list(m_prefix, [this, alive = m_alive](const Result<StoreListing> &result) {
         if (!*alive) {
             return;
         }
@@ -58,7 +58,7 @@
 
 void PrefixWatcher::watch()
 {
-    m_store.watch(
+    m_source.watch(
         m_prefix, m_entries.revision(), m_watchWait, [this, alive = m_alive](const Result<StoreEvents> &result) {
             if (!*alive) {
                 return;
--- a/source/configuration/PrefixWatcher.h
+++ b/source/configuration/PrefixWatcher.h
@@ -2,7 +2,7 @@
 
 #include "base/Scheduler.h"
 #include "configuration/VersionedEntries.h"
-#include "store/Store.h"
+#include "store/EntrySource.h"
 
 #include <functional>
 #include <memory>
@@ -10,15 +10,16 @@
 namespace Wagtail
 {
 
-// Keeps a copy of the store's entries below a prefix up to date: lists the prefix once and then repeats a waiting
-// watch. It lists again if the store's history no longer reaches back to the last revision. Used on the control thread.
+// Keeps a copy of a source's entries below a prefix up to date: lists the prefix once and then repeats a waiting
+// watch. It lists again if the source's history no longer reaches back to the last revision. Used on the control
+// thread.
 class PrefixWatcher
 {
 public:
     // Each watch waits at most watchWait, so that a change which the store has dropped from its history is noticed
     // within that time. After a watch has returned events, the next one begins after batchDelay, so that many changes
     // share a call. It begins at once if there were so many events that the store may have more.
-    PrefixWatcher(Store &store, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
+    PrefixWatcher(EntrySource &source, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
         Milliseconds watchWait = LongestWatchWait, Milliseconds batchDelay = Milliseconds(0));
     ~PrefixWatcher();
     PrefixWatcher(const PrefixWatcher &) = delete;
@@ -36,7 +37,7 @@
     void watch();
     void runAfter(Milliseconds delay, std::function<void()> action);
 
-    Store &m_store;
+    EntrySource &m_source;
     Scheduler &m_scheduler;
     VersionedEntries &m_entries;
     std::string m_prefix;
--- a/source/testing/FaultyStore.h
+++ b/source/testing/FaultyStore.h
@@ -19,7 +19,8 @@
     bool down = false;
     int loseAnswers = 0;
     Milliseconds delay {1};
-    // How many watches were asked for.
+    // How many listings and watches were asked for.
+    int lists = 0;
     int watches = 0;
 
     void read(const std::string &key, Handler<std::optional<StoreEntry>> handler) override
@@ -29,6 +30,7 @@
 
     void list(const std::string &prefix, Handler<StoreListing> handler) override
     {
+        ++lists;
         answer<StoreListing>([this, prefix] { return m_state.list(prefix); }, std::move(handler), Effect::None);
     }
 
