Http: Keep a long answer that makes progress

A read of the store had one timeout of 900 ms for the whole exchange, also for an answer of hundreds of kilobytes. When the instances of a region fetched a large configuration at once over the link that they share, each transfer was cut while it made progress and then repeated, so that the link stayed full and lease renewals timed out behind it.

A call may now have limits for a long answer: the timeout then covers the time until the answer begins, a stall limit the time between its parts, and a generous total the whole exchange. A read that is not answered is given up as early as before, and one that stalls after the same time without progress. Writes and lease calls keep their timeout for the whole exchange.

An instance that relays a read passes its answer on as a whole, so such an answer may begin up to 3 s later. Meanwhile the instance that asked checks that the other one still answers, and gives the call up as early as before if not.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -22,11 +22,28 @@
 // One transfer: the call, its handler and the answer as it arrives.
 struct Transfer
 {
+    explicit Transfer(asio::io_context &context) : stallTimer(context)
+    {
+    }
+
+    // Notes that a part of the answer has arrived.
+    void noteProgress()
+    {
+        if (call.longAnswer) {
+            stalledAt = Clock::now() + std::chrono::milliseconds(call.longAnswer->stallMilliseconds);
+        }
+    }
+
+    using Clock = std::chrono::steady_clock;
+
     HttpCall call;
     HttpClient::Handler handler;
     HttpAnswer answer;
     curl_slist *headers = nullptr;
     CURL *handle = nullptr;
+    // Used by calls with limits for a long answer.
+    asio::steady_timer stallTimer;
+    Clock::time_point stalledAt;
 };
 
 // A socket that libcurl opened, and the events that it waits for.
@@ -61,7 +78,9 @@
 
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
 {
-    std::string &body = static_cast<Transfer *>(target)->answer.body;
+    auto *transfer = static_cast<Transfer *>(target);
+    transfer->noteProgress();
+    std::string &body = transfer->answer.body;
     if (body.size() + size * count > MaximumAnswerBytes) {
         // Ends the transfer with an error.
         return 0;
@@ -73,7 +92,9 @@
 std::size_t appendHeader(char *data, std::size_t size, std::size_t count, void *target)
 {
     const std::string_view line(data, size * count);
-    HttpAnswer &answer = static_cast<Transfer *>(target)->answer;
+    auto *transfer = static_cast<Transfer *>(target);
+    transfer->noteProgress();
+    HttpAnswer &answer = transfer->answer;
     const std::size_t colon = line.find(':');
     if (line.starts_with("HTTP/")) {
         answer.headers.clear();
@@ -130,14 +151,19 @@
             asio::post(m_context, [handler = std::move(handler), unsent] { handler(unsent); });
             return;
         }
-        auto transfer = std::make_unique<Transfer>();
+        auto transfer = std::make_shared<Transfer>(m_context);
         transfer->call = std::move(call);
         transfer->handler = std::move(handler);
         transfer->handle = takeHandle();
         configure(*transfer);
         CURL *const handle = transfer->handle;
-        m_transfers.emplace(handle, std::move(transfer));
+        m_transfers.emplace(handle, transfer);
         curl_multi_add_handle(m_multi, handle);
+        if (transfer->call.longAnswer) {
+            transfer->stalledAt
+                = Transfer::Clock::now() + std::chrono::milliseconds(transfer->call.timeoutMilliseconds);
+            watchForStall(transfer);
+        }
     }
 
 private:
@@ -166,7 +192,8 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, call.timeoutMilliseconds);
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+            call.longAnswer ? call.longAnswer->totalMilliseconds : call.timeoutMilliseconds);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
@@ -328,6 +355,25 @@
         arm();
     }
 
+    // Progress only moves the deadline away, so the timer is set anew when it fires.
+    void watchForStall(const std::shared_ptr<Transfer> &transfer)
+    {
+        transfer->stallTimer.expires_at(transfer->stalledAt);
+        transfer->stallTimer.async_wait(
+            [weak = weak_from_this(), watched = std::weak_ptr(transfer)](const asio::error_code &error) {
+                const auto live = weak.lock();
+                const auto unfinished = watched.lock();
+                if (!live || !unfinished || error) {
+                    return;
+                }
+                if (Transfer::Clock::now() < unfinished->stalledAt) {
+                    live->watchForStall(unfinished);
+                } else {
+                    live->finish(unfinished->handle, CURLE_OPERATION_TIMEDOUT);
+                }
+            });
+    }
+
     void act(curl_socket_t socket, int action)
     {
         int running = 0;
@@ -349,7 +395,7 @@
     {
         const auto found = m_transfers.find(handle);
         assert(found != m_transfers.end());
-        const std::unique_ptr<Transfer> transfer = std::move(found->second);
+        const std::shared_ptr<Transfer> transfer = std::move(found->second);
         m_transfers.erase(found);
         long sentBytes = 0;
         long status = 0;
@@ -385,7 +431,7 @@
     bool m_turnPosted = false;
     CURLM *m_multi;
     std::unordered_map<int, std::shared_ptr<SocketWatch>> m_sockets;
-    std::unordered_map<CURL *, std::unique_ptr<Transfer>> m_transfers;
+    std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
     std::vector<CURL *> m_idleHandles;
 };
 
--- a/source/http/HttpMessages.h
+++ b/source/http/HttpMessages.h
@@ -61,7 +61,18 @@
     Forbidden,
 };
 
-// A request to send. The timeout covers the whole exchange and is given in milliseconds.
+// How long an answer of unknown size may take, in milliseconds: at most the stall between its parts, and at most the
+// total for the whole exchange.
+struct LongAnswerLimits
+{
+    long stallMilliseconds = 0;
+    long totalMilliseconds = 0;
+
+    bool operator==(const LongAnswerLimits &) const = default;
+};
+
+// A request to send. The timeout is given in milliseconds. It covers the whole exchange or, if there are limits for a
+// long answer, the time until the answer begins.
 struct HttpCall
 {
     std::string method;
@@ -70,6 +81,7 @@
     std::string body;
     long timeoutMilliseconds = 2000;
     ConnectionReuse reuse = ConnectionReuse::Allowed;
+    std::optional<LongAnswerLimits> longAnswer;
 };
 
 struct HttpAnswer
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace Wagtail
 {
@@ -16,6 +17,8 @@
 constexpr const char *MethodHeader = "Wagtail-Method";
 constexpr const char *UrlHeader = "Wagtail-Url";
 constexpr const char *TimeoutHeader = "Wagtail-Timeout-Ms";
+constexpr const char *StallHeader = "Wagtail-Stall-Ms";
+constexpr const char *TotalHeader = "Wagtail-Total-Ms";
 // A single failure may be a lost answer. Two in a row mean that the store is unreachable.
 constexpr int FailuresBeforeRelay = 2;
 // How often a direct read checks, while relaying, whether the store is reachable again.
@@ -27,6 +30,13 @@
 constexpr long PeerMarginMilliseconds = 150;
 constexpr long HealthTimeoutMilliseconds = 300;
 constexpr long MaxRelayedTimeoutMilliseconds = 60'000;
+// An instance passes on a relayed answer only as a whole, so the answer may begin this much later than a direct one.
+constexpr long MaxRelayedTransferMilliseconds = 3'000;
+
+long milliseconds(const HttpRequest &request, std::string_view header)
+{
+    return std::strtol(request.header(header).value_or("0").c_str(), nullptr, 10);
+}
 
 bool reachedStore(const HttpAnswer &answer)
 {
@@ -167,26 +177,66 @@
         {TimeoutHeader, std::to_string(call.timeoutMilliseconds)}, {"Content-Type", "application/json"}};
     relayed.body = std::move(call.body);
     relayed.timeoutMilliseconds = call.timeoutMilliseconds + PeerMarginMilliseconds;
+    const auto waiting = std::make_shared<Handler>(std::move(handler));
+    if (call.longAnswer) {
+        relayed.headers.push_back({StallHeader, std::to_string(call.longAnswer->stallMilliseconds)});
+        relayed.headers.push_back({TotalHeader, std::to_string(call.longAnswer->totalMilliseconds)});
+        relayed.longAnswer = call.longAnswer;
+        const long lateBy
+            = std::min(MaxRelayedTransferMilliseconds, call.longAnswer->totalMilliseconds - call.timeoutMilliseconds);
+        relayed.timeoutMilliseconds += lateBy;
+        relayed.longAnswer->totalMilliseconds += lateBy;
+        const long firstCheck = call.timeoutMilliseconds + PeerMarginMilliseconds - call.longAnswer->stallMilliseconds;
+        checkRelay(
+            {peer, waiting, Milliseconds(call.longAnswer->stallMilliseconds)}, Milliseconds(std::max(firstCheck, 0L)));
+    }
     const Instant sentAt = m_environment.clock.now();
-    m_environment.client.send(
-        std::move(relayed), [this, alive = m_alive, sentAt, handler = std::move(handler)](HttpAnswer answer) {
-            if (!*alive) {
+    m_environment.client.send(std::move(relayed), [this, alive = m_alive, sentAt, waiting](HttpAnswer answer) {
+        const Handler handler = std::exchange(*waiting, nullptr);
+        if (!*alive || !handler) {
+            return;
+        }
+        const bool reached = answer.delivery == Delivery::Answered && answer.status != HttpStatus::BadGateway;
+        if (reached && reachedStore(answer)) {
+            noteStoreAnswer(sentAt);
+        }
+        if (!reached) {
+            // The next call is relayed by another instance.
+            ++m_nextPeer;
+        }
+        if (answer.delivery == Delivery::Answered && answer.status == HttpStatus::BadGateway) {
+            answer.delivery
+                = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent : Delivery::Lost;
+        }
+        handler(std::move(answer));
+    });
+}
+
+void StoreRelay::checkRelay(const RelayedCall &relayed, Milliseconds delay)
+{
+    m_environment.scheduler.after(delay, [this, alive = m_alive, relayed] {
+        if (!*alive || !*relayed.handler) {
+            return;
+        }
+        HttpCall call;
+        call.method = "GET";
+        call.url = "http://" + relayed.peer + HealthPath;
+        call.timeoutMilliseconds = static_cast<long>(relayed.checkTimeout.count());
+        m_environment.client.send(std::move(call), [this, alive, relayed](const HttpAnswer &answer) {
+            if (!*alive || !*relayed.handler) {
                 return;
             }
-            const bool reached = answer.delivery == Delivery::Answered && answer.status != HttpStatus::BadGateway;
-            if (reached && reachedStore(answer)) {
-                noteStoreAnswer(sentAt);
-            }
-            if (!reached) {
-                // The next call is relayed by another instance.
-                ++m_nextPeer;
-            }
-            if (answer.delivery == Delivery::Answered && answer.status == HttpStatus::BadGateway) {
-                answer.delivery
-                    = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent : Delivery::Lost;
+            if (answer.delivery == Delivery::Answered) {
+                checkRelay(relayed, relayed.checkTimeout);
+                return;
             }
-            handler(std::move(answer));
+            ++m_nextPeer;
+            HttpAnswer lost;
+            lost.delivery = Delivery::Lost;
+            lost.failure = "the instance that relays the call does not answer";
+            std::exchange(*relayed.handler, nullptr)(std::move(lost));
         });
+    });
 }
 
 bool StoreRelay::handle(const HttpRequest &request, const HttpServer::Responder &respond)
@@ -206,8 +256,12 @@
     if (!call.body.empty()) {
         call.headers.push_back({"Content-Type", "application/json"});
     }
-    const long timeout = std::strtol(request.header(TimeoutHeader).value_or("0").c_str(), nullptr, 10);
-    call.timeoutMilliseconds = std::clamp(timeout, 1L, MaxRelayedTimeoutMilliseconds);
+    call.timeoutMilliseconds = std::clamp(milliseconds(request, TimeoutHeader), 1L, MaxRelayedTimeoutMilliseconds);
+    if (request.header(StallHeader)) {
+        const long longest = call.timeoutMilliseconds + MaxRelayedTransferMilliseconds;
+        call.longAnswer = LongAnswerLimits {std::clamp(milliseconds(request, StallHeader), 1L, longest),
+            std::clamp(milliseconds(request, TotalHeader), 1L, longest)};
+    }
     sendDirectly(std::move(call), [respond](HttpAnswer answer) {
         HttpResponse response;
         response.headers.push_back({"Content-Type", "application/json"});
--- a/source/tenure/StoreRelay.h
+++ b/source/tenure/StoreRelay.h
@@ -57,8 +57,19 @@
     [[nodiscard]] bool isDirectlyReachable() const;
 
 private:
+    // A call that another instance relays and whose answer may begin late. The handler is empty once it was called.
+    struct RelayedCall
+    {
+        std::string peer;
+        std::shared_ptr<Handler> handler;
+        Milliseconds checkTimeout;
+    };
+
     void sendDirectly(HttpCall call, Handler handler);
     void sendThroughPeer(HttpCall call, Handler handler);
+    // Gives the relayed call up if the instance that relays it does not answer a query. Asks after the delay, and then
+    // again and again until the call is answered.
+    void checkRelay(const RelayedCall &relayed, Milliseconds delay);
     void recordDirectAttempt(bool answered);
     void noteStoreAnswer(Instant at);
     [[nodiscard]] StoreHealthReport report() const;
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -19,7 +19,12 @@
     void send(HttpCall call, Handler handler) override
     {
         const bool direct = call.url.starts_with("http://store/");
+        const bool health = call.url.ends_with("/v1/store-health");
         calls.push_back(std::move(call));
+        if (health && toHealthQuery) {
+            handler(*toHealthQuery);
+            return;
+        }
         if (!direct && keepsPeersWaiting) {
             waiting.push_back(std::move(handler));
             return;
@@ -40,6 +45,8 @@
     std::vector<HttpCall> calls;
     HttpAnswer toStore;
     HttpAnswer toPeer;
+    // Used in place of the answer of peers if set.
+    std::optional<HttpAnswer> toHealthQuery;
 };
 
 HttpAnswer answered(int status)
@@ -85,10 +92,22 @@
         return result;
     }
 
+    // Sends a read that the store rejects, so that a peer relays it.
+    void sendRelayedRead()
+    {
+        m_client.toStore = answered(503);
+        m_client.toPeer = answered(200);
+        m_client.keepsPeersWaiting = true;
+        HttpCall call {"GET", "http://store/read", {}, {}, 400};
+        call.longAnswer = LongAnswerLimits {400, 5'000};
+        m_relay.send(std::move(call), [this](HttpAnswer answer) { m_relayedAnswer = std::move(answer); });
+    }
+
     ManualClock m_clock;
     ManualScheduler m_scheduler;
     ScriptedClient m_client;
     StoreRelay m_relay;
+    std::optional<HttpAnswer> m_relayedAnswer;
     OwnerRevisions m_peerRevisions;
 };
 
@@ -195,4 +214,49 @@
     EXPECT_EQ(std::get<StoreHealthReport>(report), (StoreHealthReport {Second * 2, {{"depot", 7}}}));
 }
 
+// A large answer that another instance relayed was given up before that instance had received it.
+TEST_F(StoreRelayTest, waitsForALongAnswerWhileThePeerThatRelaysItAnswers)
+{
+    m_client.toHealthQuery = answered(200);
+    sendRelayedRead();
+    EXPECT_GT(m_client.calls.back().timeoutMilliseconds, 2'000);
+    m_scheduler.advance(Second * 2, Milliseconds(10));
+    EXPECT_FALSE(m_relayedAnswer);
+    m_client.answerWaiting();
+    ASSERT_TRUE(m_relayedAnswer);
+    EXPECT_EQ(m_relayedAnswer->status, 200);
+}
+
+TEST_F(StoreRelayTest, givesALongAnswerUpWhenThePeerThatRelaysItDoesNotAnswer)
+{
+    m_client.toHealthQuery = lost();
+    sendRelayedRead();
+    m_scheduler.advance(Milliseconds(600), Milliseconds(10));
+    ASSERT_TRUE(m_relayedAnswer);
+    EXPECT_EQ(m_relayedAnswer->delivery, Delivery::Lost);
+    m_client.answerWaiting();
+    EXPECT_EQ(m_relayedAnswer->delivery, Delivery::Lost);
+}
+
+TEST_F(StoreRelayTest, relaysALongAnswerWithItsLimits)
+{
+    sendRelayedRead();
+    const HttpCall sent = m_client.calls.back();
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/store-relay";
+    request.headers = sent.headers;
+    m_client.toStore = answered(200);
+    std::optional<HttpResponse> response;
+    EXPECT_TRUE(m_relay.handle(request, [&response](const HttpResponse &given) { response = given; }));
+    ASSERT_TRUE(response);
+    const HttpCall &direct = m_client.calls.back();
+    EXPECT_EQ(direct.url, "http://store/read");
+    EXPECT_EQ(direct.timeoutMilliseconds, 400);
+    ASSERT_TRUE(direct.longAnswer);
+    EXPECT_EQ(direct.longAnswer->stallMilliseconds, 400);
+    // The peer that asked waits no longer than this for the answer to begin.
+    EXPECT_LT(direct.longAnswer->totalMilliseconds, sent.timeoutMilliseconds);
+}
+
 }
