Configuration: Repeat failed listings and watches after growing delays

Every watcher repeated a failed listing or watch after 500 ms, all instances in step and for as long as the calls failed, so a congested link got the same load again and again. A listing whose history was gone by the first watch was even fetched again without any pause: 1,001 times in 30 s in the test, where each call takes a few milliseconds.

The delays now double from 500 ms to at most 1.5 s and are shortened at random by up to a half, until a watch succeeds. A call that began in an outage fails within about a second, so a change takes effect within 3 s after it. A watch goes on from the last revision as before; the prefix is listed again at once only if a watch has succeeded since the last listing.

PrefixWatcherTest.listsLessOftenWhileCallsFail, watchesLessOftenWhileCallsFail and listsLessOftenWhileTheHistoryIsTooShort failed before this change.

--- a/source/configuration/PrefixWatcher.cpp
+++ b/source/configuration/PrefixWatcher.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr Milliseconds RetryDelay {500};
+constexpr Milliseconds FirstRetryDelay {500};
 // A store returns a few hundred events per watch at most. A batch of this size means that more may be pending.
 constexpr std::size_t LargeBatchEventCount = 200;
 
@@ -20,6 +20,7 @@
     , m_prefix(std::move(prefix))
     , m_watchWait(watchWait)
     , m_batchDelay(batchDelay)
+    , m_backoff(FirstRetryDelay, LongestRetryDelay)
 {
 }
 
@@ -47,10 +48,11 @@
         const StoreListing *listing = std::get_if<StoreListing>(&result);
         if (listing == nullptr) {
             m_lastCallSucceeded = false;
-            runAfter(RetryDelay, [this] { list(); });
+            runAfter(m_backoff.next(), [this] { list(); });
             return;
         }
         m_lastCallSucceeded = true;
+        m_watchedSinceListing = false;
         m_entries.applyListing(*listing);
         watch();
     });
@@ -64,16 +66,12 @@
                 return;
             }
             if (const Error *error = errorOf(result)) {
-                m_lastCallSucceeded = false;
-                if (error->kind == ErrorKind::NotFound) {
-                    // The store's history no longer reaches back to the last revision.
-                    list();
-                } else {
-                    runAfter(RetryDelay, [this] { watch(); });
-                }
+                onWatchFailed(*error);
                 return;
             }
             m_lastCallSucceeded = true;
+            m_watchedSinceListing = true;
+            m_backoff.reset();
             const StoreEvents &events = std::get<StoreEvents>(result);
             m_entries.applyEvents(events);
             const bool mayHaveMore = events.events.size() >= LargeBatchEventCount;
@@ -85,6 +83,20 @@
         });
 }
 
+void PrefixWatcher::onWatchFailed(const Error &error)
+{
+    m_lastCallSucceeded = false;
+    if (error.kind != ErrorKind::NotFound) {
+        runAfter(m_backoff.next(), [this] { watch(); });
+    } else if (m_watchedSinceListing) {
+        // The store's history no longer reaches back to the last revision.
+        list();
+    } else {
+        // It did not even reach back to the listing.
+        runAfter(m_backoff.next(), [this] { list(); });
+    }
+}
+
 void PrefixWatcher::runAfter(Milliseconds delay, std::function<void()> action)
 {
     m_scheduler.after(delay, [alive = m_alive, action = std::move(action)] {
--- a/source/configuration/PrefixWatcher.h
+++ b/source/configuration/PrefixWatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Backoff.h"
 #include "base/Scheduler.h"
 #include "configuration/VersionedEntries.h"
 #include "store/Store.h"
@@ -11,7 +12,8 @@
 {
 
 // Keeps a copy of the store's entries below a prefix up to date: lists the prefix once and then repeats a waiting
-// watch. It lists again if the store's history no longer reaches back to the last revision. Used on the control thread.
+// watch. It lists again if the store's history no longer reaches back to the last revision. Failed calls are repeated
+// after growing delays. Used on the control thread.
 class PrefixWatcher
 {
 public:
@@ -27,6 +29,9 @@
     void start();
 
     static constexpr Milliseconds LongestWatchWait {20'000};
+    // A configuration change must take effect within 3 seconds, also right after an outage. A call that began in the
+    // outage may take a second to fail.
+    static constexpr Milliseconds LongestRetryDelay {1'500};
 
     // Returns whether the last call to the store succeeded.
     [[nodiscard]] bool lastCallSucceeded() const;
@@ -34,6 +39,7 @@
 private:
     void list();
     void watch();
+    void onWatchFailed(const Error &error);
     void runAfter(Milliseconds delay, std::function<void()> action);
 
     Store &m_store;
@@ -42,7 +48,10 @@
     std::string m_prefix;
     Milliseconds m_watchWait;
     Milliseconds m_batchDelay;
+    Backoff m_backoff;
     bool m_lastCallSucceeded = false;
+    // Whether a watch has succeeded since the prefix was listed.
+    bool m_watchedSinceListing = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/configuration/tests/PrefixWatcherTest.cpp
+++ b/source/configuration/tests/PrefixWatcherTest.cpp
@@ -101,4 +101,69 @@
     EXPECT_GE(follow(Milliseconds(0)), 50);
 }
 
+// Guards against instances that repeat large transfers over a shared link until none of them can be completed.
+TEST_F(PrefixWatcherTest, listsLessOftenWhileCallsFail)
+{
+    constexpr Milliseconds Outage {30'000};
+    PrefixWatcher watcher(m_store, m_scheduler, m_entries, "servers/");
+    m_store.down = true;
+    watcher.start();
+    m_scheduler.advance(Outage, Milliseconds(10));
+    EXPECT_GE(m_store.lists, Outage / PrefixWatcher::LongestRetryDelay);
+    EXPECT_LT(m_store.lists, Outage / Milliseconds(700));
+}
+
+TEST_F(PrefixWatcherTest, watchesLessOftenWhileCallsFail)
+{
+    constexpr Milliseconds Outage {30'000};
+    PrefixWatcher watcher(m_store, m_scheduler, m_entries, "servers/", Milliseconds(100));
+    watcher.start();
+    m_scheduler.advance(Milliseconds(20), Milliseconds(5));
+    m_store.down = true;
+    m_scheduler.advance(Milliseconds(200), Milliseconds(10));
+    m_state.advance();
+    m_store.watches = 0;
+    m_scheduler.advance(Outage, Milliseconds(10));
+    EXPECT_EQ(m_store.lists, 1);
+    EXPECT_GE(m_store.watches, Outage / PrefixWatcher::LongestRetryDelay);
+    EXPECT_LT(m_store.watches, Outage / Milliseconds(700));
+}
+
+// Guards against a listing that is fetched again without a pause when the history is shorter than a transfer takes.
+TEST_F(PrefixWatcherTest, listsLessOftenWhileTheHistoryIsTooShort)
+{
+    constexpr Milliseconds Duration {30'000};
+    PrefixWatcher watcher(m_store, m_scheduler, m_entries, "servers/");
+    m_store.hasNoHistory = true;
+    watcher.start();
+    m_scheduler.advance(Duration, Milliseconds(10));
+    EXPECT_LT(m_store.lists, Duration / Milliseconds(700));
+    m_store.hasNoHistory = false;
+    ASSERT_EQ(errorOf(m_state.write({"servers/0", "up", std::nullopt, 0})), nullptr);
+    m_scheduler.advance(PrefixWatcher::LongestRetryDelay + Milliseconds(20), Milliseconds(10));
+    EXPECT_NE(m_entries.find("servers/0"), nullptr);
+}
+
+// A configuration change must take effect within 3 seconds, however long the outage before it was.
+TEST_F(PrefixWatcherTest, noticesChangesSoonAfterAnOutage)
+{
+    PrefixWatcher watcher(m_store, m_scheduler, m_entries, "servers/", Milliseconds(100));
+    m_store.down = true;
+    watcher.start();
+    for (const Milliseconds outage : {Milliseconds(1'000), Milliseconds(10'000), Milliseconds(60'000)}) {
+        m_store.down = true;
+        m_scheduler.advance(Milliseconds(200), Milliseconds(10));
+        m_state.advance();
+        m_scheduler.advance(outage, Milliseconds(10));
+        ASSERT_FALSE(watcher.lastCallSucceeded());
+        m_store.down = false;
+        const std::string value = std::to_string(outage.count());
+        ASSERT_EQ(errorOf(m_state.write({"servers/0", value, std::nullopt, 0})), nullptr);
+        m_scheduler.advance(PrefixWatcher::LongestRetryDelay + Milliseconds(20), Milliseconds(10));
+        ASSERT_NE(m_entries.find("servers/0"), nullptr);
+        EXPECT_EQ(m_entries.find("servers/0")->value, value);
+        EXPECT_TRUE(watcher.lastCallSucceeded());
+    }
+}
+
 }
--- a/source/testing/FaultyStore.h
+++ b/source/testing/FaultyStore.h
@@ -19,8 +19,11 @@
     bool down = false;
     int loseAnswers = 0;
     Milliseconds delay {1};
-    // How many watches were asked for.
+    // How many listings and watches were asked for.
+    int lists = 0;
     int watches = 0;
+    // Whether the history never reaches back to the revision of a watch.
+    bool hasNoHistory = false;
 
     void read(const std::string &key, Handler<std::optional<StoreEntry>> handler) override
     {
@@ -29,6 +32,7 @@
 
     void list(const std::string &prefix, Handler<StoreListing> handler) override
     {
+        ++lists;
         answer<StoreListing>([this, prefix] { return m_state.list(prefix); }, std::move(handler), Effect::None);
     }
 
@@ -88,6 +92,12 @@
             fail<StoreEvents>(std::move(handler));
             return;
         }
+        if (hasNoHistory) {
+            m_scheduler.after(delay, [handler = std::move(handler)] {
+                handler(Error {ErrorKind::NotFound, "the revision is not in the history", "list again"});
+            });
+            return;
+        }
         m_state.watch(prefix, after, wait, [this, handler = std::move(handler)](Result<StoreEvents> result) {
             if (down) {
                 // The answer to a watch that began before does not arrive either.
