--- a/source/configuration/PeerEntrySource.cpp
+++ b/source/configuration/PeerEntrySource.cpp
@@ -13,8 +13,10 @@
 
 // A peer that gave no usable answer is left alone for this long.
 constexpr Milliseconds AvoidanceTime {5'000};
-// A listing of a megabyte takes about a second on the slowest links of instances.
-constexpr long ListTimeoutMilliseconds = 2'500;
+// By when a listing has to begin, how long it may pause, and how long it may take. A megabyte takes about a second on
+// the slowest links of instances.
+constexpr long ListTimeoutMilliseconds = 700;
+constexpr LongAnswerLimits ListLimits {700, 10'000};
 // Added to the time for which a peer may delay its answer.
 constexpr long WatchMarginMilliseconds = 500;
 // Peers whose copies the store has not confirmed are as far from the store as this instance, or about to receive a
@@ -76,7 +78,9 @@
     }
     const std::string peer = peers.front();
     peers.erase(peers.begin());
-    m_environment.client.send(callTo(peer, {}, ListTimeoutMilliseconds),
+    HttpCall call = callTo(peer, {}, ListTimeoutMilliseconds);
+    call.longAnswer = ListLimits;
+    m_environment.client.send(std::move(call),
         [this, alive = m_alive, peer, peers = std::move(peers), prefix, handler = std::move(handler)](
             const HttpAnswer &answer) {
             if (!*alive) {
--- a/source/testing/FaultyStore.h
+++ b/source/testing/FaultyStore.h
@@ -22,6 +22,8 @@
     // How many listings and watches were asked for.
     int lists = 0;
     int watches = 0;
+    // Whether the history never reaches back to the revision of a watch.
+    bool hasNoHistory = false;
 
     void read(const std::string &key, Handler<std::optional<StoreEntry>> handler) override
     {
@@ -90,6 +92,12 @@
             fail<StoreEvents>(std::move(handler));
             return;
         }
+        if (hasNoHistory) {
+            m_scheduler.after(delay, [handler = std::move(handler)] {
+                handler(Error {ErrorKind::NotFound, "the revision is not in the history", "list again"});
+            });
+            return;
+        }
         m_state.watch(prefix, after, wait, [this, handler = std::move(handler)](Result<StoreEvents> result) {
             if (down) {
                 // The answer to a watch that began before does not arrive either.
