Scheduling: Await heard workers again that may have restarted while earlier owners act

Cause: a new owner that has heard all workers takes every task without a known run to run nowhere. A worker that restarts has seen no fencing token, so a replaced owner that still acts can start a task there until the new owner has heard that incarnation as well.

Until earlier owners start nothing any more, a worker that leaves a report request unanswered, gets another address or is listed as restarted counts as unheard again, until a complete report of the listed incarnation arrives or the leases that an earlier owner may have granted have expired. A late report of the former incarnation confirms nothing. After a planned hand-over, earlier owners have ended, so nothing is awaited again; while all workers answer, nothing waits either, which isFollowedByAnotherOneAtOnceIfAllWorkersAnswer keeps so.

A worker that restarts and is reached by an earlier owner within one open report request is still not noticed in time.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -92,6 +92,9 @@
         const Instant now = m_environment.clock.now();
         onWorkerRestarted(worker, listing.incarnation, {{}, now, now});
     }
+    if (addressChanged || worker.isRestartListed()) {
+        m_leaseHandover.expectAgain(listing.name, m_environment.clock.now());
+    }
     if (startsDraining) {
         closeOpenRuns(worker);
     }
@@ -207,6 +210,9 @@
     if (outcome == OrderOutcome::OtherIncarnation && address == worker.listing.address) {
         onWorkerReplaced(worker);
     }
+    if (worker.hasAnswered) {
+        m_leaseHandover.expectAgain(worker.listing.name, m_environment.clock.now());
+    }
     ++worker.consecutiveUnanswered;
     if (worker.consecutiveUnanswered == WorkerState::UnansweredBeforeUnreachable) {
         m_environment.listener.logDecision(
@@ -236,7 +242,7 @@
         worker.priorLeaseExpiresAt
             = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOnceHeard(worker.listing.name, now));
     }
-    if (!report.truncated) {
+    if (!report.truncated && !worker.isRestartListed()) {
         m_leaseHandover.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -62,7 +62,7 @@
     }
     for (auto &[name, expiry] : m_unconfirmedWorkers) {
         if (expiry >= m_priorLeasesExpireAt || !m_inheritedEndedStarts) {
-            expiry = expireAt;
+            expiry = std::max(expiry, expireAt);
         }
     }
     m_priorLeasesExpireAt = expireAt;
@@ -82,6 +82,16 @@
     m_recoveryActive = true;
 }
 
+void LeaseHandover::expectAgain(const std::string &worker, Instant now)
+{
+    if (haveEarlierStartsEnded(now)) {
+        return;
+    }
+    const Instant expireAt = m_earlierOwnersEndAt + longestDuration(m_earlierLeaseDuration);
+    m_unconfirmedWorkers.emplace(worker, std::max(m_priorLeasesExpireAt, expireAt));
+    m_recoveryActive = true;
+}
+
 void LeaseHandover::confirm(const std::string &worker)
 {
     m_unconfirmedWorkers.erase(worker);
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -67,6 +67,11 @@
     // the last owner granted leases only to workers of the record.
     void expect(const std::string &worker);
 
+    // Awaits a worker again that has answered under this term and may have restarted since. An earlier owner that still
+    // starts tasks would reach the next incarnation, which has not seen the fencing token of this term. Has no effect
+    // once earlier owners start nothing any more.
+    void expectAgain(const std::string &worker, Instant now);
+
     // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
     void confirm(const std::string &worker);
 
--- a/source/scheduling/tests/AdoptedRunTest.cpp
+++ b/source/scheduling/tests/AdoptedRunTest.cpp
@@ -177,4 +177,32 @@
     EXPECT_THAT(m_workers.violations(), testing::IsEmpty());
 }
 
+// The platform lists the restart of a worker while the owner still waits for the answer of the former incarnation.
+TEST_F(AdoptedRun, isNotFollowedByAnotherOneWhileAnEarlierOwnerMayReachAWorkerThatIsListedAnew)
+{
+    m_workers.add({"other", "other:1", "pool", "depot", "rack", {}, {4'000, 8'000, 0}, 1, false});
+    m_gateway.cutWorkers.clear();
+    takeOver({stepAfter({})}, {Second, 1, false});
+    advance(Milliseconds(300));
+    m_gateway.reportDelays["unheard"] = Milliseconds(1'000);
+    advance(Milliseconds(300));
+    m_gateway.cutWorkers = {"unheard"};
+    m_workers.restart("unheard");
+    m_jobs->updateWorker(m_workers.listings().at("unheard"));
+    advance(Milliseconds(600));
+    EXPECT_EQ(m_workers.startCount(First), 1U);
+    ASSERT_EQ(m_workers.start("unheard", EarlierToken, {{First, 2}, {}, {}, {}, Second.count() * 5}).outcome,
+        OrderOutcome::Accepted);
+    advance(Milliseconds(800));
+    EXPECT_THAT(m_workers.violations(), testing::IsEmpty());
+}
+
+TEST_F(AdoptedRun, isFollowedByAnotherOneAtOnceIfAllWorkersAnswer)
+{
+    m_gateway.cutWorkers.clear();
+    takeOver({stepAfter({})}, {RunDuration, 1, false});
+    advance(RunDuration + Milliseconds(200));
+    EXPECT_EQ(m_workers.startCount(First), 2U);
+}
+
 }
