Scheduling: Acknowledge no run ends to an incarnation that may not have listed them

Cause: a report request names only the worker. One that acknowledges ends of a former incarnation and is carried out late makes the next one forget ends with the same numbers, and their tasks are started again.

A worker that left a request unanswered gets no acknowledgement before it has answered, so at most one such request is open when a restart is found. If one may be, the next incarnation gets no tasks until 6 s after the last answer of the former one. A worker that is down for that long loses no time by it.

Not covered: calls that are carried out later than that, starts that reach the next incarnation while the acknowledging request is still open, an unanswered acknowledgement after which the former incarnation has answered again, and workers that were off the list long enough to be forgotten.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -41,6 +41,8 @@
 constexpr Milliseconds StallTimeout {1'800};
 // How long after the expiry of its leases the owner waits for the run ends of a worker that the platform still lists.
 constexpr Milliseconds LongestEndWait {10'000};
+// How long after a worker's last answer it may still carry out a request that was sent next and got no answer.
+constexpr Milliseconds LongestLateCall {6'000};
 
 }
 
@@ -140,9 +142,10 @@
         return;
     }
     // The numbers of the ends start anew with each incarnation. While a start may have reached an incarnation that is
-    // not known yet, an acknowledgement could make it forget ends that nobody has read.
+    // not known yet, an acknowledgement could make it forget ends that nobody has read. A worker that left the last
+    // request unanswered may have restarted.
     const bool unacknowledged = worker.recordedEnd > worker.acknowledgedEnd;
-    const bool mayAcknowledge = unacknowledged && worker.unsettledStarts.isEmpty();
+    const bool mayAcknowledge = unacknowledged && worker.unsettledStarts.isEmpty() && worker.consecutiveUnanswered == 0;
     const bool holdsAcknowledgement = unacknowledged && !mayAcknowledge;
     if (holdsAcknowledgement && now - worker.lastAnswer < HeldAcknowledgementInterval) {
         return;
@@ -192,8 +195,16 @@
         m_environment.listener.logDecision(
             "worker-reachable-again", name, {{"unanswered", worker->consecutiveUnanswered}});
     }
+    // A request that acknowledges ends of the former incarnation would make the next one forget unread ends with the
+    // same numbers.
+    const std::int64_t formerIncarnation = worker->incarnation;
+    const bool isAcknowledgementOpen
+        = worker->consecutiveUnanswered > 0 && worker->recordedEnd > worker->acknowledgedEnd;
     worker->consecutiveUnanswered = 0;
     applyReport(*worker, std::get<RunReport>(result), sentAt);
+    if (isAcknowledgementOpen && worker->incarnation != formerIncarnation) {
+        worker->quarantinedUntil = std::max(worker->quarantinedUntil, worker->lastContact + LongestLateCall);
+    }
     worker->lastContact = m_environment.clock.now();
     if (address == worker->listing.address) {
         worker->answeredRequestSentAt = std::max(worker->answeredRequestSentAt, sentAt);
@@ -531,7 +542,7 @@
     ++worker.quarantineCount;
     // After the quarantine a single failure leads to the next one.
     worker.consecutiveFailures = FailuresBeforeQuarantine - 1;
-    worker.quarantinedUntil = m_environment.clock.now() + duration;
+    worker.quarantinedUntil = std::max(worker.quarantinedUntil, m_environment.clock.now() + duration);
     m_environment.listener.logDecision(
         "worker-quarantined", worker.listing.name, {{"duration_ms", duration.count()}, {"job", job}});
 }
--- a/source/tenure/tests/LateOrderTest.cpp
+++ b/source/tenure/tests/LateOrderTest.cpp
@@ -130,6 +130,43 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A worker was down when its owner asked it again and again, and acknowledged ends each time. Its next incarnation
+// carried such a request out when it had new ends.
+TEST_F(LateOrder, acknowledgesNoEndsToASilentWorker)
+{
+    submit("earlier", 1, Milliseconds(200));
+    m_cluster.advance(Second * 2);
+    m_cluster.owner()->gateway.lateCallsOutliveRestarts = true;
+    std::string crashed;
+    Instant crashedAt;
+    m_cluster.owner()->gateway.filter = [&](CallKind kind, const std::string &worker) {
+        const JobScheduler &jobs = m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+        const WorkerState &state = jobs.workers().at(worker);
+        if (kind == CallKind::Report && crashed.empty() && state.recordedEnd > state.acknowledgedEnd) {
+            crashed = worker;
+            crashedAt = m_cluster.clock.now();
+            m_cluster.workers.setRecovery(worker, {FakeWorkers::Recovery::Identity::SameName, Milliseconds(2'900)});
+            m_cluster.workers.crash(worker);
+        }
+        const Milliseconds age = std::chrono::duration_cast<Milliseconds>(m_cluster.clock.now() - crashedAt);
+        const bool isUnread = state.incarnation > 1 && !state.tasks.empty() && age < Second * 8;
+        const bool isLate = age >= Second * 2 && age < Milliseconds(2'800);
+        if (kind != CallKind::Report || worker != crashed || (!isUnread && !isLate)) {
+            return std::optional<UnansweredCall>();
+        }
+        return std::optional(isLate ? UnansweredCall {Milliseconds(4'500)} : UnansweredCall());
+    };
+    submit("next", 1, Milliseconds(200));
+    for (int i = 0; i < 200 && crashed.empty(); ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_FALSE(crashed.empty());
+    m_cluster.advance(Second * 5);
+    submit("job", 400, Milliseconds(100));
+    m_cluster.advance(Second * 60);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // A repeated start was accepted and the worker restarted under its name. The task was started elsewhere at once, and
 // the next incarnation carried the first order out.
 TEST_F(LateOrder, ofARunThatWasAcceptedWhenRepeatedStartsNoSecondRunAfterARestart)
