Configuration: Send listings between instances without nesting

A listing in MessagePack was parsed recursively, so a malformed answer of a peer that nests deeply could have overflowed the stack. Entries now follow each other with their lengths.

--- a/source/configuration/EntryShare.cpp
+++ b/source/configuration/EntryShare.cpp
@@ -72,7 +72,7 @@
         m_listingRevision = m_environment.entries.revision();
         m_listing = serialize(m_environment.entries.snapshot());
     }
-    respond({HttpStatus::Ok, {{"Content-Type", "application/msgpack"}}, m_listing});
+    respond({HttpStatus::Ok, {{"Content-Type", "application/octet-stream"}}, m_listing});
 }
 
 void EntryShare::await(StoreRevision after, Milliseconds wait, const HttpServer::Responder &respond)
--- a/source/configuration/StoreListingCodec.cpp
+++ b/source/configuration/StoreListingCodec.cpp
@@ -1,6 +1,10 @@
 #include "configuration/StoreListingCodec.h"
 
-#include "base/JsonReader.h"
+#include <charconv>
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string_view>
 
 namespace Wagtail
 {
@@ -8,64 +12,115 @@
 namespace
 {
 
+constexpr std::string_view FormatName = "wagtail-entries-1";
+
 Error invalidListing(const std::string &reason)
 {
     return {ErrorKind::InvalidInput, "the listing of another instance is invalid: " + reason,
         "run one version on all instances"};
 }
 
-// Returns the entry, or nothing if the row is not of the form [key, value, revision, lease].
-std::optional<StoreEntry> parseRow(const Json &row)
+void appendNumbers(std::string &text, std::initializer_list<std::uint64_t> numbers)
 {
-    constexpr std::size_t Columns = 4;
-    constexpr std::size_t RevisionColumn = 2;
-    constexpr std::size_t LeaseColumn = 3;
-    if (!row.is_array() || row.size() != Columns || !row[0].is_string() || !row[1].is_string()) {
-        return std::nullopt;
+    for (const std::uint64_t number : numbers) {
+        text += std::to_string(number);
+        text += '\n';
+    }
+}
+
+// Reads a text from its start on.
+class TextReader
+{
+public:
+    explicit TextReader(std::string_view text) : m_text(text)
+    {
+    }
+
+    // Returns the number in the next line, or nothing if there is none.
+    std::optional<std::uint64_t> number()
+    {
+        const std::size_t end = m_text.find('\n');
+        if (end == std::string_view::npos) {
+            return std::nullopt;
+        }
+        std::uint64_t value = 0;
+        const auto [last, error] = std::from_chars(m_text.data(), m_text.data() + end, value);
+        const bool isNumber = error == std::errc() && last == m_text.data() + end;
+        m_text.remove_prefix(end + 1);
+        return isNumber ? std::optional(value) : std::nullopt;
     }
-    const auto revision = numberOf<StoreRevision>(row[RevisionColumn]);
-    const auto lease = numberOf<LeaseIdentifier>(row[LeaseColumn]);
-    if (!revision || !lease) {
+
+    // Returns the next bytes, or nothing if there are not so many.
+    std::optional<std::string> bytes(std::uint64_t count)
+    {
+        if (count > m_text.size()) {
+            return std::nullopt;
+        }
+        std::string value(m_text.substr(0, count));
+        m_text.remove_prefix(count);
+        return value;
+    }
+
+    [[nodiscard]] bool isAtEnd() const
+    {
+        return m_text.empty();
+    }
+
+private:
+    std::string_view m_text;
+};
+
+std::optional<StoreEntry> readEntry(TextReader &reader)
+{
+    const auto keyLength = reader.number();
+    const auto valueLength = reader.number();
+    const auto revision = reader.number();
+    const auto lease = reader.number();
+    if (!keyLength || !valueLength || !revision || !lease) {
         return std::nullopt;
     }
-    return StoreEntry {row[0].get<std::string>(), row[1].get<std::string>(), *revision, *lease};
+    std::optional<std::string> key = reader.bytes(*keyLength);
+    std::optional<std::string> value = key ? reader.bytes(*valueLength) : std::nullopt;
+    return value ? std::optional(StoreEntry {std::move(*key), std::move(*value), *revision, *lease}) : std::nullopt;
 }
 
 }
 
 std::string serialize(const StoreListing &listing)
 {
-    Json rows = Json::array();
+    std::string text(FormatName);
+    text += '\n';
+    appendNumbers(text, {listing.revision, listing.entries.size()});
     for (const StoreEntry &entry : listing.entries) {
-        rows.push_back(Json::array({entry.key, entry.value, entry.revision, entry.lease}));
+        appendNumbers(text, {entry.key.size(), entry.value.size(), entry.revision, entry.lease});
+        text += entry.key;
+        text += entry.value;
     }
-    const Json document = {{"revision", listing.revision}, {"entries", std::move(rows)}};
-    std::string text;
-    Json::to_msgpack(document, text);
     return text;
 }
 
 Result<StoreListing> parseStoreListing(const std::string &text)
 {
-    constexpr bool Strict = true;
-    constexpr bool AllowExceptions = false;
-    const Json document = Json::from_msgpack(text, Strict, AllowExceptions);
-    if (document.is_discarded() || !document.is_object()) {
-        return invalidListing("it is no document");
+    if (!text.starts_with(std::string(FormatName) + '\n')) {
+        return invalidListing("its format is unknown");
     }
+    TextReader reader(std::string_view(text).substr(FormatName.size() + 1));
     StoreListing listing;
-    listing.revision = memberOr(document, "revision", StoreRevision {0});
-    const auto rows = document.find("entries");
-    if (listing.revision == 0 || rows == document.end() || !rows->is_array()) {
-        return invalidListing("revision or entries are missing");
+    listing.revision = reader.number().value_or(0);
+    const std::optional<std::uint64_t> count = reader.number();
+    if (listing.revision == 0 || !count) {
+        return invalidListing("revision or number of entries are missing");
     }
-    for (const Json &row : *rows) {
-        std::optional<StoreEntry> entry = parseRow(row);
+    for (std::uint64_t i = 0; i < *count; ++i) {
+        std::optional<StoreEntry> entry = readEntry(reader);
         if (!entry) {
-            return invalidListing("an entry has missing fields");
+            return invalidListing("an entry is incomplete");
         }
         listing.entries.push_back(std::move(*entry));
     }
+    if (!reader.isAtEnd()) {
+        return invalidListing("more follows its last entry");
+    }
     return listing;
 }
 
--- a/source/configuration/tests/PeerEntrySourceTest.cpp
+++ b/source/configuration/tests/PeerEntrySourceTest.cpp
@@ -213,6 +213,7 @@
 TEST(StoreListingCodecTest, rejectsTruncatedText)
 {
     const std::string text = serialize({7, {{"op/config", "value", 5, 0}}});
+    EXPECT_NE(errorOf(parseStoreListing(text + "x")), nullptr);
     for (std::size_t length = 0; length < text.size(); ++length) {
         EXPECT_NE(errorOf(parseStoreListing(text.substr(0, length))), nullptr);
     }
