Scheduling: Await no worker again that has drained and left

Cause: after an unplanned take-over, each heard worker that left a report request unanswered within the first 5 s held back all inherited tasks whose place is not known until the leases of earlier owners had expired, also a worker that had drained and left. A worker whose entry states a start that it never made held them back for ever.

A worker that drains does not come back under its name, so it is not awaited again. Once earlier owners start nothing any more, a complete report confirms a worker whatever its entry states.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -221,7 +221,8 @@
     if (outcome == OrderOutcome::OtherIncarnation && address == worker.listing.address) {
         onWorkerReplaced(worker);
     }
-    if (worker.hasAnswered) {
+    // A worker that drains leaves and does not come back.
+    if (worker.hasAnswered && !worker.listing.draining) {
         m_leaseHandover.expectAgain(worker.listing.name, m_environment.clock.now());
     }
     ++worker.consecutiveUnanswered;
@@ -255,7 +256,7 @@
     }
     if (report.truncated) {
         m_leaseHandover.noteTruncatedReport(worker.listing.name);
-    } else if (!worker.isRestartListed()) {
+    } else if (!worker.isRestartListed() || m_leaseHandover.haveEarlierStartsEnded(now)) {
         m_leaseHandover.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
--- a/source/scheduling/tests/AdoptedRunTest.cpp
+++ b/source/scheduling/tests/AdoptedRunTest.cpp
@@ -205,4 +205,31 @@
     EXPECT_EQ(m_workers.startCount(First), 2U);
 }
 
+// A worker that left after the take-over held back all inherited tasks until the leases of earlier owners had expired.
+TEST_F(AdoptedRun, isFollowedByAnotherOneAtOnceIfAHeardWorkerHasDrainedAndLeft)
+{
+    m_gateway.cutWorkers.clear();
+    takeOver({stepAfter({})}, {RunDuration, 1, false});
+    advance(Milliseconds(200));
+    WorkerListing draining = m_workers.listings().at("unheard");
+    draining.draining = true;
+    m_jobs->updateWorker(draining);
+    m_gateway.cutWorkers = {"unheard"};
+    advance(RunDuration + Second);
+    EXPECT_EQ(m_workers.startCount(First), 2U);
+}
+
+// An entry that states a later start than the worker does held back all inherited tasks for ever.
+TEST_F(AdoptedRun, isFollowedByAnotherOneAlthoughAListingStatesARestartThatNeverCame)
+{
+    m_gateway.cutWorkers.clear();
+    takeOver({stepAfter({})}, {RunDuration, 1, false});
+    advance(Milliseconds(200));
+    WorkerListing listing = m_workers.listings().at("unheard");
+    ++listing.incarnation;
+    m_jobs->updateWorker(listing);
+    advance(Second * 12);
+    EXPECT_EQ(m_workers.startCount(First), 2U);
+}
+
 }
