Stand-ins: Vary the delay of a link, and let runs begin after the checks of their order

Cause: a congested link delays each piece of data by another time, and the rig could only delay all of them by the same. Workers of a deployment note separate times for an order and for the start of its run, and those of the rig begin it within the order.

Change: FaultyRelay::Faults::delaySpread holds each piece for up to so much longer. PlatformWorker::Faults::longestStartLag lets a run begin so much later than the checks of its order. A higher fencing token that arrives in between does not refuse it, a stop does.

--- a/standins/FaultyRelay.cpp
+++ b/standins/FaultyRelay.cpp
@@ -25,8 +25,11 @@
 class FaultyRelay::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(asio::io_context &context, tcp::socket client, const Faults &faults)
-        : m_faults(faults), m_requests(context, std::move(client)), m_answers(context, tcp::socket(context))
+    Connection(asio::io_context &context, tcp::socket client, const Faults &faults, std::mt19937_64 &random)
+        : m_faults(faults)
+        , m_random(random)
+        , m_requests(context, std::move(client))
+        , m_answers(context, tcp::socket(context))
     {
     }
 
@@ -75,6 +78,12 @@
         return &direction == &m_requests ? m_faults.requestsCut : m_faults.answersCut;
     }
 
+    [[nodiscard]] Milliseconds delay()
+    {
+        return m_faults.delay
+            + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, m_faults.delaySpread.count())(m_random));
+    }
+
     void read(Direction &direction)
     {
         direction.source.async_read_some(asio::buffer(direction.buffer),
@@ -84,7 +93,7 @@
                 } else if (self->m_silent) {
                     self->read(direction);
                 } else {
-                    self->hold(direction, size, self->m_faults.delay);
+                    self->hold(direction, size, self->delay());
                 }
             });
     }
@@ -130,6 +139,7 @@
     }
 
     const Faults &m_faults;
+    std::mt19937_64 &m_random;
     // The sources of both directions: the client and the target.
     Direction m_requests;
     Direction m_answers;
@@ -137,7 +147,7 @@
 };
 
 FaultyRelay::FaultyRelay(asio::io_context &context, std::uint16_t port, std::uint16_t targetPort)
-    : m_context(context), m_acceptor(context, loopback(port)), m_target(loopback(targetPort))
+    : m_context(context), m_acceptor(context, loopback(port)), m_target(loopback(targetPort)), m_random(port)
 {
     accept();
 }
@@ -149,7 +159,7 @@
             return;
         }
         std::erase_if(m_connections, [](const auto &connection) { return connection.expired(); });
-        auto connection = std::make_shared<Connection>(m_context, std::move(socket), m_faults);
+        auto connection = std::make_shared<Connection>(m_context, std::move(socket), m_faults, m_random);
         m_connections.push_back(connection);
         connection->open(m_target);
         accept();
--- a/standins/FaultyRelay.h
+++ b/standins/FaultyRelay.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace Wagtail
@@ -19,6 +20,8 @@
     struct Faults
     {
         Milliseconds delay {0};
+        // Each piece of data is held for up to so much longer.
+        Milliseconds delaySpread {0};
         bool requestsCut = false;
         bool answersCut = false;
     };
@@ -40,6 +43,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     asio::ip::tcp::endpoint m_target;
     Faults m_faults;
+    std::mt19937_64 m_random;
     std::vector<std::weak_ptr<Connection>> m_connections;
 };
 
--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -187,7 +187,8 @@
         return;
     }
     FaultyRelay &link = *m_links[index];
-    link.setFaults({Milliseconds(memberOr(order, "delay_ms", std::int64_t {0})), memberOr(order, "requests_cut", false),
+    link.setFaults({Milliseconds(memberOr(order, "delay_ms", std::int64_t {0})),
+        Milliseconds(memberOr(order, "delay_spread_ms", std::int64_t {0})), memberOr(order, "requests_cut", false),
         memberOr(order, "answers_cut", false)});
     if (memberOr(order, "reset", false)) {
         link.resetConnections();
@@ -205,6 +206,7 @@
     faults.carryOutLate = memberOr(order, "carry_out_late", 0.0);
     faults.reportLate = memberOr(order, "report_late", 0.0);
     faults.longestDelay = Milliseconds(memberOr(order, "longest_delay_ms", std::int64_t {faults.longestDelay.count()}));
+    faults.longestStartLag = Milliseconds(memberOr(order, "start_lag_ms", std::int64_t {0}));
     faults.refuse = memberOr(order, "refuse", 0.0);
     faults.silent = memberOr(order, "silent", false);
     faults.ownerRequestsCut = memberOr(order, "owner_requests_cut", false);
--- a/standins/PlatformWorker.cpp
+++ b/standins/PlatformWorker.cpp
@@ -296,19 +296,42 @@
     run.demand = demand;
     run.workNeeded = Milliseconds(memberOr(work, "run_ms", std::int64_t {0}));
     run.workDone = Milliseconds(std::strtoll(memberOr(order, "Checkpoint", std::string()).c_str(), nullptr, 16));
-    run.progressFrom = m_clock.now() + (run.workDone.count() > 0 ? RestoreTime : Milliseconds(0));
     run.fails = m_ledger.failures(task) < memberOr(work, "fail_first", 0);
     run.lasting = memberOr(work, "lasting", false);
     run.saves = memberOr(work, "saves", false);
-    run.startedAt = m_clock.now();
     const int members = memberOr(work, "gang", 0);
     if (members > 0 && isOfFirstStep(task)) {
         run.gang = GangRegistry::Member {task, number, members, run.workNeeded};
+    }
+    const int perWorkerLimit = memberOr(work, "per_worker", 0);
+    if (m_faults.longestStartLag.count() == 0) {
+        begin(std::move(run), perWorkerLimit);
+        respond(reply(HttpStatus::Ok));
+        return;
+    }
+    m_schedule(upTo(Milliseconds(0), m_faults.longestStartLag), [this, run, perWorkerLimit, respond, life = m_life] {
+        if (!isUp() || m_life != life || find(run.name.task, run.name.number) != nullptr) {
+            return;
+        }
+        const auto stopped = m_closed.find(run.name.task);
+        if (stopped != m_closed.end() && run.name.number <= stopped->second) {
+            respond(refusal("old"));
+            return;
+        }
+        begin(run, perWorkerLimit);
+        respond(reply(HttpStatus::Ok));
+    });
+}
+
+void PlatformWorker::begin(Run run, int perWorkerLimit)
+{
+    run.startedAt = m_clock.now();
+    run.progressFrom = run.startedAt + (run.workDone.count() > 0 ? RestoreTime : Milliseconds(0));
+    if (run.gang) {
         m_gangs.join(*run.gang);
     }
-    m_ledger.recordStart(run.name, memberOr(work, "per_worker", 0));
+    m_ledger.recordStart(run.name, perWorkerLimit);
     m_running.push_back(std::move(run));
-    respond(reply(HttpStatus::Ok));
 }
 
 void PlatformWorker::stop(const Json &order, const Respond &respond)
--- a/standins/PlatformWorker.h
+++ b/standins/PlatformWorker.h
@@ -49,6 +49,8 @@
         double reportLate = 0.0;
         // How much later than its call an order is carried out at most.
         Milliseconds longestDelay {4'000};
+        // How much later than its checks a run begins at most. It is answered then, and not listed before.
+        Milliseconds longestStartLag {0};
         double refuse = 0.0;
         bool silent = false;
         // Calls with the highest fencing token that the worker has seen when the fault begins, or a lower one, don't
@@ -128,6 +130,7 @@
 
     void carryOut(const HttpRequest &request, const Respond &respond);
     void start(const Json &order, const Respond &respond);
+    void begin(Run run, int perWorkerLimit);
     void stop(const Json &order, const Respond &respond);
     void pace(const Json &order, const Respond &respond);
     void report(const Json &order, const Respond &respond);
--- a/standins/tests/PlatformWorkerTest.cpp
+++ b/standins/tests/PlatformWorkerTest.cpp
@@ -174,6 +174,30 @@
     EXPECT_EQ(m_ledger.jobs()["job"]["starts"], 1);
 }
 
+// The worker has compared the order's token before a higher one arrives.
+TEST_F(PlatformWorkerTest, beginsALaggingRunAfterAHigherTokenButNotAfterItsStop)
+{
+    PlatformWorker::Faults faults;
+    faults.longestStartLag = Milliseconds(80);
+    m_worker.setFaults(faults);
+    std::vector<int> answers;
+    for (const std::uint64_t run : {1U, 2U}) {
+        const Json order {{"Task", "job.0." + std::to_string(run) + ".0"}, {"Run", run}, {"FencingToken", 1},
+            {"UntilMs", LeaseMilliseconds}, {"Spec", R"({"run_ms":1000})"}};
+        m_worker.handle({"POST", "/-/run-start", {}, {}, writeJson(order)},
+            [&answers](const HttpResponse &response) { answers.push_back(response.status); });
+    }
+    EXPECT_EQ(Json::parse(call("/-/hold", {{"LastSeen", 0}, {"FencingToken", 2}}).body)["Running"].size(), 0U);
+    call("/-/run-stop", {{"Task", "job.0.2.0"}, {"Run", 2}, {"FencingToken", 2}});
+    EXPECT_EQ(answers.size(), 0U);
+    ASSERT_EQ(m_delayed.size(), 2U);
+    EXPECT_LE(m_delayed[0].first, faults.longestStartLag);
+    m_delayed[0].second();
+    m_delayed[1].second();
+    EXPECT_EQ(answers, std::vector<int>({HttpStatus::Ok, HttpStatus::Conflict}));
+    EXPECT_EQ(m_ledger.jobs()["job"]["starts"], 1);
+}
+
 // Runs that are being stopped still count against the limit of tasks per worker.
 TEST_F(PlatformWorkerTest, reportsAStartBeyondTheLimitPerWorker)
 {
