History: Start all instances of a run at the same time

Cause: run_node.py started one instance after the other, which takes longer than the 0.3 s in which the instances of a fleet start.

Change: each process is stopped as soon as it is started, and all continue together.

--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -133,9 +133,13 @@
 
     def start_all(self):
         self.start_platform()
+        # Instances that were started one after the other would leave all partitions to the first.
         for index in range(self.instances):
             self.do_link(link=index)
             self.start_node(index)
+            self.signal(self.name(index), signal.SIGSTOP)
+        for index in range(self.instances):
+            self.signal(self.name(index), signal.SIGCONT)
         threading.Thread(target=self.balance, daemon=True).start()
         wait_until(lambda: len(self.rotation) == self.instances, 60, "all instances to be ready")
 
