History: Let owners follow themselves under a congested store path and in restarts

Cause: double runs were reported in which the same instance sent both, around its own next term. The rig had no sequence in which several owners follow themselves while calls to the store time out, no two processes of one name, and no restart of all instances at once.

Change: sequences congested-region (delays around the time-out of store calls, leases that end for several instances at once), processes-beside-former (the former process is paused, resumed and killed late), all-instances-killed (all start again after 1.9 s, short of processor time) and lagging-starts.

--- a/tests/history/node_callers.py
+++ b/tests/history/node_callers.py
@@ -81,6 +81,24 @@
         return self.state in ("done", "failed", "canceled")
 
 
+class ChainJob(Job):
+    """A chain of steps with short tasks, some of which fail several times."""
+
+    def __init__(self, generator):
+        super().__init__(generator)
+        self.queue = generator.choice(list(QUEUES))
+        self.lasting = False
+        self.stay_s = 0.0
+        run_ms = generator.choice([300, 600, 1000])
+        count = generator.choice([1, 4, 10, 24])
+        steps = [{"Count": count, "Cpu": 4000, "MemMb": 1000, "EstimatedMs": run_ms, "After": [step - 1] if step else []}
+                 for step in range(generator.choice([2, 3, 4]))]
+        payload = {"run_ms": run_ms, "millicores": 4000, "memory_mb": 1000,
+                   "fail_first": generator.choice(8 * [0] + [1, 1, 2, 3])}
+        self.body = json.dumps({"Spec": json.dumps(payload), "Steps": steps}).encode()
+        self.tasks = count * len(steps)
+
+
 class Connections:
     """The open connections of one caller. Each is used until it is closed."""
 
@@ -110,7 +128,7 @@
 class Callers:
     """All callers of one run, with the jobs that they have handed in."""
 
-    def __init__(self, deployment, seed, jobs_per_s):
+    def __init__(self, deployment, seed, jobs_per_s, job_kind=Job):
         self.deployment = deployment
         self.random = random.Random(seed)
         self.jobs = []
@@ -121,6 +139,7 @@
         self.asking = threading.Event()
         self.threads = []
         self.jobs_per_s = jobs_per_s
+        self.job_kind = job_kind
 
     def start(self, submitters, askers):
         self.submitting.set()
@@ -143,7 +162,7 @@
 
     def submit_jobs(self, generator, connections, submitters):
         while self.submitting.is_set():
-            job = Job(generator)
+            job = self.job_kind(generator)
             self.jobs.append(job)
             self.submit(job, generator, connections)
             if job.accepted_at and (job.prompt_cancel or generator.random() < 0.05):
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 import os
 import re
 import signal
@@ -62,7 +63,7 @@
         self.control = base_port
         self.links = base_port + 2
         self.node_ports = self.links + instances
-        self.worker_ports = self.node_ports + instances * PORTS_PER_INSTANCE
+        self.worker_ports = self.node_ports + 2 * instances * PORTS_PER_INSTANCE
         self.faults = []
         self.restarts = 0
         # When to start a process again that was ended, and when to kill one that was asked to end.
@@ -72,6 +73,10 @@
         # Until when instances get only a share of each period, and how long that is, by name.
         self.starved = {}
         self.paused = set()
+        # Former processes of instances whose next one has started: (process, when to resume it, when to kill it).
+        self.former = []
+        # Instances whose present process uses the second of its two blocks of ports.
+        self.moved = set()
         self.rotation = []
         self.stopping = threading.Event()
 
@@ -83,7 +88,8 @@
 
     def port(self, index):
         """Returns the instance's port for callers; those for readiness, peers and metrics follow it."""
-        return self.node_ports + PORTS_PER_INSTANCE * index
+        block = self.instances if index in self.moved else 0
+        return self.node_ports + PORTS_PER_INSTANCE * (index + block)
 
     def start_platform(self):
         self.start("platform", "wagtail-standin-platform", [
@@ -199,6 +205,36 @@
         if name in self.processes:
             self.signal(name, signal.SIGCONT)
 
+    def do_start_beside(self, instance, resume_after_s, kill_after_s):
+        """Pauses the process of an instance and starts the next one under its name while the former still exists."""
+        name = self.name(instance)
+        if name not in self.processes or name in self.restart_delay or any(name == item[0] for item in self.former):
+            return
+        self.do_pause(instance)
+        self.paused.discard(name)
+        self.starved.pop(name, None)
+        now = time.time()
+        self.former.append((name, self.processes.pop(name), now + resume_after_s, now + kill_after_s))
+        self.moved ^= {instance}
+        self.restarts += 1
+        self.start_node(instance)
+
+    def supervise_former(self, now):
+        """Resumes and kills former processes."""
+        kept = []
+        for name, process, resume_at, kill_at in self.former:
+            if process.poll() is not None:
+                self.faults.append(f"the former process of {name} ended by itself with status {process.returncode}")
+                continue
+            if now >= resume_at:
+                process.send_signal(signal.SIGCONT)
+            if now >= kill_at:
+                process.kill()
+                process.wait()
+                continue
+            kept.append((name, process, resume_at, kill_at))
+        self.former = kept
+
     def do_configure(self, with_temporary):
         self.version += 1
         self.queues = {**QUEUES, **TEMPORARY_QUEUES} if with_temporary else QUEUES
@@ -231,6 +267,7 @@
         """Kills what did not end in time, notices what ended by itself, and starts instances again."""
         now = time.time()
         self.starve(now)
+        self.supervise_former(now)
         if self.stored_version != self.version and now >= self.configure_at:
             self.configure_at = now + 1.0
             self.store_configuration()
@@ -264,6 +301,7 @@
 
     def calm(self):
         """Ends all faults."""
+        self.supervise_former(math.inf)
         self.do_store()
         everyone = list(range(self.worker_count))
         self.do_workers(workers=everyone)
@@ -282,6 +320,9 @@
 
     def close(self):
         self.stopping.set()
+        for _, process, _, _ in self.former:
+            process.kill()
+            process.wait()
         super().close()
 
     def merge_logs(self):
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -257,5 +257,82 @@
             self.add(at, "workers", workers=group)
         return at
 
+    def far_instances(self):
+        """Returns the instances of the second region. Their data centres and those of the first alternate."""
+        return list(range(1, self.instances, 2))
 
-SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage}
+    def add_congested_region(self, at):
+        """Congests the path from the second region, or from both, to the store. Many calls time out, some of them after
+        they were carried out, and now and then the leases of several instances end at once."""
+        everyone = list(range(self.instances))
+        congested = self.random.choice([self.far_instances(), everyone, everyone])
+        end = at + self.random.uniform(10.0, 30.0)
+        self.add_late_reports(at, end)
+        self.add_drained_workers(at + self.random.uniform(0.0, 5.0))
+        while at < end:
+            # Calls time out after 900 ms and pass the link twice. Store leases last for 3 s.
+            delay_ms, spread_ms, for_s = self.random.choice([(0, 60, 4.0), (50, 150, 3.0), (100, 300, 3.0),
+                                                             (150, 400, 2.0), (400, 600, 1.5), (900, 2500, 3.0)])
+            for instance in congested:
+                self.add(at, "link", link=instance, delay_ms=delay_ms, delay_spread_ms=spread_ms)
+            for _ in range(self.random.choice([0, 1, 2])):
+                count = self.random.choice([(len(congested) + 1) // 2, len(congested)])
+                for instance in self.random.sample(congested, count):
+                    self.add(at + self.random.uniform(0.0, 0.3), "drop_lease", instance=instance)
+                at += self.random.uniform(0.5, 1.0)
+            at += self.random.uniform(0.5, for_s)
+        for instance in congested:
+            self.add(end, "link", link=instance)
+        return end
+
+    def add_late_reports(self, at, end):
+        """Lets a fifth of the workers answer many report requests late, so that a new owner hears them after others."""
+        workers = sorted(self.random.sample(range(self.workers), max(1, self.workers // 5)))
+        self.add(at, "workers", workers=workers, report_late=0.6, longest_delay_ms=2000)
+        self.add(end, "workers", workers=workers)
+
+    def add_drained_workers(self, at):
+        """Drains a few workers one after the other."""
+        for worker in self.random.sample(range(self.workers), max(1, self.workers // 20)):
+            self.add(at, "workers", workers=[worker], drain_ms=DRAIN_MS + 1000, downtime_ms=500)
+            at += 0.5
+
+    def add_processes_beside_former(self, at):
+        """Starts the next process of several instances while the former one is paused, resumes the former and kills it
+        late."""
+        for instance in self.random.sample(range(self.instances), max(1, self.instances // 3)):
+            resume_s = self.random.choice([0.2, 1.0, 2.5, 6.0])
+            self.add(at + self.random.uniform(0.0, 0.3), "start_beside", instance=instance, resume_after_s=resume_s,
+                     kill_after_s=resume_s + self.random.choice([0.0, 0.5, 3.0]))
+        self.add_late_reports(at, at + 9.0)
+        return at + 9.0
+
+    def add_all_instances_killed(self, at):
+        """Kills all instances at once. They start again at the same time, short of processor time."""
+        for instance in range(self.instances):
+            self.add(at, "kill", instance=instance, restart_after_s=1.9)
+            self.add(at + 1.8, "starve", instance=instance, for_s=self.random.uniform(4.0, 8.0),
+                     share=self.random.choice([0.12, 0.25, 0.5]), period_s=0.2)
+        self.add_late_reports(at, at + 10.0)
+        self.add_drained_workers(at + self.random.uniform(0.0, 3.0))
+        return at + 10.0
+
+    def add_lagging_starts(self, at):
+        """Workers check orders to start when they arrive and begin the runs later, while several instances lose their
+        leases at once or are killed."""
+        self.add(at, "workers", workers=list(range(self.workers)), start_lag_ms=80)
+        for _ in range(3):
+            at += self.random.uniform(2.0, 4.0)
+            action = self.random.choice(["drop_lease", "kill"])
+            for instance in self.random.sample(range(self.instances), max(1, self.instances // 2)):
+                self.add(at, action, instance=instance, **({"restart_after_s": 0.1} if action == "kill" else {}))
+        at += 6.0
+        self.add(at, "workers", workers=list(range(self.workers)))
+        return at
+
+
+SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
+             "congested-region": Schedule.add_congested_region,
+             "processes-beside-former": Schedule.add_processes_beside_former,
+             "all-instances-killed": Schedule.add_all_instances_killed,
+             "lagging-starts": Schedule.add_lagging_starts}
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -1,7 +1,7 @@
 """Runs wagtail-node processes on a stand-in of their platform under faults, and checks what is seen from outside.
 
 usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--lease-ms MS] [--port P]
-                   [--build FOLDER] [--keep] [--sequence NAME] [--print-schedule]
+                   [--build FOLDER] [--keep] [--sequence NAME] [--chains] [--print-schedule]
 
 Exits with 1 and names the folder with the logs, merged by time, if a check fails.
 """
@@ -17,7 +17,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [HERE, os.path.join(os.path.dirname(os.path.dirname(HERE)), "scripts")]
 import deployment as programs  # noqa: E402
-from node_callers import Callers  # noqa: E402
+from node_callers import Callers, ChainJob, Job  # noqa: E402
 from node_checkers import (CANCEL_S, CONTACT_S, LASTING_S, check_cancelled, check_jobs,  # noqa: E402
                            check_lasting, check_runs)
 from node_deployment import NodeDeployment  # noqa: E402
@@ -79,7 +79,8 @@
 def run(deployment, arguments):
     schedule = Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence)
     deployment.start_all()
-    callers = Callers(deployment, arguments.seed, arguments.workers / 8)
+    kind, jobs_per_s = (ChainJob, arguments.workers / 12) if arguments.chains else (Job, arguments.workers / 8)
+    callers = Callers(deployment, arguments.seed, jobs_per_s, kind)
     callers.start(submitters=16 + 2 * arguments.instances, askers=4)
     play(deployment, schedule, arguments.seconds)
     deployment.calm()
@@ -117,6 +118,7 @@
     parser.add_argument("--build", default=programs.BUILD, help="the folder with the programs")
     parser.add_argument("--keep", action="store_true", help="keep the logs also if all checks pass")
     parser.add_argument("--sequence", choices=list(SEQUENCES), help="play this sequence of faults only")
+    parser.add_argument("--chains", action="store_true", help="hand in chains of short tasks only")
     parser.add_argument("--print-schedule", action="store_true", help="print the faults and exit")
     arguments = parser.parse_args()
     if arguments.print_schedule:
@@ -136,7 +138,8 @@
     if faults or arguments.keep:
         print(f"logs: {deployment.merge_logs()}; repeat with: run_node.py --seed {arguments.seed} "
               f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers} "
-              f"--lease-ms {lease_ms}" + (f" --sequence {arguments.sequence}" if arguments.sequence else ""))
+              f"--lease-ms {lease_ms}" + (f" --sequence {arguments.sequence}" if arguments.sequence else "")
+              + (" --chains" if arguments.chains else ""))
     else:
         shutil.rmtree(folder)
     return 1 if faults else 0
