Scheduling: Hold tasks back only for the workers that may run them

After a hand-over, a task of which the new owner knew no run waited until the last lease of every worker that had left was over, and each hand-over added those that had left since. The record of lease holders said which workers may hold leases and until when, but not what runs there.

The record now states the tasks that may run on a worker with a final lease expiry, or may have ended there without the store knowing: those assigned to it, its obsolete and lost runs and its ends that are not recorded yet. The next owner holds back only these for that worker. Workers without such a list hold back all inherited tasks, as before.

A list is complete because the worker gets no lease, and so no start, from the moment at which a record with its expiry is begun until one without it is stored. It is stated only if no earlier owner starts anything any more and no start to the worker is unsettled, since its next incarnation would carry such starts out, and if the last report of the worker under this term was complete or the record of the term before states a list and the worker has not answered since. It is dropped after a truncated report, by owners that are not of the next term, and with the expiries that an outage extends. At most 1,000 tasks are named, because values of the store are limited.

All scheduling tests and all tenure tests but the models pass, except AdoptedRun.isNotFollowedByAnotherOneWhileAnEarlierOwnerMayReachARestartedWorker and LateOrder.acknowledgesNoEndOfTheNextIncarnation, which are known red.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -60,6 +60,11 @@
     return m_leaseHandover.recoveryStage(m_environment.clock.now(), m_workers);
 }
 
+RecoveryHolds JobScheduler::recoveryHolds() const
+{
+    return m_leaseHandover.recoveryHolds(m_environment.clock.now(), m_workers);
+}
+
 void JobScheduler::reviewRecovery()
 {
     if (!m_leaseHandover.isRecoveryActive()) {
@@ -79,32 +84,24 @@
     }
 }
 
-bool JobScheduler::isHeldBack(const TaskState &task, RecoveryStage stage)
-{
-    // Only runs that end by themselves can have been completed.
-    const bool matters = stage == RecoveryStage::Leases
-        || (stage == RecoveryStage::Reports && !task.step->specification().longRunning);
-    return matters && mayRunUnknown(task);
-}
-
-int JobScheduler::readyCount(const StepState &step, RecoveryStage stage)
+int JobScheduler::readyCount(const StepState &step, const RecoveryHolds &holds)
 {
-    if (stage == RecoveryStage::Over || !step.occurrence->job->fromEarlierTerm) {
+    if (holds.isEmpty() || !step.occurrence->job->fromEarlierTerm) {
         return step.waitingCount;
     }
     return static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-        [stage](const TaskState &task) { return task.phase == RunPhase::Waiting && !isHeldBack(task, stage); }));
+        [&holds](const TaskState &task) { return task.phase == RunPhase::Waiting && !holds.isHeldBack(task); }));
 }
 
 int JobScheduler::heldTaskCount() const
 {
-    const RecoveryStage stage = recoveryStage();
+    const RecoveryHolds holds = recoveryHolds();
     int count = 0;
     for (const JobState *job : m_unfinishedJobs) {
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
                 if (step.waitingCount > 0 && occurrence.isEligible(step)) {
-                    count += step.waitingCount - readyCount(step, stage);
+                    count += step.waitingCount - readyCount(step, holds);
                 }
             }
         }
@@ -399,6 +396,8 @@
             continue;
         }
         worker->recordedEnd = std::max(worker->recordedEnd, position.number);
+        worker->unrecordedEnds.erase(
+            worker->unrecordedEnds.begin(), worker->unrecordedEnds.upper_bound(position.number));
         requestReport(*worker);
     }
 }
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -214,7 +214,7 @@
     void createDueOccurrences(JobState &job);
     void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
     [[nodiscard]] bool isWorkerListComplete(Instant now) const;
-    [[nodiscard]] static bool isDelegable(const TaskState &task, RecoveryStage stage);
+    [[nodiscard]] static bool isDelegable(const TaskState &task, const RecoveryHolds &holds);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
@@ -343,7 +343,7 @@
     void dispatch();
     // Notes that the tasks of a step begin to wait for workers.
     void openStep(StepState &step);
-    void placeStep(StepState &step, RecoveryStage stage);
+    void placeStep(StepState &step, const RecoveryHolds &holds);
     void placeGang(StepState &step);
     // Undoes the last placement on a worker, for which no start order was sent.
     void undoPlacement(TaskState &task);
@@ -357,13 +357,12 @@
     [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] RecoveryStage recoveryStage() const;
+    [[nodiscard]] RecoveryHolds recoveryHolds() const;
     // Ends the recovery when no task has to wait for it any longer. Until then, logs at intervals what it waits for.
     void reviewRecovery();
     [[nodiscard]] int heldTaskCount() const;
     // Returns how many waiting tasks of a step may be placed. During a recovery, tasks with unknown runs may not.
-    [[nodiscard]] static int readyCount(const StepState &step, RecoveryStage stage);
-    // Returns whether a run of the task that this term does not know of may still matter.
-    [[nodiscard]] static bool isHeldBack(const TaskState &task, RecoveryStage stage);
+    [[nodiscard]] static int readyCount(const StepState &step, const RecoveryHolds &holds);
 
     // Returns whether the authority is up to date. It may have run out while the process was held up.
     [[nodiscard]] bool isAuthorityCurrent() const;
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -62,11 +62,11 @@
     dispatchSoon();
 }
 
-bool JobScheduler::isDelegable(const TaskState &task, RecoveryStage stage)
+bool JobScheduler::isDelegable(const TaskState &task, const RecoveryHolds &holds)
 {
     // A task whose lost runs may still decide its verdict, or may after one more crash, waits for them here, because
     // only this partition can ask their workers and the other one would judge that crash without them.
-    return task.phase == RunPhase::Waiting && !isHeldBack(task, stage) && judge(task.crashes) == CrashVerdict::Retry
+    return task.phase == RunPhase::Waiting && !holds.isHeldBack(task) && judge(task.crashes) == CrashVerdict::Retry
         && !mayLostRunsDecide(task.crashes);
 }
 
@@ -82,7 +82,7 @@
 std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
 {
     const Instant now = m_environment.clock.now();
-    const RecoveryStage stage = recoveryStage();
+    const RecoveryHolds holds = recoveryHolds();
     std::vector<UnplacedStep> steps;
     if (!isWorkerListComplete(now)) {
         return steps;
@@ -96,7 +96,7 @@
                 const StepSpecification &specification = step.specification();
                 const bool movable = specification.longRunning && !specification.gang && specification.after.empty();
                 const auto ready = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-                    [stage](const TaskState &task) { return isDelegable(task, stage); }));
+                    [&holds](const TaskState &task) { return isDelegable(task, holds); }));
                 const bool waits = ready > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
                 if (movable && waits && surveyPlacement(m_workers, step, now).available == 0) {
                     steps.push_back({job->specification.id, step.number, ready});
@@ -113,11 +113,11 @@
     if (found == m_jobs.end() || found->second->isFinished()) {
         return;
     }
-    const RecoveryStage stage = recoveryStage();
+    const RecoveryHolds holds = recoveryHolds();
     for (auto &[number, occurrence] : found->second->occurrences) {
         for (StepState &step : occurrence.steps) {
             for (TaskState &task : step.tasks) {
-                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, stage)) {
+                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, holds)) {
                     continue;
                 }
                 --count;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -44,13 +44,13 @@
         return;
     }
     const Instant now = m_environment.clock.now();
-    const RecoveryStage stage = recoveryStage();
+    const RecoveryHolds holds = recoveryHolds();
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
         bool waits = false;
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
-                waits = waits || (readyCount(step, stage) > 0 && occurrence.isEligible(step));
+                waits = waits || (readyCount(step, holds) > 0 && occurrence.isEligible(step));
             }
         }
         if (waits) {
@@ -64,12 +64,12 @@
     for (const auto &[rank, job] : queue) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (StepState &step : occurrence.steps) {
-                if (readyCount(step, stage) == 0 || job->isFinished() || !occurrence.isEligible(step)) {
+                if (readyCount(step, holds) == 0 || job->isFinished() || !occurrence.isEligible(step)) {
                     continue;
                 }
                 openStep(step);
-                placeStep(step, stage);
-                const int unplaced = readyCount(step, stage);
+                placeStep(step, holds);
+                const int unplaced = readyCount(step, holds);
                 if (unplaced == 0) {
                     step.unplacedSince.reset();
                     continue;
@@ -140,11 +140,11 @@
     }
 }
 
-void JobScheduler::placeStep(StepState &step, RecoveryStage stage)
+void JobScheduler::placeStep(StepState &step, const RecoveryHolds &holds)
 {
     if (step.specification().gang) {
         // The members start together, so all of them have to be ready.
-        if (readyCount(step, stage) == static_cast<int>(step.tasks.size())) {
+        if (readyCount(step, holds) == static_cast<int>(step.tasks.size())) {
             placeGang(step);
         }
         return;
@@ -154,7 +154,7 @@
     }
     std::vector<const TaskState *> placed;
     for (TaskState &task : step.tasks) {
-        if (!mayPlace(task) || isHeldBack(task, stage)) {
+        if (!mayPlace(task) || holds.isHeldBack(task)) {
             continue;
         }
         WorkerState *worker = choose(step, task);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -236,13 +236,16 @@
         worker.priorLeaseExpiresAt
             = std::max(worker.priorLeaseExpiresAt, m_leaseHandover.leaseExpiryOnceHeard(worker.listing.name, now));
     }
-    if (!report.truncated) {
+    if (report.truncated) {
+        m_leaseHandover.noteTruncatedReport(worker.listing.name);
+    } else {
         m_leaseHandover.confirm(worker.listing.name);
     }
     for (const EndedTask &ended : report.ended) {
         if (ended.number > worker.appliedEnd) {
             applyEnd(worker, ended);
             worker.appliedEnd = ended.number;
+            worker.unrecordedEnds[ended.number] = ended.run.task;
         }
     }
     std::set<RunName> listed;
@@ -435,6 +438,7 @@
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
+    worker.unrecordedEnds.clear();
     worker.sentAcknowledgement = 0;
     worker.acknowledgedEnd = 0;
     worker.obsoleteRuns.restart(worker.unsettledStarts.isEmpty() ? std::nullopt : std::optional(longestLeaseExpiry()));
--- a/source/scheduling/LeaseHandover.cpp
+++ b/source/scheduling/LeaseHandover.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/LeaseHandover.h"
 
+#include "scheduling/JobState.h"
+
 #include <algorithm>
 
 namespace Wagtail
@@ -15,6 +17,8 @@
 // The record states how long leases of lost workers last from its writing on. A successor waits this much longer than
 // necessary at most.
 constexpr Milliseconds LeaseExpiryRecordPeriod {1'000};
+// A record names at most this many tasks. Any task may run on the workers whose tasks would exceed it.
+constexpr std::size_t MaximumRecordedTasks = 1'000;
 
 // An owner whose lease has ended resumes within this time if the store is away for all instances by then.
 constexpr Milliseconds LongestResumptionDelay {2'000};
@@ -48,8 +52,13 @@
         m_stored->holders.insert(worker.name);
         const auto expiry = record.finalExpiries.find(worker.name);
         const bool isFinal = isOfLastTerm && expiry != record.finalExpiries.end();
-        m_unconfirmedWorkers.emplace(
-            worker.name, isFinal ? bounds.termBeganAt + expiry->second : m_priorLeasesExpireAt);
+        UnconfirmedWorker unconfirmed {isFinal ? bounds.termBeganAt + expiry->second : m_priorLeasesExpireAt, {}};
+        const auto tasks = record.finalTasks.find(worker.name);
+        // The last owner starts nothing on such a worker, not even if it still acts.
+        if (isFinal && record.earlierStartsEnded && tasks != record.finalTasks.end()) {
+            unconfirmed.tasks = tasks->second;
+        }
+        m_unconfirmedWorkers.emplace(worker.name, std::move(unconfirmed));
     }
 }
 
@@ -60,9 +69,9 @@
     if (expireAt <= m_priorLeasesExpireAt) {
         return;
     }
-    for (auto &[name, expiry] : m_unconfirmedWorkers) {
-        if (expiry >= m_priorLeasesExpireAt || !m_inheritedEndedStarts) {
-            expiry = expireAt;
+    for (auto &[name, worker] : m_unconfirmedWorkers) {
+        if (worker.leaseExpiresAt >= m_priorLeasesExpireAt || !m_inheritedEndedStarts) {
+            worker = {expireAt, {}};
         }
     }
     m_priorLeasesExpireAt = expireAt;
@@ -78,13 +87,24 @@
     if (m_allHoldersKnown) {
         return;
     }
-    m_unconfirmedWorkers.emplace(worker, m_priorLeasesExpireAt);
+    m_unconfirmedWorkers.try_emplace(worker, UnconfirmedWorker {m_priorLeasesExpireAt, {}});
     m_recoveryActive = true;
 }
 
 void LeaseHandover::confirm(const std::string &worker)
 {
     m_unconfirmedWorkers.erase(worker);
+    m_confirmedWorkers.insert(worker);
+}
+
+void LeaseHandover::noteTruncatedReport(const std::string &worker)
+{
+    m_confirmedWorkers.erase(worker);
+    const auto found = m_unconfirmedWorkers.find(worker);
+    if (found != m_unconfirmedWorkers.end()) {
+        // It may get tasks of this term.
+        found->second.tasks.reset();
+    }
 }
 
 bool LeaseHandover::isUnconfirmed(const std::string &worker) const
@@ -95,7 +115,7 @@
 Instant LeaseHandover::leaseExpiryOf(const std::string &worker) const
 {
     const auto found = m_unconfirmedWorkers.find(worker);
-    return found == m_unconfirmedWorkers.end() ? Instant() : found->second;
+    return found == m_unconfirmedWorkers.end() ? Instant() : found->second.leaseExpiresAt;
 }
 
 Instant LeaseHandover::leaseExpiryOnceHeard(const std::string &worker, Instant now) const
@@ -114,26 +134,47 @@
 RecoveryStage LeaseHandover::recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const
 {
     RecoveryStage stage = RecoveryStage::Over;
-    for (const auto &[name, leaseExpiresAt] : m_unconfirmedWorkers) {
-        if (now < leaseExpiresAt) {
-            return RecoveryStage::Leases;
-        }
-        const auto found = workers.find(name);
-        if (found == workers.end()) {
+    for (const auto &[name, unconfirmed] : m_unconfirmedWorkers) {
+        stage = std::min(stage, recoveryStage(name, now, workers));
+    }
+    return stage;
+}
+
+RecoveryHolds LeaseHandover::recoveryHolds(Instant now, const std::map<std::string, WorkerState> &workers) const
+{
+    RecoveryHolds holds;
+    for (const auto &[name, unconfirmed] : m_unconfirmedWorkers) {
+        const RecoveryStage stage = recoveryStage(name, now, workers);
+        if (!unconfirmed.tasks) {
+            holds.addForAll(stage);
             continue;
         }
-        // An owner that is short of processor time may not yet have read the reports of live workers. The last owner
-        // has got no answer from workers whose leases expired sooner than all others, but it may have been short of
-        // processor time as well.
-        const WorkerState &worker = found->second;
-        const bool wasHeardBefore = leaseExpiresAt >= m_priorLeasesExpireAt || !worker.isUnreachable();
-        const bool isAlive = worker.listed && wasHeardBefore && now < leaseExpiresAt + MaximumExtraRecovery;
-        const bool isPartlyRead = worker.hasAnswered && worker.consecutiveUnanswered == 0;
-        if (isAlive || isPartlyRead) {
-            stage = RecoveryStage::Reports;
+        for (const TaskName &task : *unconfirmed.tasks) {
+            holds.add(task, stage);
         }
     }
-    return stage;
+    return holds;
+}
+
+RecoveryStage LeaseHandover::recoveryStage(
+    const std::string &name, Instant now, const std::map<std::string, WorkerState> &workers) const
+{
+    const Instant leaseExpiresAt = leaseExpiryOf(name);
+    if (now < leaseExpiresAt) {
+        return RecoveryStage::Leases;
+    }
+    const auto found = workers.find(name);
+    if (found == workers.end()) {
+        return RecoveryStage::Over;
+    }
+    // An owner that is short of processor time may not yet have read the reports of live workers. The last owner has
+    // got no answer from workers whose leases expired sooner than all others, but it may have been short of processor
+    // time as well.
+    const WorkerState &worker = found->second;
+    const bool wasHeardBefore = leaseExpiresAt >= m_priorLeasesExpireAt || !worker.isUnreachable();
+    const bool isAlive = worker.listed && wasHeardBefore && now < leaseExpiresAt + MaximumExtraRecovery;
+    const bool isPartlyRead = worker.hasAnswered && worker.consecutiveUnanswered == 0;
+    return isAlive || isPartlyRead ? RecoveryStage::Reports : RecoveryStage::Over;
 }
 
 bool LeaseHandover::isRecoveryActive() const
@@ -155,8 +196,8 @@
     Json names = Json::array();
     std::size_t listed = 0;
     Instant lastExpiry = now;
-    for (const auto &[name, leaseExpiresAt] : m_unconfirmedWorkers) {
-        lastExpiry = std::max(lastExpiry, leaseExpiresAt);
+    for (const auto &[name, unconfirmed] : m_unconfirmedWorkers) {
+        lastExpiry = std::max(lastExpiry, unconfirmed.leaseExpiresAt);
         const auto worker = workers.find(name);
         listed += worker != workers.end() && worker->second.listed ? 1 : 0;
         if (names.size() < MaximumWorkersInLog) {
@@ -207,6 +248,37 @@
     return expiry || worker.mayRunTasks() ? expiry : m_priorLeasesExpireAt;
 }
 
+std::optional<std::set<TaskName>> LeaseHandover::finalTasks(const WorkerState &worker, Instant now) const
+{
+    // An earlier owner that still acts, or a start on its way, may reach the next incarnation of the worker.
+    if (!haveEarlierStartsEnded(now) || !worker.unsettledStarts.isEmpty()) {
+        return std::nullopt;
+    }
+    std::set<TaskName> tasks;
+    const auto unconfirmed = m_unconfirmedWorkers.find(worker.listing.name);
+    if (unconfirmed != m_unconfirmedWorkers.end()) {
+        if (!unconfirmed->second.tasks || worker.hasAnswered) {
+            return std::nullopt;
+        }
+        tasks = *unconfirmed->second.tasks;
+    } else if (!worker.hasAnswered || !m_confirmedWorkers.contains(worker.listing.name)) {
+        return std::nullopt;
+    }
+    for (const TaskState *task : worker.tasks) {
+        tasks.insert(nameOf(*task));
+    }
+    for (const RunName &run : worker.obsoleteRuns.runs()) {
+        tasks.insert(run.task);
+    }
+    for (const LostRun &lost : worker.lostRuns) {
+        tasks.insert(lost.run.task);
+    }
+    for (const auto &[number, task] : worker.unrecordedEnds) {
+        tasks.insert(task);
+    }
+    return tasks;
+}
+
 Milliseconds LeaseHandover::longestLease(Instant now) const
 {
     return now < m_priorLeasesExpireAt ? std::max(m_earlierLeaseDuration, m_leaseDuration) : m_leaseDuration;
@@ -244,6 +316,7 @@
     BegunLeaseRecord begun {++m_lastNumber, {{}, longestLease(now), m_term, {}, true, false, earlierStartsEnded}};
     begun.record.endedStarts = authority == SchedulingAuthority::KeepRunning && earlierStartsEnded;
     KnownRecord known {m_lastNumber, {}, {}};
+    std::size_t recordedTasks = 0;
     for (const auto &[name, worker] : workers) {
         if (!isHolder(worker, now)) {
             continue;
@@ -254,6 +327,11 @@
             begun.record.finalExpiries[name]
                 = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*expiry - now));
             known.expiring.insert(name);
+            std::optional<std::set<TaskName>> tasks = now < *expiry ? finalTasks(worker, now) : std::nullopt;
+            if (tasks && recordedTasks + tasks->size() <= MaximumRecordedTasks) {
+                recordedTasks += tasks->size();
+                begun.record.finalTasks[name] = std::move(*tasks);
+            }
         }
     }
     m_pending.push_back(std::move(known));
--- a/source/scheduling/LeaseHandover.h
+++ b/source/scheduling/LeaseHandover.h
@@ -2,6 +2,7 @@
 
 #include "base/JsonReader.h"
 #include "scheduling/LeaseHolderRecord.h"
+#include "scheduling/RecoveryHolds.h"
 #include "scheduling/SchedulingAuthority.h"
 #include "scheduling/WorkerState.h"
 
@@ -26,15 +27,6 @@
     bool hasLastOwnerEnded = false;
 };
 
-// For what a new owner holds back tasks of which it knows no run.
-enum class RecoveryStage {
-    // Runs may go on, because workers that have not answered may hold leases.
-    Leases,
-    // All leases have expired, but live workers that have not answered may list ends of runs.
-    Reports,
-    Over,
-};
-
 // A record of the lease holders that is to be stored.
 struct BegunLeaseRecord
 {
@@ -70,6 +62,9 @@
     // Notes that the worker has answered under this term: its runs are known, and it rejects orders of earlier terms.
     void confirm(const std::string &worker);
 
+    // Notes that the worker has answered under this term without listing all that it ran.
+    void noteTruncatedReport(const std::string &worker);
+
     [[nodiscard]] bool isUnconfirmed(const std::string &worker) const;
 
     // Returns when the last lease of earlier terms on an unconfirmed worker has surely expired.
@@ -85,6 +80,9 @@
     // Returns for what tasks of which no run is known have to wait, as far as unconfirmed workers are concerned.
     [[nodiscard]] RecoveryStage recoveryStage(Instant now, const std::map<std::string, WorkerState> &workers) const;
 
+    // Returns the same for each task.
+    [[nodiscard]] RecoveryHolds recoveryHolds(Instant now, const std::map<std::string, WorkerState> &workers) const;
+
     // Whether workers have been awaited since the last call of endRecovery().
     [[nodiscard]] bool isRecoveryActive() const;
 
@@ -122,6 +120,22 @@
         std::set<std::string> expiring;
     };
 
+    // A worker of which this term knows no runs.
+    struct UnconfirmedWorker
+    {
+        // When its last lease of earlier terms has surely expired.
+        Instant leaseExpiresAt;
+        // The only tasks that it may run, if the last owner has stated them.
+        std::optional<std::set<TaskName>> tasks;
+    };
+
+    [[nodiscard]] RecoveryStage recoveryStage(
+        const std::string &name, Instant now, const std::map<std::string, WorkerState> &workers) const;
+
+    // Returns the only tasks that the worker, which gets no lease from now on, may run until its leases have expired,
+    // or nothing if others may run there, or may have ended there without the store knowing.
+    [[nodiscard]] std::optional<std::set<TaskName>> finalTasks(const WorkerState &worker, Instant now) const;
+
     // Returns when the last lease of a worker that seems to be lost has surely expired, or nothing for other workers.
     [[nodiscard]] std::optional<Instant> finalLeaseExpiry(
         const WorkerState &worker, SchedulingAuthority authority) const;
@@ -137,8 +151,9 @@
     Instant m_earlierOwnersEndAt;
     bool m_inheritedEndedStarts = false;
     Instant m_beganAt;
-    // The expiry of their last leases by worker.
-    std::map<std::string, Instant> m_unconfirmedWorkers;
+    std::map<std::string, UnconfirmedWorker> m_unconfirmedWorkers;
+    // Workers whose last report under this term was complete.
+    std::set<std::string> m_confirmedWorkers;
     bool m_recoveryActive = false;
     bool m_allHoldersKnown = false;
 
--- a/source/scheduling/LeaseHolderRecord.cpp
+++ b/source/scheduling/LeaseHolderRecord.cpp
@@ -11,6 +11,34 @@
 // Longer times were not written by an owner, and would not fit into nanoseconds.
 constexpr std::int64_t MaximumMilliseconds = 1'000'000'000'000;
 
+Json describeTasks(const std::set<TaskName> &tasks)
+{
+    Json names = Json::array();
+    for (const TaskName &task : tasks) {
+        names.push_back(task.text());
+    }
+    return names;
+}
+
+// Returns the tasks that the record names for a worker, or nothing if it does not name them or any name is unreadable.
+std::optional<std::set<TaskName>> parseTasks(const Json &holder)
+{
+    const auto found = holder.find("tasks");
+    if (found == holder.end() || !found->is_array()) {
+        return std::nullopt;
+    }
+    std::set<TaskName> tasks;
+    for (const Json &item : *found) {
+        const std::optional<TaskName> task
+            = item.is_string() ? TaskName::parse(item.get_ref<const std::string &>()) : std::nullopt;
+        if (!task) {
+            return std::nullopt;
+        }
+        tasks.insert(*task);
+    }
+    return tasks;
+}
+
 }
 
 std::string serialize(const LeaseHolderRecord &record)
@@ -31,6 +59,10 @@
         if (expiry != record.finalExpiries.end()) {
             holder["expires_ms"] = expiry->second.count();
         }
+        const auto tasks = record.finalTasks.find(worker.name);
+        if (tasks != record.finalTasks.end()) {
+            holder["tasks"] = describeTasks(tasks->second);
+        }
     }
     return writeJson(holders);
 }
@@ -59,6 +91,9 @@
         const auto expiry = memberOr(item, "expires_ms", std::int64_t {-1});
         if (expiry >= 0 && expiry <= MaximumMilliseconds) {
             record.finalExpiries[name] = Milliseconds(expiry);
+            if (std::optional<std::set<TaskName>> tasks = parseTasks(item)) {
+                record.finalTasks[name] = std::move(*tasks);
+            }
         }
         const auto duration = memberOr(item, "lease_ms", std::int64_t {0});
         complete = complete && duration > 0 && duration <= MaximumMilliseconds;
--- a/source/scheduling/LeaseHolderRecord.h
+++ b/source/scheduling/LeaseHolderRecord.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/JsonReader.h"
+#include "scheduling/TaskName.h"
 #include "scheduling/WorkerGateway.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,9 @@
     bool endedStarts = false;
     // Whether the owners of the terms before start nothing any more.
     bool earlierStartsEnded = false;
+    // For workers with a final expiry, the only tasks that may run there until then, or may have ended there without
+    // the store knowing. Any task may on workers that are missing here. Only the owner of the next term may rely on it.
+    std::map<std::string, std::set<TaskName>> finalTasks;
 
     bool operator==(const LeaseHolderRecord &) const = default;
 };
--- a/source/scheduling/ObsoleteRuns.cpp
+++ b/source/scheduling/ObsoleteRuns.cpp
@@ -72,6 +72,16 @@
     }
 }
 
+std::vector<RunName> ObsoleteRuns::runs() const
+{
+    std::vector<RunName> names;
+    names.reserve(m_stops.size());
+    for (const auto &[run, stop] : m_stops) {
+        names.push_back(run);
+    }
+    return names;
+}
+
 std::vector<RunName> ObsoleteRuns::dueStops(Instant now) const
 {
     std::vector<RunName> due;
--- a/source/scheduling/ObsoleteRuns.h
+++ b/source/scheduling/ObsoleteRuns.h
@@ -38,6 +38,7 @@
     // to be stopped there as well.
     void restart(std::optional<Instant> lastStart);
 
+    [[nodiscard]] std::vector<RunName> runs() const;
     [[nodiscard]] std::vector<RunName> dueStops(Instant now) const;
     [[nodiscard]] bool isEmpty() const;
 
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -56,6 +56,8 @@
     // which it has removed them.
     std::uint64_t sentAcknowledgement = 0;
     std::uint64_t acknowledgedEnd = 0;
+    // The tasks of the run ends that have been applied and not recorded, by the number of the end.
+    std::map<std::uint64_t, TaskName> unrecordedEnds;
     // Tasks whose current run is assigned to this worker, in any phase.
     std::set<TaskState *> tasks;
     // Runs that are not the current run of any task and that may take room on the worker now or later.
--- a/source/tenure/tests/LeaseHolderRecordTest.cpp
+++ b/source/tenure/tests/LeaseHolderRecordTest.cpp
@@ -27,11 +27,30 @@
 
 TEST(LeaseHolderRecord, isReadAsItWasWritten)
 {
-    const LeaseHolderRecord record {
-        {workerNamed("a"), workerNamed("b")}, Milliseconds(6'000), 4, {{"b", Milliseconds(1'500)}}, true, true, true};
+    const LeaseHolderRecord record {{workerNamed("a"), workerNamed("b")}, Milliseconds(6'000), 4,
+        {{"b", Milliseconds(1'500)}}, true, true, true, {{"b", {{"job", 0, 1, 2}, {"job.with.dots", 3, 0, 0}}}}};
     EXPECT_EQ(parseLeaseHolderRecord(serialize(record)), record);
 }
 
+// Nothing runs on the first worker, and anything may on the second one.
+TEST(LeaseHolderRecord, tellsAWorkerWithoutTasksFromOneWithUnknownTasks)
+{
+    const LeaseHolderRecord record {{workerNamed("a"), workerNamed("b")}, Milliseconds(6'000), 4,
+        {{"a", Milliseconds(1'500)}, {"b", Milliseconds(1'500)}}, true, true, true, {{"a", {}}}};
+    EXPECT_EQ(parseLeaseHolderRecord(serialize(record)), record);
+}
+
+// A successor would take a task whose name it can't read for one that runs nowhere.
+TEST(LeaseHolderRecord, statesNoTasksIfANameIsMalformed)
+{
+    for (const std::string tasks : {R"(["job.0.0.0", "job"])", R"(["job.0.0.0", 7])", R"("job.0.0.0")", "{}", "null"}) {
+        const std::string text = R"({"a": {"term": 4, "expires_ms": 1500, "tasks": )" + tasks + "}}";
+        const LeaseHolderRecord record = parseLeaseHolderRecord(text);
+        EXPECT_TRUE(record.finalExpiries.contains("a")) << tasks;
+        EXPECT_FALSE(record.finalTasks.contains("a")) << tasks;
+    }
+}
+
 // During an upgrade, the owner of the earlier term may be of a version that granted longer leases than this one.
 TEST(LeaseHolderRecord, hasNoLeaseDurationIfAnyWorkerLacksIt)
 {
