Configuration: Read changes in quick succession without delay

Cause: a peer told a reader only that something had changed, as if the history were gone. Since listings that follow each other without a watch in between are delayed, each change in quick succession waited for up to 1.5 s more.

Change: a reader fetches the listing at once and passes it on as the events of its watch. It turns to the store 1 s, not 2 s, after peers have begun to answer that the store has not confirmed their copies, since its own repeats add to that time.

readsChangesFromAPeerAndNotFromTheStore, readsChangesInQuickSuccessionWithoutDelay and forgetsEntriesThatWereErased failed before.

--- a/source/configuration/PeerEntrySource.cpp
+++ b/source/configuration/PeerEntrySource.cpp
@@ -21,10 +21,27 @@
 constexpr long WatchMarginMilliseconds = 500;
 // Peers whose copies the store has not confirmed are as far from the store as this instance, or about to receive a
 // large change. Reading it as well would only delay them. After this time the reason must be another one.
-constexpr Milliseconds LongestUnconfirmedTime {2'000};
+constexpr Milliseconds LongestUnconfirmedTime {1'000};
 // The store answers each watch within a second, also without a change.
 constexpr Milliseconds LongestStoreSilence {2'000};
 
+// Returns a handler of listings that passes them on as the events of a watch.
+EntrySource::Handler<StoreListing> asEvents(EntrySource::Handler<StoreEvents> handler)
+{
+    return [handler = std::move(handler)](const Result<StoreListing> &result) {
+        const auto *listing = std::get_if<StoreListing>(&result);
+        if (listing == nullptr) {
+            handler(std::get<Error>(result));
+            return;
+        }
+        StoreEvents events {listing->revision, {}, true};
+        for (const StoreEntry &entry : listing->entries) {
+            events.events.push_back({entry, false});
+        }
+        handler(std::move(events));
+    };
+}
+
 Error unconfirmedError()
 {
     return {ErrorKind::Overloaded, "the store has not confirmed the copies of other instances lately",
@@ -131,9 +148,11 @@
             const bool isUnchanged = isAnswered && answer.status == HttpStatus::Ok;
             noteAnswer(peer, answer, hasChanged || isUnchanged);
             if (hasChanged) {
-                handler(Error {ErrorKind::NotFound, "entries below " + prefix + " have changed", "list them again"});
+                Peers remaining = peers;
+                remaining.insert(remaining.begin(), peer);
+                listFrom(std::move(remaining), prefix, asEvents(handler));
             } else if (isUnchanged) {
-                handler(StoreEvents {after, {}});
+                handler(StoreEvents {after, {}, false});
             } else {
                 watchFrom(peers, prefix, after, wait, handler);
             }
--- a/source/configuration/PrefixWatcher.cpp
+++ b/source/configuration/PrefixWatcher.cpp
@@ -10,6 +10,15 @@
 // A store returns a few hundred events per watch at most. A batch of this size means that more may be pending.
 constexpr std::size_t LargeBatchEventCount = 200;
 
+StoreListing listingOf(const StoreEvents &events)
+{
+    StoreListing listing {events.revision, {}};
+    for (const StoreEvent &event : events.events) {
+        listing.entries.push_back(event.entry);
+    }
+    return listing;
+}
+
 }
 
 PrefixWatcher::PrefixWatcher(EntrySource &source, Scheduler &scheduler, VersionedEntries &entries, std::string prefix,
@@ -73,7 +82,11 @@
             m_watchedSinceListing = true;
             m_backoff.reset();
             const StoreEvents &events = std::get<StoreEvents>(result);
-            m_entries.applyEvents(events);
+            if (events.isListing) {
+                m_entries.applyListing(listingOf(events));
+            } else {
+                m_entries.applyEvents(events);
+            }
             const bool mayHaveMore = events.events.size() >= LargeBatchEventCount;
             if (events.events.empty() || mayHaveMore || m_batchDelay.count() == 0) {
                 watch();
--- a/source/configuration/tests/PeerEntrySourceTest.cpp
+++ b/source/configuration/tests/PeerEntrySourceTest.cpp
@@ -201,6 +201,30 @@
     EXPECT_EQ(readerValue(), "second");
 }
 
+// Guards against an old configuration that stays in force because changes in quick succession delayed the next reading.
+TEST_F(PeerEntrySourceTest, readsChangesInQuickSuccessionWithoutDelay)
+{
+    writeConfiguration("0");
+    startBoth();
+    for (int number = 1; number <= 12; ++number) {
+        writeConfiguration(std::to_string(number));
+        advance(Milliseconds(300));
+        EXPECT_EQ(readerValue(), std::to_string(number));
+    }
+}
+
+TEST_F(PeerEntrySourceTest, forgetsEntriesThatWereErased)
+{
+    writeConfiguration("first");
+    EXPECT_EQ(errorOf(m_state.write({"op/wave/1", "wave", std::nullopt, 0})), nullptr);
+    startBoth();
+    EXPECT_NE(m_readerEntries.find("op/wave/1"), nullptr);
+    EXPECT_EQ(errorOf(m_state.erase("op/wave/1", std::nullopt)), nullptr);
+    advance(Milliseconds(200));
+    EXPECT_EQ(m_readerEntries.find("op/wave/1"), nullptr);
+    EXPECT_EQ(readerValue(), "first");
+}
+
 TEST(StoreListingCodecTest, keepsEntriesWithAnyBytes)
 {
     const StoreListing listing {7, {{"op/config", std::string("\0\xff{", 3), 5, 0}, {"op/wave/1", "", 6, 9}}};
--- a/source/store/StoreMessages.h
+++ b/source/store/StoreMessages.h
@@ -86,6 +86,8 @@
 {
     StoreRevision revision = 0;
     std::vector<StoreEvent> events;
+    // Whether the events show all entries that exist, so that those which they do not show are gone.
+    bool isListing = false;
 };
 
 }
