Tenure: Log what a leader term follows and when the store lease is lost

The record of double runs by owners that follow themselves could not tell a new process from one that had lost its store lease: leader-term-started now says what the term follows, and store-lease-lost and store-lease-held say how old the last confirmation is and whether an outage was confirmed. No decision changes. The 245 tests of tenure that are no models pass.

--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -102,7 +102,7 @@
         const Instant now = m_environment.clock.now();
         state.vacantSince = std::max(state.vacantSince.value_or(now), m_startedAt + SettleTime);
         if (now - *state.vacantSince >= takeOverDelay(partition)) {
-            state.hasLastOwnerEnded = false;
+            state.succession = state.endedToken == 0 ? TermSuccession::Vacancy : TermSuccession::OwnTerm;
             takeOver(partition, ended ? MustNotExist : entry->revision);
         }
         return;
@@ -117,7 +117,7 @@
         startTerm(partition, owner->term, entry->revision);
         return;
     }
-    state.hasLastOwnerEnded = true;
+    state.succession = TermSuccession::FormerProcess;
     takeOver(partition, entry->revision);
 }
 
@@ -233,7 +233,9 @@
     if (state.leader || revision <= state.endedToken) {
         return;
     }
-    m_environment.log("leader-term-started", partition, {{"token", revision}, {"tenure", term}});
+    m_environment.log("leader-term-started", partition,
+        {{"token", revision}, {"tenure", term}, {"follows", nameOf(state.succession)},
+            {"ended_token", state.endedToken}});
     PartitionLeader::Environment environment {m_environment.clock, m_environment.scheduler, m_environment.store,
         m_environment.gateway, m_environment.log,
         [this, alive = m_alive, partition] {
@@ -248,7 +250,7 @@
         std::move(environment), m_limits, JournalPosition {partition, term, revision, revision});
     state.leader->updateWorkers(workersOf(partition));
     state.leader->updatePolicies(m_policies);
-    if (state.hasLastOwnerEnded) {
+    if (state.succession == TermSuccession::FormerProcess) {
         state.leader->setLastOwnerEnded();
     }
     state.leader->load();
@@ -265,8 +267,23 @@
     state.vacantSince.reset();
 }
 
+void PartitionOwnership::logStoreLease()
+{
+    const bool isHeld = m_environment.lease.isHeld();
+    if (isHeld == m_wasLeaseHeld) {
+        return;
+    }
+    m_wasLeaseHeld = isHeld;
+    const auto age = m_environment.clock.now() - m_environment.lease.confirmedAt();
+    m_environment.log(isHeld ? "store-lease-held" : "store-lease-lost", m_self.name,
+        {{"lease", m_environment.lease.lease()},
+            {"confirmed_age_ms", std::chrono::duration_cast<Milliseconds>(age).count()},
+            {"outage_confirmed", m_storeOutage}});
+}
+
 void PartitionOwnership::tick()
 {
+    logStoreLease();
     review();
     m_outageTenure.observe(m_environment.lease.isHeld(), m_storeOutage, m_environment.clock.now());
     const SchedulingAuthority authority = !m_outageTenure.mayGoOn() ? SchedulingAuthority::Observe
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -7,6 +7,7 @@
 #include "tenure/PartitionLeader.h"
 #include "tenure/PartitionPlan.h"
 #include "tenure/StoreHealthReport.h"
+#include "tenure/TermSuccession.h"
 
 namespace Wagtail
 {
@@ -78,8 +79,8 @@
         std::optional<Instant> vacantSince;
         // The store's lease under which the owner key was written last. The key ends with it.
         LeaseIdentifier ownerLease = 0;
-        // Whether this instance takes the partition over from an earlier process of its own, which has ended.
-        bool hasLastOwnerEnded = false;
+        // What the term that is being started follows. An earlier process of this instance has ended.
+        TermSuccession succession = TermSuccession::Vacancy;
         // The fencing token of the last term of this instance. The cluster's entries may lag behind the store and still
         // show it.
         StoreRevision endedToken = 0;
@@ -91,6 +92,8 @@
     void startTerm(const std::string &partition, std::uint64_t term, StoreRevision revision);
     void dropLeader(const std::string &partition);
     void observeInstances();
+    // Logs when the instance's store lease ends or is back, and how old its last confirmation is.
+    void logStoreLease();
     [[nodiscard]] int ownedPartitionCount() const;
     [[nodiscard]] Milliseconds takeOverDelay(const std::string &partition) const;
     [[nodiscard]] std::map<std::string, WorkerListing> workersOf(const std::string &partition) const;
@@ -111,6 +114,7 @@
     std::map<std::string, QueuePolicy> m_policies;
     bool m_releasing = false;
     bool m_storeOutage = false;
+    bool m_wasLeaseHeld = false;
     OutageTenure m_outageTenure;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
