Http: Log calls that the client library sends again

libcurl sends a call again by itself when a reused connection ends before the first byte of the answer.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -41,6 +41,7 @@
     HttpAnswer answer;
     curl_slist *headers = nullptr;
     CURL *handle = nullptr;
+    const CurlHttpClient::RepeatObserver *onRepeat = nullptr;
     // Used by calls with limits for a long answer.
     asio::steady_timer stallTimer;
     Clock::time_point stalledAt;
@@ -111,13 +112,25 @@
     return size * count;
 }
 
+// Called each time when a connection is ready and the call is about to be put on the wire.
+int beforeSending(void *target, char *, char *, int, int)
+{
+    const auto *transfer = static_cast<Transfer *>(target);
+    long sentBytes = 0;
+    curl_easy_getinfo(transfer->handle, CURLINFO_REQUEST_SIZE, &sentBytes);
+    if (sentBytes > 0 && *transfer->onRepeat) {
+        (*transfer->onRepeat)(transfer->call);
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 }
 
 class CurlHttpClient::Implementation : public std::enable_shared_from_this<Implementation>
 {
 public:
-    Implementation(asio::io_context &context, long connectionsPerHost)
-        : m_context(context), m_timer(context), m_multi(curl_multi_init())
+    Implementation(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat)
+        : m_context(context), m_timer(context), m_onRepeat(std::move(onRepeat)), m_multi(curl_multi_init())
     {
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
         curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -155,6 +168,7 @@
         transfer->call = std::move(call);
         transfer->handler = std::move(handler);
         transfer->handle = takeHandle();
+        transfer->onRepeat = &m_onRepeat;
         configure(*transfer);
         CURL *const handle = transfer->handle;
         m_transfers.emplace(handle, transfer);
@@ -198,6 +212,8 @@
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &beforeSending);
+        curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &Implementation::openSocket);
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Implementation::closeSocket);
@@ -426,6 +442,7 @@
 
     asio::io_context &m_context;
     asio::steady_timer m_timer;
+    RepeatObserver m_onRepeat;
     std::optional<std::chrono::steady_clock::time_point> m_deadline;
     std::optional<std::chrono::steady_clock::time_point> m_armedFor;
     bool m_turnPosted = false;
@@ -435,8 +452,8 @@
     std::vector<CURL *> m_idleHandles;
 };
 
-CurlHttpClient::CurlHttpClient(asio::io_context &context, long connectionsPerHost)
-    : m_implementation(std::make_shared<Implementation>(context, connectionsPerHost))
+CurlHttpClient::CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat)
+    : m_implementation(std::make_shared<Implementation>(context, connectionsPerHost, std::move(onRepeat)))
 {
 }
 
--- a/source/http/CurlHttpClient.h
+++ b/source/http/CurlHttpClient.h
@@ -12,8 +12,11 @@
 class CurlHttpClient final : public HttpClient
 {
 public:
+    // Told of each call that libcurl puts on the wire again by itself.
+    using RepeatObserver = std::function<void(const HttpCall &call)>;
+
     // Keeps at most the given number of connections to one host and port.
-    CurlHttpClient(asio::io_context &context, long connectionsPerHost);
+    CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat = {});
     ~CurlHttpClient() override;
 
     void send(HttpCall call, Handler handler) override;
