Http: Let the sender of a call say that it may be sent again

The client repeats only reads. The renewal of a lease is no read, but a copy of it does no harm, and one that comes too late costs the lease. HttpCall::isIdempotent says so for a single call; it is false unless a sender sets it, so that no caller can forget the rule. HttpCall::mayBeSentAgain() is the one question that all who repeat calls ask.

RepeatedSendingTest.repeatsIdempotentCallsWhoseConnectionEnds shows that the client follows it; the test of calls with an effect is unchanged.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -112,12 +112,6 @@
     return size * count;
 }
 
-// Returns whether the call changes nothing where it arrives.
-bool isRead(const HttpCall &call)
-{
-    return call.method == "GET" || call.method == "HEAD";
-}
-
 // Called each time when a connection is ready and the call is about to be put on the wire.
 int beforeSending(void *target, char *, char *, int, int)
 {
@@ -127,7 +121,7 @@
     if (sentBytes == 0) {
         return CURL_PREREQFUNC_OK;
     }
-    const bool mayRepeat = isRead(transfer->call);
+    const bool mayRepeat = transfer->call.mayBeSentAgain();
     if (*transfer->onRepeat) {
         using Repetition = CurlHttpClient::Repetition;
         (*transfer->onRepeat)(transfer->call, mayRepeat ? Repetition::Sent : Repetition::Prevented);
--- a/source/http/CurlHttpClient.h
+++ b/source/http/CurlHttpClient.h
@@ -10,8 +10,9 @@
 
 // Drives libcurl's multi interface from an Asio context. All calls must come from that context's thread.
 //
-// libcurl sends a call again when a reused connection ends before the answer begins. Only reads are repeated in this
-// way; any other call is lost then, since the answer to a copy says nothing about the call itself.
+// libcurl sends a call again when a reused connection ends before the answer begins. Only reads and other idempotent
+// calls are repeated in this way; any other call is lost then, since the answer to a copy says nothing about the call
+// itself.
 class CurlHttpClient final : public HttpClient
 {
 public:
--- a/source/http/HttpClient.h
+++ b/source/http/HttpClient.h
@@ -18,8 +18,8 @@
     HttpClient &operator=(const HttpClient &) = delete;
     virtual ~HttpClient() = default;
 
-    // Sends the call and passes its answer on exactly once. A failure is told in the answer's delivery. Only reads may be
-    // sent again by the client itself.
+    // Sends the call and passes its answer on exactly once. A failure is told in the answer's delivery. Only reads and
+    // other idempotent calls may be sent again by the client itself.
     virtual void send(HttpCall call, Handler handler) = 0;
 };
 
--- a/source/http/HttpMessages.cpp
+++ b/source/http/HttpMessages.cpp
@@ -29,6 +29,11 @@
     return std::nullopt;
 }
 
+bool HttpCall::mayBeSentAgain() const
+{
+    return isIdempotent || method == "GET" || method == "HEAD";
+}
+
 std::string percentDecode(std::string_view text)
 {
     std::string decoded;
--- a/source/http/HttpMessages.h
+++ b/source/http/HttpMessages.h
@@ -48,8 +48,8 @@
     ConnectionFate connection = ConnectionFate::Keep;
 };
 
-// How far a call got. NotSent means that no byte of it left; Lost means that it may have been received. A call other than
-// a read is put on the wire once at most, so an answer is always the answer to that one sending.
+// How far a call got. NotSent means that no byte of it left; Lost means that it may have been received. A call that may
+// not be sent again is put on the wire once at most, so an answer is always the answer to that one sending.
 enum class Delivery {
     NotSent,
     Lost,
@@ -84,6 +84,12 @@
     long timeoutMilliseconds = 2000;
     ConnectionReuse reuse = ConnectionReuse::Allowed;
     std::optional<LongAnswerLimits> longAnswer;
+    // Whether a copy of the call does no harm, and is answered like the call itself whether or not that was carried
+    // out. Reads are idempotent anyway.
+    bool isIdempotent = false;
+
+    // Returns whether the call may be put on the wire again when it is unknown whether it arrived.
+    [[nodiscard]] bool mayBeSentAgain() const;
 };
 
 struct HttpAnswer
--- a/source/http/tests/RepeatedSendingTest.cpp
+++ b/source/http/tests/RepeatedSendingTest.cpp
@@ -21,11 +21,12 @@
         return m_servers.emplace_back(context, std::move(reactions));
     }
 
-    HttpAnswer send(const ResettingHttpServer &server, const std::string &method)
+    HttpAnswer send(const ResettingHttpServer &server, const std::string &method, bool isIdempotent = false)
     {
         HttpCall call;
         call.method = method;
         call.url = server.baseAddress() + "/";
+        call.isIdempotent = isIdempotent;
         std::optional<HttpAnswer> answer;
         m_client.send(std::move(call), [&answer](HttpAnswer given) { answer = std::move(given); });
         while (!answer) {
@@ -68,6 +69,15 @@
     EXPECT_TRUE(repeated.empty());
 }
 
+TEST_F(RepeatedSendingTest, repeatsIdempotentCallsWhoseConnectionEnds)
+{
+    const ResettingHttpServer &server = serve({Reaction::Answer, Reaction::Reset, Reaction::Answer});
+    ASSERT_EQ(send(server, "POST").delivery, Delivery::Answered);
+    EXPECT_EQ(send(server, "POST", true).delivery, Delivery::Answered);
+    EXPECT_EQ(server.receivedCalls(), 3U);
+    EXPECT_EQ(repeated, std::vector<std::string> {"POST"});
+}
+
 TEST_F(RepeatedSendingTest, repeatsReadsWhoseConnectionEnds)
 {
     const ResettingHttpServer &server = serve({Reaction::Answer, Reaction::Reset, Reaction::Answer});
