Tenure: Send no unanswered store call again through another instance

Callers would see a transaction refused (412) because of its own first copy, two leases for one call, and unconditional writes that are carried out late, after newer ones. The answer to the copy hid that the first one was unanswered.

Cause: StoreRelay passed every direct call that got no answer on to another instance, whatever it was.

Change: a call that may not be sent again (see HttpCall::mayBeSentAgain()) is answered as lost, and its sender repeats it knowingly. Only what was certainly not carried out (not sent, 429, 503) goes on by the other way. Renewals of leases are idempotent and still go on at once.

--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -73,8 +73,8 @@
 if(WAGTAIL_TESTS)
     file(GLOB platform_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/tests/*.cpp)
     add_executable(wagtail-platform-tests ${platform_tests})
-    target_link_libraries(wagtail-platform-tests PRIVATE wagtail-platform ${RAPIDCHECK} GTest::gmock GTest::gtest
-        GTest::gtest_main)
+    target_link_libraries(wagtail-platform-tests PRIVATE wagtail-platform wagtail-platform-standins ${RAPIDCHECK}
+        GTest::gmock GTest::gtest GTest::gtest_main)
     gtest_discover_tests(wagtail-platform-tests DISCOVERY_TIMEOUT 60
         PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=1000")
     add_test(NAME platform.losses COMMAND python3 ${CMAKE_SOURCE_DIR}/platform/tests/losses_test.py)
--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -61,23 +61,40 @@
         sendThroughPeer(std::move(call), std::move(handler));
         return;
     }
-    sendDirectly(call, [this, alive = m_alive, call, handler = std::move(handler)](HttpAnswer answer) mutable {
-        if (!*alive) {
-            return;
-        }
-        if (reachedStore(answer) || m_environment.peers().empty()) {
-            handler(std::move(answer));
-            return;
-        }
-        const bool uncertain = answer.delivery == Delivery::Lost;
-        sendThroughPeer(std::move(call), [handler = std::move(handler), uncertain](HttpAnswer relayed) {
-            // The direct call may have taken effect, even if the relayed call was rejected.
-            if (uncertain && !reachedStore(relayed)) {
-                relayed.delivery = Delivery::Lost;
+    const bool hasPeers = !m_environment.peers().empty();
+    if (hasPeers && m_consecutiveFailures > 0 && !call.mayBeSentAgain()) {
+        // Otherwise the sender of a call that may not be sent again would wait for two timeouts before it is relayed.
+        sendThroughPeer(call, [this, alive = m_alive, call, handler = std::move(handler)](HttpAnswer answer) mutable {
+            if (!*alive) {
+                return;
+            }
+            if (reachedStore(answer) || answer.delivery == Delivery::Lost) {
+                handler(std::move(answer));
+            } else {
+                sendDirectly(std::move(call), std::move(handler));
             }
-            handler(std::move(relayed));
         });
-    });
+        return;
+    }
+    sendDirectly(
+        call, [this, alive = m_alive, call, hasPeers, handler = std::move(handler)](HttpAnswer answer) mutable {
+            if (!*alive) {
+                return;
+            }
+            const bool uncertain = answer.delivery == Delivery::Lost;
+            const bool mayGoOn = !uncertain || call.mayBeSentAgain();
+            if (reachedStore(answer) || !mayGoOn || !hasPeers) {
+                handler(std::move(answer));
+                return;
+            }
+            sendThroughPeer(std::move(call), [handler = std::move(handler), uncertain](HttpAnswer relayed) {
+                // The direct call may have taken effect, even if the relayed call was rejected.
+                if (uncertain && !reachedStore(relayed)) {
+                    relayed.delivery = Delivery::Lost;
+                }
+                handler(std::move(relayed));
+            });
+        });
 }
 
 void StoreRelay::sendDirectly(HttpCall call, Handler handler)
@@ -175,6 +192,7 @@
     relayed.url = "http://" + peer + RelayPath;
     relayed.headers = {{MethodHeader, call.method}, {UrlHeader, call.url},
         {TimeoutHeader, std::to_string(call.timeoutMilliseconds)}, {"Content-Type", "application/json"}};
+    relayed.isIdempotent = call.mayBeSentAgain();
     relayed.body = std::move(call.body);
     relayed.timeoutMilliseconds = call.timeoutMilliseconds + PeerMarginMilliseconds;
     const auto waiting = std::make_shared<Handler>(std::move(handler));
@@ -192,8 +210,8 @@
     }
     const Instant sentAt = m_environment.clock.now();
     m_environment.client.send(std::move(relayed), [this, alive = m_alive, sentAt, waiting](HttpAnswer answer) {
-        const Handler handler = std::exchange(*waiting, nullptr);
-        if (!*alive || !handler) {
+        const Handler finish = std::exchange(*waiting, nullptr);
+        if (!*alive || !finish) {
             return;
         }
         const bool reached = answer.delivery == Delivery::Answered && answer.status != HttpStatus::BadGateway;
@@ -208,7 +226,7 @@
             answer.delivery
                 = answer.header("Wagtail-Delivery").value_or("") == "not-sent" ? Delivery::NotSent : Delivery::Lost;
         }
-        handler(std::move(answer));
+        finish(std::move(answer));
     });
 }
 
--- a/source/tenure/StoreRelay.h
+++ b/source/tenure/StoreRelay.h
@@ -16,6 +16,9 @@
 
 // Sends calls to the store directly, or through another instance while the store is unreachable or rejects this
 // instance's calls. Also serves the relayed calls of other instances.
+//
+// A call that may not be sent again is not passed on after it got no answer. It is lost then, because the answer to a
+// copy may be a refusal that is due to the call itself.
 class StoreRelay final : public HttpClient
 {
 public:
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -85,10 +85,14 @@
     }
 
     HttpAnswer send()
+    {
+        return send({"POST", "http://store/write", {}, {}, 100});
+    }
+
+    HttpAnswer send(HttpCall call)
     {
         HttpAnswer result;
-        m_relay.send(
-            {"POST", "http://store/write", {}, {}, 100}, [&result](HttpAnswer answer) { result = std::move(answer); });
+        m_relay.send(std::move(call), [&result](HttpAnswer answer) { result = std::move(answer); });
         return result;
     }
 
@@ -129,6 +133,68 @@
     EXPECT_EQ(send().delivery, Delivery::Lost);
 }
 
+// A copy of a write that had been carried out was refused because of it, and the refusal was taken for the answer.
+TEST_F(StoreRelayTest, sendsNoUnansweredWriteAgainThroughAPeer)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(412);
+    EXPECT_EQ(send().delivery, Delivery::Lost);
+    EXPECT_EQ(m_client.calls.size(), 1U);
+}
+
+// Its sender would wait for two timeouts otherwise.
+TEST_F(StoreRelayTest, relaysAWriteAfterOneThatWasNotAnswered)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(200);
+    send();
+    EXPECT_EQ(send().status, 200);
+    EXPECT_EQ(m_client.calls.size(), 2U);
+}
+
+TEST_F(StoreRelayTest, sendsAWriteDirectlyThatItsPeerCertainlyDidNotRelay)
+{
+    m_client.toStore = lost();
+    send();
+    m_client.toStore = answered(200);
+    m_client.toPeer = answered(503);
+    EXPECT_EQ(send().status, 200);
+    m_client.toPeer = answered(500);
+    EXPECT_EQ(send().status, 200);
+}
+
+TEST_F(StoreRelayTest, relaysAWriteThatCertainlyDidNotReachTheStore)
+{
+    m_client.toStore = HttpAnswer();
+    m_client.toPeer = answered(200);
+    EXPECT_EQ(send().status, 200);
+}
+
+TEST_F(StoreRelayTest, sendsUnansweredIdempotentCallsAgainThroughAPeer)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(200);
+    EXPECT_EQ(send({"GET", "http://store/read", {}, {}, 100}).status, 200);
+    m_client.toStore = answered(200);
+    send();
+    m_client.toStore = lost();
+    HttpCall renewal {"POST", "http://store/renewal", {}, {}, 100};
+    renewal.isIdempotent = true;
+    EXPECT_EQ(send(renewal).status, 200);
+    // The client sends the relayed call again as well if its connection ends.
+    EXPECT_TRUE(m_client.calls.back().isIdempotent);
+}
+
+// An unanswered renewal may still take effect, even if the relayed attempt was rejected.
+TEST_F(StoreRelayTest, reportsAnUnansweredIdempotentCallAsLostDespiteARejectedRelay)
+{
+    m_client.toStore = lost();
+    m_client.toPeer = answered(503);
+    HttpCall renewal {"POST", "http://store/renewal", {}, {}, 100};
+    renewal.isIdempotent = true;
+    EXPECT_EQ(send(renewal).delivery, Delivery::Lost);
+}
+
 TEST_F(StoreRelayTest, confirmsAnOutageOnlyWhenPeersDoNotReachTheStore)
 {
     m_client.toStore = lost();
