Tenure: Give all copies of a submission the outcome of the first one

Callers would see a submission refused (429 or 503, which says that the job never runs) while an earlier copy of it was under way, and then see the job run. A caller's library, or a balancer in front of the instances, may send a request again silently.

Cause: an owner handled a copy on its own until the first one was accepted. It counted the demand of the first copy against the second one. While the store gave no answer, it told a copy that nothing had been sent, although the transaction of the first one had been.

Change: the owner knows which submissions are under way (PendingSubmissions). A copy waits for the outcome of the first one, or hears that it is unknown when the term ends.

--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -87,17 +87,20 @@
     return AcceptResult {AcceptOutcome::Redirected, choice.partition};
 }
 
-void PartitionLeader::refuse(const std::string &id, SubmitHandler handler)
+void PartitionLeader::refuse(const std::string &id)
 {
-    m_environment.store.read(JobKeys::home(id),
-        [alive = m_alive, handler = std::move(handler)](const Result<std::optional<StoreEntry>> &result) {
+    m_environment.store.read(
+        JobKeys::home(id), [this, alive = m_alive, id](const Result<std::optional<StoreEntry>> &result) {
+            if (!*alive) {
+                return;
+            }
             const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
-            if (home == nullptr || !*alive) {
-                handler({AcceptOutcome::Unknown, {}});
+            if (home == nullptr) {
+                m_submissions.finish(id, {AcceptOutcome::Unknown, {}});
             } else if (*home) {
-                handler({AcceptOutcome::Exists, (*home)->value});
+                m_submissions.finish(id, {AcceptOutcome::Exists, (*home)->value});
             } else {
-                handler({AcceptOutcome::Refused, {}});
+                m_submissions.finish(id, {AcceptOutcome::Refused, {}});
             }
         });
 }
@@ -117,17 +120,22 @@
         handler({AcceptOutcome::Exists, m_position.partition});
         return;
     }
+    const bool isCopy = m_submissions.contains(id);
+    m_submissions.add(id, std::move(handler));
+    if (isCopy) {
+        return;
+    }
     if (const std::optional<AcceptResult> decision = checkAdmission(record, placement)) {
         if (decision->outcome == AcceptOutcome::Refused) {
-            refuse(id, std::move(handler));
+            refuse(id);
         } else {
-            handler(*decision);
+            m_submissions.finish(id, *decision);
         }
         return;
     }
     const std::int64_t demand = longRunningDemand(record.specification);
     m_pendingLongRunningMilliCores[record.policy.pool] += demand;
-    m_journal.accept(record, [this, record, demand, handler = std::move(handler)](const AcceptResult &result) {
+    m_journal.accept(record, [this, record, demand](const AcceptResult &result) {
         m_pendingLongRunningMilliCores[record.policy.pool] -= demand;
         if (result.outcome == AcceptOutcome::Accepted) {
             m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
@@ -136,7 +144,7 @@
         if (result.outcome != AcceptOutcome::Unknown) {
             applyKeptCancellation(record.specification.id);
         }
-        handler(result);
+        m_submissions.finish(record.specification.id, result);
     });
 }
 
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -5,6 +5,7 @@
 #include "tenure/GivenUpTaskReporter.h"
 #include "tenure/JobJournal.h"
 #include "tenure/PartitionChoice.h"
+#include "tenure/PendingSubmissions.h"
 #include "tenure/PredecessorTenure.h"
 
 namespace Wagtail
@@ -59,7 +60,7 @@
         ThisPartition,
     };
 
-    using SubmitHandler = std::function<void(const AcceptResult &)>;
+    using SubmitHandler = PendingSubmissions::Handler;
     void submit(JobRecord record, Placement placement, SubmitHandler handler);
 
     // Calls the handler with true once the cancellation is recorded, or with false if this partition does not own the
@@ -139,7 +140,7 @@
 
     // Refuses a job, unless another partition has accepted it: a copy of a request may arrive after the first was
     // answered.
-    void refuse(const std::string &id, SubmitHandler handler);
+    void refuse(const std::string &id);
     void restoreInterferenceModel(const std::string &text);
 
     Environment m_environment;
@@ -149,8 +150,9 @@
     PredecessorTenure m_predecessorTenure;
     bool m_hasLastOwnerEnded = false;
     // The processor demand, by pool, of long-running tasks whose jobs are being recorded. Declared before the journal,
-    // which calls their handlers when it is destroyed.
+    // as are the submissions: the journal calls their handlers when it is destroyed.
     std::map<std::string, std::int64_t> m_pendingLongRunningMilliCores;
+    PendingSubmissions m_submissions;
     JobScheduler m_jobScheduler;
     JobJournal m_journal;
     GivenUpTaskReporter m_givenUpReporter;
