Tenure: Deny no submission that may still be accepted

Callers would see a second request for a job answered with 503 (it never runs) at an instance that had passed the first one on without an answer, and a cancellation or a question about the state answered with 410 (there is no such submission) while the owner was about to accept the job. The job then ran.

Cause: JobRouter remembered that a sending was unanswered for each request, not for each job. PartitionLeader::cancel() did not know of submissions under way, and a cancellation whose owner did not answer was decided by a read of the store before the acceptance.

Change: UnsettledSubmissions knows the jobs whose submission this instance has sent, and for how long it may still be carried out; refusals and denials become an unknown outcome (504) meanwhile. A cancellation waits for the submission under way; while the store does not answer the owner, it goes into the inbox or its outcome is unknown. If the owner gave no answer and the store does not know the job, the outcome of the cancellation is unknown.

--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -105,9 +105,20 @@
 
 void JobApi::cancel(PartitionLeader &leader, const std::string &id, const HttpServer::Responder &respond)
 {
-    leader.cancel(id, [respond](bool known) {
-        respond(known ? jsonResponse(HttpStatus::Ok, Json::object())
-                      : jsonResponse(HttpStatus::NotFound, {{"detail", "no such job here"}}));
+    using CancelOutcome = PartitionLeader::CancelOutcome;
+    leader.cancel(id, [respond](CancelOutcome outcome) {
+        switch (outcome) {
+        case CancelOutcome::Recorded:
+            respond(jsonResponse(HttpStatus::Ok, Json::object()));
+            return;
+        case CancelOutcome::NotOwned:
+            respond(jsonResponse(HttpStatus::NotFound, {{"detail", "no such job here"}}));
+            return;
+        case CancelOutcome::Unknown:
+            break;
+        }
+        respond(jsonResponse(HttpStatus::GatewayTimeout,
+            {{"detail", "it is not known whether the job is being accepted"}, {"remedy", "cancel it again"}}));
     });
 }
 
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -38,6 +38,28 @@
     return body == nullptr ? std::string() : memberOr(*body, member, std::string());
 }
 
+// Returns what an owner's answer to a submission, or its absence, tells about the submission.
+UnsettledSubmissions::Effect effectOf(const HttpAnswer &answer)
+{
+    using Effect = UnsettledSubmissions::Effect;
+    if (answer.delivery != Delivery::Answered) {
+        return answer.delivery == Delivery::Lost ? Effect::Unknown : Effect::None;
+    }
+    switch (answer.status) {
+    case HttpStatus::Ok:
+    case HttpStatus::Conflict:
+        return Effect::Accepted;
+    case HttpStatus::SeeOther:
+    case HttpStatus::BadRequest:
+    case HttpStatus::TooManyRequests:
+    case HttpStatus::ServiceUnavailable:
+    case HttpStatus::MisdirectedRequest:
+        return Effect::None;
+    default:
+        return Effect::Unknown;
+    }
+}
+
 // Returns how long to try to submit a job for a caller that waits for the given time.
 Milliseconds submissionTime(Milliseconds left)
 {
@@ -53,23 +75,10 @@
     std::string partition;
     Instant submittedAt;
     Instant deadline;
-    // Whether an attempt got no answer and may still take effect.
-    bool uncertain = false;
-    bool inFlight = false;
     // Whether an owner redirected the job to another partition, which must not redirect it again.
     bool redirected = false;
     std::function<void(RouteOutcome)> handler;
 
-    void finish(RouteOutcome outcome)
-    {
-        if (!handler) {
-            return;
-        }
-        const bool reportsNoEffect = outcome == RouteOutcome::Refused || outcome == RouteOutcome::Unavailable;
-        const bool mayTakeEffect = uncertain || inFlight;
-        std::exchange(handler, nullptr)(reportsNoEffect && mayTakeEffect ? RouteOutcome::Unknown : outcome);
-    }
-
     [[nodiscard]] bool isFinished() const
     {
         return !handler;
@@ -82,11 +91,13 @@
     std::string job;
     std::string partition;
     bool homeRead = false;
+    // Whether an owner was asked without a result. It may be about to accept the job.
+    bool isOwnerUnclear = false;
     Instant deadline;
     std::function<void(RouteOutcome, JobPhase)> handler;
 };
 
-JobRouter::JobRouter(Environment environment) : m_environment(std::move(environment))
+JobRouter::JobRouter(Environment environment) : m_environment(std::move(environment)), m_unsettled(m_environment.clock)
 {
 }
 
@@ -130,20 +141,34 @@
     submission->record = std::move(record);
     const auto known = m_homes.find(submission->record.specification.id);
     if (known != m_homes.end()) {
-        submission->finish(RouteOutcome::Done);
+        finish(submission, RouteOutcome::Done);
         return;
     }
     const auto left = std::chrono::duration_cast<Milliseconds>(submission->deadline - submission->submittedAt);
-    m_environment.scheduler.after(
-        std::max(left, Milliseconds(0)), [submission] { submission->finish(RouteOutcome::Unavailable); });
+    m_environment.scheduler.after(std::max(left, Milliseconds(0)), [this, alive = m_alive, submission] {
+        if (*alive) {
+            finish(submission, RouteOutcome::Unavailable);
+        }
+    });
     trySubmit(submission);
 }
 
+void JobRouter::finish(const std::shared_ptr<Submission> &submission, RouteOutcome outcome)
+{
+    if (submission->isFinished()) {
+        return;
+    }
+    const bool reportsNoEffect = outcome == RouteOutcome::Refused || outcome == RouteOutcome::Unavailable;
+    const bool mayTakeEffect = m_unsettled.mayBeAccepted(submission->record.specification.id);
+    std::exchange(submission->handler, nullptr)(reportsNoEffect && mayTakeEffect ? RouteOutcome::Unknown : outcome);
+}
+
 void JobRouter::trySubmit(const std::shared_ptr<Submission> &submission)
 {
+    const std::string &id = submission->record.specification.id;
     PartitionLeader *leader = m_environment.ownership.leader(submission->partition);
     if (leader != nullptr) {
-        submission->inFlight = true;
+        m_unsettled.sent(id);
         const auto placement = submission->redirected ? PartitionLeader::Placement::ThisPartition
                                                       : PartitionLeader::Placement::AnyPartition;
         leader->submit(submission->record, placement, [this, alive = m_alive, submission](const AcceptResult &result) {
@@ -163,20 +188,19 @@
         submission->body = serialize(submission->record);
     }
     const std::string target = submission->redirected ? "/jobs?placement=here" : "/jobs";
-    submission->inFlight = true;
+    m_unsettled.sent(id);
     const bool sent = callOwner(submission->partition, "POST", target, submission->body,
         [this, submission](const HttpAnswer &answer) { onSubmitAnswer(submission, answer); });
     if (!sent) {
-        submission->inFlight = false;
+        m_unsettled.answered(id, UnsettledSubmissions::Effect::None);
         retrySubmit(submission);
     }
 }
 
 void JobRouter::onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer)
 {
-    submission->inFlight = false;
+    m_unsettled.answered(submission->record.specification.id, effectOf(answer));
     if (answer.delivery != Delivery::Answered) {
-        submission->uncertain = submission->uncertain || answer.delivery == Delivery::Lost;
         retrySubmit(submission);
         return;
     }
@@ -184,7 +208,7 @@
     case HttpStatus::Ok:
     case HttpStatus::Conflict: {
         cacheHome(submission->record.specification.id, textMember(answer.body, "partition"));
-        submission->finish(RouteOutcome::Done);
+        finish(submission, RouteOutcome::Done);
         return;
     }
     case HttpStatus::SeeOther:
@@ -192,16 +216,12 @@
         return;
     case HttpStatus::BadRequest:
     case HttpStatus::TooManyRequests:
-        submission->finish(RouteOutcome::Refused);
+        finish(submission, RouteOutcome::Refused);
         return;
     case HttpStatus::ServiceUnavailable:
-        submission->finish(RouteOutcome::Unavailable);
-        return;
-    case HttpStatus::MisdirectedRequest:
-        retrySubmit(submission);
+        finish(submission, RouteOutcome::Unavailable);
         return;
     default:
-        submission->uncertain = true;
         retrySubmit(submission);
     }
 }
@@ -225,7 +245,7 @@
     }
     const Instant now = m_environment.clock.now();
     if (now + RetryPeriod >= submission->deadline) {
-        submission->finish(RouteOutcome::Unavailable);
+        finish(submission, RouteOutcome::Unavailable);
         return;
     }
     if (!submission->redirected) {
@@ -233,7 +253,7 @@
     }
     if (now - submission->submittedAt >= StoreFallbackDelay) {
         if (m_environment.isStoreUnavailable()) {
-            submission->finish(RouteOutcome::Unavailable);
+            finish(submission, RouteOutcome::Unavailable);
         } else {
             submitThroughStore(submission);
         }
@@ -257,25 +277,26 @@
         {JobKeys::inboxSubmission(partition, id), serialize(InboxEntry {InboxRequest::Submit, id, submission->record}),
             std::nullopt, 0}};
     m_environment.log("job-submitted-without-owner", id, {{"partition", partition}});
-    submission->inFlight = true;
+    m_unsettled.sent(id);
     m_environment.store.commit(
         std::move(transaction), [this, alive = m_alive, submission](const Result<StoreTransactionResult> &result) {
             if (!*alive) {
                 return;
             }
-            submission->inFlight = false;
+            const std::string &job = submission->record.specification.id;
             const auto *commit = std::get_if<StoreTransactionResult>(&result);
             if (commit != nullptr) {
-                const std::string &job = submission->record.specification.id;
+                m_unsettled.answered(job, UnsettledSubmissions::Effect::Accepted);
                 cacheHome(job, commit->committed ? submission->partition : commit->currentEntries.front().value);
-                submission->finish(RouteOutcome::Done);
+                finish(submission, RouteOutcome::Done);
                 return;
             }
             if (errorOf(result)->kind == ErrorKind::Overloaded) {
-                submission->finish(RouteOutcome::Unavailable);
+                m_unsettled.answered(job, UnsettledSubmissions::Effect::None);
+                finish(submission, RouteOutcome::Unavailable);
                 return;
             }
-            submission->uncertain = true;
+            m_unsettled.answered(job, UnsettledSubmissions::Effect::Unknown);
             retrySubmit(submission);
         });
 }
@@ -328,6 +349,7 @@
             readHome(request);
             return;
         }
+        request->isOwnerUnclear = !answered || answer.status != HttpStatus::MisdirectedRequest;
         serveFromStore(request);
     };
     PartitionLeader *leader = m_environment.ownership.leader(request->partition);
@@ -341,15 +363,17 @@
         return;
     }
     if (leader != nullptr) {
-        leader->cancel(request->job, [this, alive = m_alive, request](bool known) {
+        using CancelOutcome = PartitionLeader::CancelOutcome;
+        leader->cancel(request->job, [this, alive = m_alive, request](CancelOutcome outcome) {
             if (!*alive) {
                 return;
             }
-            if (known) {
+            if (outcome == CancelOutcome::Recorded) {
                 finishRequest(request, RouteOutcome::Done, JobPhase::Cancelled);
-            } else {
-                readHome(request);
+                return;
             }
+            request->isOwnerUnclear = outcome == CancelOutcome::Unknown;
+            readHome(request);
         });
         return;
     }
@@ -376,7 +400,11 @@
                 return;
             }
             if (!*entry) {
-                finishRequest(request, RouteOutcome::NotFound, JobPhase::Pending);
+                // Whoever cancels a job that does not exist relies on it that the job never runs.
+                const bool mayBeAccepted = m_unsettled.mayBeAccepted(request->job)
+                    || (request->isOwnerUnclear && request->method == "DELETE");
+                finishRequest(
+                    request, mayBeAccepted ? RouteOutcome::Unknown : RouteOutcome::NotFound, JobPhase::Pending);
                 return;
             }
             request->homeRead = true;
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -2,6 +2,7 @@
 
 #include "http/HttpClient.h"
 #include "tenure/PartitionOwnership.h"
+#include "tenure/UnsettledSubmissions.h"
 
 #include <deque>
 #include <unordered_map>
@@ -68,6 +69,8 @@
     [[nodiscard]] bool callOwner(const std::string &partition, const std::string &method, const std::string &target,
         std::string body, AnswerHandler handler);
     void trySubmit(const std::shared_ptr<Submission> &submission);
+    // Tells the outcome, unless that was done before. No job is reported as refused that may still be accepted.
+    void finish(const std::shared_ptr<Submission> &submission, RouteOutcome outcome);
     void onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer);
     void followRedirect(const std::shared_ptr<Submission> &submission, const std::string &answer);
     void retrySubmit(const std::shared_ptr<Submission> &submission);
@@ -82,6 +85,7 @@
     Environment m_environment;
     std::unordered_map<std::string, std::string> m_homes;
     std::deque<std::string> m_homeOrder;
+    UnsettledSubmissions m_unsettled;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -148,14 +148,29 @@
     });
 }
 
-void PartitionLeader::cancel(const std::string &id, std::function<void(bool)> handler)
+void PartitionLeader::cancel(const std::string &id, std::function<void(CancelOutcome)> handler)
 {
     const JobState *job = m_jobScheduler.find(id);
-    if (job == nullptr || job->ownedElsewhere) {
-        handler(false);
+    if (job != nullptr && !job->ownedElsewhere) {
+        cancelLocally(*job, [handler = std::move(handler)](bool) { handler(CancelOutcome::Recorded); });
+        return;
+    }
+    if (!m_submissions.contains(id)) {
+        handler(CancelOutcome::NotOwned);
+        return;
+    }
+    if (m_journal.isStoreUnavailable()) {
+        // It is unknown when the store will answer. A cancellation in the inbox waits as long.
+        handler(CancelOutcome::Unknown);
         return;
     }
-    cancelLocally(*job, std::move(handler));
+    m_submissions.add(id, [this, id, handler = std::move(handler)](const AcceptResult &result) {
+        if (result.outcome == AcceptOutcome::Unknown) {
+            handler(CancelOutcome::Unknown);
+        } else {
+            cancel(id, handler);
+        }
+    });
 }
 
 void PartitionLeader::cancelLocally(const JobState &job, std::function<void(bool)> handler)
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -63,9 +63,16 @@
     using SubmitHandler = PendingSubmissions::Handler;
     void submit(JobRecord record, Placement placement, SubmitHandler handler);
 
-    // Calls the handler with true once the cancellation is recorded, or with false if this partition does not own the
-    // job.
-    void cancel(const std::string &id, std::function<void(bool)> handler);
+    enum class CancelOutcome {
+        // The store has the cancellation.
+        Recorded,
+        // This partition does not own the job.
+        NotOwned,
+        // The job may still be accepted, and the outcome of its submission will not be known soon.
+        Unknown,
+    };
+    // Cancels a job, also one whose submission is under way.
+    void cancel(const std::string &id, std::function<void(CancelOutcome)> handler);
 
     // Returns the phase that callers may see, or nothing if this partition does not own the job. An end that is not
     // recorded yet is reported as Running.
