Daemon: Send no unanswered store call again through another instance

Leases were created twice.

Change: a call that may not be sent again and that may have been carried out (no answer, or a status other than 503) is answered as it is. Later ones are relayed at once until the store answers this instance directly, so that a sender who repeats its call waits for one timeout and not for two. A relay that was not heard counts as lost, and the call is not sent directly then. HttpStore marks renewals of leases as idempotent, so they are still relayed at once.

--- a/source/daemon/StoreClient.h
+++ b/source/daemon/StoreClient.h
@@ -12,7 +12,8 @@
 {
 
 // Sends calls to the store. When the store does not answer, relays the call once through another instance of the data
-// centre that can reach it. Counts every call in the metrics. Used on the control thread.
+// centre that can reach it. A call that may not be sent again is lost then if it may have been carried out; the next
+// one is relayed at once. Counts every call in the metrics. Used on the control thread.
 class StoreClient final : public HttpClient
 {
 public:
@@ -40,11 +41,13 @@
 
 private:
     void sendDirect(HttpCall call, Handler handler);
-    void relay(const HttpCall &call, HttpAnswer failure, Handler handler);
+    void relay(const HttpCall &call, Handler handler);
     [[nodiscard]] const Gossip *relayPeer() const;
 
     Context m_context;
     Instant m_lastAnswerAt;
+    // Whether the store did not answer the last direct call.
+    bool m_hasFailed = false;
 };
 
 }
--- a/source/store/HttpStore.cpp
+++ b/source/store/HttpStore.cpp
@@ -185,7 +185,10 @@
 
 void HttpStore::renewLease(LeaseIdentifier lease, Handler<std::monostate> handler)
 {
-    sendWithoutResult(createCall("POST", "/v1/leases/" + std::to_string(lease)), std::move(handler));
+    HttpCall call = createCall("POST", "/v1/leases/" + std::to_string(lease));
+    // A lease that is renewed twice lasts a little longer, and one that is renewed too late is lost.
+    call.isIdempotent = true;
+    sendWithoutResult(std::move(call), std::move(handler));
 }
 
 void HttpStore::revokeLease(LeaseIdentifier lease, Handler<std::monostate> handler)
