Scheduling: Expect a late acknowledgement after later requests were answered

A task that was done would run again: a request that acknowledged ends of a worker got no answer, the worker answered the next requests and restarted under its name, and its next incarnation carried the first request out and forgot ends with the same numbers that nobody had read.

Cause: the pause before new starts on the next incarnation was kept only while the last request was unanswered. An answer to a later request says nothing about an earlier one, which may be carried out seconds later.

Change: the owner remembers until when an unanswered acknowledgement may be carried out, and starts nothing on a worker that has restarted before then. Since the client puts each request on the wire once, it knows of all of them. A restart after unanswered requests that acknowledged nothing leads to no pause any more.

Evidence: LateAcknowledgement.reachesNoEndOfTheNextIncarnationAfterLaterRequestsWereAnswered failed before (four tasks were started after their noted ends); the tests of LateOrder still pass.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -41,7 +41,7 @@
 constexpr Milliseconds StallTimeout {1'800};
 // How long after the expiry of its leases the owner waits for the run ends of a worker that the platform still lists.
 constexpr Milliseconds LongestEndWait {10'000};
-// How long after a worker's last answer it may still carry out a request that was sent next and got no answer.
+// How long after it was sent a worker may still carry out a request that got no answer.
 constexpr Milliseconds LongestLateCall {6'000};
 
 }
@@ -188,6 +188,9 @@
     worker->reportPending = false;
     worker->lastAnswer = m_environment.clock.now();
     if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
+        if (*outcome == OrderOutcome::Unknown && worker->sentAcknowledgement > 0) {
+            worker->lateAcknowledgementUntil = sentAt + LongestLateCall;
+        }
         onReportFailed(*worker, address, *outcome);
         return;
     }
@@ -198,12 +201,10 @@
     // A request that acknowledges ends of the former incarnation would make the next one forget unread ends with the
     // same numbers.
     const std::int64_t formerIncarnation = worker->incarnation;
-    const bool isAcknowledgementOpen
-        = worker->consecutiveUnanswered > 0 && worker->recordedEnd > worker->acknowledgedEnd;
     worker->consecutiveUnanswered = 0;
     applyReport(*worker, std::get<RunReport>(result), sentAt);
-    if (isAcknowledgementOpen && worker->incarnation != formerIncarnation) {
-        worker->quarantinedUntil = std::max(worker->quarantinedUntil, worker->lastContact + LongestLateCall);
+    if (worker->incarnation != formerIncarnation) {
+        worker->quarantinedUntil = std::max(worker->quarantinedUntil, worker->lateAcknowledgementUntil);
     }
     worker->lastContact = m_environment.clock.now();
     if (address == worker->listing.address) {
