--- a/source/settings/NodeSettings.cpp
+++ b/source/settings/NodeSettings.cpp
@@ -151,6 +151,7 @@
     settings.callers = reader.endpoint("listen", "callers");
     settings.readiness = reader.endpoint("listen", "readiness");
     settings.peers = reader.endpoint("listen", "peers");
+    settings.advertisedPeers = reader.optionalEndpoint("listen", "advertised_peers").value_or(settings.peers);
     settings.metrics = reader.endpoint("listen", "metrics");
     settings.store = reader.endpoint("store", "address");
     settings.advisor = reader.optionalEndpoint("advisor", "address");
--- a/source/settings/NodeSettings.h
+++ b/source/settings/NodeSettings.h
@@ -39,6 +39,8 @@
     Endpoint callers;
     Endpoint readiness;
     Endpoint peers;
+    // Where other instances reach the listener for peers.
+    Endpoint advertisedPeers;
     Endpoint metrics;
     Endpoint store;
     // The service that knows which workers may run a step; nothing where no queue needs it.
--- a/source/settings/tests/NodeSettingsTest.cpp
+++ b/source/settings/tests/NodeSettingsTest.cpp
@@ -46,6 +46,29 @@
     EXPECT_EQ(settings.workerLease, Milliseconds(6'000));
     EXPECT_EQ(settings.statusRetention, Milliseconds(120'000));
     EXPECT_EQ(settings.peers, (Endpoint {"127.0.0.1", 7720}));
+    EXPECT_EQ(settings.advertisedPeers, settings.peers);
+}
+
+TEST(NodeSettings, mayAdvertiseAnotherAddressForPeers)
+{
+    std::string text = Valid;
+    text.insert(text.find("metrics ="), "advertised_peers = \"192.0.2.1:7721\"\n");
+    const auto parsed = parseNodeSettings(text, "node.toml");
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(parsed));
+    const auto &settings = std::get<NodeSettings>(parsed);
+    EXPECT_EQ(settings.peers, (Endpoint {"127.0.0.1", 7720}));
+    EXPECT_EQ(settings.advertisedPeers, (Endpoint {"192.0.2.1", 7721}));
+}
+
+TEST(NodeSettings, rejectAnAdvertisedAddressWithoutPort)
+{
+    std::string text = Valid;
+    text.insert(text.find("metrics ="), "advertised_peers = \"192.0.2.1\"\n");
+    const auto parsed = parseNodeSettings(text, "node.toml");
+    const auto *errors = std::get_if<std::vector<Error>>(&parsed);
+    ASSERT_NE(errors, nullptr);
+    ASSERT_EQ(errors->size(), 1U);
+    EXPECT_NE(errors->front().detail.find("listen.advertised_peers"), std::string::npos);
 }
 
 TEST(NodeSettings, nameEveryFaultWithItsRemedy)
