History: Reset connections between instances and workers

The rig played the faults of workers inside the stand-in, where an answer that is not sent ends in a timeout. No connection between an instance and a worker ever broke, so that it could not see calls that the client library sends again.

Each worker registers a relay now, and relays stand in front of each instance's listeners for peers and callers. A relay holds data back, and resets all of its open connections again and again at random gaps. PlatformLinks keeps the relays of a kind, applies orders to them, and counts the connections that they accepted and reset. New sequences: "connections-reset" (20 to 80 ms each way to workers; half of the workers reject three calls in ten, and half of these lose their connections every 0.1 to 0.4 s for 8 s, then a second of calm), "all-connections-reset" (also those of peers, callers and to the store) and "delays" (the same delays and nothing else, to compare costs). A run prints the processor time of its instances.

--- a/standins/FaultyRelay.cpp
+++ b/standins/FaultyRelay.cpp
@@ -1,7 +1,6 @@
 #include "FaultyRelay.h"
 
 #include <array>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 namespace Wagtail
@@ -53,12 +52,17 @@
         m_silent = true;
     }
 
-    void reset()
+    // Returns whether the connection was open.
+    bool reset()
     {
+        if (!m_requests.source.is_open()) {
+            return false;
+        }
         asio::error_code ignored;
         m_requests.source.set_option(asio::socket_base::linger(true, 0), ignored);
         m_answers.source.set_option(asio::socket_base::linger(true, 0), ignored);
         close();
+        return true;
     }
 
 private:
@@ -147,7 +151,11 @@
 };
 
 FaultyRelay::FaultyRelay(asio::io_context &context, std::uint16_t port, std::uint16_t targetPort)
-    : m_context(context), m_acceptor(context, loopback(port)), m_target(loopback(targetPort)), m_random(port)
+    : m_context(context)
+    , m_acceptor(context, loopback(port))
+    , m_target(loopback(targetPort))
+    , m_random(port)
+    , m_resetTimer(context)
 {
     accept();
 }
@@ -158,6 +166,7 @@
         if (error) {
             return;
         }
+        ++m_counts.accepted;
         std::erase_if(m_connections, [](const auto &connection) { return connection.expired(); });
         auto connection = std::make_shared<Connection>(m_context, std::move(socket), m_faults, m_random);
         m_connections.push_back(connection);
@@ -169,17 +178,40 @@
 void FaultyRelay::setFaults(const Faults &faults)
 {
     m_faults = faults;
+    resetAfterGap();
+}
+
+void FaultyRelay::resetAfterGap()
+{
+    m_resetTimer.cancel();
+    if (m_faults.mostResetGap.count() == 0) {
+        return;
+    }
+    m_resetTimer.expires_after(Milliseconds(std::uniform_int_distribution<std::int64_t>(
+        m_faults.leastResetGap.count(), m_faults.mostResetGap.count())(m_random)));
+    m_resetTimer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            resetConnections();
+            resetAfterGap();
+        }
+    });
 }
 
 void FaultyRelay::resetConnections()
 {
     for (const auto &known : m_connections) {
-        if (const auto connection = known.lock()) {
-            connection->reset();
+        const auto connection = known.lock();
+        if (connection && connection->reset()) {
+            ++m_counts.reset;
         }
     }
 }
 
+const FaultyRelay::Counts &FaultyRelay::counts() const
+{
+    return m_counts;
+}
+
 void FaultyRelay::silenceConnections(std::size_t every)
 {
     std::size_t index = 0;
--- a/standins/FaultyRelay.h
+++ b/standins/FaultyRelay.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -24,6 +25,16 @@
         Milliseconds delaySpread {0};
         bool requestsCut = false;
         bool answersCut = false;
+        // All open connections are reset again and again, after random gaps within these bounds. No bound, no resets.
+        Milliseconds leastResetGap {0};
+        Milliseconds mostResetGap {0};
+    };
+
+    struct Counts
+    {
+        std::uint64_t accepted = 0;
+        // Open connections that were reset.
+        std::uint64_t reset = 0;
     };
 
     FaultyRelay(asio::io_context &context, std::uint16_t port, std::uint16_t targetPort);
@@ -33,17 +44,21 @@
     void resetConnections();
     // Every n-th open connection delivers nothing more, without a reset.
     void silenceConnections(std::size_t every);
+    [[nodiscard]] const Counts &counts() const;
 
 private:
     class Connection;
 
     void accept();
+    void resetAfterGap();
 
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
     asio::ip::tcp::endpoint m_target;
     Faults m_faults;
+    Counts m_counts;
     std::mt19937_64 m_random;
+    asio::steady_timer m_resetTimer;
     std::vector<std::weak_ptr<Connection>> m_connections;
 };
 
--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -34,6 +34,7 @@
     , m_ledger(clock)
     , m_gangs(clock)
     , m_api(context, clock, m_settings.limits, m_settings.seed)
+    , m_links(context)
     , m_timer(context)
 {
 }
@@ -58,15 +59,20 @@
     };
     for (int i = 0; i < m_settings.instances; ++i) {
         const auto port = static_cast<std::uint16_t>(m_settings.linkPort + i);
-        m_links.push_back(std::make_unique<FaultyRelay>(m_context, port, m_settings.storePort));
+        m_links.add("store", port, m_settings.storePort);
+    }
+    for (const Relay &relay : m_settings.relays) {
+        m_links.add(relay.kind, relay.port, relay.targetPort);
     }
     Status status = listen(m_settings.storePort, onStoreCall);
     for (int i = 0; i < m_settings.workers && errorOf(status) == nullptr; ++i) {
         addWorker(i);
         PlatformWorker &worker = *m_machines.back().worker;
-        status = listen(static_cast<std::uint16_t>(m_settings.workerPort + i),
-            [&worker](
-                const HttpRequest &request, const HttpServer::Responder &respond) { worker.handle(request, respond); });
+        const auto port = static_cast<std::uint16_t>(m_settings.workerPort + i);
+        m_links.add("worker", static_cast<std::uint16_t>(m_settings.workerLinkPort + i), port);
+        status = listen(port, [&worker](const HttpRequest &request, const HttpServer::Responder &respond) {
+            worker.handle(request, respond);
+        });
     }
     if (errorOf(status) == nullptr) {
         status = listen(m_settings.controlPort, onControl);
@@ -79,7 +85,7 @@
 {
     PlatformWorker::Settings settings;
     settings.name = "worker-" + std::to_string(index);
-    settings.address = "127.0.0.1:" + std::to_string(m_settings.workerPort + index);
+    settings.address = "127.0.0.1:" + std::to_string(m_settings.workerLinkPort + index);
     settings.dataCentre = m_settings.dataCentres[static_cast<std::size_t>(index) % m_settings.dataCentres.size()];
     settings.rack = settings.dataCentre + "-" + std::to_string(index / WorkersPerRack);
     settings.capacity = {WorkerMilliCores, WorkerMemoryMegabytes, 0};
@@ -125,7 +131,8 @@
         const auto draining = std::count_if(
             m_machines.begin(), m_machines.end(), [](const Machine &machine) { return machine.worker->isDraining(); });
         respond(answer(HttpStatus::Ok,
-            {{"limited_starts", m_ledger.limitedStarts()}, {"draining", draining}, {"ends", m_ledger.ends()}}));
+            {{"limited_starts", m_ledger.limitedStarts()}, {"draining", draining}, {"ends", m_ledger.ends()},
+                {"connections", m_links.counts()}}));
         return;
     }
     if (request.path == "/jobs") {
@@ -143,8 +150,8 @@
         changeStore(order);
     } else if (request.path == "/lease") {
         dropLease(order);
-    } else if (request.path == "/link") {
-        changeLink(order);
+    } else if (request.path == "/links") {
+        m_links.apply(order);
     } else if (request.path == "/workers") {
         changeWorkers(order);
     } else {
@@ -180,25 +187,6 @@
     }
 }
 
-void PlatformProgram::changeLink(const Json &order)
-{
-    const std::size_t index = memberOr(order, "link", std::size_t {0});
-    if (index >= m_links.size()) {
-        return;
-    }
-    FaultyRelay &link = *m_links[index];
-    link.setFaults({Milliseconds(memberOr(order, "delay_ms", std::int64_t {0})),
-        Milliseconds(memberOr(order, "delay_spread_ms", std::int64_t {0})), memberOr(order, "requests_cut", false),
-        memberOr(order, "answers_cut", false)});
-    if (memberOr(order, "reset", false)) {
-        link.resetConnections();
-    }
-    const std::size_t every = memberOr(order, "silence_every", std::size_t {0});
-    if (every > 0) {
-        link.silenceConnections(every);
-    }
-}
-
 void PlatformProgram::changeWorkers(const Json &order)
 {
     PlatformWorker::Faults faults;
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -7,7 +7,8 @@
 #include <sstream>
 
 // Runs the stand-in of the platform: --control=PORT, --store=PORT, --links=PORT (one for each of --instances=N),
-// --worker-ports=PORT (one for each of --workers=N), --data-centres=A,B, --lease-ms, --stop-ms, --seed, --writes,
+// --worker-ports=PORT and --worker-links=PORT (one for each of --workers=N), --relays=KIND:PORT:TARGET,...,
+// --data-centres=A,B, --lease-ms, --stop-ms, --seed, --writes,
 // --reads.
 int main(int count, char **arguments)
 {
@@ -23,6 +24,7 @@
     settings.storePort = port("store", "21001");
     settings.linkPort = port("links", "21010");
     settings.workerPort = port("worker-ports", "21100");
+    settings.workerLinkPort = port("worker-links", "21500");
     settings.instances = number("instances", "1");
     settings.workers = number("workers", "1");
     settings.longestLease = Wagtail::Milliseconds(number("lease-ms", "10000"));
@@ -34,6 +36,15 @@
     for (std::string name; std::getline(names, name, ',');) {
         settings.dataCentres.push_back(name);
     }
+    std::stringstream relays(Wagtail::optionOr(options, "relays", ""));
+    for (std::string text; std::getline(relays, text, ',');) {
+        std::stringstream fields(text);
+        Wagtail::PlatformProgram::Relay relay;
+        char separator = 0;
+        if (std::getline(fields, relay.kind, ':') && fields >> relay.port >> separator >> relay.targetPort) {
+            settings.relays.push_back(relay);
+        }
+    }
     Wagtail::startLog("platform", "info");
     asio::io_context context(1);
     const Wagtail::SystemClock clock;
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -22,9 +22,12 @@
 STOP_CHOICES_MS = [900, 200]
 GRACE_S = 6.0
 PORTS_PER_INSTANCE = 4
+# The ports of relays in front of an instance: for callers and for peers.
+RELAYS_PER_INSTANCE = 2
 REGIONS = ["wheatbelt", "coastal"]
 # The time from one region to the other.
 REGION_DELAY_MS = 30
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 def render(template, values):
@@ -63,7 +66,10 @@
         self.control = base_port
         self.links = base_port + 2
         self.node_ports = self.links + instances
-        self.worker_ports = self.node_ports + 2 * instances * PORTS_PER_INSTANCE
+        # Each instance has two blocks of ports.
+        self.relay_ports = self.node_ports + 2 * instances * PORTS_PER_INSTANCE
+        self.worker_ports = self.relay_ports + 2 * instances * RELAYS_PER_INSTANCE
+        self.worker_links = self.worker_ports + workers
         self.faults = []
         self.restarts = 0
         # When to start a process again that was ended, and when to kill one that was asked to end.
@@ -77,6 +83,7 @@
         self.former = []
         # Instances whose present process uses the second of its two blocks of ports.
         self.moved = set()
+        # The instances to which the balancer sends callers.
         self.rotation = []
         self.stopping = threading.Event()
 
@@ -88,13 +95,34 @@
 
     def port(self, index):
         """Returns the instance's port for callers; those for readiness, peers and metrics follow it."""
-        block = self.instances if index in self.moved else 0
-        return self.node_ports + PORTS_PER_INSTANCE * (index + block)
+        return self.node_ports + PORTS_PER_INSTANCE * self.block(index)
+
+    def block(self, index):
+        """Returns the number of the block of ports that the instance's present process uses."""
+        return index + (self.instances if index in self.moved else 0)
+
+    def caller_port(self, index):
+        """Returns the port of the relay in front of the instance's port for callers."""
+        return self.relay_ports + RELAYS_PER_INSTANCE * self.block(index)
+
+    def peer_port(self, index):
+        """Returns the port of the relay in front of the instance's port for peers."""
+        return self.caller_port(index) + 1
+
+    def relays(self):
+        """Returns the relays in front of all blocks of ports, as the stand-in reads them."""
+        relays = []
+        for block in range(2 * self.instances):
+            port = self.node_ports + PORTS_PER_INSTANCE * block
+            relay = self.relay_ports + RELAYS_PER_INSTANCE * block
+            relays += [f"caller:{relay}:{port}", f"peer:{relay + 1}:{port + 2}"]
+        return ",".join(relays)
 
     def start_platform(self):
         self.start("platform", "wagtail-standin-platform", [
             f"--control={self.control}", f"--store={self.control + 1}", f"--links={self.links}",
-            f"--worker-ports={self.worker_ports}", f"--instances={self.instances}",
+            f"--worker-ports={self.worker_ports}", f"--worker-links={self.worker_links}",
+            f"--relays={self.relays()}", f"--instances={self.instances}",
             f"--workers={self.worker_count}", f"--data-centres={','.join(self.zones)}", f"--lease-ms={self.lease_ms}",
             f"--stop-ms={self.stop_ms}",
             f"--seed={self.seed}", f"--writes={70 * self.instances}", f"--reads={340 * self.instances}"])
@@ -128,6 +156,7 @@
         with open(TEMPLATE, encoding="utf-8") as file:
             # The template gives all instances one port for their metrics, since each has a machine of its own.
             text = render(file.read(), values).replace("127.0.0.1:9464", f"127.0.0.1:{port + 3}")
+        text = text.replace("[listen]\n", f'[listen]\nadvertised_peers = "127.0.0.1:{self.peer_port(index)}"\n')
         path = os.path.join(self.folder, self.name(index) + ".toml")
         with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(text)
@@ -157,12 +186,13 @@
             for index in range(self.instances):
                 ready = call(self.port(index) + 1, "GET", "/-/ready", timeout=0.3)[0] == 200
                 misses[index] = 0 if ready else misses[index] + 1
-            self.rotation = [self.port(index) for index, missed in misses.items() if missed < 2]
+            self.rotation = [index for index, missed in misses.items() if missed < 2]
             self.stopping.wait(max(0.0, begin + 1.0 - time.time()))
 
     def caller_ports(self):
-        everyone = [self.port(index) for index in range(self.instances)]
-        return self.rotation if len(self.rotation) * 2 >= self.instances else everyone
+        rotation = self.rotation
+        return [self.caller_port(index)
+                for index in (rotation if len(rotation) * 2 >= self.instances else range(self.instances))]
 
     # The actions of a schedule.
 
@@ -172,7 +202,15 @@
     def do_link(self, link, **fault):
         # The store is in the first region.
         fault["delay_ms"] = fault.get("delay_ms", 0) + (REGION_DELAY_MS if self.region(link) != REGIONS[0] else 0)
-        call(self.control, "POST", "/link", {"link": link, **fault})
+        self.do_connections("store", [link], **fault)
+
+    def do_connections(self, kind, links, **fault):
+        """Changes all faults of the links of a kind: to the store, to workers, between peers or from callers."""
+        call(self.control, "POST", "/links", {"kind": kind, "links": links, **fault})
+
+    def do_instance_connections(self, kind, instances, **fault):
+        """Changes all faults of the links of peers or callers to instances."""
+        self.do_connections(kind, instances + [index + self.instances for index in instances], **fault)
 
     def do_workers(self, **fault):
         call(self.control, "POST", "/workers", fault)
@@ -308,6 +346,9 @@
         for index in range(self.instances):
             self.do_link(link=index)
             self.do_resume(index)
+        self.do_connections("worker", everyone)
+        for kind in ("peer", "caller"):
+            self.do_instance_connections(kind, list(range(self.instances)))
 
     def violations(self):
         return document(call(self.control, "GET", "/violations", timeout=30))
@@ -318,6 +359,16 @@
     def runs_of_jobs(self):
         return document(call(self.control, "GET", "/jobs", timeout=30))
 
+    def processor_s(self):
+        """Returns the processor time that the present process of each kind has used: all instances, and the platform."""
+        used = {"instances": 0.0, "platform": 0.0}
+        for name, process in self.processes.items():
+            with open(f"/proc/{process.pid}/stat", encoding="ascii") as file:
+                fields = file.read().rpartition(")")[2].split()
+            # User and system time are the 14th and 15th field of the file, and the first two are not in the list.
+            used["platform" if name == "platform" else "instances"] += (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+        return used
+
     def close(self):
         self.stopping.set()
         for _, process, _, _ in self.former:
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -6,6 +6,14 @@
 # For so long a worker goes on at least after the store knows that it drains.
 DRAIN_MS = 3_000
 LONGEST_DELAY_MS = 12_000
+# Pieces of data that pass a link between instances and workers, peers or callers are held for so long, each way.
+PATH_DELAY = {"delay_ms": 20, "delay_spread_ms": 60}
+# All connections of a broken link are reset again and again, after such gaps.
+RESETS = {"least_reset_gap_ms": 100, "most_reset_gap_ms": 400}
+RESETS_S = 8.0
+CALM_S = 1.0
+# The usual time from the end of a sequence to its next beginning.
+USUAL_GAP_S = (6.0, 8.0)
 
 
 class Schedule:
@@ -29,8 +37,9 @@
             self.add_configurations()
             self.add_late_orders()
             self.add_revocations()
+            self.add_resets()
         else:
-            self.repeat(SEQUENCES[sequence])
+            self.repeat(SEQUENCES[sequence], *GAPS_S.get(sequence, USUAL_GAP_S))
         self.events.sort(key=lambda event: event[0])
 
     def add(self, at, action, **arguments):
@@ -47,11 +56,12 @@
             at += self.random.expovariate(1 / mean_gap)
         return times
 
-    def repeat(self, sequence):
-        """Adds the sequence from the warm-up to the end. It takes the time at which it begins and returns its end."""
+    def repeat(self, sequence, least_gap_s, most_gap_s):
+        """Adds the sequence from the warm-up to the end, with gaps between. It takes the time at which it begins and
+        returns its end."""
         at = WARM_UP_S
         while at < self.seconds:
-            at = sequence(self, at) + self.random.uniform(6.0, 8.0)
+            at = sequence(self, at) + self.random.uniform(least_gap_s, most_gap_s)
 
     def add_store_faults(self):
         """Alternates series of outages, which expire all leases, with milder faults."""
@@ -331,8 +341,65 @@
         return at
 
 
+    def some(self, count, share):
+        """Returns the numbers of a share of so many things, at least one."""
+        return sorted(self.random.sample(range(count), max(1, int(count * share))))
+
+    def add_resets(self):
+        """Resets the connections of some links of one kind again and again."""
+        for at in self.times(5.0):
+            for_s = self.random.uniform(1.0, RESETS_S)
+            delay = self.random.choice([{}, PATH_DELAY])
+            kind = self.random.choice(["worker", "worker", "peer", "caller"])
+            share = self.random.choice([0.05, 0.2, 0.5])
+            if kind == "worker":
+                workers = self.some(self.workers, share)
+                self.add(at, "connections", kind=kind, links=workers, **delay, **RESETS)
+                self.add(at + for_s, "connections", kind=kind, links=workers)
+            else:
+                instances = self.some(self.instances, share)
+                self.add(at, "instance_connections", kind=kind, instances=instances, **delay, **RESETS)
+                self.add(at + for_s, "instance_connections", kind=kind, instances=instances)
+
+    def add_delays(self, at):
+        """Delays what passes between instances and workers, and nothing else."""
+        self.add(at, "connections", kind="worker", links=list(range(self.workers)), **PATH_DELAY)
+        return at + RESETS_S
+
+    def add_connections_reset(self, at):
+        """Half of the workers reject three calls in ten, and half of these lose their connections again and again."""
+        self.add_delays(at)
+        refusing = self.some(self.workers, 0.5)
+        broken = sorted(self.random.sample(refusing, max(1, len(refusing) // 2)))
+        self.add(at, "workers", workers=refusing, refuse=0.3)
+        self.add(at, "connections", kind="worker", links=broken, **PATH_DELAY, **RESETS)
+        end = at + RESETS_S
+        self.add(end, "workers", workers=refusing)
+        self.add(end, "connections", kind="worker", links=broken, **PATH_DELAY)
+        return end
+
+    def add_all_connections_reset(self, at):
+        """The same, while half of the instances lose the connections of their peers, their callers and their own to the
+        store."""
+        everyone = list(range(self.instances))
+        for kind in ("peer", "caller"):
+            broken = self.some(self.instances, 0.5)
+            self.add(at, "instance_connections", kind=kind, instances=everyone, **PATH_DELAY)
+            self.add(at, "instance_connections", kind=kind, instances=broken, **PATH_DELAY, **RESETS)
+            self.add(at + RESETS_S, "instance_connections", kind=kind, instances=broken, **PATH_DELAY)
+        for instance in self.some(self.instances, 0.5):
+            self.add(at, "link", link=instance, **RESETS)
+            self.add(at + RESETS_S, "link", link=instance)
+        return self.add_connections_reset(at)
+
+
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
              "processes-beside-former": Schedule.add_processes_beside_former,
              "all-instances-killed": Schedule.add_all_instances_killed,
-             "lagging-starts": Schedule.add_lagging_starts}
+             "lagging-starts": Schedule.add_lagging_starts,
+             "delays": Schedule.add_delays,
+             "connections-reset": Schedule.add_connections_reset,
+             "all-connections-reset": Schedule.add_all_connections_reset}
+# The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
+GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S)}
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -95,6 +95,7 @@
         deployment.supervise()
         time.sleep(STEP_S)
     jobs = deployment.runs_of_jobs()
+    used_s = deployment.processor_s()
     faults = check_runs(deployment.violations()) + check_jobs(callers.jobs, jobs) + deployment.faults
     faults += check_cancelled(callers.jobs, jobs, calm_at) + check_lasting(callers.jobs, jobs) + callers.failures
     accepted = sum(1 for job in callers.jobs if job.accepted_at)
@@ -104,6 +105,8 @@
           f"{counts['limited_starts']} with a limit per worker, ends {json.dumps(counts['ends'])}, "
           f"{deployment.restarts} restarts, all over {calm_s:.1f} s after the last fault, {len(faults)} violations",
           flush=True)
+    print(f"processor time {used_s['instances']:.1f} s of the running instances, {used_s['platform']:.1f} s of the "
+          f"platform; connections {json.dumps(counts['connections'])}", flush=True)
     return faults
 
 
