--- a/source/daemon/StoreClient.cpp
+++ b/source/daemon/StoreClient.cpp
@@ -78,8 +78,8 @@
             handler(std::move(answer));
             return;
         }
-        relay(copy, [answer = std::move(answer), handler](HttpAnswer relayed) {
-            handler(storeAnswered(relayed) ? std::move(relayed) : answer);
+        relay(copy, [answer = std::move(answer), handler](const HttpAnswer &relayed) {
+            handler(storeAnswered(relayed) ? relayed : answer);
         });
     });
 }
