Scheduling: Log for which place a task is evacuated and since when a step waits

By the lines so far it can't be told whether several tasks are stopped for one place, nor whether a step that waits has begun to wait under the present owner. Behaviour is as before.

--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -112,8 +112,13 @@
         return;
     }
     step.lastWaitLogAt = now;
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now - *step.unplacedSince);
+    const auto termAge = std::chrono::duration_cast<Milliseconds>(now - m_startedAt);
     Json inputs = describe(surveyPlacement(m_workers, step, now));
     inputs["waiting"] = step.waitingCount;
+    inputs["waited_ms"] = waited.count();
+    inputs["term_age_ms"] = termAge.count();
+    inputs["delegated_here"] = step.occurrence->job->ownedElsewhere;
     inputs["step"] = step.number;
     inputs["lasting"] = step.specification().longRunning;
     inputs["reserved"] = m_reservedWorkers.size();
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -387,7 +387,8 @@
         const Milliseconds remaining = step.estimate * (100 - task->percent) / 100;
         const bool outlasts = step.longRunning || remaining > timeLeft;
         const bool worthMoving = step.longRunning || step.checkpoints || task->percent < CheapRestartPercent;
-        if (!outlasts || !worthMoving || choose(*task->step, *task) == nullptr) {
+        const WorkerState *place = outlasts && worthMoving ? choose(*task->step, *task) : nullptr;
+        if (place == nullptr) {
             continue;
         }
         // The tasks of one step are moved within its disruption budget as long as there is time.
@@ -395,7 +396,8 @@
             continue;
         }
         m_environment.listener.logDecision("run-evacuated", nameOf(*task).text(),
-            {{"worker", worker.listing.name}, {"percent", task->percent}, {"drained_ms", drained.count()}});
+            {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent},
+                {"drained_ms", drained.count()}, {"place", place->listing.name}});
         beginStop(*task);
     }
 }
