--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -120,9 +120,9 @@
     inputs["term_age_ms"] = termAge.count();
     inputs["delegated_here"] = step.occurrence->job->ownedElsewhere;
     inputs["step"] = step.number;
-    inputs["lasting"] = step.specification().longRunning;
     inputs["reserved"] = m_reservedWorkers.size();
-    m_environment.listener.logDecision("tasks-waiting", step.occurrence->job->specification.id, inputs);
+    const std::string_view event = step.specification().longRunning ? "lasting-tasks-waiting" : "tasks-waiting";
+    m_environment.listener.logDecision(event, step.occurrence->job->specification.id, inputs);
 }
 
 void JobScheduler::reserveWorkers(const StepState &step, int count)
@@ -193,7 +193,9 @@
     }
     const JobState &job = *step.occurrence->job;
     const auto age = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - job.acceptedAt);
-    m_environment.listener.logDecision("tasks-placed", job.specification.id,
+    // The lines of an event are limited by rate. Batch steps must not displace those of the few long-running ones.
+    const std::string_view event = step.specification().longRunning ? "lasting-tasks-placed" : "tasks-placed";
+    m_environment.listener.logDecision(event, job.specification.id,
         {{"occurrence", step.occurrence->number}, {"step", step.number}, {"age_ms", age.count()},
             {"waiting", step.waitingCount}, {"runs", std::move(runs)}});
 }
