Scheduling: Stop evacuated tasks only when their next place is held for them

Cause: an evacuation stopped a task if any worker would take it at that moment. Nothing counted that place until the stop had ended, so several tasks were stopped for one place, and batch tasks took it too. Evacuations were decided with the worker's next report, up to 2 s of its 3 s after the notice. A worker that drained already when its owner's term began counted as if it had all its time left.

Change: a place is held for a task (HeldPlaces) before it is stopped. Free room, the limit per worker and the headroom that other partitions see count held places, and the headroom also counts tasks on draining workers that have none. If no place is free, one is held on a worker whose batch tasks leave room. Places are released when the task ends otherwise, the worker can't be used any more, or after 3 s. Waiting tasks are placed first.

--- /dev/null
+++ b/source/scheduling/HeldPlaces.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/Clock.h"
+#include "scheduling/JobState.h"
+
+#include <map>
+
+namespace Wagtail
+{
+
+// The places on one worker that are held for tasks on their way from other workers. A task is stopped there only when
+// its next place is held, and until it arrives nothing else may take that place.
+class HeldPlaces
+{
+public:
+    // Holds a place for the next run of the task until the given time, or changes until when its place is held.
+    void hold(const TaskState &task, Instant until);
+
+    // Releases the place of the task. Has no effect if it has none here.
+    void release(const TaskName &task);
+
+    // Returns the tasks that have a place, with the times until which the places are held.
+    [[nodiscard]] std::map<TaskName, Instant> tasks() const;
+
+    [[nodiscard]] bool isEmpty() const;
+
+    // Returns how many places are held for tasks of the step.
+    [[nodiscard]] int countOf(const StepState &step) const;
+
+    // Returns the resources of all places.
+    [[nodiscard]] const Resources &resources() const;
+
+    // Returns the part of them that is held for long-running tasks.
+    [[nodiscard]] const Resources &resourcesOfLongRunning() const;
+
+private:
+    struct Place
+    {
+        Instant until;
+        Resources resources;
+        bool longRunning = false;
+    };
+
+    std::map<TaskName, Place> m_places;
+    Resources m_resources;
+    Resources m_resourcesOfLongRunning;
+};
+
+}
--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -350,6 +350,7 @@
         requestReport(worker);
         ++entry;
     }
+    m_evacuationDue = true;
     dispatchSoon();
 }
 
@@ -437,7 +438,8 @@
 {
     const Instant now = m_environment.clock.now();
     if (worker.listed || worker.mayBeListedAgain(now) || worker.hasUnrecordedEnds() || !worker.tasks.empty()
-        || !worker.lostRuns.empty() || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
+        || !worker.lostRuns.empty() || !worker.heldPlaces.isEmpty()
+        || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     const std::optional<Instant> expiry = worker.leaseExpiry();
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -206,9 +206,6 @@
     [[nodiscard]] BackfillInterferenceModel &interferenceModel();
 
 private:
-    // A run whose progress is below this percentage is cheap to restart elsewhere.
-    static constexpr int CheapRestartPercent = 40;
-
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
@@ -271,8 +268,6 @@
     void requeueMissingRuns(WorkerState &worker, const std::set<RunName> &listed, Instant sentAt);
     void updateProgress(TaskState &task, const RunningTask &running);
     void moveStalledTasks(WorkerState &worker);
-    void evacuate(WorkerState &worker);
-    [[nodiscard]] static bool isDisruptionBudgetSpent(const StepState &step);
     void updateInterference(WorkerState &worker);
     void throttleBackfill(WorkerState &worker);
     void logTimeOverTarget(const TaskState &task);
@@ -294,6 +289,25 @@
     [[nodiscard]] bool mayGrantLease(const WorkerState &worker) const;
     [[nodiscard]] std::int64_t grantLease(WorkerState &worker);
     [[nodiscard]] BatchDemandEstimator batchDemand(const std::string &pool) const;
+    // Returns how many tasks of a step need a place that is not held for them: those that wait, and those on draining
+    // workers.
+    [[nodiscard]] int countWithoutPlace(const StepState &step) const;
+
+    // Evacuation
+    // Releases the places that can't be used or are not needed any more.
+    void reviewHeldPlaces();
+    // Places waiting tasks for which a place is held.
+    void placeHeldTasks(const RecoveryHolds &holds);
+    void placeHeldTask(TaskState &task, WorkerState &worker);
+    // Returns whether all places that are held on the worker of the task's next run are free.
+    [[nodiscard]] bool isHeldPlaceOpen(const TaskState &task) const;
+    // Holds a place for the next run of a task. Returns false if there is none.
+    bool holdPlace(TaskState &task, FailedPlacements &failedHolds);
+    // Returns the worker on which batch tasks are to make room for a long-running task, or null.
+    [[nodiscard]] WorkerState *chooseBusy(const StepState &step, const TaskState &task);
+    // Moves tasks off all draining workers. A task is stopped when its next place is held for it.
+    void evacuateWorkers();
+    void evacuate(WorkerState &worker, FailedPlacements &failedHolds);
 
     // Crashes
     // Whether the task may only be started once the store has the start: a run of it may have crashed its worker
@@ -378,6 +392,8 @@
     // When the authority was last known to be up to date.
     Instant m_authorityReviewedAt;
     bool m_dispatchPosted = false;
+    // Whether draining workers are evacuated in the next round of placement.
+    bool m_evacuationDue = false;
     // Whether a query to the advisor is open. The advisor handles one at a time.
     bool m_advicePending = false;
     Instant m_nextAdviceAt;
--- /dev/null
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -0,0 +1,189 @@
+// JobScheduler: places that are held for tasks, and the evacuation of draining workers.
+#include "scheduling/Evacuation.h"
+#include "scheduling/JobScheduler.h"
+#include "scheduling/WorkerChoice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// A place is held for one task so long at most. It covers a stop whose order has to be repeated, and the batch tasks on
+// a worker that takes no new ones.
+constexpr Milliseconds LongestHold {3'000};
+
+// Returns whether a task may still need the place that is held for it.
+bool isOnItsWay(const TaskState &task, const WorkerState *present)
+{
+    switch (task.phase) {
+    case RunPhase::Waiting:
+    case RunPhase::Stopping:
+        return !task.step->occurrence->job->isFinished();
+    case RunPhase::Running:
+        return present != nullptr && present->listing.draining;
+    default:
+        return false;
+    }
+}
+
+}
+
+void JobScheduler::reviewHeldPlaces()
+{
+    const Instant now = m_environment.clock.now();
+    for (auto &[name, worker] : m_workers) {
+        if (worker.heldPlaces.isEmpty()) {
+            continue;
+        }
+        const bool usable = acceptsTasks(worker, now) && m_leaseHandover.mayGrant(name) && !worker.isOverCapacity()
+            && Resources().fitsInto(worker.freeBesideLongRunning());
+        for (const auto &[taskName, until] : worker.heldPlaces.tasks()) {
+            TaskState *task = findTask(taskName);
+            const bool wanted
+                = task != nullptr && task->nextWorker == name && isOnItsWay(*task, findWorker(task->worker));
+            if (usable && wanted && now < until) {
+                continue;
+            }
+            m_environment.listener.logDecision("held-place-released", taskName.text(),
+                {{"place", name}, {"usable", usable}, {"wanted", wanted}, {"expired", now >= until}});
+            worker.heldPlaces.release(taskName);
+            if (task != nullptr && task->nextWorker == name) {
+                task->nextWorker.clear();
+            }
+        }
+    }
+}
+
+void JobScheduler::placeHeldTasks(const RecoveryHolds &holds)
+{
+    for (auto &[name, worker] : m_workers) {
+        if (worker.heldPlaces.isEmpty()) {
+            continue;
+        }
+        for (const auto &[taskName, until] : worker.heldPlaces.tasks()) {
+            TaskState *task = findTask(taskName);
+            if (task == nullptr || !mayPlace(*task) || holds.isHeldBack(*task)) {
+                continue;
+            }
+            const bool open = isHeldPlaceOpen(*task);
+            worker.heldPlaces.release(taskName);
+            task->nextWorker.clear();
+            // Otherwise the task looks for a place like any other.
+            if (open && isPermitted(*task->step, worker)) {
+                placeHeldTask(*task, worker);
+            }
+        }
+    }
+}
+
+void JobScheduler::placeHeldTask(TaskState &task, WorkerState &worker)
+{
+    StepState &step = *task.step;
+    place(task, worker, nextRun(step, task));
+    startPlaced({&task});
+    if (step.waitingCount == 0) {
+        step.lastWaitLogAt.reset();
+        step.unplacedSince.reset();
+    }
+    logPlacement(step, {&task});
+}
+
+bool JobScheduler::isHeldPlaceOpen(const TaskState &task) const
+{
+    const auto place = m_workers.find(task.nextWorker);
+    return place != m_workers.end() && Resources().fitsInto(place->second.freeResources());
+}
+
+bool JobScheduler::holdPlace(TaskState &task, FailedPlacements &failedHolds)
+{
+    const StepState &step = *task.step;
+    if (failedHolds.covers(step)) {
+        return false;
+    }
+    WorkerState *worker = m_failedPlacements.covers(step) ? nullptr : choose(step, task);
+    if (worker == nullptr && step.specification().longRunning) {
+        worker = chooseBusy(step, task);
+    }
+    if (worker == nullptr) {
+        if (!task.crashes.isSuspect()) {
+            failedHolds.add(step);
+        }
+        return false;
+    }
+    worker->heldPlaces.hold(task, m_environment.clock.now() + LongestHold);
+    task.nextWorker = worker->listing.name;
+    return true;
+}
+
+WorkerState *JobScheduler::chooseBusy(const StepState &step, const TaskState &task)
+{
+    if (step.specification().backfills) {
+        return nullptr;
+    }
+    const Instant now = m_environment.clock.now();
+    const IsolationQuery isolation {isolationStrictness(task), now};
+    WorkerState *best = nullptr;
+    for (auto &[name, worker] : m_workers) {
+        // Reserved workers are for tasks that do not run at all.
+        if (m_reservedWorkers.contains(name) || !couldTakeLater(worker, step, now) || !m_leaseHandover.mayGrant(name)
+            || !isPermitted(step, worker) || !isolationCost(task, worker, isolation)) {
+            continue;
+        }
+        if (best == nullptr || worker.freeResources().milliCores > best->freeResources().milliCores) {
+            best = &worker;
+        }
+    }
+    return best;
+}
+
+void JobScheduler::evacuateWorkers()
+{
+    const Instant now = m_environment.clock.now();
+    std::vector<WorkerState *> draining;
+    for (auto &[name, worker] : m_workers) {
+        const bool answers = worker.hasAnswered && worker.consecutiveUnanswered == 0;
+        if (worker.listing.draining && answers && !worker.tasks.empty()) {
+            worker.drainingSince = worker.drainingSince.value_or(now);
+            draining.push_back(&worker);
+        }
+    }
+    // Those that may leave first come first.
+    std::stable_sort(draining.begin(), draining.end(),
+        [](const WorkerState *left, const WorkerState *right) { return *left->drainingSince < *right->drainingSince; });
+    FailedPlacements failedHolds;
+    for (WorkerState *worker : draining) {
+        evacuate(*worker, failedHolds);
+    }
+}
+
+void JobScheduler::evacuate(WorkerState &worker, FailedPlacements &failedHolds)
+{
+    const Instant now = m_environment.clock.now();
+    const DrainProgress progress(*worker.drainingSince, worker.sawDrainBegin, m_limits.drain, now);
+    // How much a batch task still has to do is known when its worker has just reported.
+    const bool isReportNew = std::exchange(worker.hasNewReport, false);
+    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (TaskState *task : tasks) {
+        const bool isStateKnown = isReportNew || task->step->specification().longRunning;
+        if (!isStateKnown || !isToBeEvacuated(*task, progress)) {
+            continue;
+        }
+        if (task->nextWorker.empty() && !holdPlace(*task, failedHolds)) {
+            continue;
+        }
+        if (!isHeldPlaceOpen(*task) || !mayBeEvacuatedNow(*task, progress)) {
+            continue;
+        }
+        m_workers.at(task->nextWorker).heldPlaces.hold(*task, now + LongestHold);
+        m_environment.listener.logDecision("run-evacuated", nameOf(*task).text(),
+            {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent},
+                {"drained_ms", progress.knownFor().count()}, {"place", task->nextWorker}});
+        beginStop(*task);
+    }
+}
+
+}
--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -35,6 +35,16 @@
     }
 }
 
+int JobScheduler::countWithoutPlace(const StepState &step) const
+{
+    return static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(), [this](const TaskState &task) {
+        const auto worker = m_workers.find(task.worker);
+        const bool isLeaving
+            = task.phase == RunPhase::Running && worker != m_workers.end() && worker->second.listing.draining;
+        return (task.phase == RunPhase::Waiting || isLeaving) && task.nextWorker.empty();
+    }));
+}
+
 PoolHeadrooms JobScheduler::headrooms() const
 {
     const Instant now = m_environment.clock.now();
@@ -72,7 +82,7 @@
             for (const StepState &step : occurrence.steps) {
                 if (step.specification().longRunning && occurrence.isEligible(step)) {
                     const Resources demand = WorkerState::countedDemand(step.specification());
-                    headrooms[job->policy.pool].reserveForLongRunning(step.waitingCount * demand.milliCores);
+                    headrooms[job->policy.pool].reserveForLongRunning(countWithoutPlace(step) * demand.milliCores);
                 }
             }
         }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Wagtail
 {
@@ -45,6 +46,8 @@
     }
     const Instant now = m_environment.clock.now();
     const RecoveryHolds holds = recoveryHolds();
+    reviewHeldPlaces();
+    placeHeldTasks(holds);
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
         bool waits = false;
@@ -84,6 +87,10 @@
             }
         }
     }
+    // Tasks that run nowhere come before those that still run.
+    if (std::exchange(m_evacuationDue, false)) {
+        evacuateWorkers();
+    }
 }
 
 void JobScheduler::openStep(StepState &step)
@@ -127,14 +134,11 @@
 
 void JobScheduler::reserveWorkers(const StepState &step, int count)
 {
-    const StepSpecification &specification = step.specification();
-    const std::string &pool = step.occurrence->job->policy.pool;
     const Instant now = m_environment.clock.now();
     std::vector<std::pair<std::int64_t, std::string>> candidates;
     for (const auto &[name, worker] : m_workers) {
-        const bool suitable = !m_reservedWorkers.contains(name) && acceptsTasks(worker, now)
-            && meetsRequirements(worker, specification, pool) && !hasReachedPerWorkerLimit(worker, step);
-        if (suitable && specification.demand.fitsInto(worker.freeBesideLongRunning())) {
+        if (!m_reservedWorkers.contains(name) && couldTakeLater(worker, step, now)
+            && step.specification().demand.fitsInto(worker.freeBesideLongRunning())) {
             candidates.emplace_back(-worker.freeResources().milliCores, name);
         }
     }
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -32,8 +32,6 @@
 // Delay before an unanswered order is sent again, a few round trips between regions.
 constexpr Milliseconds OrderRetryDelay {250};
 constexpr int FailuresBeforeQuarantine = 3;
-// Time for a stop order and its answer before a draining worker exits.
-constexpr Milliseconds DrainMargin {500};
 constexpr Milliseconds InitialQuarantine {2'000};
 constexpr int MaximumQuarantineDoublings = 3;
 // A task without progress for this long is moved. It covers several reports and is longer than any restore from a
@@ -98,6 +96,8 @@
         m_leaseHandover.expectAgain(listing.name, m_environment.clock.now());
     }
     if (startsDraining) {
+        worker.drainingSince = m_environment.clock.now();
+        worker.sawDrainBegin = !newlyListed;
         closeOpenRuns(worker);
     }
     if (newlyListed || startsDraining) {
@@ -277,7 +277,7 @@
         requeueMissingRuns(worker, listed, sentAt);
     }
     moveStalledTasks(worker);
-    evacuate(worker);
+    worker.hasNewReport = true;
     updateInterference(worker);
     throttleBackfill(worker);
     if (worker.hasUnrecordedEnds()) {
@@ -368,52 +368,6 @@
     }
 }
 
-void JobScheduler::evacuate(WorkerState &worker)
-{
-    if (!worker.listing.draining || m_authority != SchedulingAuthority::Full) {
-        return;
-    }
-    const Instant now = m_environment.clock.now();
-    worker.drainingSince = worker.drainingSince.value_or(now);
-    const auto drained = std::chrono::duration_cast<Milliseconds>(now - *worker.drainingSince);
-    const Milliseconds timeLeft = std::max(Milliseconds(0), m_limits.drain - drained - DrainMargin);
-    const bool shortOfTime = timeLeft < m_limits.drain / 2;
-    const std::vector<TaskState *> tasks(worker.tasks.begin(), worker.tasks.end());
-    for (TaskState *task : tasks) {
-        const StepSpecification &step = task->step->specification();
-        if (task->phase != RunPhase::Running || step.gang) {
-            continue;
-        }
-        const Milliseconds remaining = step.estimate * (100 - task->percent) / 100;
-        const bool outlasts = step.longRunning || remaining > timeLeft;
-        const bool worthMoving = step.longRunning || step.checkpoints || task->percent < CheapRestartPercent;
-        const WorkerState *place = outlasts && worthMoving ? choose(*task->step, *task) : nullptr;
-        if (place == nullptr) {
-            continue;
-        }
-        // The tasks of one step are moved within its disruption budget as long as there is time.
-        if (step.longRunning && !shortOfTime && isDisruptionBudgetSpent(*task->step)) {
-            continue;
-        }
-        m_environment.listener.logDecision("run-evacuated", nameOf(*task).text(),
-            {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent},
-                {"drained_ms", drained.count()}, {"place", place->listing.name}});
-        beginStop(*task);
-    }
-}
-
-bool JobScheduler::isDisruptionBudgetSpent(const StepState &step)
-{
-    constexpr int ReadyPercent = 100;
-    const int unavailable
-        = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const TaskState &task) {
-              // Other partitions watch the tasks that are delegated to them.
-              return task.phase != RunPhase::Delegated
-                  && (task.phase != RunPhase::Running || task.percent < ReadyPercent);
-          }));
-    return unavailable >= std::max(1, step.specification().disruptionBudget);
-}
-
 void JobScheduler::moveStalledTasks(WorkerState &worker)
 {
     const Instant now = m_environment.clock.now();
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -45,6 +45,9 @@
 struct OccurrenceState;
 struct JobState;
 
+// A run whose progress is below this percentage is cheap to restart elsewhere.
+inline constexpr int CheapRestartPercent = 40;
+
 // One task and its current run.
 struct TaskState
 {
@@ -60,6 +63,8 @@
     std::uint64_t delegatorLastRun = 0;
     // Worker of the current run, or empty.
     std::string worker;
+    // The worker on which a place is held for the next run, or empty.
+    std::string nextWorker;
     // Numbers of the failed runs. After a take-over, run ends are reported again and in any order, so a mere count
     // would be wrong.
     std::set<std::uint64_t> failedRuns;
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -70,7 +70,15 @@
     }
     const auto tasksOfStep = std::count_if(
         worker.tasks.begin(), worker.tasks.end(), [&step](const TaskState *task) { return task->step == &step; });
-    return tasksOfStep >= limit;
+    return tasksOfStep + worker.heldPlaces.countOf(step) >= limit;
+}
+
+bool couldTakeLater(const WorkerState &worker, const StepState &step, Instant now)
+{
+    return WorkerState::countedDemand(step.specification()).fitsInto(worker.freeBesideLongRunning())
+        && acceptsTasks(worker, now)
+        && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool)
+        && !hasReachedPerWorkerLimit(worker, step);
 }
 
 std::optional<double> placementCost(const WorkerState &worker, const PlacementQuery &query)
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -24,9 +24,13 @@
 // worker may have lost some of its capacity, so that its tasks, this one included, no longer fit.
 [[nodiscard]] bool mayRepeatStart(const WorkerState &worker, const StepState &step);
 
-// Returns whether a worker already has as many tasks of a step as StepSpecification::perWorkerLimit allows.
+// Returns whether a worker already has as many tasks of a step, and places held for them, as
+// StepSpecification::perWorkerLimit allows.
 [[nodiscard]] bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step);
 
+// Returns whether a worker may get a task of the step as soon as batch tasks leave it enough room.
+[[nodiscard]] bool couldTakeLater(const WorkerState &worker, const StepState &step, Instant now);
+
 // Returns the cost of a placement, where lower is better, or nothing if a hard limit forbids it. Tight packing keeps
 // whole workers free, and backfilling tasks are kept away from the serving tasks that they would disturb.
 // Load pattern: steps with many tasks that arrive in bursts beside long-running tasks.
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -95,7 +95,7 @@
 
 Resources WorkerState::freeResources() const
 {
-    return listing.capacity - used;
+    return listing.capacity - used - heldPlaces.resources();
 }
 
 bool WorkerState::isOverCapacity() const
@@ -105,7 +105,7 @@
 
 Resources WorkerState::freeBesideLongRunning() const
 {
-    return listing.capacity - usedByLongRunning;
+    return listing.capacity - usedByLongRunning - heldPlaces.resourcesOfLongRunning();
 }
 
 void WorkerState::addTask(TaskState &task)
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/BackfillThrottle.h"
+#include "scheduling/HeldPlaces.h"
 #include "scheduling/JobState.h"
 #include "scheduling/ObsoleteRuns.h"
 #include "scheduling/UnsettledStarts.h"
@@ -48,7 +49,12 @@
     Instant answeredRequestSentAt;
     int consecutiveUnanswered = 0;
     bool reportPending = false;
+    // Since when the owner of this leader term knows that the worker drains, and whether it was not draining before. If
+    // it was, it may leave at any moment.
     std::optional<Instant> drainingSince;
+    bool sawDrainBegin = false;
+    // Whether a report has been applied since the last evacuation.
+    bool hasNewReport = false;
     // Numbers of the last run ends of this worker that were applied and that the store has recorded.
     std::uint64_t appliedEnd = 0;
     std::uint64_t recordedEnd = 0;
@@ -65,6 +71,8 @@
     std::vector<LostRun> lostRuns;
     // Start orders of which it is not known which incarnation they reached, whether their runs are still wanted or not.
     UnsettledStarts unsettledStarts;
+    // Room for tasks on their way from draining workers. It is neither used nor free.
+    HeldPlaces heldPlaces;
     Resources used;
     // The part of the used resources that long-running tasks hold.
     Resources usedByLongRunning;
@@ -120,14 +128,16 @@
     // Replaces the listing. If the worker has other processors now, the shares in its samples change accordingly.
     void updateListing(const WorkerListing &present);
 
-    // Returns the capacity less the resources in use. Members are negative while a worker whose capacity has shrunk
-    // still runs more than fits into it.
+    // Returns the capacity less the resources in use and those of held places. Members are negative while a worker
+    // whose capacity has shrunk still runs more than fits into it, and while places are held that batch tasks still
+    // use.
     [[nodiscard]] Resources freeResources() const;
 
     // Returns whether the assigned tasks need more of any resource than the worker has.
     [[nodiscard]] bool isOverCapacity() const;
 
-    // Returns the resources that long-running tasks leave free. All other tasks end by themselves.
+    // Returns the resources that long-running tasks and the places held for them leave free. All other tasks end by
+    // themselves.
     [[nodiscard]] Resources freeBesideLongRunning() const;
 
     // Adds or removes a task and the resources it takes. Adding a task twice or removing an unknown one has no effect.
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -29,6 +29,19 @@
         storeLeaseRecord(m_jobs);
     }
 
+    // Lists a worker as draining.
+    void drainWorker(const std::string &name)
+    {
+        WorkerListing listing = m_jobs.workers().at(name).listing;
+        listing.draining = true;
+        m_jobs.updateWorker(listing);
+    }
+
+    void cancel(const std::string &id)
+    {
+        (void)m_jobs.cancel(id);
+    }
+
     void submit(const std::string &id, std::vector<StepSpecification> steps, FakeWorkers::Behaviour behaviour)
     {
         JobSpecification job;
