--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Wagtail
 {
@@ -45,6 +46,8 @@
     }
     const Instant now = m_environment.clock.now();
     const RecoveryHolds holds = recoveryHolds();
+    reviewHeldPlaces();
+    placeHeldTasks(holds);
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
         bool waits = false;
@@ -84,6 +87,10 @@
             }
         }
     }
+    // Tasks that run nowhere come before those that still run.
+    if (std::exchange(m_evacuationDue, false)) {
+        evacuateWorkers();
+    }
 }
 
 void JobScheduler::openStep(StepState &step)
@@ -112,24 +119,26 @@
         return;
     }
     step.lastWaitLogAt = now;
+    const auto waited = std::chrono::duration_cast<Milliseconds>(now - *step.unplacedSince);
+    const auto termAge = std::chrono::duration_cast<Milliseconds>(now - m_startedAt);
     Json inputs = describe(surveyPlacement(m_workers, step, now));
     inputs["waiting"] = step.waitingCount;
+    inputs["waited_ms"] = waited.count();
+    inputs["term_age_ms"] = termAge.count();
+    inputs["delegated_here"] = step.occurrence->job->ownedElsewhere;
     inputs["step"] = step.number;
-    inputs["lasting"] = step.specification().longRunning;
     inputs["reserved"] = m_reservedWorkers.size();
-    m_environment.listener.logDecision("tasks-waiting", step.occurrence->job->specification.id, inputs);
+    const std::string_view event = step.specification().longRunning ? "lasting-tasks-waiting" : "tasks-waiting";
+    m_environment.listener.logDecision(event, step.occurrence->job->specification.id, inputs);
 }
 
 void JobScheduler::reserveWorkers(const StepState &step, int count)
 {
-    const StepSpecification &specification = step.specification();
-    const std::string &pool = step.occurrence->job->policy.pool;
     const Instant now = m_environment.clock.now();
     std::vector<std::pair<std::int64_t, std::string>> candidates;
     for (const auto &[name, worker] : m_workers) {
-        const bool suitable = !m_reservedWorkers.contains(name) && acceptsTasks(worker, now)
-            && meetsRequirements(worker, specification, pool) && !hasReachedPerWorkerLimit(worker, step);
-        if (suitable && specification.demand.fitsInto(worker.freeBesideLongRunning())) {
+        if (!m_reservedWorkers.contains(name) && couldTakeLater(worker, step, now)
+            && step.specification().demand.fitsInto(worker.freeBesideLongRunning())) {
             candidates.emplace_back(-worker.freeResources().milliCores, name);
         }
     }
@@ -188,7 +197,9 @@
     }
     const JobState &job = *step.occurrence->job;
     const auto age = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - job.acceptedAt);
-    m_environment.listener.logDecision("tasks-placed", job.specification.id,
+    // The lines of an event are limited by rate. Batch steps must not displace those of the few long-running ones.
+    const std::string_view event = step.specification().longRunning ? "lasting-tasks-placed" : "tasks-placed";
+    m_environment.listener.logDecision(event, job.specification.id,
         {{"occurrence", step.occurrence->number}, {"step", step.number}, {"age_ms", age.count()},
             {"waiting", step.waitingCount}, {"runs", std::move(runs)}});
 }
