Scheduling: Start long-waiting backfilling tasks as probes

Cause: placement ruled a worker out as soon as the predicted load of a serving task came within 0.12 of its limit, with a coefficient of interference that nothing had been observed for. Such a prediction can only be corrected by a task that runs, so nothing bounded the wait. The lowest tail latency ever seen raised the computed load for good. A paused task was requeued after 0.4 s however long it had not worked.

Now a backfilling task that has not worked for 3 s starts as a probe: on the worker with the least cost, at a speed that is just large enough to learn from, where the prediction for that speed leaves a margin. After 8 s the present load of the serving tasks decides, whatever the prediction says. There is one probe on a worker, and none in a pool that is more than half in use, since tasks wait for room there. The throttle pauses a probe that disturbs; the probe then keeps its worker and tries again after 8 s. The reference tail is the lowest one of the last one or two minutes.

--- a/source/scheduling/BackfillInterferenceModel.cpp
+++ b/source/scheduling/BackfillInterferenceModel.cpp
@@ -15,6 +15,8 @@
 // A serving task is never quite idle, so its tail latency without load lies below the lowest one observed.
 constexpr double UndisturbedShareOfLowest = 0.8;
 constexpr double MaximumLoad = 0.98;
+// Several times the seconds in which a serving load swings, so that a period has seen its lowest values.
+constexpr Milliseconds ObservationPeriod {60'000};
 constexpr double MinimumTailMilliseconds = 1.0;
 // Step sizes of the normalised least-mean-squares filter: large at first to learn quickly, then small to suppress the
 // noise of changing load.
@@ -32,14 +34,22 @@
 {
     const auto [entry, added] = m_ids.emplace(image, static_cast<ImageId>(m_images.size()));
     if (added) {
-        m_images.push_back({image, std::nullopt, {}});
+        m_images.push_back({image, std::nullopt, std::nullopt, {}, {}});
     }
     return entry->second;
 }
 
+std::optional<double> BackfillInterferenceModel::lowestTailOf(const Image &image)
+{
+    if (!image.lowestTail || !image.formerLowestTail) {
+        return image.lowestTail ? image.lowestTail : image.formerLowestTail;
+    }
+    return std::min(*image.lowestTail, *image.formerLowestTail);
+}
+
 double BackfillInterferenceModel::undisturbedTail(ImageId image) const
 {
-    const std::optional<double> &lowest = m_images[static_cast<std::size_t>(image)].lowestTail;
+    const std::optional<double> lowest = lowestTailOf(m_images[static_cast<std::size_t>(image)]);
     return lowest ? std::max(MinimumTailMilliseconds, *lowest * UndisturbedShareOfLowest) : MinimumTailMilliseconds;
 }
 
@@ -53,12 +63,19 @@
     return pairs[index];
 }
 
-double BackfillInterferenceModel::observeTail(ImageId image, std::int64_t tailMilliseconds)
+double BackfillInterferenceModel::observeTail(ImageId id, std::int64_t tailMilliseconds, Instant now)
 {
     const double tail = std::max(MinimumTailMilliseconds, static_cast<double>(tailMilliseconds));
-    std::optional<double> &lowest = m_images[static_cast<std::size_t>(image)].lowestTail;
-    lowest = std::min(lowest.value_or(tail), tail);
-    return loadAt(image, tail);
+    Image &image = m_images[static_cast<std::size_t>(id)];
+    if (!image.lowestTail) {
+        image.periodBegan = now;
+    } else if (now - image.periodBegan >= ObservationPeriod) {
+        image.formerLowestTail = image.lowestTail;
+        image.lowestTail.reset();
+        image.periodBegan = now;
+    }
+    image.lowestTail = std::min(image.lowestTail.value_or(tail), tail);
+    return loadAt(id, tail);
 }
 
 double BackfillInterferenceModel::loadAt(ImageId image, double tailMilliseconds) const
@@ -88,8 +105,8 @@
     Json pairs = Json::array();
     Json tails = Json::object();
     for (const Image &serving : m_images) {
-        if (serving.lowestTail) {
-            tails[serving.name] = *serving.lowestTail;
+        if (const std::optional<double> lowest = lowestTailOf(serving)) {
+            tails[serving.name] = *lowest;
         }
         for (std::size_t i = 0; i < serving.pairs.size(); ++i) {
             const Pair &pair = serving.pairs[i];
@@ -108,7 +125,7 @@
         if (m_images.size() >= MaximumRestoredImages) {
             break;
         }
-        std::optional<double> &lowest = m_images[static_cast<std::size_t>(idOf(name))].lowestTail;
+        std::optional<double> &lowest = m_images[static_cast<std::size_t>(idOf(name))].formerLowestTail;
         lowest = std::min(lowest.value_or(tail), tail);
     }
     for (const Json &member : memberOr(document, "pairs", Json::array())) {
--- a/source/scheduling/BackfillInterferenceModel.h
+++ b/source/scheduling/BackfillInterferenceModel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Clock.h"
 #include "base/JsonReader.h"
 
 #include <cstdint>
@@ -27,8 +28,10 @@
     // Returns the id of an image. A new name gets a new id.
     ImageId idOf(const std::string &image);
 
-    // Returns the load of a serving task with the given tail latency, and keeps the lowest tail latency of the image.
-    double observeTail(ImageId image, std::int64_t tailMilliseconds);
+    // Returns the load of a serving task with the given tail latency, and notes it for the lowest tail latency of the
+    // image. That is the lowest one of the last one or two minutes, so that it follows what is observed: a single low
+    // figure would make the load look high for good.
+    double observeTail(ImageId id, std::int64_t tailMilliseconds, Instant now);
 
     // Returns the load of a serving task of the image at the given tail latency.
     [[nodiscard]] double loadAt(ImageId image, double tailMilliseconds) const;
@@ -61,11 +64,16 @@
     struct Image
     {
         std::string name;
+        // The lowest tail latencies of the present period of observation and of the one before. A record of an earlier
+        // owner counts as the period before.
         std::optional<double> lowestTail;
+        std::optional<double> formerLowestTail;
+        Instant periodBegan;
         // Interference with this image, by the id of the backfilling image.
         std::vector<Pair> pairs;
     };
 
+    [[nodiscard]] static std::optional<double> lowestTailOf(const Image &image);
     [[nodiscard]] double undisturbedTail(ImageId image) const;
     Pair &pairOf(ImageId serving, ImageId backfilling);
 
--- /dev/null
+++ b/source/scheduling/BackfillProbe.cpp
@@ -0,0 +1,99 @@
+#include "scheduling/BackfillProbe.h"
+
+#include "scheduling/WorkerChoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+// A serving load that swings within seconds often lets a task in before the first time is over. The second one leaves
+// an overdue task some seconds until callers expect it to run.
+constexpr Milliseconds CautiousProbeDelay {3'000};
+constexpr Milliseconds OverdueProbeDelay {8'000};
+// Distance from the load limit that probes leave. Closer to the limit they would be throttled at the next report.
+constexpr double ProbeMargin = 0.05;
+// The use of a probe, as a share of its worker. It is twice the least change of use that the interference model learns
+// from, because the change may be spread over two reports.
+constexpr double ProbeUse = 0.08;
+constexpr double FullSpeedPercent = 100.0;
+// Below its lowest speed, a throttled task would be paused.
+constexpr double LowestProbeSpeedPercent = 15.0;
+
+bool runsProbe(const WorkerState &worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const TaskState *task) { return task->isProbe; });
+}
+
+}
+
+std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor)
+{
+    if (idleFor < CautiousProbeDelay) {
+        return std::nullopt;
+    }
+    return idleFor < OverdueProbeDelay ? ProbeKind::Cautious : ProbeKind::Overdue;
+}
+
+int probeSpeed(double demand)
+{
+    if (demand <= 0.0) {
+        return static_cast<int>(FullSpeedPercent);
+    }
+    const double percent = std::ceil(FullSpeedPercent * ProbeUse / demand);
+    return static_cast<int>(std::clamp(percent, LowestProbeSpeedPercent, FullSpeedPercent));
+}
+
+bool hasHeadroomForProbe(const BackfillInterferenceModel &model, const std::vector<ServingSample> &serving,
+    const std::vector<BackfillSample> &backfilling)
+{
+    return std::all_of(serving.begin(), serving.end(), [&](const ServingSample &sample) {
+        const double load = sample.load + pendingLoadGrowth(model, sample.image, backfilling);
+        return sample.overTargetMilliseconds == 0 && load < sample.limit - ProbeMargin;
+    });
+}
+
+std::optional<double> probeExcessLoad(
+    const BackfillInterferenceModel &model, const WorkerState &worker, ImageId image, double demand, ProbeKind kind)
+{
+    // The effects of several probes on one worker could not be told apart.
+    if (runsProbe(worker) || !hasHeadroomForProbe(model, worker.serving, worker.backfilling)) {
+        return std::nullopt;
+    }
+    const double use = demand * probeSpeed(demand) / FullSpeedPercent;
+    const double excess = predictedExcessLoad(model, worker.serving, worker.backfilling, image, use);
+    if (kind == ProbeKind::Cautious && excess > -ProbeMargin) {
+        return std::nullopt;
+    }
+    return excess;
+}
+
+std::set<std::string> poolsWithRoomForProbes(const std::map<std::string, WorkerState> &workers, Instant now)
+{
+    struct Processors
+    {
+        std::int64_t all = 0;
+        std::int64_t used = 0;
+    };
+    std::map<std::string, Processors> pools;
+    for (const auto &[name, worker] : workers) {
+        if (acceptsTasks(worker, now)) {
+            Processors &processors = pools[worker.listing.pool];
+            processors.all += worker.listing.capacity.milliCores;
+            processors.used += worker.expectedMilliCores;
+        }
+    }
+    std::set<std::string> withRoom;
+    for (const auto &[pool, processors] : pools) {
+        if (processors.used <= processors.all / 2) {
+            withRoom.insert(pool);
+        }
+    }
+    return withRoom;
+}
+
+}
--- a/source/scheduling/BackfillThrottle.cpp
+++ b/source/scheduling/BackfillThrottle.cpp
@@ -26,18 +26,6 @@
 // load is.
 constexpr double MinimumLoadGrowth = 0.015;
 
-// Returns the growth of load to be expected from tasks that have not reached their permitted speed yet.
-double pendingLoadGrowth(
-    const BackfillInterferenceModel &model, ImageId serving, const std::vector<BackfillSample> &backfilling)
-{
-    double sum = 0.0;
-    for (const BackfillSample &task : backfilling) {
-        const double missing = task.demand * task.percent / FullSpeedPercent - task.use;
-        sum += model.coefficient(serving, task.image) * std::max(0.0, missing);
-    }
-    return sum;
-}
-
 // Reduces the speeds of the backfilling tasks, those that raise the load of the serving task most first, until its load
 // is expected to fall to the target margin below its limit.
 void reduceSpeeds(const BackfillInterferenceModel &model, const ServingSample &serving,
@@ -66,6 +54,17 @@
 
 }
 
+double pendingLoadGrowth(
+    const BackfillInterferenceModel &model, ImageId serving, const std::vector<BackfillSample> &backfilling)
+{
+    double sum = 0.0;
+    for (const BackfillSample &task : backfilling) {
+        const double missing = task.demand * task.percent / FullSpeedPercent - task.use;
+        sum += model.coefficient(serving, task.image) * std::max(0.0, missing);
+    }
+    return sum;
+}
+
 std::vector<int> nextSpeeds(const BackfillInterferenceModel &model, const std::vector<ServingSample> &serving,
     const std::vector<BackfillSample> &backfilling)
 {
--- a/source/scheduling/BackfillThrottle.h
+++ b/source/scheduling/BackfillThrottle.h
@@ -36,6 +36,10 @@
 [[nodiscard]] std::vector<int> nextSpeeds(const BackfillInterferenceModel &model,
     const std::vector<ServingSample> &serving, const std::vector<BackfillSample> &backfilling);
 
+// Returns the growth of load to be expected from tasks that have not reached their permitted speed yet.
+[[nodiscard]] double pendingLoadGrowth(
+    const BackfillInterferenceModel &model, ImageId serving, const std::vector<BackfillSample> &backfilling);
+
 // Returns by how much the load of a serving task would exceed its limit if one more backfilling task with the given
 // demand were added, as the maximum over all serving tasks. Negative values are the remaining distance to the limit.
 // Serving tasks that the new task does not disturb are not counted; without any other the result is -1. The result is 1
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Scheduler.h"
+#include "scheduling/BackfillProbe.h"
 #include "scheduling/BatchDemandEstimator.h"
 #include "scheduling/CrashEvidence.h"
 #include "scheduling/FailedPlacements.h"
@@ -208,6 +209,7 @@
 private:
     // A run whose progress is below this percentage is cheap to restart elsewhere.
     static constexpr int CheapRestartPercent = 40;
+    static constexpr int FullSpeedPercent = 100;
 
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
@@ -232,7 +234,7 @@
 
     // Runs
     [[nodiscard]] std::uint64_t nextRun(const StepState &step, const TaskState &task) const;
-    void place(TaskState &task, WorkerState &worker, std::uint64_t run);
+    void place(TaskState &task, WorkerState &worker, std::uint64_t run, int speedPercent = FullSpeedPercent);
     // Sends the start orders of tasks that were just placed, or holds them back until the store has their open runs.
     void startPlaced(const std::vector<TaskState *> &tasks);
     void sendStart(TaskState &task);
@@ -276,6 +278,9 @@
     void updateInterference(WorkerState &worker);
     void throttleBackfill(WorkerState &worker);
     void logTimeOverTarget(const TaskState &task);
+    // Returns whether a task that is paused at the given speed has waited so long that it works at the speed of a
+    // probe.
+    [[nodiscard]] bool mayProbeAgain(const WorkerState &worker, const TaskState &task, int speedPercent) const;
     // Stops a task whose pause has lasted too long. Returns whether it did.
     bool requeueIfPaused(TaskState &task, int speedPercent);
     void sendThrottle(TaskState &task, int percent);
@@ -354,7 +359,14 @@
     // Notes that a task that must be kept away from others has found no worker.
     void noteIsolationWait(TaskState &task) const;
     [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
-    [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task);
+    [[nodiscard]] WorkerState *choose(
+        const StepState &step, const TaskState &task, std::optional<ProbeKind> probe = std::nullopt);
+    // Starts tasks of the given steps as probes that have waited for too long.
+    void placeProbes(const std::vector<StepState *> &waiting, const RecoveryHolds &holds);
+    // Returns how long a ready backfilling task has not worked.
+    [[nodiscard]] Milliseconds idleTime(const TaskState &task) const;
+    // Notes that the current run of a backfilling task may work.
+    void noteWork(TaskState &task) const;
     [[nodiscard]] std::string preferredRack(const StepState &step) const;
     [[nodiscard]] RecoveryStage recoveryStage() const;
     [[nodiscard]] RecoveryHolds recoveryHolds() const;
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -1,5 +1,5 @@
 // JobScheduler: learns how much backfilling tasks interfere with serving tasks, and throttles them.
-#include "scheduling/BackfillThrottle.h"
+#include "scheduling/BackfillProbe.h"
 #include "scheduling/JobScheduler.h"
 
 #include <algorithm>
@@ -49,7 +49,7 @@
             continue;
         }
         const ImageId image = task->step->image;
-        const double load = m_interference.observeTail(image, task->usage);
+        const double load = m_interference.observeTail(image, task->usage, now);
         const double before = task->load;
         task->load = load;
         // A saturated queue takes a while to drain, independent of the current interference, so its load teaches
@@ -93,7 +93,8 @@
         if (!task->step->specification().backfills) {
             continue;
         }
-        const int percent = speeds[next];
+        const int percent
+            = mayProbeAgain(worker, *task, speeds[next]) ? probeSpeed(worker.backfilling[next].demand) : speeds[next];
         worker.backfilling[next].percent = percent;
         ++next;
         if (task->phase != RunPhase::Running) {
@@ -103,6 +104,7 @@
             || (percent != task->speedPercent && (percent == 0 || percent == 100))) {
             sendThrottle(*task, percent);
         }
+        noteWork(*task);
         if (requeueIfPaused(*task, percent)) {
             continue;
         }
@@ -122,6 +124,16 @@
     }
 }
 
+bool JobScheduler::mayProbeAgain(const WorkerState &worker, const TaskState &task, int speedPercent) const
+{
+    if (speedPercent > 0 || !task.pausedSince) {
+        return false;
+    }
+    const auto pausedFor = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - *task.pausedSince);
+    return probeKindAfter(pausedFor) == ProbeKind::Overdue
+        && hasHeadroomForProbe(m_interference, worker.serving, worker.backfilling);
+}
+
 bool JobScheduler::requeueIfPaused(TaskState &task, int speedPercent)
 {
     if (speedPercent > 0) {
@@ -131,7 +143,7 @@
     const Instant now = m_environment.clock.now();
     task.pausedSince = task.pausedSince.value_or(now);
     const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
-    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent};
+    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task)};
     if (m_authority != SchedulingAuthority::Full || !m_environment.policies.pausedTasks->shouldRequeue(paused)) {
         return false;
     }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -61,6 +61,7 @@
         queue.begin(), queue.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
     m_reservedWorkers.clear();
     m_failedPlacements.clear();
+    std::vector<StepState *> waiting;
     for (const auto &[rank, job] : queue) {
         for (auto &[number, occurrence] : job->occurrences) {
             for (StepState &step : occurrence.steps) {
@@ -75,6 +76,7 @@
                     continue;
                 }
                 recordWaiting(step);
+                waiting.push_back(&step);
                 if (job->policy.advised) {
                     queryAdvisor(step);
                 }
@@ -84,6 +86,7 @@
             }
         }
     }
+    placeProbes(waiting, holds);
 }
 
 void JobScheduler::openStep(StepState &step)
@@ -95,6 +98,7 @@
     for (TaskState &task : step.tasks) {
         if (task.phase == RunPhase::Waiting) {
             task.times.begin(TaskActivity::Waiting, m_environment.clock.now());
+            task.idleSince = task.idleSince.value_or(m_environment.clock.now());
         }
     }
 }
@@ -261,13 +265,14 @@
     return hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
 }
 
-WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task)
+WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task, std::optional<ProbeKind> probe)
 {
     PlacementQuery query;
     query.step = &step;
     query.pool = step.occurrence->job->policy.pool;
     query.avoidedWorkers = &task.avoidedWorkers;
     query.interference = &m_interference;
+    query.probe = probe;
     query.now = m_environment.clock.now();
     if (step.specification().sameRack) {
         query.preferredRack = preferredRack(step);
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -25,7 +25,7 @@
     return std::max(last + 1, m_firstRunNumber + task.delegatorLastRun);
 }
 
-void JobScheduler::place(TaskState &task, WorkerState &worker, std::uint64_t run)
+void JobScheduler::place(TaskState &task, WorkerState &worker, std::uint64_t run, int speedPercent)
 {
     StepState &step = *task.step;
     task.run = run;
@@ -40,7 +40,8 @@
     task.isWithNextIncarnation = false;
     task.percent = 0;
     task.progressRequestedAt = {};
-    task.speedPercent = 100;
+    task.speedPercent = speedPercent;
+    task.isProbe = false;
     task.usage = 0;
     task.overTargetSince.reset();
     task.pausedSince.reset();
@@ -50,7 +51,7 @@
     task.times.begin(TaskActivity::Ordering, m_environment.clock.now());
     worker.addTask(task);
     if (step.specification().backfills) {
-        worker.backfilling.push_back({step.image, worker.processorShare(step.specification()), 0.0, 100});
+        worker.backfilling.push_back({step.image, worker.processorShare(step.specification()), 0.0, speedPercent});
     }
 }
 
@@ -151,6 +152,10 @@
     task.runStartedAt = task.runStartedAt.value_or(task.progressedAt);
     task.runConfirmed = true;
     markJobStarted(*task.step->occurrence->job);
+    // Workers start all tasks at full speed.
+    if (task.isProbe) {
+        sendThrottle(task, task.speedPercent);
+    }
 }
 
 void JobScheduler::onStartRefused(TaskState &task, WorkerState &worker, OrderOutcome outcome)
@@ -306,6 +311,7 @@
     ++task.step->waitingCount;
     const Instant now = m_environment.clock.now();
     task.times.begin(TaskActivity::Waiting, now);
+    task.idleSince = task.idleSince.value_or(now);
     task.notBefore = now + delay;
 }
 
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -109,6 +109,11 @@
     std::optional<Instant> overTargetSince;
     // Whether it would be within its target without the backfilling tasks, by the interference model.
     bool overTargetByBackfill = false;
+    // For backfilling tasks, whether the run started at a reduced speed and has not reached its full one yet.
+    bool isProbe = false;
+    // For backfilling tasks that are ready, since when the task has not worked. A run counts as work only when it has
+    // lasted for a while.
+    std::optional<Instant> idleSince;
     // For backfilling tasks, since when the run has been paused.
     std::optional<Instant> pausedSince;
     // For backfilling tasks, since when the run has been throttled to a speed at which moving it is considered.
--- a/source/scheduling/PausedTaskPolicy.h
+++ b/source/scheduling/PausedTaskPolicy.h
@@ -13,6 +13,8 @@
     bool checkpoints = false;
     // The progress of the run.
     int percent = 0;
+    // How long the task has not worked, here or elsewhere.
+    Milliseconds idleFor {0};
 };
 
 // Decides how long a paused task keeps its worker. All calls come from the control thread.
--- a/source/scheduling/RequeuePausedTasks.cpp
+++ b/source/scheduling/RequeuePausedTasks.cpp
@@ -10,12 +10,15 @@
 constexpr Milliseconds MaximumPause {400};
 // Progress that may be lost with a task that writes no checkpoints.
 constexpr int NegligibleProgressPercent = 15;
+// As long as a task that has no worker waits before it starts as a probe.
+constexpr Milliseconds LongestIdleTime {3'000};
 
 }
 
 bool RequeuePausedTasks::shouldRequeue(const PausedTask &task) const
 {
-    return task.pausedFor >= MaximumPause && (task.checkpoints || task.percent < NegligibleProgressPercent);
+    return task.pausedFor >= MaximumPause && task.idleFor < LongestIdleTime
+        && (task.checkpoints || task.percent < NegligibleProgressPercent);
 }
 
 }
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -40,6 +40,19 @@
     return OtherImageCost * static_cast<double>(others) + (same > 0 ? 0.0 : NewImageCost);
 }
 
+// Returns the cost of placing a backfilling task beside the serving tasks of a worker, or nothing if it would disturb
+// them.
+std::optional<double> interferenceCost(const WorkerState &worker, const PlacementQuery &query)
+{
+    const ImageId image = query.step->image;
+    const double demand = worker.processorShare(query.step->specification());
+    if (query.probe) {
+        return probeExcessLoad(*query.interference, worker, image, demand, *query.probe);
+    }
+    const double excess = predictedExcessLoad(*query.interference, worker.serving, worker.backfilling, image, demand);
+    return excess > -PlacementMargin ? std::nullopt : std::optional(excess);
+}
+
 }
 
 bool meetsRequirements(const WorkerState &worker, const StepSpecification &step, const std::string &pool)
@@ -95,12 +108,11 @@
         cost += imageMixCost(worker, query.step->image);
     }
     if (step.backfills) {
-        const double excess = predictedExcessLoad(*query.interference, worker.serving, worker.backfilling,
-            query.step->image, share(step.demand.milliCores, capacity));
-        if (excess > -PlacementMargin) {
+        const std::optional<double> interference = interferenceCost(worker, query);
+        if (!interference) {
             return std::nullopt;
         }
-        cost += excess;
+        cost += *interference;
     }
     if (query.avoidedWorkers->contains(worker.listing.name)) {
         cost += AvoidedWorkerCost;
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "scheduling/WorkerState.h"
+#include "scheduling/BackfillProbe.h"
 
 namespace Wagtail
 {
@@ -14,6 +14,8 @@
     // The rack of the other tasks of a step with sameRack, or empty.
     std::string preferredRack;
     const BackfillInterferenceModel *interference = nullptr;
+    // For a backfilling task that is to start as a probe.
+    std::optional<ProbeKind> probe;
     Instant now;
 };
 
--- a/source/scheduling/tests/BackfillThrottleTest.cpp
+++ b/source/scheduling/tests/BackfillThrottleTest.cpp
@@ -47,7 +47,7 @@
 {
     BackfillInterferenceModel before;
     train(before, "pump", "tariff", 1.5);
-    before.observeTail(before.idOf("pump"), 10);
+    before.observeTail(before.idOf("pump"), 10, Instant());
     BackfillInterferenceModel after;
     after.restore(before.describe());
     EXPECT_EQ(after.coefficient(after.idOf("pump"), after.idOf("tariff")),
@@ -60,8 +60,8 @@
 TEST(BackfillInterferenceModel, derivesLoadFromTheTailLatency)
 {
     BackfillInterferenceModel model;
-    EXPECT_LT(model.observeTail(model.idOf("pump"), 10), 0.3);
-    EXPECT_GT(model.observeTail(model.idOf("pump"), 200), 0.9);
+    EXPECT_LT(model.observeTail(model.idOf("pump"), 10, Instant()), 0.3);
+    EXPECT_GT(model.observeTail(model.idOf("pump"), 200, Instant()), 0.9);
     EXPECT_LT(model.loadAt(model.idOf("pump"), 20.0), model.loadAt(model.idOf("pump"), 50.0));
 }
 
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -339,6 +339,17 @@
         return count;
     }
 
+    // Returns how many runs of the job's tasks work, that is, are not paused.
+    [[nodiscard]] int workingCount(const std::string &job) const
+    {
+        int count = 0;
+        for (const auto &[name, worker] : m_workers) {
+            count += static_cast<int>(std::count_if(worker.running.begin(), worker.running.end(),
+                [&job](const Run &run) { return run.name.task.job == job && !run.paused; }));
+        }
+        return count;
+    }
+
     [[nodiscard]] std::size_t startCount(const TaskName &task) const
     {
         const auto found = m_starts.find(task);
