Scheduling: Check a held place again before a task is placed there

A held place was used without another look at the routes of the queue, the limit per worker and the tasks beside it: by then the queue may go to another pool, and runs of the same step may have been adopted on the worker. Found by reading. Evacuation.placesNoTaskOnAHeldPlaceOfAPoolThatItsQueueHasLeft covers the pool.

--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -60,6 +60,7 @@
 
 void JobScheduler::placeHeldTasks(const RecoveryHolds &holds)
 {
+    const Instant now = m_environment.clock.now();
     for (auto &[name, worker] : m_workers) {
         if (worker.heldPlaces.isEmpty()) {
             continue;
@@ -72,8 +73,15 @@
             const bool open = isHeldPlaceOpen(*task);
             worker.heldPlaces.release(taskName);
             task->nextWorker.clear();
+            // Since the place was held, runs may have been adopted on the worker, and the routes may have changed.
+            PlacementQuery query;
+            query.step = task->step;
+            query.pool = task->step->occurrence->job->policy.pool;
+            query.avoidedWorkers = &task->avoidedWorkers;
+            query.interference = &m_interference;
+            query.now = now;
             // Otherwise the task looks for a place like any other.
-            if (open && isPermitted(*task->step, worker)) {
+            if (open && placementCost(worker, query) && isPermitted(*task->step, worker)) {
                 placeHeldTask(*task, worker);
             }
         }
@@ -129,7 +137,7 @@
     WorkerState *best = nullptr;
     for (auto &[name, worker] : m_workers) {
         // Reserved workers are for tasks that do not run at all.
-        if (m_reservedWorkers.contains(name) || !couldTakeLater(worker, step, now) || !m_leaseHandover.mayGrant(name)
+        if (!couldTakeLater(worker, step, now) || m_reservedWorkers.contains(name) || !m_leaseHandover.mayGrant(name)
             || !isPermitted(step, worker) || !isolationCost(task, worker, isolation)) {
             continue;
         }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -287,13 +287,14 @@
     WorkerState *best = nullptr;
     double lowestCost = std::numeric_limits<double>::max();
     for (auto &[name, worker] : m_workers) {
-        const bool reserved = !step.specification().longRunning && m_reservedWorkers.contains(name);
-        if (reserved || !m_leaseHandover.mayGrant(name) || !isPermitted(step, worker)) {
-            continue;
-        }
         const std::optional<double> cost = placementCost(worker, query);
         const std::optional<double> isolation = cost ? isolationCost(task, worker, isolationQuery) : std::nullopt;
-        if (isolation && *cost + *isolation < lowestCost) {
+        if (!isolation || *cost + *isolation >= lowestCost) {
+            continue;
+        }
+        // Most workers are full under load, so the look-ups by name come last.
+        const bool reserved = !step.specification().longRunning && m_reservedWorkers.contains(name);
+        if (!reserved && m_leaseHandover.mayGrant(name) && isPermitted(step, worker)) {
             lowestCost = *cost + *isolation;
             best = &worker;
         }
--- a/source/scheduling/tests/EvacuationTest.cpp
+++ b/source/scheduling/tests/EvacuationTest.cpp
@@ -239,4 +239,20 @@
     EXPECT_EQ(m_harness.workers.violations(), std::vector<std::string>());
 }
 
+// The routes of a queue may change while a task is on its way.
+TEST_F(Evacuation, placesNoTaskOnAHeldPlaceOfAPoolThatItsQueueHasLeft)
+{
+    startLasting("leaving", 1);
+    m_harness.addWorker("other", Core, Memory);
+    m_harness.advance(Second);
+    m_harness.drainWorker("leaving");
+    advanceUntilATaskIsStopped();
+    m_harness.changePool("another pool");
+    m_harness.advance(Second);
+    EXPECT_EQ(runsOn("other"), 0U);
+    m_harness.changePool("pool");
+    m_harness.advance(Second);
+    EXPECT_EQ(runsOn("other"), 1U);
+}
+
 }
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -37,6 +37,12 @@
         m_jobs.updateWorker(listing);
     }
 
+    // Sends the queue's tasks to the workers of another pool from now on.
+    void changePool(const std::string &pool)
+    {
+        m_jobs.updatePolicies({{"queue", policyFor(pool)}});
+    }
+
     void cancel(const std::string &id)
     {
         (void)m_jobs.cancel(id);
@@ -54,7 +60,7 @@
     void submit(const JobSpecification &job, FakeWorkers::Behaviour behaviour)
     {
         workers.setBehaviour(job.id, std::move(behaviour));
-        m_jobs.add(job, {"queue", "pool", 0, 3, 2.0, Milliseconds(1'000), false}, clock.wallMilliseconds());
+        m_jobs.add(job, policyFor("pool"), clock.wallMilliseconds());
         m_submittedAt[job.id] = clock.now();
     }
 
@@ -94,6 +100,11 @@
     FakeWorkers workers;
 
 private:
+    static QueuePolicy policyFor(const std::string &pool)
+    {
+        return {"queue", pool, 0, 3, 2.0, Milliseconds(1'000), false};
+    }
+
     // Lists workers that have come back after a crash with their new incarnation. All else stays as listed last.
     void listRestartedWorkers()
     {
