--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -12,6 +12,7 @@
 #include "scheduling/SchedulingPolicies.h"
 #include "scheduling/SuspectIsolation.h"
 #include "scheduling/TaskDelegation.h"
+#include "scheduling/UnplacedTaskSearch.h"
 #include "scheduling/WorkerState.h"
 
 #include <functional>
@@ -43,7 +44,7 @@
     virtual void tokenRefused(const std::string &worker) = 0;
 
     // A worker of this partition is proven to have crashed under a task before it was delegated to the other one, which
-    // has to know of it.
+    // has to know of it. If the task was given back, the partition is empty and stands for the job's home partition.
     virtual void delegatedTaskCrashed(const std::string &job, const std::string &partition) = 0;
 
     // A task of a job that another partition owns is given up. Only that partition may end the job.
@@ -74,14 +75,6 @@
     std::uint64_t number = 0;
 };
 
-// A step with long-running tasks for which no worker was found.
-struct UnplacedStep
-{
-    std::string job;
-    int step = 0;
-    int waiting = 0;
-};
-
 // A finished job that was removed from the scheduler.
 struct RemovedJob
 {
@@ -132,14 +125,22 @@
     void addDelegated(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall,
         const std::vector<DelegatedTask> &tasks);
 
-    // Returns the steps with long-running tasks that have waited for longer than the given time and for which no worker
-    // has room now. There are none as long as live workers are missing from the platform's list.
-    [[nodiscard]] std::vector<UnplacedStep> unplacedLongRunning(Milliseconds longerThan) const;
+    // Returns the steps with long-running tasks that other partitions should run. There are none as long as live
+    // workers are missing from the platform's list.
+    [[nodiscard]] std::vector<UnplacedStep> unplacedLongRunning() const;
 
     // Delegates up to the given number of waiting tasks of a step to another partition. They must not be sent there
     // before the progress of the job is recorded.
     void delegate(const UnplacedStep &unplaced, const std::string &partition, int count);
 
+    // Gives up to the given number of waiting tasks of a step back to the partition that owns the job. Returns them.
+    // They must be sent there in the transaction that records the progress of the job.
+    std::vector<DelegatedTask> giveBack(const UnplacedStep &unplaced, int count);
+
+    // Makes tasks that the partition has given back wait for workers again. Returns how many tasks do so; a message
+    // that has come before changes nothing.
+    int takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks);
+
     // Fails a job because another partition has given up one of the named tasks, which were delegated to it. Returns
     // false if the job has ended or none of them is one of its delegated tasks.
     bool failDelegated(const std::string &id, const std::vector<DelegatedTask> &tasks);
@@ -212,9 +213,9 @@
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
     void createDueOccurrences(JobState &job);
-    void openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks);
+    void openDelegated(
+        JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks, DelegationSource source);
     [[nodiscard]] bool isWorkerListComplete(Instant now) const;
-    [[nodiscard]] static bool isDelegable(const TaskState &task, const RecoveryHolds &holds);
     void assignImageIds(OccurrenceState &occurrence);
     void setPhase(JobState &job, JobPhase phase);
     void finish(JobState &job, JobPhase phase);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -219,9 +219,12 @@
     });
     for (TaskState *task : suspects) {
         const JobState &job = *task->step->occurrence->job;
-        if (judge(task->crashes) == CrashVerdict::GiveUp) {
+        const bool isElsewhere = task->phase == RunPhase::Delegated && !job.isFinished();
+        // The home partition judges a task that was given back to it.
+        const bool wasGivenBack = isElsewhere && job.ownedElsewhere;
+        if (!wasGivenBack && judge(task->crashes) == CrashVerdict::GiveUp) {
             giveUp(*task);
-        } else if (task->phase == RunPhase::Delegated && !task->delegatedTo.empty() && !job.isFinished()) {
+        } else if (isElsewhere) {
             m_environment.listener.delegatedTaskCrashed(job.specification.id, task->delegatedTo);
         }
     }
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -1,7 +1,6 @@
 // JobScheduler: delegation of long-running tasks to other partitions, and tasks that they delegated to this one.
 #include "scheduling/CrashVerdict.h"
 #include "scheduling/JobScheduler.h"
-#include "scheduling/PlacementSurvey.h"
 
 #include <algorithm>
 
@@ -23,7 +22,7 @@
         job.finishedAt = m_environment.clock.now();
         return;
     }
-    openDelegated(job, progress, tasks);
+    openDelegated(job, progress, tasks, DelegationSource::Record);
     awaitOpenRuns(job);
 }
 
@@ -37,7 +36,7 @@
         if (!job.ownedElsewhere || job.isFinished()) {
             return;
         }
-        for (TaskState *task : acceptDelegated(job, tasks)) {
+        for (TaskState *task : acceptDelegated(job, tasks, DelegationSource::Message)) {
             if (judge(task->crashes) == CrashVerdict::GiveUp) {
                 giveUp(*task);
             }
@@ -48,28 +47,21 @@
     }
     JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
     job.ownedElsewhere = true;
-    openDelegated(job, Json::object(), tasks);
+    openDelegated(job, Json::object(), tasks, DelegationSource::Message);
     m_environment.listener.progressChanged(id);
 }
 
-void JobScheduler::openDelegated(JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks)
+void JobScheduler::openDelegated(
+    JobState &job, const Json &progress, const std::vector<DelegatedTask> &tasks, DelegationSource source)
 {
     m_unfinishedJobs.push_back(&job);
     createDueOccurrences(job);
     markAllDelegated(job);
-    restoreCrashHistories(job, progress);
-    acceptDelegated(job, tasks);
+    restoreDelegatedProgress(job, progress);
+    acceptDelegated(job, tasks, source);
     dispatchSoon();
 }
 
-bool JobScheduler::isDelegable(const TaskState &task, const RecoveryHolds &holds)
-{
-    // A task whose lost runs may still decide its verdict, or may after one more crash, waits for them here, because
-    // only this partition can ask their workers and the other one would judge that crash without them.
-    return task.phase == RunPhase::Waiting && !holds.isHeldBack(task) && judge(task.crashes) == CrashVerdict::Retry
-        && !mayLostRunsDecide(task.crashes);
-}
-
 bool JobScheduler::isWorkerListComplete(Instant now) const
 {
     const bool anyListed
@@ -79,27 +71,22 @@
     });
 }
 
-std::vector<UnplacedStep> JobScheduler::unplacedLongRunning(Milliseconds longerThan) const
+std::vector<UnplacedStep> JobScheduler::unplacedLongRunning() const
 {
     const Instant now = m_environment.clock.now();
-    const RecoveryHolds holds = recoveryHolds();
     std::vector<UnplacedStep> steps;
     if (!isWorkerListComplete(now)) {
         return steps;
     }
+    const UnplacedTaskSearch search(m_workers, recoveryHolds(), now);
     for (const JobState *job : m_unfinishedJobs) {
-        if (job->ownedElsewhere || job->specification.repeatCount > 0) {
+        if (job->specification.repeatCount > 0) {
             continue;
         }
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
-                const StepSpecification &specification = step.specification();
-                const bool movable = specification.longRunning && !specification.gang && specification.after.empty();
-                const auto ready = static_cast<int>(std::count_if(step.tasks.begin(), step.tasks.end(),
-                    [&holds](const TaskState &task) { return isDelegable(task, holds); }));
-                const bool waits = ready > 0 && step.unplacedSince && now - *step.unplacedSince > longerThan;
-                if (movable && waits && surveyPlacement(m_workers, step, now).available == 0) {
-                    steps.push_back({job->specification.id, step.number, ready});
+                if (std::optional<UnplacedStep> unplaced = search.search(step)) {
+                    steps.push_back(*std::move(unplaced));
                 }
             }
         }
@@ -110,27 +97,46 @@
 void JobScheduler::delegate(const UnplacedStep &unplaced, const std::string &partition, int count)
 {
     const auto found = m_jobs.find(unplaced.job);
-    if (found == m_jobs.end() || found->second->isFinished()) {
+    if (found == m_jobs.end() || found->second->isFinished() || found->second->ownedElsewhere) {
         return;
     }
-    const RecoveryHolds holds = recoveryHolds();
-    for (auto &[number, occurrence] : found->second->occurrences) {
-        for (StepState &step : occurrence.steps) {
-            for (TaskState &task : step.tasks) {
-                if (step.number != unplaced.step || count <= 0 || !isDelegable(task, holds)) {
-                    continue;
-                }
-                --count;
-                --step.waitingCount;
-                task.phase = RunPhase::Delegated;
-                task.delegatedTo = partition;
-                // Runs of earlier terms are not known to this one, and the other partition must use none of their
-                // numbers, because crashes are kept by run.
-                task.run = std::max(task.run, m_firstRunNumber - 1);
-            }
-        }
+    delegateTasks({*found->second, unplaced.step, count, m_firstRunNumber - 1}, recoveryHolds(), partition);
+    m_environment.listener.progressChanged(unplaced.job);
+}
+
+std::vector<DelegatedTask> JobScheduler::giveBack(const UnplacedStep &unplaced, int count)
+{
+    const auto found = m_jobs.find(unplaced.job);
+    if (found == m_jobs.end() || found->second->isFinished() || !found->second->ownedElsewhere) {
+        return {};
     }
+    std::vector<DelegatedTask> tasks
+        = returnTasks({*found->second, unplaced.step, count, m_firstRunNumber - 1}, recoveryHolds());
     m_environment.listener.progressChanged(unplaced.job);
+    return tasks;
+}
+
+int JobScheduler::takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->isFinished() || found->second->ownedElsewhere) {
+        return 0;
+    }
+    JobState &job = *found->second;
+    const TakenBackTasks taken = Wagtail::takeBack(job, partition, tasks);
+    m_environment.listener.progressChanged(id);
+    dispatchSoon();
+    for (TaskState *task : taken.crashed) {
+        if (job.isFinished()) {
+            break;
+        }
+        if (judge(task->crashes) == CrashVerdict::GiveUp) {
+            giveUp(*task);
+        } else if (task->phase == RunPhase::Delegated) {
+            m_environment.listener.delegatedTaskCrashed(id, task->delegatedTo);
+        }
+    }
+    return static_cast<int>(taken.waiting.size());
 }
 
 bool JobScheduler::failDelegated(const std::string &id, const std::vector<DelegatedTask> &tasks)
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -22,7 +22,7 @@
 std::uint64_t JobScheduler::nextRun(const StepState &step, const TaskState &task) const
 {
     const std::uint64_t last = step.specification().gang ? step.highestRun : task.run;
-    return std::max(last + 1, m_firstRunNumber + task.delegatorLastRun);
+    return std::max(last + 1, m_firstRunNumber + task.lastRunElsewhere);
 }
 
 void JobScheduler::place(TaskState &task, WorkerState &worker, std::uint64_t run)
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -35,8 +35,9 @@
 // Returns the progress of a task that the store keeps besides its completion, or null if there is none.
 Json describeTask(const TaskState &task)
 {
+    const bool wasReturned = task.lastRunElsewhere > 0 && !task.step->occurrence->job->ownedElsewhere;
     const bool isEmpty = task.failedRuns.empty() && task.checkpoint.empty() && task.delegatedTo.empty()
-        && task.crashes.isEmpty() && task.clearedRun == 0;
+        && task.crashes.isEmpty() && task.clearedRun == 0 && task.returnedRun == 0 && !wasReturned;
     if (task.phase == RunPhase::Done || isEmpty) {
         return nullptr;
     }
@@ -48,6 +49,11 @@
     if (!task.delegatedTo.empty()) {
         document["delegated_to"] = task.delegatedTo;
         document["last_run"] = task.run;
+    } else if (wasReturned) {
+        document["last_run"] = task.lastRunElsewhere;
+    }
+    if (task.returnedRun > 0) {
+        document["returned_run"] = task.returnedRun;
     }
     return document;
 }
@@ -113,9 +119,14 @@
         restoreCrashes(task, entry);
         task.checkpoint = memberOr(entry, "checkpoint", std::string());
         task.delegatedTo = memberOr(entry, "delegated_to", std::string());
-        if (!task.delegatedTo.empty() && task.phase == RunPhase::Waiting) {
+        if (task.phase != RunPhase::Waiting) {
+            continue;
+        }
+        task.run = std::min(memberOr(entry, "last_run", task.run), MaximumRunNumber);
+        if (task.delegatedTo.empty()) {
+            task.lastRunElsewhere = task.run;
+        } else {
             task.phase = RunPhase::Delegated;
-            task.run = std::min(memberOr(entry, "last_run", task.run), MaximumRunNumber);
             --step.waitingCount;
         }
     }
@@ -239,6 +250,9 @@
         occurrences[std::to_string(number)] = std::move(steps);
     }
     document["occurrences"] = std::move(occurrences);
+    if (!job.formerDelegates.empty()) {
+        document["delegates"] = job.formerDelegates;
+    }
     return document;
 }
 
@@ -269,7 +283,7 @@
     }
 }
 
-void restoreCrashHistories(JobState &job, const Json &document)
+void restoreDelegatedProgress(JobState &job, const Json &document)
 {
     const Json occurrences = memberOr(document, "occurrences", Json::object());
     for (auto &[number, occurrence] : job.occurrences) {
@@ -282,7 +296,9 @@
             for (const Json &entry : memberOr(steps[i], "tasks", Json::array())) {
                 const int index = memberOr(entry, "index", -1);
                 if (index >= 0 && static_cast<std::size_t>(index) < tasks.size()) {
-                    restoreCrashes(tasks[static_cast<std::size_t>(index)], entry);
+                    TaskState &task = tasks[static_cast<std::size_t>(index)];
+                    restoreCrashes(task, entry);
+                    task.returnedRun = std::min(memberOr(entry, "returned_run", std::uint64_t {0}), MaximumRunNumber);
                 }
             }
         }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -56,8 +56,12 @@
     // Whether this leader term has started a run of the task, or no earlier term can have started one since the run
     // that this term has adopted. Then the task runs nowhere but on its worker.
     bool isPlaceKnown = false;
-    // Number of the last run in the partition that delegated the task to this one. Runs here get higher numbers.
-    std::uint64_t delegatorLastRun = 0;
+    // Number of the last run in the partition that delegated the task to this one or gave it back. Runs here get higher
+    // numbers.
+    std::uint64_t lastRunElsewhere = 0;
+    // The number that this partition gave its last run of the task when it gave the task back, or 0. Only a delegation
+    // that names it or a higher one is newer.
+    std::uint64_t returnedRun = 0;
     // Worker of the current run, or empty.
     std::string worker;
     // Numbers of the failed runs. After a take-over, run ends are reported again and in any order, so a mere count
@@ -200,7 +204,8 @@
     // Returns the partitions to which tasks of the job are or were delegated.
     [[nodiscard]] std::set<std::string> delegates() const;
 
-    // The result of delegates() as the store has it for a finished job, whose tasks are no longer kept.
+    // Partitions that have given back tasks of the job and still know it. For a finished job, whose tasks are no longer
+    // kept, the result of delegates() as the store has it.
     std::set<std::string> formerDelegates;
 };
 
@@ -221,7 +226,7 @@
 // Applies the document that describeProgress() returned to a job that has no occurrences yet.
 void restoreProgress(JobState &job, const Json &document);
 
-// Adds only the crash histories of that document, to a job whose occurrences exist already.
-void restoreCrashHistories(JobState &job, const Json &document);
+// Adds only the crash histories and returned runs of that document, to a job whose occurrences exist already.
+void restoreDelegatedProgress(JobState &job, const Json &document);
 
 }
--- a/source/tenure/GivenUpTaskReporter.cpp
+++ b/source/tenure/GivenUpTaskReporter.cpp
@@ -72,7 +72,7 @@
         return;
     }
     const InboxEntry entry {InboxRequest::GiveUp, job, std::nullopt, givenUpTasks(*state)};
-    if (entry.givenUp.empty()) {
+    if (entry.tasks.empty()) {
         m_dueAt.erase(job);
         return;
     }
--- a/source/tenure/HeadroomPoller.cpp
+++ b/source/tenure/HeadroomPoller.cpp
@@ -10,6 +10,8 @@
 
 // At most a few long-running jobs arrive per second, so headroom of this age is still nearly accurate.
 constexpr Milliseconds PollPeriod {1'000};
+// Long-running tasks that wait for room elsewhere should run again within a second or two.
+constexpr Milliseconds UrgentPollPeriod {250};
 // An owner that does not answer within this time is considered busy or unreachable. Its last headroom stays in use.
 constexpr long TimeoutMilliseconds = 700;
 
@@ -26,14 +28,25 @@
 
 void HeadroomPoller::start()
 {
-    poll();
-    m_environment.scheduler.after(PollPeriod, [this, alive = m_alive] {
+    review();
+    m_environment.scheduler.after(UrgentPollPeriod, [this, alive = m_alive] {
         if (*alive) {
             start();
         }
     });
 }
 
+void HeadroomPoller::review()
+{
+    const Instant now = m_environment.clock.now();
+    const Milliseconds period = m_environment.ownership.seeksRoom() ? UrgentPollPeriod : PollPeriod;
+    if (m_polledAt != Instant() && now - m_polledAt < period) {
+        return;
+    }
+    m_polledAt = now;
+    poll();
+}
+
 void HeadroomPoller::poll()
 {
     const std::vector<std::string> partitions = m_environment.plan.partitions();
--- a/source/tenure/HeadroomPoller.h
+++ b/source/tenure/HeadroomPoller.h
@@ -15,6 +15,7 @@
 public:
     struct Environment
     {
+        const Clock &clock;
         Scheduler &scheduler;
         HttpClient &client;
         PartitionOwnership &ownership;
@@ -29,10 +30,13 @@
     void start();
 
 private:
+    // Polls if a poll is due.
+    void review();
     void poll();
     void askOwner(const std::string &partition, const std::string &address);
 
     Environment m_environment;
+    Instant m_polledAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/InstanceEntry.h
+++ b/source/tenure/InstanceEntry.h
@@ -20,6 +20,13 @@
     std::string incarnation;
     // Processor time that the process may use, in thousandths of a core.
     std::int64_t milliCores = 0;
+    // The version of the messages between partitions that the process reads. Those that an earlier process would not
+    // understand are sent once all instances read them.
+    std::int64_t messageVersion = CurrentMessageVersion;
+
+    // The first version with tasks that are given back. Processes of before have none.
+    static constexpr std::int64_t ReturnVersion = 1;
+    static constexpr std::int64_t CurrentMessageVersion = ReturnVersion;
 
     bool operator==(const InstanceEntry &) const = default;
 };
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -83,6 +83,18 @@
     return job == earlier.job && writes.front().key == earlier.writes.front().key;
 }
 
+bool JobJournal::hasUnsentDelegation(const std::string &job) const
+{
+    return std::any_of(m_delegations.begin(), m_delegations.end(),
+        [&job](const PendingDelegation &delegation) { return delegation.job == job; });
+}
+
+void JobJournal::eraseAfterProgress(const std::string &key, const std::string &job)
+{
+    m_erasuresAfterProgress[job].insert(key);
+    progressChanged(job, Urgency::Low);
+}
+
 void JobJournal::requestSync()
 {
     m_syncRequested = true;
@@ -230,6 +242,10 @@
 
 void JobJournal::writeProgress(Batch &batch, const std::string &job, std::size_t &entries)
 {
+    if (auto erasures = m_erasuresAfterProgress.extract(job)) {
+        m_erasures.insert(erasures.mapped().begin(), erasures.mapped().end());
+        batch.erasuresAfterProgress.insert(std::move(erasures));
+    }
     const auto progress = m_client.progressOf(job);
     if (!progress) {
         return;
@@ -380,6 +396,13 @@
     m_delegations.insert(m_delegations.begin(), std::make_move_iterator(batch.delegations.begin()),
         std::make_move_iterator(batch.delegations.end()));
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
+    for (auto &[job, keys] : batch.erasuresAfterProgress) {
+        for (const std::string &key : keys) {
+            m_erasures.erase(key);
+        }
+        m_erasuresAfterProgress[job].merge(keys);
+        m_changed.insert(job);
+    }
     m_syncRequested = m_syncRequested || batch.includesAllChanges;
     std::move(batch.flushHandlers.begin(), batch.flushHandlers.end(), std::back_inserter(m_flushHandlers));
     schedule(Urgency::High);
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -103,6 +103,13 @@
     // dropped if the job's cancellation is put into the inbox of that partition.
     void delegate(const std::string &job, const std::string &partition, std::vector<StoreWrite> writes);
 
+    // Returns whether a delegation of the job waits to be sent to the store.
+    [[nodiscard]] bool hasUnsentDelegation(const std::string &job) const;
+
+    // Schedules the job's progress to be written, and a key to be erased in the same transaction or a later one. The
+    // key holds the message that has led to the progress.
+    void eraseAfterProgress(const std::string &key, const std::string &job);
+
     // Requests onSyncStarting() and onSynced() even if no job has changed.
     void requestSync();
 
@@ -140,6 +147,8 @@
         std::vector<PendingDelegation> delegations;
         std::map<std::string, std::string> puts;
         std::vector<std::pair<std::string, JobPhase>> phases;
+        // The keys whose erasure this batch allows, by job.
+        std::map<std::string, std::set<std::string>> erasuresAfterProgress;
         bool includesAllChanges = false;
         // Called once the batch has been committed; it includes all changes made before flush() was called.
         std::vector<std::function<void()>> flushHandlers;
@@ -171,6 +180,8 @@
     std::set<std::string> m_changed;
     std::map<std::string, std::string> m_puts;
     std::set<std::string> m_erasures;
+    // Keys that must not be erased before the progress of the job is written, by job.
+    std::map<std::string, std::set<std::string>> m_erasuresAfterProgress;
     bool m_syncRequested = false;
     std::optional<Batch> m_batch;
     // Whether a pending change is urgent, and which of the two write timers are running.
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -63,9 +63,20 @@
     return inbox(partition) + "1-submit-" + job;
 }
 
-[[nodiscard]] inline std::string inboxDelegation(const std::string &partition, const std::string &job)
+// Returns the key of a delegation. The message identifies it among those of the job, because a later one that replaced
+// it could be erased with it unread.
+[[nodiscard]] inline std::string inboxDelegation(
+    const std::string &partition, const std::string &job, const std::string &message)
 {
-    return inbox(partition) + "1-delegate-" + job;
+    return inbox(partition) + "1-delegate-" + job + "/" + message;
+}
+
+// Returns the key of a message that gives tasks of a job back to its home partition. The message identifies it among
+// those of the sender.
+[[nodiscard]] inline std::string inboxReturn(
+    const std::string &partition, const std::string &job, const std::string &sender, const std::string &message)
+{
+    return inbox(partition) + "1-return-" + job + "/" + sender + "/" + message;
 }
 
 [[nodiscard]] inline std::string inboxCancellation(const std::string &partition, const std::string &job)
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -15,6 +15,9 @@
     Json document = Json::array();
     for (const DelegatedTask &delegated : tasks) {
         Json entry = {{"task", delegated.task.text()}, {"last_run", delegated.lastRun}};
+        if (delegated.clearedRun > 0) {
+            entry["cleared_run"] = delegated.clearedRun;
+        }
         delegated.crashes.describe(entry);
         document.push_back(std::move(entry));
     }
@@ -26,13 +29,15 @@
 {
     const std::optional<TaskName> task = TaskName::parse(memberOr(entry, "task", std::string()));
     const auto lastRun = memberOr(entry, "last_run", std::uint64_t {0});
-    if (!task || lastRun > MaximumRunNumber) {
+    const auto clearedRun = memberOr(entry, "cleared_run", std::uint64_t {0});
+    if (!task || lastRun > MaximumRunNumber || clearedRun > MaximumRunNumber) {
         return std::nullopt;
     }
-    return DelegatedTask {*task, lastRun, CrashHistory::parse(entry)};
+    return DelegatedTask {*task, lastRun, CrashHistory::parse(entry), clearedRun};
 }
 
-std::vector<DelegatedTask> parseGivenUpTasks(const Json &entries)
+// Leaves out tasks that are malformed.
+std::vector<DelegatedTask> parseDelegatedTasks(const Json &entries)
 {
     std::vector<DelegatedTask> tasks;
     for (const Json &entry : entries) {
@@ -75,8 +80,14 @@
     return record;
 }
 
-constexpr NameTable<InboxRequest, 4> RequestNames {{{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"},
-    {InboxRequest::Delegate, "delegate"}, {InboxRequest::GiveUp, "give-up"}}}};
+constexpr NameTable<InboxRequest, 5> RequestNames {{{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"},
+    {InboxRequest::Delegate, "delegate"}, {InboxRequest::GiveUp, "give-up"}, {InboxRequest::Return, "return"}}}};
+
+// Returns the member of an inbox entry that holds its tasks.
+const char *tasksMember(InboxRequest request)
+{
+    return request == InboxRequest::Return ? "returned" : "given_up";
+}
 
 }
 
@@ -105,8 +116,11 @@
     if (entry.record) {
         document["record"] = describe(*entry.record);
     }
-    if (!entry.givenUp.empty()) {
-        document["given_up"] = describe(entry.givenUp);
+    if (!entry.tasks.empty()) {
+        document[tasksMember(entry.request)] = describe(entry.tasks);
+    }
+    if (!entry.partition.empty()) {
+        document["from"] = entry.partition;
     }
     return writeJson(document);
 }
@@ -120,17 +134,19 @@
     const Json &document = std::get<Json>(parsed);
     InboxEntry entry;
     entry.job = memberOr(document, "job", std::string());
-    const std::optional<InboxRequest> request = RequestNames.find(memberOr(document, "request", std::string()));
+    const std::string name = memberOr(document, "request", std::string());
+    const std::optional<InboxRequest> request = RequestNames.find(name);
     if (!request) {
-        return Error {ErrorKind::InvalidInput, "the inbox entry has an unknown request type",
-            "run the same version on all instances"};
+        return Error {name.empty() ? ErrorKind::InvalidInput : ErrorKind::UnsupportedProtocol,
+            "the inbox entry has an unknown request type", "run the same version on all instances"};
     }
     entry.request = *request;
     if (entry.request == InboxRequest::Cancel) {
         return entry;
     }
-    if (entry.request == InboxRequest::GiveUp) {
-        entry.givenUp = parseGivenUpTasks(memberOr(document, "given_up", Json::array()));
+    if (entry.request == InboxRequest::GiveUp || entry.request == InboxRequest::Return) {
+        entry.tasks = parseDelegatedTasks(memberOr(document, tasksMember(entry.request), Json::array()));
+        entry.partition = memberOr(document, "from", std::string());
         return entry;
     }
     Result<JobRecord> record = parseRecord(memberOr(document, "record", Json()));
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -36,6 +36,8 @@
     Delegate,
     // Fails a job because the partition to which some of its tasks were delegated has given them up.
     GiveUp,
+    // Takes back tasks for which the partition to which they were delegated has found no worker.
+    Return,
 };
 
 [[nodiscard]] std::string_view nameOf(InboxRequest request);
@@ -47,11 +49,16 @@
     std::string job;
     // Set in submissions and delegations only.
     std::optional<JobRecord> record;
-    // The tasks that were given up.
-    std::vector<DelegatedTask> givenUp = {};
+    // The tasks that were given up or given back.
+    std::vector<DelegatedTask> tasks = {};
+    // The partition that gives tasks back. Set in returns only.
+    std::string partition = {};
 };
 
 [[nodiscard]] std::string serialize(const InboxEntry &entry);
+
+// Reads what serialize() wrote. Fails with UnsupportedProtocol if the request is of a later version, and otherwise with
+// InvalidInput.
 [[nodiscard]] Result<InboxEntry> parseInboxEntry(const std::string &text);
 
 }
--- a/source/tenure/PartitionChoice.cpp
+++ b/source/tenure/PartitionChoice.cpp
@@ -66,28 +66,84 @@
     return static_cast<double>(headroom.freeForBatch - demand) >= needed;
 }
 
-}
+// A partition that has room for tasks of a step.
+struct Candidate
+{
+    DelegationChoice choice;
+    // How many more tasks it can probably place.
+    std::uint64_t room = 0;
+
+    // A partition with few places left is chosen rarely, because another owner may have taken them already.
+    [[nodiscard]] std::uint64_t weight() const
+    {
+        return room * room;
+    }
+};
 
-std::optional<DelegationChoice> chooseDelegate(const StepSpecification &step, const std::string &pool, int waiting,
-    const std::string &home, const PartitionHeadrooms &headrooms)
+std::vector<Candidate> candidatesFor(const DelegationQuery &query, const PartitionHeadrooms &headrooms)
 {
-    const std::int64_t demand = step.backfills ? 0 : step.demand.milliCores;
-    std::optional<DelegationChoice> best;
-    std::int64_t mostFree = 0;
+    constexpr std::int64_t MostRoom = 10'000;
+    std::vector<Candidate> candidates;
     for (const auto &[name, pools] : headrooms) {
-        const auto headroom = pools.find(pool);
-        const bool possible = name != home && headroom != pools.end() && couldHold(headroom->second, step);
-        if (!possible || !step.demand.fitsInto(headroom->second.largestGap)
-            || headroom->second.freeBesideLongRunning <= mostFree) {
+        const auto headroom = pools.find(query.pool);
+        const bool isKnown = name != query.home && headroom != pools.end();
+        if (!isKnown || query.avoided.contains(name) || !couldHold(headroom->second, query.step)
+            || !query.step.demand.fitsInto(headroom->second.largestGap)
+            || headroom->second.freeBesideLongRunning <= 0) {
             continue;
         }
         const auto usable = static_cast<std::int64_t>(
             UsableShareOfGaps * static_cast<double>(headroom->second.freeBesideLongRunning));
-        const std::int64_t fitting = demand == 0 ? waiting : std::max<std::int64_t>(1, usable / demand);
-        mostFree = headroom->second.freeBesideLongRunning;
-        best = DelegationChoice {name, static_cast<int>(std::min<std::int64_t>(waiting, fitting))};
+        const std::int64_t room = usable / std::max<std::int64_t>(1, query.step.demand.milliCores);
+        candidates.push_back({{name, 0}, static_cast<std::uint64_t>(std::clamp<std::int64_t>(room, 1, MostRoom))});
+    }
+    return candidates;
+}
+
+// Returns the next number of a sequence that looks random (SplitMix64).
+std::uint64_t mix(std::uint64_t state)
+{
+    constexpr std::uint64_t Increment = 0x9e3779b97f4a7c15;
+    constexpr std::uint64_t FirstFactor = 0xbf58476d1ce4e5b9;
+    constexpr std::uint64_t SecondFactor = 0x94d049bb133111eb;
+    std::uint64_t mixed = state + Increment;
+    mixed = (mixed ^ (mixed >> 30U)) * FirstFactor;
+    mixed = (mixed ^ (mixed >> 27U)) * SecondFactor;
+    return mixed ^ (mixed >> 31U);
+}
+
+}
+
+std::vector<DelegationChoice> chooseDelegates(const DelegationQuery &query, const PartitionHeadrooms &headrooms)
+{
+    std::vector<Candidate> candidates = candidatesFor(query, headrooms);
+    std::uint64_t random = query.seed;
+    for (int i = 0; i < query.waiting; ++i) {
+        std::uint64_t total = 0;
+        for (const Candidate &candidate : candidates) {
+            total += candidate.weight();
+        }
+        if (total == 0) {
+            break;
+        }
+        random = mix(random);
+        std::uint64_t point = random % total;
+        for (Candidate &candidate : candidates) {
+            if (point < candidate.weight()) {
+                ++candidate.choice.count;
+                candidate.room -= query.step.backfills ? 0 : 1;
+                break;
+            }
+            point -= candidate.weight();
+        }
+    }
+    std::vector<DelegationChoice> choices;
+    for (const Candidate &candidate : candidates) {
+        if (candidate.choice.count > 0) {
+            choices.push_back(candidate.choice);
+        }
     }
-    return best;
+    return choices;
 }
 
 std::int64_t longRunningDemand(const JobSpecification &job)
--- a/source/tenure/PartitionChoice.h
+++ b/source/tenure/PartitionChoice.h
@@ -42,10 +42,26 @@
     bool operator==(const DelegationChoice &) const = default;
 };
 
-// Chooses a partition for waiting long-running tasks of a step that find no worker in their home partition, as happens
-// when a partition loses many workers at once while others have headroom.
-[[nodiscard]] std::optional<DelegationChoice> chooseDelegate(const StepSpecification &step, const std::string &pool,
-    int waiting, const std::string &home, const PartitionHeadrooms &headrooms);
+// The waiting long-running tasks of a step that find no worker in their partition.
+struct DelegationQuery
+{
+    const StepSpecification &step;
+    std::string pool;
+    int waiting = 0;
+    // The partition that they leave.
+    std::string home;
+    // Partitions that must not be chosen.
+    std::set<std::string> avoided = {};
+    // Owners that choose at the same time need different ones.
+    std::uint64_t seed = 0;
+};
+
+// Chooses partitions for waiting long-running tasks that find no worker in their home partition, as happens when a
+// partition loses many workers at once while others have headroom. The tasks are spread over the partitions by their
+// room, so that owners that choose at the same time don't all fill the same one. Tasks for which no partition has room
+// stay.
+[[nodiscard]] std::vector<DelegationChoice> chooseDelegates(
+    const DelegationQuery &query, const PartitionHeadrooms &headrooms);
 
 // Returns the processor demand of a job's long-running tasks, in thousandths of a core. Backfilling tasks count as 0.
 [[nodiscard]] std::int64_t longRunningDemand(const JobSpecification &job);
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -14,7 +14,7 @@
 // ends after this time, and a lost change is noticed then.
 constexpr Milliseconds InboxWatchTime {1'000};
 constexpr Milliseconds CleanupPeriod {5'000};
-constexpr Milliseconds DelegationPeriod {500};
+constexpr Milliseconds DelegationPeriod {200};
 // Interference between two images is learned within a few reports, so what a take-over loses is soon learned again.
 constexpr Milliseconds InterferenceModelWritePeriod {3'000};
 
@@ -34,6 +34,8 @@
     , m_inbox([this](const std::string &key) { onInboxChanged(key); })
     , m_inboxFeed(
           m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWatchTime)
+    , m_headrooms(m_environment.clock)
+    , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
 {
 }
 
@@ -64,7 +66,7 @@
     }
     PartitionHeadrooms headrooms;
     if (placement == Placement::AnyPartition) {
-        headrooms = m_headrooms;
+        headrooms = m_headrooms.headrooms();
     }
     headrooms[m_position.partition] = m_jobScheduler.headrooms();
     for (const auto &[pool, demand] : m_pendingLongRunningMilliCores) {
@@ -82,7 +84,7 @@
     if (choice.partition == m_position.partition) {
         return std::nullopt;
     }
-    m_headrooms[choice.partition][record.policy.pool].reserveForLongRunning(longRunningDemand(record.specification));
+    m_headrooms.reserveUntilReport(choice.partition, record.policy.pool, longRunningDemand(record.specification));
     m_environment.log("job-redirected", id, {{"partition", choice.partition}});
     return AcceptResult {AcceptOutcome::Redirected, choice.partition};
 }
@@ -105,7 +107,7 @@
 void PartitionLeader::updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms)
 {
     if (partition != m_position.partition) {
-        m_headrooms[partition] = headrooms;
+        m_headrooms.update(partition, headrooms);
     }
 }
 
@@ -212,6 +214,16 @@
     m_jobScheduler.setAuthority(m_termEnded ? SchedulingAuthority::Observe : authority);
 }
 
+bool PartitionLeader::seeksRoom() const
+{
+    return m_seeksRoom;
+}
+
+void PartitionLeader::setMayGiveBack(bool mayGiveBack)
+{
+    m_mayGiveBack = mayGiveBack;
+}
+
 void PartitionLeader::setLeaseConfirmedAt(Instant confirmedAt)
 {
     m_predecessorTenure.observe(confirmedAt, m_environment.clock.now());
@@ -227,6 +239,7 @@
     }
     m_jobScheduler.tick();
     m_givenUpReporter.tick();
+    m_returner.tick();
     const Instant now = m_environment.clock.now();
     // A record that can't be stored yet would only keep its workers from getting leases.
     if (m_jobScheduler.isLeaseRecordDue() && !m_journal.isStoreUnavailable()) {
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -2,7 +2,9 @@
 
 #include "configuration/PrefixWatcher.h"
 #include "scheduling/JobScheduler.h"
+#include "tenure/DelegatedTaskReturner.h"
 #include "tenure/GivenUpTaskReporter.h"
+#include "tenure/HeadroomLedger.h"
 #include "tenure/JobJournal.h"
 #include "tenure/PartitionChoice.h"
 #include "tenure/PredecessorTenure.h"
@@ -78,6 +80,12 @@
     void updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms);
     void setAuthority(SchedulingAuthority authority);
 
+    // Returns whether long-running tasks wait for room in other partitions, so that fresh reports of it are needed.
+    [[nodiscard]] bool seeksRoom() const;
+
+    // Sets whether all instances can read tasks that are given back.
+    void setMayGiveBack(bool mayGiveBack);
+
     // Sets when the store last confirmed this instance's lease. Must be called before each tick.
     void setLeaseConfirmedAt(Instant confirmedAt);
     void tick();
@@ -125,8 +133,17 @@
     // Sends the cancellation to the partitions that run some of the job's tasks.
     void cancelDelegated(const JobState &job);
 
-    // Delegates long-running tasks that find no worker to partitions with headroom.
+    // Passes long-running tasks that find no worker on to partitions with headroom.
     void delegateUnplacedTasks();
+    void delegate(const UnplacedStep &unplaced);
+    // Gives tasks of another partition's job back to it, if other partitions have headroom for them.
+    void giveBack(const UnplacedStep &unplaced);
+    // Takes back tasks that another partition gives back.
+    void takeBack(const std::string &key, const InboxEntry &entry);
+    [[nodiscard]] std::vector<DelegationChoice> chooseDelegatesFor(const UnplacedStep &unplaced) const;
+    // Returns the processor demand of so many tasks of a step, as far as it reduces the headroom.
+    [[nodiscard]] std::int64_t demandOf(const UnplacedStep &unplaced, int count) const;
+    [[nodiscard]] std::string nextMessage();
 
     // Sends all tasks of the job that are delegated to the partition there, with the crashes under them.
     void sendDelegated(const JobState &job, const std::string &partition);
@@ -164,9 +181,12 @@
     std::multimap<std::string, std::function<void(bool)>> m_endHandlers;
     // The numbers of the records of the lease holders that were put into the journal and are not stored yet, by text.
     std::map<std::string, std::uint64_t> m_leaseRecords;
-    // The headroom of the other partitions. Jobs redirected and tasks delegated there are deducted until the next
-    // update.
-    PartitionHeadrooms m_headrooms;
+    HeadroomLedger m_headrooms;
+    DelegatedTaskReturner m_returner;
+    // Identifies the next message to another partition among those of this term.
+    std::uint64_t m_nextMessage = 0;
+    bool m_seeksRoom = false;
+    bool m_mayGiveBack = false;
     Instant m_lastCleanup;
     Instant m_lastDelegation;
     Instant m_lastInterferenceModelWrite;
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -8,9 +8,8 @@
 namespace
 {
 
-// A long-running task should run again within a few seconds of any end. Delegation waits this long, because a worker of
-// the home partition may become free.
-constexpr Milliseconds DelegationDelay {1'500};
+// One transaction holds the delegations of a job to so many partitions and other entries.
+constexpr std::size_t MostDelegatesAtOnce = 8;
 
 }
 
@@ -25,25 +24,107 @@
 
 void PartitionLeader::delegateUnplacedTasks()
 {
-    if (m_headrooms.empty()) {
+    // Tasks whose delegation can't be recorded may still find a worker here.
+    if (m_journal.isStoreUnavailable()) {
         return;
     }
-    for (const UnplacedStep &unplaced : m_jobScheduler.unplacedLongRunning(DelegationDelay)) {
-        const JobState &job = *m_jobScheduler.find(unplaced.job);
-        const StepSpecification &step = job.specification.steps[static_cast<std::size_t>(unplaced.step)];
-        const std::optional<DelegationChoice> choice
-            = chooseDelegate(step, job.policy.pool, unplaced.waiting, m_position.partition, m_headrooms);
-        if (!choice) {
+    const std::vector<UnplacedStep> steps = m_jobScheduler.unplacedLongRunning();
+    m_seeksRoom = !steps.empty();
+    for (const UnplacedStep &unplaced : steps) {
+        // All delegations of a job that wait share one transaction, whose size is limited.
+        if (m_journal.hasUnsentDelegation(unplaced.job)) {
             continue;
         }
-        m_headrooms[choice->partition][job.policy.pool].reserveForLongRunning(
-            choice->count * WorkerState::countedDemand(step).milliCores);
-        m_jobScheduler.delegate(unplaced, choice->partition, choice->count);
+        if (unplaced.ownedElsewhere) {
+            giveBack(unplaced);
+        } else {
+            delegate(unplaced);
+        }
+    }
+}
+
+void PartitionLeader::delegate(const UnplacedStep &unplaced)
+{
+    const JobState &job = *m_jobScheduler.find(unplaced.job);
+    for (const DelegationChoice &choice : chooseDelegatesFor(unplaced)) {
+        m_headrooms.reserve(choice.partition, job.policy.pool, demandOf(unplaced, choice.count));
+        m_jobScheduler.delegate(unplaced, choice.partition, choice.count);
         m_environment.log("tasks-delegated", unplaced.job,
-            {{"partition", choice->partition}, {"step", unplaced.step}, {"count", choice->count},
+            {{"partition", choice.partition}, {"step", unplaced.step}, {"count", choice.count},
                 {"waiting", unplaced.waiting}});
-        sendDelegated(job, choice->partition);
+        sendDelegated(job, choice.partition);
+    }
+}
+
+void PartitionLeader::giveBack(const UnplacedStep &unplaced)
+{
+    const std::optional<std::string> home = m_mayGiveBack ? m_returner.homeOf(unplaced.job) : std::nullopt;
+    if (!home) {
+        return;
     }
+    int count = 0;
+    for (const DelegationChoice &choice : chooseDelegatesFor(unplaced)) {
+        // The home partition will choose among the same ones.
+        m_headrooms.reserve(
+            choice.partition, m_jobScheduler.find(unplaced.job)->policy.pool, demandOf(unplaced, choice.count));
+        count += choice.count;
+    }
+    std::vector<DelegatedTask> tasks;
+    if (count > 0) {
+        tasks = m_jobScheduler.giveBack(unplaced, count);
+    }
+    if (tasks.empty()) {
+        return;
+    }
+    m_environment.log("tasks-returned", unplaced.job,
+        {{"partition", *home}, {"step", unplaced.step}, {"count", tasks.size()}, {"waiting", unplaced.waiting}});
+    m_returner.send(unplaced.job, *home, std::move(tasks));
+}
+
+std::vector<DelegationChoice> PartitionLeader::chooseDelegatesFor(const UnplacedStep &unplaced) const
+{
+    const JobState &job = *m_jobScheduler.find(unplaced.job);
+    const std::string &pool = job.policy.pool;
+    DelegationQuery query {job.specification.steps[static_cast<std::size_t>(unplaced.step)], pool, unplaced.waiting,
+        m_position.partition, m_headrooms.avoided(pool, unplaced.job)};
+    query.seed = std::hash<std::string>()(m_position.partition + "/" + unplaced.job)
+        + static_cast<std::uint64_t>(m_environment.clock.now().time_since_epoch().count());
+    std::vector<DelegationChoice> choices = chooseDelegates(query, m_headrooms.headrooms());
+    if (choices.size() > MostDelegatesAtOnce) {
+        choices.resize(MostDelegatesAtOnce);
+    }
+    return choices;
+}
+
+std::int64_t PartitionLeader::demandOf(const UnplacedStep &unplaced, int count) const
+{
+    const JobState &job = *m_jobScheduler.find(unplaced.job);
+    const StepSpecification &step = job.specification.steps[static_cast<std::size_t>(unplaced.step)];
+    return count * WorkerState::countedDemand(step).milliCores;
+}
+
+std::string PartitionLeader::nextMessage()
+{
+    const std::uint64_t number = m_nextMessage;
+    ++m_nextMessage;
+    return std::to_string(m_position.term) + "." + std::to_string(number);
+}
+
+void PartitionLeader::takeBack(const std::string &key, const InboxEntry &entry)
+{
+    const JobState *job = m_jobScheduler.find(entry.job);
+    if (job == nullptr) {
+        m_journal.erase(key);
+        return;
+    }
+    const int count = m_jobScheduler.takeBack(entry.job, entry.partition, entry.tasks);
+    m_environment.log("tasks-taken-back", entry.job,
+        {{"partition", entry.partition}, {"sent", entry.tasks.size()}, {"count", count}});
+    if (count > 0) {
+        m_headrooms.refuse(entry.partition, job->policy.pool, entry.job);
+    }
+    // The message must not be lost before the store has what it has led to.
+    m_journal.eraseAfterProgress(key, entry.job);
 }
 
 void PartitionLeader::sendDelegated(const JobState &job, const std::string &partition)
@@ -53,12 +134,16 @@
     const InboxEntry entry {InboxRequest::Delegate, id, record};
     m_journal.delegate(id, partition,
         {{JobKeys::jobs(partition) + id, serialize(record), std::nullopt, 0},
-            {JobKeys::inboxDelegation(partition, id), serialize(entry), std::nullopt, 0}});
+            {JobKeys::inboxDelegation(partition, id, nextMessage()), serialize(entry), std::nullopt, 0}});
 }
 
 void PartitionLeader::delegatedTaskCrashed(const std::string &job, const std::string &partition)
 {
     m_environment.log("crash-forwarded", job, {{"partition", partition}});
+    if (partition.empty()) {
+        m_returner.reportCrashes(job);
+        return;
+    }
     sendDelegated(*m_jobScheduler.find(job), partition);
 }
 
@@ -75,8 +160,12 @@
     }
     const Result<InboxEntry> parsed = parseInboxEntry(entry->value);
     if (const Error *error = errorOf(parsed)) {
-        m_environment.log("inbox-entry-unreadable", key, {{"error", error->detail}});
-        m_journal.erase(key);
+        // A request that only a later version knows waits for an owner of that version.
+        const bool isKept = error->kind == ErrorKind::UnsupportedProtocol;
+        m_environment.log("inbox-entry-unreadable", key, {{"error", error->detail}, {"kept", isKept}});
+        if (!isKept) {
+            m_journal.erase(key);
+        }
         return;
     }
     applyInboxEntry(key, std::get<InboxEntry>(parsed));
@@ -101,6 +190,10 @@
         applyCancellation(key, entry.job);
         return;
     }
+    if (entry.request == InboxRequest::Return) {
+        takeBack(key, entry);
+        return;
+    }
     const JobState *job = m_jobScheduler.find(entry.job);
     if (job == nullptr) {
         m_journal.erase(key);
@@ -134,9 +227,9 @@
 
 void PartitionLeader::failDelegated(const JobState &job, const std::string &key, const InboxEntry &verdict)
 {
-    const bool concernsJob = m_jobScheduler.failDelegated(verdict.job, verdict.givenUp);
+    const bool concernsJob = m_jobScheduler.failDelegated(verdict.job, verdict.tasks);
     if (!concernsJob && !job.isFinished()) {
-        m_environment.log("verdict-ignored", verdict.job, {{"tasks", verdict.givenUp.size()}});
+        m_environment.log("verdict-ignored", verdict.job, {{"tasks", verdict.tasks.size()}});
     }
     if (job.isFinished()) {
         // The verdict must not be lost before the store has the end of the job.
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -94,6 +94,8 @@
     if (!record.delegated.empty()) {
         m_jobScheduler.restoreDelegated(
             std::move(record.specification), std::move(record.policy), record.acceptedWall, document, record.delegated);
+        // The last owner may have ended before it reported a crash under a task that it had given back.
+        m_returner.reportCrashes(id);
         return;
     }
     m_jobScheduler.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -55,6 +55,12 @@
     return owner == nullptr ? std::nullopt : std::optional(owner->instance);
 }
 
+bool PartitionOwnership::seeksRoom() const
+{
+    return std::any_of(m_partitions.begin(), m_partitions.end(),
+        [](const auto &entry) { return entry.second.leader && entry.second.leader->seeksRoom(); });
+}
+
 PartitionLeader *PartitionOwnership::leader(const std::string &partition)
 {
     const auto found = m_partitions.find(partition);
@@ -289,8 +295,12 @@
     const SchedulingAuthority authority = !m_outageTenure.mayGoOn() ? SchedulingAuthority::Observe
         : m_releasing                                               ? SchedulingAuthority::KeepRunning
                                                                     : SchedulingAuthority::Full;
+    const bool allReadReturns = !m_listedInstances.empty()
+        && std::all_of(m_listedInstances.begin(), m_listedInstances.end(),
+            [](const InstanceEntry &instance) { return instance.messageVersion >= InstanceEntry::ReturnVersion; });
     for (auto &[partition, state] : m_partitions) {
         if (state.leader) {
+            state.leader->setMayGiveBack(allReadReturns);
             state.leader->setLeaseConfirmedAt(m_environment.lease.confirmedAt());
             state.leader->setAuthority(authority);
             state.leader->tick();
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -46,6 +46,9 @@
     // Sets the headroom of a partition.
     void updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms);
 
+    // Returns whether tasks of a partition that this instance owns wait for room in other partitions.
+    [[nodiscard]] bool seeksRoom() const;
+
     // Returns the leader of a partition that this instance owns and has loaded, or null.
     [[nodiscard]] PartitionLeader *leader(const std::string &partition);
 
--- a/source/tenure/tests/DelegationTest.cpp
+++ b/source/tenure/tests/DelegationTest.cpp
@@ -136,6 +136,220 @@
     expectOneRunOfEach();
 }
 
+// The other partition is cut off from the store when it has read a delegation and not erased it yet. A later one had
+// replaced it by then, and was erased with it unread.
+TEST(DelegationMessages, areAllReadAfterACutFromTheStore)
+{
+    TestCluster cluster(Regions);
+    cluster.advance(Second * 3);
+    cluster.workers.setBehaviour("job", {Milliseconds(100), 0, true});
+    cluster.owner()->router.submit(longRunningJob("job"), cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    cluster.advance(Second * 2);
+    ASSERT_EQ(cluster.workers.runningCount(), 2U);
+    // One task loses its worker, and the other one soon after. That worker comes back without room.
+    cluster.workers.setCapacity("worker-2", {500, 8'000, 0});
+    for (const auto &[number, instance] : cluster.instances) {
+        instance->gateway.cutWorkers = {"worker-0"};
+    }
+    cluster.listAllWorkersExcept({"worker-0"});
+    TestInstance *other = cluster.ownerOf("b");
+    ASSERT_NE(other, cluster.ownerOf("a"));
+    for (int i = 0; i < 500 && other->ownership.leader("b")->jobScheduler().find("job") == nullptr; ++i) {
+        cluster.advance(Milliseconds(20));
+    }
+    other->store.down = true;
+    cluster.restartWorker(2);
+    cluster.advance(Milliseconds(2'200));
+    other->store.down = false;
+    cluster.advance(Second * 10);
+    EXPECT_EQ(cluster.workers.runningCount(), 2U);
+    EXPECT_EQ(cluster.workers.violations(), std::vector<std::string>());
+}
+
+namespace
+{
+
+// A third partition has room. The task that was delegated to the second one loses its worker there, and the other
+// worker of that partition has no room.
+class TaskReturn : public DelegationTest
+{
+protected:
+    TaskReturn()
+    {
+        m_cluster.advance(Second * 6);
+        m_workerThere = workerIn("b");
+        for (const std::string name : {"worker-4", "worker-5"}) {
+            m_cluster.workers.add({name, name + ":1", "pool", "c", "rack", {}, {4'000, 8'000, 0}, 1, false});
+        }
+        const std::string other = m_workerThere == "worker-1" ? "worker-3" : "worker-1";
+        setRoom(other, 500);
+        // The task does not seem to have crashed its worker.
+        m_cluster.advance(Second * 15);
+        EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    }
+
+    // Returns the worker of the partition on which one of the tasks runs, or an empty string.
+    [[nodiscard]] std::string workerIn(const std::string &partition)
+    {
+        const TestInstance *owner = m_cluster.ownerOf(partition);
+        if (owner == nullptr) {
+            return {};
+        }
+        const int number = owner->self.name.back() - '0';
+        const JobState *job = m_cluster.instances.at(number)->ownership.leader(partition)->jobScheduler().find("job");
+        if (job != nullptr && !job->isFinished()) {
+            for (const TaskState &task : job->occurrences.at(0).steps[0].tasks) {
+                if (task.phase == RunPhase::Running) {
+                    return task.worker;
+                }
+            }
+        }
+        return {};
+    }
+
+    void setRoom(const std::string &worker, std::int64_t milliCores)
+    {
+        m_cluster.workers.setCapacity(worker, {milliCores, 8'000, 0});
+        m_cluster.listAllWorkersExcept(m_lostWorkers);
+    }
+
+    // Waits until the task runs in the third partition, and returns how long that takes.
+    Milliseconds awaitThird()
+    {
+        const Instant begin = m_cluster.clock.now();
+        for (int i = 0; i < 1'000 && workerIn("c").empty(); ++i) {
+            m_cluster.advance(Milliseconds(20));
+        }
+        return std::chrono::duration_cast<Milliseconds>(m_cluster.clock.now() - begin);
+    }
+
+    [[nodiscard]] std::size_t entryCount(const std::string &partition)
+    {
+        return m_cluster.state.list(JobKeys::jobs(partition)).entries.size()
+            + m_cluster.state.list(JobKeys::progress(partition)).entries.size()
+            + m_cluster.state.list(JobKeys::inbox(partition)).entries.size();
+    }
+
+    std::string m_workerThere;
+};
+
+}
+
+// The task stayed in the partition to which it had been delegated, however much room others had.
+TEST_F(TaskReturn, passesATaskOnThatFindsNoWorker)
+{
+    loseWorker(m_workerThere);
+    // Leases last 2 s.
+    EXPECT_LE(awaitThird(), Second * 4);
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    EXPECT_EQ(startCount(), 4U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_F(TaskReturn, happensOnceAlthoughTheOwnerOfTheOtherPartitionChanges)
+{
+    loseWorker(m_workerThere);
+    EXPECT_LE(awaitThird(), Second * 4);
+    setRoom("worker-1", 4'000);
+    setRoom("worker-3", 4'000);
+    restart("b");
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    EXPECT_EQ(startCount(), 4U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_F(TaskReturn, happensOnceAlthoughOwnersChangeMeanwhile)
+{
+    const auto restartOwner = [this](const std::string &partition) {
+        const TestInstance *owner = m_cluster.ownerOf(partition);
+        if (owner != nullptr) {
+            const int number = owner->self.name.back() - '0';
+            m_cluster.kill(number);
+            m_cluster.start(number);
+            loseWorker(m_workerThere);
+        }
+    };
+    loseWorker(m_workerThere);
+    // The lease of the lost run ends, and the task leaves the partition.
+    for (int i = 0; i < 40; ++i) {
+        m_cluster.advance(Milliseconds(100));
+        if (i % 5 == 0) {
+            restartOwner(i % 2 == 0 ? "a" : "b");
+        }
+    }
+    awaitThird();
+    m_cluster.advance(Second * 20);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+TEST_F(TaskReturn, leavesNothingBehindAfterACancellation)
+{
+    loseWorker(m_workerThere);
+    awaitThird();
+    restart("a");
+    m_cluster.advance(Second * 6);
+    m_cluster.owner()->router.cancel("job", m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    m_cluster.advance(Second * 3);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 0U);
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Cancelled);
+    m_cluster.advance(Second * 130);
+    EXPECT_EQ(entryCount("a"), 0U);
+    EXPECT_EQ(entryCount("b"), 0U);
+    EXPECT_EQ(entryCount("c"), 0U);
+}
+
+// An instance of an earlier version would lose the message, or run the task again as the next owner.
+TEST_F(TaskReturn, waitsUntilAllInstancesKnowIt)
+{
+    const std::string key = JobKeys::Instances + "instance-9";
+    StoreTransaction transaction;
+    transaction.writes = {{key, R"({"name":"instance-9","address":"instance-9","millicores":1})", {}, 0}};
+    ASSERT_EQ(errorOf(m_cluster.state.commit(transaction)), nullptr);
+    loseWorker(m_workerThere);
+    m_cluster.advance(Second * 8);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+    ASSERT_EQ(errorOf(m_cluster.state.erase(key, {})), nullptr);
+    EXPECT_LE(awaitThird(), Second * 3);
+}
+
+// A partition that has no room either must not get the task back at once, and so on for ever.
+TEST_F(TaskReturn, isRareBetweenPartitionsWithoutRoom)
+{
+    setRoom("worker-4", 500);
+    setRoom("worker-5", 500);
+    loseWorker(m_workerThere);
+    m_cluster.advance(Second * 5);
+    // Each delegation writes the record, and each return the progress.
+    const std::string record = JobKeys::jobs("b") + "job";
+    const std::string progress = JobKeys::progress("b") + "job";
+    const StoreRevision delegated = m_cluster.state.read(record)->revision;
+    const StoreRevision returned = m_cluster.state.read(progress)->revision;
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 1U);
+    EXPECT_EQ(m_cluster.state.read(record)->revision, delegated);
+    EXPECT_EQ(m_cluster.state.read(progress)->revision, returned);
+    setRoom("worker-5", 4'000);
+    EXPECT_LE(awaitThird(), Second * 3);
+}
+
+TEST(DelegationMessages, ofALaterVersionAreKept)
+{
+    TestCluster cluster(Regions);
+    cluster.advance(Second * 3);
+    const std::string key = JobKeys::inbox("a") + "1-later-job";
+    for (const auto &[value, kept] : std::map<std::string, bool> {
+             {R"({"request":"later","job":"job"})", true}, {R"({"job":"job"})", false}, {"text", false}}) {
+        StoreTransaction transaction;
+        transaction.writes = {{key, value, {}, 0}};
+        ASSERT_EQ(errorOf(cluster.state.commit(transaction)), nullptr);
+        cluster.advance(Second * 2);
+        EXPECT_EQ(cluster.state.read(key).has_value(), kept) << value;
+    }
+}
+
 namespace
 {
 
