Scheduling: Grant draining workers no longer leases than they are certain to stay

Cause: a worker's leases are renewed up to its end, and its owner may not take its runs for ended before they expire.

Change: a draining worker gets leases of the drain time (3 s instead of 6), and is asked for a report each 0.5 s, so that several may be lost within one lease. If an owner loses its authority or the worker is out of touch for 3 s, its tasks end earlier than they did; they would have to leave within seconds anyway.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds InterferenceWait {400};
 // Report interval for workers with serving tasks only, so that their load is known before other tasks are placed there.
 constexpr Milliseconds ServingWait {800};
+// Report interval for draining workers, whose leases are short. It allows for several lost reports within one lease.
+constexpr Milliseconds DrainingWait {500};
 // Report interval while run ends are not recorded yet. The worker lists them again, but the leases of its running tasks
 // are renewed even if the store is unavailable.
 constexpr Milliseconds UnrecordedInterval {500};
@@ -62,7 +64,10 @@
 
 std::int64_t JobScheduler::grantLease(WorkerState &worker)
 {
-    const std::int64_t until = worker.clock.leaseEnd(m_environment.clock.now(), m_limits.lease);
+    // Tasks that end with their worker run nowhere until its leases have expired, so a worker that may leave soon gets
+    // no longer ones than it is certain to stay.
+    const Milliseconds length = worker.listing.draining ? std::min(m_limits.lease, m_limits.drain) : m_limits.lease;
+    const std::int64_t until = worker.clock.leaseEnd(m_environment.clock.now(), length);
     worker.leaseGrantedUntil = std::max(worker.leaseGrantedUntil, until);
     return until;
 }
@@ -158,6 +163,9 @@
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
         request.wait = mixed ? InterferenceWait : worker.serving.empty() ? m_limits.longestWait : ServingWait;
     }
+    if (!worker.tasks.empty() && worker.listing.draining) {
+        request.wait = std::min(request.wait, DrainingWait);
+    }
     if (!worker.tasks.empty() && !mayGrantLease(worker)) {
         request.wait = std::min(request.wait, WithheldLeaseWait);
     }
--- a/source/scheduling/tests/EvacuationTest.cpp
+++ b/source/scheduling/tests/EvacuationTest.cpp
@@ -255,4 +255,24 @@
     EXPECT_EQ(runsOn("other"), 1U);
 }
 
+// Tasks without a place end with their worker. They waited until leases of full length had expired.
+TEST(EvacuationWithoutPlace, restartsTasksSoonAfterTheirWorkerHasLeft)
+{
+    SchedulingLimits limits = SchedulerHarness::limits();
+    limits.drain = limits.lease / 2;
+    SchedulerHarness harness({}, limits);
+    harness.addWorker("leaving", Core, Memory);
+    harness.advance(Second);
+    harness.submit("lasting", {lastingStep(1)}, lasting());
+    harness.advance(Second);
+    harness.drainWorker("leaving");
+    harness.advance(limits.lease + limits.drain);
+    ASSERT_EQ(harness.workers.runningCount(), 1U);
+    harness.removeWorker("leaving");
+    harness.addWorker("other", Core, Memory);
+    harness.advance(limits.drain + Second / 4);
+    EXPECT_EQ(harness.workers.runningCount(), 1U);
+    EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
+}
+
 }
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -13,11 +13,11 @@
 class SchedulerHarness final : private JobSchedulerListener
 {
 public:
-    explicit SchedulerHarness(SchedulingPolicies policies = {})
+    explicit SchedulerHarness(SchedulingPolicies policies = {}, const SchedulingLimits &schedulingLimits = limits())
         : workers(clock)
         , m_scheduler(clock)
         , m_gateway(workers, m_scheduler)
-        , m_jobs({clock, m_scheduler, m_gateway, *this, nullptr, std::move(policies)}, limits(), 1, 0)
+        , m_jobs({clock, m_scheduler, m_gateway, *this, nullptr, std::move(policies)}, schedulingLimits, 1, 0)
     {
     }
 
@@ -29,6 +29,14 @@
         storeLeaseRecord(m_jobs);
     }
 
+    [[nodiscard]] static SchedulingLimits limits()
+    {
+        SchedulingLimits limits;
+        limits.lease = Milliseconds(2'000);
+        limits.longestLease = limits.lease;
+        return limits;
+    }
+
     // Lists a worker as draining.
     void drainWorker(const std::string &name)
     {
@@ -37,6 +45,14 @@
         m_jobs.updateWorker(listing);
     }
 
+    // Ends a worker for good and lists it no more.
+    void removeWorker(const std::string &name)
+    {
+        m_gateway.cutWorkers.insert(name);
+        workers.crash(name);
+        m_jobs.removeWorker(name);
+    }
+
     // Sends the queue's tasks to the workers of another pool from now on.
     void changePool(const std::string &pool)
     {
@@ -119,14 +135,6 @@
         }
     }
 
-    static SchedulingLimits limits()
-    {
-        SchedulingLimits limits;
-        limits.lease = Milliseconds(2'000);
-        limits.longestLease = limits.lease;
-        return limits;
-    }
-
     void progressChanged(const std::string &job) override
     {
         const JobState *state = m_jobs.find(job);
