Scheduling: Count no gaps as taken by waiting tasks that fit into none

Small long-running tasks waited in one partition although other partitions had gaps for them: the headroom that these report subtracts all their own waiting long-running tasks, also those that fit into no gap. In waves of leaving workers each partition has such tasks, so all of them reported nothing free and nobody delegated anything for up to 20 s.

--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -72,7 +72,11 @@
             for (const StepState &step : occurrence.steps) {
                 if (step.specification().longRunning && occurrence.isEligible(step)) {
                     const Resources demand = WorkerState::countedDemand(step.specification());
-                    headrooms[job->policy.pool].reserveForLongRunning(step.waitingCount * demand.milliCores);
+                    const std::int64_t waiting = step.waitingCount * demand.milliCores;
+                    PoolHeadroom &headroom = headrooms[job->policy.pool];
+                    headroom.freeForBatch -= waiting;
+                    // Tasks that fit into no gap leave the gaps to smaller tasks of other partitions.
+                    headroom.freeBesideLongRunning -= demand.fitsInto(headroom.largestGap) ? waiting : 0;
                 }
             }
         }
