--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -140,15 +140,16 @@
 class CurlHttpClient::Implementation : public std::enable_shared_from_this<Implementation>
 {
 public:
-    Implementation(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat)
-        : m_context(context), m_timer(context), m_onRepeat(std::move(onRepeat)), m_multi(curl_multi_init())
+    Implementation(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat,
+        std::optional<std::chrono::seconds> longestIdleTime)
+        : m_context(context)
+        , m_timer(context)
+        , m_idleTimer(context)
+        , m_onRepeat(std::move(onRepeat))
+        , m_connectionsPerHost(connectionsPerHost)
+        , m_longestIdleTime(longestIdleTime)
+        , m_multi(createMulti())
     {
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS, connectionsPerHost);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MaximumIdleConnections);
     }
 
     Implementation(const Implementation &) = delete;
@@ -195,6 +196,18 @@
     static constexpr long MaximumIdleConnections = 4096;
     static constexpr std::size_t MaximumIdleHandles = 256;
 
+    CURLM *createMulti()
+    {
+        CURLM *const multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Implementation::onSocket);
+        curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Implementation::onTimer);
+        curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS, m_connectionsPerHost);
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, MaximumIdleConnections);
+        return multi;
+    }
+
     CURL *takeHandle()
     {
         if (m_idleHandles.empty()) {
@@ -232,6 +245,9 @@
         const long fresh = call.reuse == ConnectionReuse::Forbidden ? 1L : 0L;
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, fresh);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, fresh);
+        if (m_longestIdleTime) {
+            curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, static_cast<long>(m_longestIdleTime->count()));
+        }
         if (call.method == "GET") {
             curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
             return;
@@ -437,9 +453,28 @@
             transfer->answer.delivery = sentBytes == 0 ? Delivery::NotSent : Delivery::Lost;
             transfer->answer.failure = curl_easy_strerror(code);
         }
+        closeConnectionsWhenIdle();
         transfer->handler(std::move(transfer->answer));
     }
 
+    // libcurl closes old connections only when it looks for one, so the last ones would be kept for good.
+    void closeConnectionsWhenIdle()
+    {
+        if (!m_longestIdleTime || !m_transfers.empty()) {
+            return;
+        }
+        // This ends the former wait.
+        m_idleTimer.expires_after(*m_longestIdleTime);
+        m_idleTimer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+            const auto live = weak.lock();
+            if (live && !error && live->m_transfers.empty()) {
+                curl_multi_cleanup(live->m_multi);
+                live->m_deadline.reset();
+                live->m_multi = live->createMulti();
+            }
+        });
+    }
+
     void returnHandle(CURL *handle)
     {
         if (m_idleHandles.size() >= MaximumIdleHandles) {
@@ -451,7 +486,10 @@
 
     asio::io_context &m_context;
     asio::steady_timer m_timer;
+    asio::steady_timer m_idleTimer;
     RepeatObserver m_onRepeat;
+    long m_connectionsPerHost;
+    std::optional<std::chrono::seconds> m_longestIdleTime;
     std::optional<std::chrono::steady_clock::time_point> m_deadline;
     std::optional<std::chrono::steady_clock::time_point> m_armedFor;
     bool m_turnPosted = false;
@@ -461,8 +499,10 @@
     std::vector<CURL *> m_idleHandles;
 };
 
-CurlHttpClient::CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat)
-    : m_implementation(std::make_shared<Implementation>(context, connectionsPerHost, std::move(onRepeat)))
+CurlHttpClient::CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat,
+    std::optional<std::chrono::seconds> longestIdleTime)
+    : m_implementation(
+        std::make_shared<Implementation>(context, connectionsPerHost, std::move(onRepeat), longestIdleTime))
 {
 }
 
--- a/source/http/CurlHttpClient.h
+++ b/source/http/CurlHttpClient.h
@@ -22,8 +22,10 @@
     };
     using RepeatObserver = std::function<void(const HttpCall &call, Repetition repetition)>;
 
-    // Keeps at most the given number of connections to one host and port.
-    CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat = {});
+    // Keeps at most the given number of connections to one host and port. If there is a longest idle time, connections
+    // that were not used for so long are closed at the next call or, if all are idle, without one.
+    CurlHttpClient(asio::io_context &context, long connectionsPerHost, RepeatObserver onRepeat = {},
+        std::optional<std::chrono::seconds> longestIdleTime = {});
     ~CurlHttpClient() override;
 
     void send(HttpCall call, Handler handler) override;
