Tests: Ask for unplaced tasks without a delay

JobScheduler.unplacedLongRunning() has no parameter any more: the search itself decides how long waiting pays. The case in OutageHandOver checks the same three moments; two of them are later than the delay was, and none is found in between, as before. The file did not compile since.

--- a/source/tenure/tests/OutageHandOverTest.cpp
+++ b/source/tenure/tests/OutageHandOverTest.cpp
@@ -126,16 +126,16 @@
     watch.specification.steps[0].longRunning = true;
     m_cluster.owner()->router.submit(watch, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
     m_cluster.advance(Second * 2);
-    ASSERT_EQ(jobs().unplacedLongRunning(Second).size(), 1U);
+    ASSERT_EQ(jobs().unplacedLongRunning().size(), 1U);
     const int number = m_cluster.owner()->self.name.back() - '0';
     m_cluster.kill(number);
     m_cluster.start(number);
     m_cluster.listAllWorkersExcept({"worker-0", "worker-1", "worker-2", "worker-3"});
     m_cluster.advance(Second * 4);
-    EXPECT_EQ(jobs().unplacedLongRunning(Second).size(), 0U);
+    EXPECT_EQ(jobs().unplacedLongRunning().size(), 0U);
     m_cluster.listAllWorkersExcept({});
     m_cluster.advance(Second * 2);
-    EXPECT_EQ(jobs().unplacedLongRunning(Second).size(), 1U);
+    EXPECT_EQ(jobs().unplacedLongRunning().size(), 1U);
 }
 
 }
