Scheduling: Expect late renewals of leases after a restart

Two tasks ran on two workers each: a report request that renews leases got no answer, the worker restarted under its name, and its next incarnation carried the request out. The expiry in it is a time on the clock of the former incarnation, so the worker extended its leases by the longest duration, while its owner counted on the expiry that it had granted itself.

Cause: the answer to a later request was taken to settle an earlier one, as for acknowledgements. Found by the review of the calls that are sent twice.

LateReportRequests keeps until when unanswered requests may acknowledge ends or renew leases. Leases on a worker that has restarted before then count as renewed for the longest duration.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -41,8 +41,6 @@
 constexpr Milliseconds StallTimeout {1'800};
 // How long after the expiry of its leases the owner waits for the run ends of a worker that the platform still lists.
 constexpr Milliseconds LongestEndWait {10'000};
-// How long after it was sent a worker may still carry out a request that got no answer.
-constexpr Milliseconds LongestLateCall {6'000};
 
 }
 
@@ -177,6 +175,7 @@
     }
     worker.reportPending = true;
     worker.sentAcknowledgement = request.recordedEnd;
+    worker.sentRenewal = renew;
     m_environment.gateway.report(target(worker), request,
         [weak = std::weak_ptr(m_self), name = worker.listing.name, address = worker.listing.address, sentAt = now](
             const std::variant<RunReport, OrderOutcome> &result) {
@@ -196,8 +195,8 @@
     worker->reportPending = false;
     worker->lastAnswer = m_environment.clock.now();
     if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
-        if (*outcome == OrderOutcome::Unknown && worker->sentAcknowledgement > 0) {
-            worker->lateAcknowledgementUntil = sentAt + LongestLateCall;
+        if (*outcome == OrderOutcome::Unknown) {
+            worker->lateRequests.unanswered(sentAt, {worker->sentAcknowledgement > 0, worker->sentRenewal});
         }
         onReportFailed(*worker, address, *outcome);
         return;
@@ -212,7 +211,7 @@
     worker->consecutiveUnanswered = 0;
     applyReport(*worker, std::get<RunReport>(result), sentAt);
     if (worker->incarnation != formerIncarnation) {
-        worker->quarantinedUntil = std::max(worker->quarantinedUntil, worker->lateAcknowledgementUntil);
+        worker->quarantinedUntil = std::max(worker->quarantinedUntil, worker->lateRequests.acknowledgementsEndAt());
     }
     worker->lastContact = m_environment.clock.now();
     if (address == worker->listing.address) {
@@ -429,6 +428,11 @@
     worker.leaseGrantedUntil = 0;
     const bool mayHoldLeases = !kept.empty() || !uncertain.empty() || !worker.obsoleteRuns.isEmpty();
     worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
+    const Instant renewalsEndAt = worker.lateRequests.renewalsEndAt();
+    if (m_environment.clock.now() < renewalsEndAt) {
+        worker.priorLeaseExpiresAt
+            = std::max(worker.priorLeaseExpiresAt, renewalsEndAt + WorkerClock::longestDuration(m_limits.longestLease));
+    }
     worker.hasAnswered = false;
     worker.refusedForCapacity = false;
     worker.consecutiveFailures = 0;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -3,6 +3,7 @@
 #include "scheduling/BackfillThrottle.h"
 #include "scheduling/HeldPlaces.h"
 #include "scheduling/JobState.h"
+#include "scheduling/LateReportRequests.h"
 #include "scheduling/ObsoleteRuns.h"
 #include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
@@ -62,9 +63,9 @@
     // which it has removed them.
     std::uint64_t sentAcknowledgement = 0;
     std::uint64_t acknowledgedEnd = 0;
-    // Until when the last unanswered request that acknowledges ends may still be carried out, also by the next
-    // incarnation, whose ends have the same numbers.
-    Instant lateAcknowledgementUntil;
+    // Whether the pending report request renews the leases.
+    bool sentRenewal = false;
+    LateReportRequests lateRequests;
     // The tasks of the run ends that have been applied and not recorded, by the number of the end.
     std::map<std::uint64_t, TaskName> unrecordedEnds;
     // Tasks whose current run is assigned to this worker, in any phase.
