Daemon: Report a write as lost if its relay is not heard

After a direct call that was refused or not sent, StoreClient relays it. If the relay was not heard, the sender got the answer to the direct call, which says that nothing was done, although the other instance may have made the call.

StoreClientTest.reportsAWriteAsLostIfItsRelayAfterARefusalIsNotHeard failed before (not sent, and 503).

--- a/source/daemon/StoreClient.cpp
+++ b/source/daemon/StoreClient.cpp
@@ -79,7 +79,8 @@
             return;
         }
         relay(copy, [answer = std::move(answer), handler](const HttpAnswer &relayed) {
-            handler(storeAnswered(relayed) ? relayed : answer);
+            // The other instance may have made the call even if it is not heard.
+            handler(relayed.delivery == Delivery::NotSent ? answer : relayed);
         });
     });
 }
--- a/source/daemon/tests/StoreClientTest.cpp
+++ b/source/daemon/tests/StoreClientTest.cpp
@@ -156,4 +156,17 @@
     EXPECT_EQ(write().status, 200);
 }
 
+// The sender was told that its write was certainly not carried out, although the other instance may have passed it on.
+TEST_F(StoreClientTest, reportsAWriteAsLostIfItsRelayAfterARefusalIsNotHeard)
+{
+    m_caller.answer = Error {ErrorKind::Internal, "the answer was lost", "retry"};
+    for (const HttpAnswer &refusal : {HttpAnswer(), answered(503)}) {
+        m_client.answer = answered(200);
+        read();
+        m_client.answer = refusal;
+        EXPECT_EQ(write().delivery, Delivery::Lost) << refusal.status;
+    }
+    EXPECT_EQ(m_caller.calls, 2);
+}
+
 }
