--- a/source/tenure/tests/RepeatedSubmissionTest.cpp
+++ b/source/tenure/tests/RepeatedSubmissionTest.cpp
@@ -212,4 +212,21 @@
     }
 }
 
+// The owner hears no answer of the store, which has the job. The cancellation would wait for as long as that lasts.
+TEST_F(RepeatedSubmission, isCancelledThroughTheStoreWhileItsOwnerHearsNoAnswerOfIt)
+{
+    constexpr int LostAnswers = 8;
+    m_cluster.owner()->store.loseAnswers = LostAnswers;
+    const auto submitted = submit(*m_cluster.owner());
+    m_cluster.advance(Milliseconds(60));
+    ASSERT_TRUE(m_cluster.state.read(JobKeys::home("job")));
+    const auto cancelled = cancel(otherInstance());
+    m_cluster.advance(Milliseconds(100));
+    EXPECT_EQ(*submitted, std::nullopt);
+    EXPECT_EQ(*cancelled, RouteOutcome::Done);
+    m_cluster.advance(Second * 3);
+    EXPECT_EQ(m_cluster.phaseOf("job"), JobPhase::Cancelled);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 0U);
+}
+
 }
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -163,6 +163,17 @@
     EXPECT_EQ(send().status, 200);
 }
 
+// The instance that relays the write may have passed it on before it went silent.
+TEST_F(StoreRelayTest, sendsNoWriteDirectlyWhoseRelayWasNotHeard)
+{
+    m_client.toStore = lost();
+    send();
+    m_client.toStore = answered(412);
+    m_client.toPeer = lost();
+    EXPECT_EQ(send().delivery, Delivery::Lost);
+    EXPECT_EQ(m_client.calls.size(), 2U);
+}
+
 TEST_F(StoreRelayTest, relaysAWriteThatCertainlyDidNotReachTheStore)
 {
     m_client.toStore = HttpAnswer();
