--- /dev/null
+++ b/source/tenure/tests/CancelledSubmissionTest.cpp
@@ -0,0 +1,133 @@
+#include "TestCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+constexpr Milliseconds Second {1'000};
+
+// Four data centres. Each of the first two has two workers and is a partition of its own.
+const std::map<std::string, std::string> Regions {
+    {"a", "wheatbelt"}, {"b", "wheatbelt"}, {"c", "wheatbelt"}, {"d", "coastal"}};
+
+// Jobs whose cancellation overtakes their acceptance, at an instance that did not send the submission.
+class CancelledSubmission : public testing::Test
+{
+protected:
+    static JobRecord job(const std::string &id, int tasks)
+    {
+        JobRecord record = TestCluster::job(id, 1, tasks);
+        record.specification.steps[0].longRunning = true;
+        return record;
+    }
+
+    // Submits a long-running job through a router, and returns where its outcome appears.
+    static std::shared_ptr<std::optional<RouteOutcome>> submit(
+        TestCluster &cluster, TestInstance &instance, const std::string &id, int tasks)
+    {
+        cluster.workers.setBehaviour(id, {Milliseconds(100), 0, true});
+        auto outcome = std::make_shared<std::optional<RouteOutcome>>();
+        instance.router.submit(
+            job(id, tasks), cluster.clock.now() + Second * 3, [outcome](RouteOutcome result) { *outcome = result; });
+        return outcome;
+    }
+
+    static std::shared_ptr<std::optional<RouteOutcome>> cancel(
+        TestCluster &cluster, TestInstance &instance, const std::string &id)
+    {
+        auto outcome = std::make_shared<std::optional<RouteOutcome>>();
+        instance.router.cancel(
+            id, cluster.clock.now() + Second * 3, [outcome](RouteOutcome result) { *outcome = result; });
+        return outcome;
+    }
+
+    // Returns an instance other than the given one.
+    static TestInstance &instanceBeside(TestCluster &cluster, const TestInstance &instance)
+    {
+        const auto other = std::find_if(cluster.instances.begin(), cluster.instances.end(),
+            [&instance](const auto &entry) { return entry.second.get() != &instance; });
+        return *other->second;
+    }
+};
+
+}
+
+// The owner that is asked first had redirected the job to another partition, whose owner was about to accept it. The
+// caller was told that there is no such job, and it ran.
+TEST_F(CancelledSubmission, isNotDeniedWhileAnotherPartitionAcceptsIt)
+{
+    TestCluster cluster(Regions);
+    cluster.advance(Second * 3);
+    ASSERT_NE(cluster.ownerOf("b"), nullptr);
+    // Leaves more room in the other partition.
+    submit(cluster, *cluster.ownerOf("a"), "first", 2);
+    cluster.advance(Second * 2);
+    ASSERT_EQ(cluster.workers.runningCount(), 2U);
+    TestInstance &sender = *cluster.ownerOf("b");
+    sender.store.delay = Milliseconds(100);
+    const auto submitted = submit(cluster, sender, "job", 2);
+    cluster.advance(Milliseconds(20));
+    const auto cancelled = cancel(cluster, instanceBeside(cluster, sender), "job");
+    cluster.advance(Second * 2);
+    ASSERT_EQ(*submitted, RouteOutcome::Done);
+    ASSERT_EQ(cluster.state.read(JobKeys::home("job"))->value, "b");
+    EXPECT_NE(*cancelled, RouteOutcome::NotFound);
+    if (*cancelled == RouteOutcome::Done) {
+        EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    }
+}
+
+// The instance had just started and knew no owner, whom it would have to ask.
+TEST_F(CancelledSubmission, isNotDeniedByAnInstanceThatDoesNotKnowItsOwner)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    const int number = instanceBeside(cluster, owner).self.name.back() - '0';
+    cluster.kill(number);
+    owner.store.delay = Milliseconds(100);
+    const auto submitted = submit(cluster, owner, "job", 1);
+    cluster.advance(Milliseconds(20));
+    cluster.start(number);
+    const auto cancelled = cancel(cluster, *cluster.instances.at(number), "job");
+    cluster.advance(Second * 2);
+    ASSERT_EQ(*submitted, RouteOutcome::Done);
+    EXPECT_NE(*cancelled, RouteOutcome::NotFound);
+    if (*cancelled == RouteOutcome::Done) {
+        EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    }
+}
+
+// Another instance, which did not hear from the owner, had sent the submission to the store, which carried it out late.
+TEST_F(CancelledSubmission, isNotDeniedWhileAnotherInstanceHandsItInThroughTheStore)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    TestInstance &sender = instanceBeside(cluster, owner);
+    cluster.peers.servers[owner.self.name]
+        = [&owner](const HttpRequest &request, const HttpServer::Responder &respond) {
+              if (request.method != "POST") {
+                  return owner.api.handle(request, respond);
+              }
+              respond({504, {}, {}});
+              return true;
+          };
+    sender.store.delay = Second;
+    const auto submitted = submit(cluster, sender, "job", 1);
+    cluster.advance(Milliseconds(700));
+    ASSERT_FALSE(cluster.state.read(JobKeys::home("job")));
+    const auto cancelled = cancel(cluster, owner, "job");
+    cluster.advance(Second * 3);
+    ASSERT_TRUE(cluster.state.read(JobKeys::home("job")));
+    EXPECT_NE(*cancelled, RouteOutcome::NotFound);
+    if (*cancelled == RouteOutcome::NotFound) {
+        EXPECT_EQ(cluster.workers.runningCount(), 0U);
+    }
+}
+
+}
