Tenure: Log the headroom that other partitions see and the gaps behind it

Nothing told whether a partition delegates nothing because no other has room or because the headroom of one with room is negative: headroom subtracts all tasks without a place, also those that can't use the gaps. PoolHeadroom lists its largest gaps besides, and each owner logs both every 2 s (pool-headroom).

--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -72,6 +72,9 @@
             if (gap > headroom.largestGap.milliCores) {
                 headroom.largestGap = gapOfWorker;
             }
+            if (gap > 0 && acceptsTasks(worker, now)) {
+                headroom.addGap(gapOfWorker);
+            }
             headroom.capacity += worker.listing.capacity.milliCores;
             headroom.freeBesideLongRunning += gap;
             headroom.freeForBatch += gap / typical * typical;
--- a/source/scheduling/PoolHeadroom.cpp
+++ b/source/scheduling/PoolHeadroom.cpp
@@ -18,14 +18,29 @@
     return std::clamp(memberOr(item, name, std::int64_t {0}), -MaximumHeadroom, MaximumHeadroom);
 }
 
-Resources resourcesOf(const Json &item, const char *name)
+Resources resourcesFrom(const Json &document)
 {
     const Resources largest {MaximumHeadroom, MaximumHeadroom, MaximumHeadroom};
-    const Resources resources = parseResources(memberOr(item, name, Json::object()));
+    const Resources resources = parseResources(document);
     const bool isPlausible = resources.fitsInto(largest) && (Resources {} - largest).fitsInto(resources);
     return isPlausible ? resources : Resources {};
 }
 
+Resources resourcesOf(const Json &item, const char *name)
+{
+    return resourcesFrom(memberOr(item, name, Json::object()));
+}
+
+}
+
+void PoolHeadroom::addGap(const Resources &gap)
+{
+    const auto place = std::upper_bound(gaps.begin(), gaps.end(), gap,
+        [](const Resources &left, const Resources &right) { return left.milliCores > right.milliCores; });
+    gaps.insert(place, gap);
+    if (gaps.size() > MostGaps) {
+        gaps.pop_back();
+    }
 }
 
 void PoolHeadroom::reserveForLongRunning(std::int64_t milliCores)
@@ -38,10 +53,15 @@
 {
     Json document = Json::object();
     for (const auto &[pool, headroom] : headrooms) {
+        Json gaps = Json::array();
+        for (const Resources &gap : headroom.gaps) {
+            gaps.push_back(describe(gap));
+        }
         document[pool] = {{"capacity", headroom.capacity}, {"free_beside_lasting", headroom.freeBesideLongRunning},
             {"free_for_passing", headroom.freeForBatch}, {"passing", headroom.batchDemand},
-            {"largest_gap", describe(headroom.largestGap)}, {"largest_worker", describe(headroom.largestWorker)},
-            {"labels", headroom.labels}, {"racks", headroom.racks}};
+            {"largest_gap", describe(headroom.largestGap)}, {"gaps", std::move(gaps)},
+            {"largest_worker", describe(headroom.largestWorker)}, {"labels", headroom.labels},
+            {"racks", headroom.racks}};
     }
     return document;
 }
@@ -59,6 +79,9 @@
         headroom.freeForBatch = amountOf(item, "free_for_passing");
         headroom.batchDemand = amountOf(item, "passing");
         headroom.largestGap = resourcesOf(item, "largest_gap");
+        for (const Json &gap : memberOr(item, "gaps", Json::array())) {
+            headroom.addGap(resourcesFrom(gap));
+        }
         headroom.largestWorker = resourcesOf(item, "largest_worker");
         headroom.labels = memberOr(item, "labels", headroom.labels);
         headroom.racks = memberOr(item, "racks", headroom.racks);
--- a/source/scheduling/PoolHeadroom.h
+++ b/source/scheduling/PoolHeadroom.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Wagtail
 {
@@ -28,9 +29,16 @@
     Resources largestWorker;
     std::set<std::string> labels;
     std::set<std::string> racks;
+    // What long-running tasks leave free on single workers, the workers with the most free processors first. Tasks that
+    // wait for a worker are not subtracted, because they may be unable to use these gaps.
+    std::vector<Resources> gaps;
+    static constexpr std::size_t MostGaps = 8;
 
     bool operator==(const PoolHeadroom &) const = default;
 
+    // Adds a gap, and drops the smallest one if there are too many.
+    void addGap(const Resources &gap);
+
     // Subtracts the processors of long-running tasks that are about to be added.
     void reserveForLongRunning(std::int64_t milliCores);
 };
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds InboxWatchTime {1'000};
 constexpr Milliseconds CleanupPeriod {5'000};
 constexpr Milliseconds DelegationPeriod {200};
+constexpr Milliseconds HeadroomLogPeriod {2'000};
 // Interference between two images is learned within a few reports, so what a take-over loses is soon learned again.
 constexpr Milliseconds InterferenceModelWritePeriod {3'000};
 
@@ -272,6 +273,10 @@
         m_lastDelegation = now;
         delegateUnplacedTasks();
     }
+    if (now - m_lastHeadroomLog >= HeadroomLogPeriod) {
+        m_lastHeadroomLog = now;
+        logHeadrooms();
+    }
     if (now - m_lastInterferenceModelWrite >= InterferenceModelWritePeriod) {
         m_lastInterferenceModelWrite = now;
         writeInterferenceModel();
@@ -289,6 +294,20 @@
     }
 }
 
+void PartitionLeader::logHeadrooms()
+{
+    for (const auto &[pool, headroom] : m_jobScheduler.headrooms()) {
+        std::vector<std::int64_t> gaps;
+        for (const Resources &gap : headroom.gaps) {
+            gaps.push_back(gap.milliCores);
+        }
+        m_environment.log("pool-headroom", m_position.partition,
+            {{"pool", pool}, {"capacity_millicores", headroom.capacity},
+                {"free_beside_lasting", headroom.freeBesideLongRunning}, {"gaps_millicores", gaps},
+                {"seeks_room", m_seeksRoom}});
+    }
+}
+
 void PartitionLeader::writeLeaseHolders()
 {
     const BegunLeaseRecord begun = m_jobScheduler.beginLeaseRecord();
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -155,6 +155,8 @@
 
     // Sends all tasks of the job that are delegated to the partition there, with the crashes under them.
     void sendDelegated(const JobState &job, const std::string &partition);
+    // Logs the headroom that others see, and the gaps behind it.
+    void logHeadrooms();
     void endTerm(const std::string &reason);
     void writeLeaseHolders();
     void writeInterferenceModel();
@@ -199,6 +201,7 @@
     Instant m_lastCleanup;
     Instant m_lastDelegation;
     Instant m_lastInterferenceModelWrite;
+    Instant m_lastHeadroomLog;
     std::string m_recordedInterferenceModel;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
