Scheduling: Use a held place as soon as its task fits

Long-running tasks on draining workers did not move although their next worker had room for them, and ended with their worker. If several places were held on one worker, none counted as free before all were. With one batch task of 20 s there, none was used in time.

A place is free now if the task fits beside what is used and what other tasks have claimed: those that are being stopped for their place. Waiting tasks keep a held place that batch tasks still use.

Evacuation.usesAFreePlaceWhileAnotherOneIsStillInUse failed before.

--- a/source/scheduling/HeldPlaces.cpp
+++ b/source/scheduling/HeldPlaces.cpp
@@ -23,6 +23,25 @@
     }
 }
 
+void HeldPlaces::claim(const TaskName &task)
+{
+    const auto place = m_places.find(task);
+    if (place != m_places.end()) {
+        place->second.claimed = true;
+    }
+}
+
+Resources HeldPlaces::claimedByOthers(const TaskName &task) const
+{
+    Resources claimed;
+    for (const auto &[name, place] : m_places) {
+        if (place.claimed && name != task) {
+            claimed = claimed + place.resources;
+        }
+    }
+    return claimed;
+}
+
 void HeldPlaces::release(const TaskName &task)
 {
     const auto place = m_places.find(task);
--- a/source/scheduling/HeldPlaces.h
+++ b/source/scheduling/HeldPlaces.h
@@ -16,6 +16,9 @@
     // Holds a place for the next run of the task until the given time, or changes until when its place is held.
     void hold(const TaskState &task, Instant until);
 
+    // Notes that the task is being stopped for its place, or is on its way to it, so that room for it there is taken.
+    void claim(const TaskName &task);
+
     // Releases the place of the task. Has no effect if it has none here.
     void release(const TaskName &task);
 
@@ -30,6 +33,10 @@
     // Returns the resources of all places.
     [[nodiscard]] const Resources &resources() const;
 
+    // Returns the resources of the places that tasks other than the given one have claimed. The other places may still
+    // be in use by batch tasks.
+    [[nodiscard]] Resources claimedByOthers(const TaskName &task) const;
+
     // Returns the part of them that is held for long-running tasks.
     [[nodiscard]] const Resources &resourcesOfLongRunning() const;
 
@@ -39,6 +46,7 @@
         Instant until;
         Resources resources;
         bool longRunning = false;
+        bool claimed = false;
     };
 
     std::map<TaskName, Place> m_places;
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -306,7 +306,7 @@
     // Places waiting tasks for which a place is held.
     void placeHeldTasks(const RecoveryHolds &holds);
     void placeHeldTask(TaskState &task, WorkerState &worker);
-    // Returns whether all places that are held on the worker of the task's next run are free.
+    // Returns whether the place that is held for the task's next run is free.
     [[nodiscard]] bool isHeldPlaceOpen(const TaskState &task) const;
     // Holds a place for the next run of a task. Returns false if there is none.
     bool holdPlace(TaskState &task, FailedPlacements &failedHolds);
--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -70,7 +70,10 @@
             if (task == nullptr || !mayPlace(*task) || holds.isHeldBack(*task)) {
                 continue;
             }
-            const bool open = isHeldPlaceOpen(*task);
+            if (!isHeldPlaceOpen(*task)) {
+                // Batch tasks still use it.
+                continue;
+            }
             worker.heldPlaces.release(taskName);
             task->nextWorker.clear();
             // Since the place was held, runs may have been adopted on the worker, and the routes may have changed.
@@ -80,8 +83,9 @@
             query.avoidedWorkers = &task->avoidedWorkers;
             query.interference = &m_interference;
             query.now = now;
+            query.hasFreeResources = true;
             // Otherwise the task looks for a place like any other.
-            if (open && placementCost(worker, query) && isPermitted(*task->step, worker)) {
+            if (placementCost(worker, query) && isPermitted(*task->step, worker)) {
                 placeHeldTask(*task, worker);
             }
         }
@@ -102,8 +106,14 @@
 
 bool JobScheduler::isHeldPlaceOpen(const TaskState &task) const
 {
-    const auto place = m_workers.find(task.nextWorker);
-    return place != m_workers.end() && Resources().fitsInto(place->second.freeResources());
+    const auto found = m_workers.find(task.nextWorker);
+    if (found == m_workers.end()) {
+        return false;
+    }
+    const WorkerState &worker = found->second;
+    const Resources unused = worker.listing.capacity - worker.used;
+    const Resources claimed = worker.heldPlaces.claimedByOthers(nameOf(task));
+    return WorkerState::countedDemand(task.step->specification()).fitsInto(unused - claimed);
 }
 
 bool JobScheduler::holdPlace(TaskState &task, FailedPlacements &failedHolds)
@@ -186,7 +196,9 @@
         if (!isHeldPlaceOpen(*task) || !mayBeEvacuatedNow(*task, progress)) {
             continue;
         }
-        m_workers.at(task->nextWorker).heldPlaces.hold(*task, now + LongestHold);
+        HeldPlaces &places = m_workers.at(task->nextWorker).heldPlaces;
+        places.hold(*task, now + LongestHold);
+        places.claim(nameOf(*task));
         m_environment.listener.logDecision("run-evacuated", nameOf(*task).text(),
             {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent},
                 {"drained_ms", progress.knownFor().count()}, {"place", task->nextWorker}});
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -98,8 +98,8 @@
 {
     const StepSpecification &step = query.step->specification();
     // The resources are checked first, because it is cheap and most workers are full under load.
-    if (!WorkerState::countedDemand(step).fitsInto(worker.freeResources()) || !acceptsTasks(worker, query.now)
-        || !meetsRequirements(worker, step, query.pool)) {
+    const bool fits = query.hasFreeResources || WorkerState::countedDemand(step).fitsInto(worker.freeResources());
+    if (!fits || !acceptsTasks(worker, query.now) || !meetsRequirements(worker, step, query.pool)) {
         return std::nullopt;
     }
     if (hasReachedPerWorkerLimit(worker, *query.step)) {
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -17,6 +17,8 @@
     // For a backfilling task that is to start as a probe.
     std::optional<ProbeKind> probe;
     Instant now;
+    // Whether the worker has free resources for the task beside the places that are held there for others.
+    bool hasFreeResources = false;
 };
 
 // Returns whether a worker may get any new tasks now.
--- a/source/scheduling/tests/EvacuationTest.cpp
+++ b/source/scheduling/tests/EvacuationTest.cpp
@@ -149,6 +149,23 @@
     EXPECT_EQ(m_harness.workers.violations(), std::vector<std::string>());
 }
 
+// Two places were held on a worker, and a task was moved only when both were free.
+TEST_F(Evacuation, usesAFreePlaceWhileAnotherOneIsStillInUse)
+{
+    startLasting("leaving", 2);
+    m_harness.addWorker("other", 2 * Core, Memory);
+    m_harness.advance(Second);
+    m_harness.submit("short", {batchStep(1)}, batch(Milliseconds(1'500)));
+    m_harness.submit("long", {batchStep(1)}, batch(Second * 20));
+    m_harness.advance(Second);
+    m_harness.drainWorker("leaving");
+    m_harness.advance(Milliseconds(2'500));
+    EXPECT_EQ(runsOn("other"), 1U);
+    EXPECT_EQ(runsOn("leaving"), 1U);
+    EXPECT_EQ(countInPhase(RunPhase::Running), 2U);
+    EXPECT_EQ(m_harness.workers.violations(), std::vector<std::string>());
+}
+
 // The tasks of two workers were stopped for the same place.
 TEST_F(Evacuation, stopsOnlyOneTaskOfTwoDrainingWorkersForOnePlace)
 {
