Scheduling: Release the place of a task whose worker has left

Places stayed free for up to 3 s while tasks waited for them. They were held for tasks whose worker had left before they were moved: the run can't be stopped any more, and the task may go on elsewhere only when its leases have expired, after the place is released.

The place is released once the draining worker leaves a request unanswered.

Evacuation.releasesThePlaceOfATaskWhoseWorkerHasLeft failed before.

--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -16,15 +16,17 @@
 // a worker that takes no new ones.
 constexpr Milliseconds LongestHold {3'000};
 
-// Returns whether a task may still need the place that is held for it.
+// Returns whether a task may need the place that is held for it soon. The run on a worker that does not answer any more
+// can't be stopped, and the task may go on elsewhere only when its leases have expired.
 bool isOnItsWay(const TaskState &task, const WorkerState *present)
 {
     switch (task.phase) {
     case RunPhase::Waiting:
-    case RunPhase::Stopping:
         return !task.step->occurrence->job->isFinished();
+    case RunPhase::Stopping:
+        return !task.step->occurrence->job->isFinished() && present != nullptr && present->consecutiveUnanswered == 0;
     case RunPhase::Running:
-        return present != nullptr && present->listing.draining;
+        return present != nullptr && present->listing.draining && present->consecutiveUnanswered == 0;
     default:
         return false;
     }
--- a/source/scheduling/tests/EvacuationTest.cpp
+++ b/source/scheduling/tests/EvacuationTest.cpp
@@ -166,6 +166,25 @@
     EXPECT_EQ(m_harness.workers.violations(), std::vector<std::string>());
 }
 
+// A worker left before its task was moved. The task could not run again before its leases had expired, and the place
+// stayed free.
+TEST_F(Evacuation, releasesThePlaceOfATaskWhoseWorkerHasLeft)
+{
+    startLasting("leaving", 1);
+    m_harness.addWorker("other", Core, Memory);
+    m_harness.advance(Second);
+    m_harness.submit("long", {batchStep(1)}, batch(Milliseconds(3'200)));
+    m_harness.advance(Second);
+    m_harness.drainWorker("leaving");
+    m_harness.advance(Milliseconds(1'500));
+    m_harness.removeWorker("leaving");
+    m_harness.advance(Milliseconds(900));
+    m_harness.submit("waiting", {lastingStep(1)}, lasting());
+    m_harness.advance(Milliseconds(300));
+    EXPECT_EQ(runsOn("other"), 1U);
+    EXPECT_EQ(m_harness.workers.violations(), std::vector<std::string>());
+}
+
 // The tasks of two workers were stopped for the same place.
 TEST_F(Evacuation, stopsOnlyOneTaskOfTwoDrainingWorkersForOnePlace)
 {
