Tenure: Hold places in other partitions before tasks leave for them

Two causes in one design, passing tasks on by reported headroom. And several owners count the same headroom, so tasks arrive where the room is gone, wait there and are given back.

PlaceSearch asks the owner of a partition that reports a fitting gap (POST /v1/partitions/P/places). That owner holds places by its own rules of placement for 3 s, and the tasks leave only then. Places that are not needed after all are released. Tasks on draining workers without a place in their partition look for one elsewhere while they still run, and are stopped when it is held. Delegated tasks that find no worker are given back without regard to headroom, because the home partition sends them only to held places. Queues that need placement advice pass tasks on by headroom as before.

--- a/source/scheduling/HeldPlaces.cpp
+++ b/source/scheduling/HeldPlaces.cpp
@@ -9,17 +9,27 @@
 
 void HeldPlaces::hold(const TaskState &task, Instant until)
 {
-    const StepSpecification &step = task.step->specification();
-    const auto [place, added] = m_places.try_emplace(nameOf(task));
-    place->second.until = until;
-    if (!added) {
-        return;
-    }
-    place->second.resources = WorkerState::countedDemand(step);
-    place->second.longRunning = step.longRunning;
-    m_resources = m_resources + place->second.resources;
-    if (step.longRunning) {
-        m_resourcesOfLongRunning = m_resourcesOfLongRunning + place->second.resources;
+    add(nameOf(task), task.step->specification()).until = until;
+}
+
+void HeldPlaces::holdForArrival(const TaskName &task, const StepSpecification &step, Instant until)
+{
+    Place &place = add(task, step);
+    place.until = until;
+    place.forArrival = true;
+}
+
+bool HeldPlaces::isForArrival(const TaskName &task) const
+{
+    const auto place = m_places.find(task);
+    return place != m_places.end() && place->second.forArrival;
+}
+
+void HeldPlaces::markArrived(const TaskName &task)
+{
+    const auto place = m_places.find(task);
+    if (place != m_places.end()) {
+        place->second.forArrival = false;
     }
 }
 
@@ -42,6 +52,19 @@
     return claimed;
 }
 
+HeldPlaces::Place &HeldPlaces::add(const TaskName &task, const StepSpecification &step)
+{
+    const auto [entry, added] = m_places.try_emplace(task);
+    Place &place = entry->second;
+    if (added) {
+        place.resources = WorkerState::countedDemand(step);
+        place.longRunning = step.longRunning;
+        m_resources = m_resources + place.resources;
+        m_resourcesOfLongRunning = m_resourcesOfLongRunning + (step.longRunning ? place.resources : Resources());
+    }
+    return place;
+}
+
 void HeldPlaces::release(const TaskName &task)
 {
     const auto place = m_places.find(task);
--- a/source/scheduling/HeldPlaces.h
+++ b/source/scheduling/HeldPlaces.h
@@ -16,6 +16,16 @@
     // Holds a place for the next run of the task until the given time, or changes until when its place is held.
     void hold(const TaskState &task, Instant until);
 
+    // Holds a place for a task of the step that another partition may send here until the given time, or changes until
+    // when its place is held.
+    void holdForArrival(const TaskName &task, const StepSpecification &step, Instant until);
+
+    // Returns whether a place is held for a task that another partition may send.
+    [[nodiscard]] bool isForArrival(const TaskName &task) const;
+
+    // Turns the place into one of a task of this partition, because the task has arrived.
+    void markArrived(const TaskName &task);
+
     // Notes that the task is being stopped for its place, or is on its way to it, so that room for it there is taken.
     void claim(const TaskName &task);
 
@@ -46,9 +56,13 @@
         Instant until;
         Resources resources;
         bool longRunning = false;
+        bool forArrival = false;
         bool claimed = false;
     };
 
+    // Adds a place for the task unless it has one.
+    Place &add(const TaskName &task, const StepSpecification &step);
+
     std::map<TaskName, Place> m_places;
     Resources m_resources;
     Resources m_resourcesOfLongRunning;
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -76,6 +76,15 @@
     std::uint64_t number = 0;
 };
 
+// Tasks that are about to leave for another partition.
+struct RelocatedTasks
+{
+    // Those that may be delegated at once, by job.
+    std::map<std::string, std::set<TaskName>> waiting;
+    // Those whose runs are being stopped.
+    std::set<TaskName> stopping;
+};
+
 // A finished job that was removed from the scheduler.
 struct RemovedJob
 {
@@ -134,6 +143,29 @@
     // before the progress of the job is recorded.
     void delegate(const UnplacedStep &unplaced, const std::string &partition, int count);
 
+    // Delegates the named tasks of one step, as far as they wait, to another partition.
+    void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
+
+    // Holds places for tasks of another partition, for as long as they may take to arrive. Returns the tasks that have
+    // one.
+    std::set<TaskName> holdPlacesFor(
+        const JobSpecification &specification, const QueuePolicy &policy, const std::vector<DelegatedTask> &tasks);
+
+    // Returns the waiting tasks of a step that may leave the partition.
+    [[nodiscard]] std::vector<TaskState *> tasksWithoutPlace(const UnplacedStep &unplaced);
+
+    // Returns the long-running tasks on draining workers for which no place is held.
+    [[nodiscard]] std::vector<TaskState *> leavingTasksWithoutPlace();
+
+    // Releases the places that are held for tasks of another partition.
+    void releasePlacesFor(const std::set<TaskName> &tasks);
+
+    // Prepares tasks to leave for a partition that holds places for them. Stops those that run.
+    RelocatedTasks beginRelocation(const std::string &partition, const std::set<TaskName> &names);
+
+    // Returns the tasks that beginRelocation() has stopped and that may be delegated now, by partition.
+    [[nodiscard]] std::map<std::string, std::set<TaskName>> stoppedForRelocation();
+
     // Gives up to the given number of waiting tasks of a step back to the partition that owns the job. Returns them.
     // They must be sent there in the transaction that records the progress of the job.
     std::vector<DelegatedTask> giveBack(const UnplacedStep &unplaced, int count);
@@ -209,6 +241,9 @@
 
 private:
     static constexpr int FullSpeedPercent = 100;
+    // A place is held for one task so long at most. It covers a stop whose order has to be repeated, the batch tasks on
+    // a worker that takes no new ones, and the way of a task from another partition.
+    static constexpr Milliseconds LongestHold {3'000};
 
     // Jobs
     JobState &insert(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall);
@@ -303,6 +338,8 @@
     // Evacuation
     // Releases the places that can't be used or are not needed any more.
     void reviewHeldPlaces();
+    // Lets a task of another partition have the place that is held for its arrival, if it has arrived.
+    void receiveArrival(WorkerState &worker, const TaskName &name, TaskState *task);
     // Places waiting tasks for which a place is held.
     void placeHeldTasks(const RecoveryHolds &holds);
     void placeHeldTask(TaskState &task, WorkerState &worker);
@@ -310,6 +347,9 @@
     [[nodiscard]] bool isHeldPlaceOpen(const TaskState &task) const;
     // Holds a place for the next run of a task. Returns false if there is none.
     bool holdPlace(TaskState &task, FailedPlacements &failedHolds);
+    // Holds a place for a task that another partition may send, beside the tasks of the given step that are here.
+    // Returns false if there is none.
+    bool holdArrivalPlace(const TaskState &task, const StepState &step);
     // Returns the worker on which batch tasks are to make room for a long-running task, or null.
     [[nodiscard]] WorkerState *chooseBusy(const StepState &step, const TaskState &task);
     // Moves tasks off all draining workers. A task is stopped when its next place is held for it.
--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -12,10 +12,6 @@
 namespace
 {
 
-// A place is held for one task so long at most. It covers a stop whose order has to be repeated, and the batch tasks on
-// a worker that takes no new ones.
-constexpr Milliseconds LongestHold {3'000};
-
 // Returns whether a task may need the place that is held for it soon. The run on a worker that does not answer any more
 // can't be stopped, and the task may go on elsewhere only when its leases have expired.
 bool isOnItsWay(const TaskState &task, const WorkerState *present)
@@ -45,8 +41,11 @@
             && Resources().fitsInto(worker.freeBesideLongRunning());
         for (const auto &[taskName, until] : worker.heldPlaces.tasks()) {
             TaskState *task = findTask(taskName);
-            const bool wanted
-                = task != nullptr && task->nextWorker == name && isOnItsWay(*task, findWorker(task->worker));
+            receiveArrival(worker, taskName, task);
+            const bool awaited
+                = worker.heldPlaces.isForArrival(taskName) && (task == nullptr || task->phase == RunPhase::Delegated);
+            const bool wanted = awaited
+                || (task != nullptr && task->nextWorker == name && isOnItsWay(*task, findWorker(task->worker)));
             if (usable && wanted && now < until) {
                 continue;
             }
@@ -60,6 +59,16 @@
     }
 }
 
+void JobScheduler::receiveArrival(WorkerState &worker, const TaskName &name, TaskState *task)
+{
+    const bool hasArrived = task != nullptr && task->phase == RunPhase::Waiting && task->nextWorker.empty();
+    if (hasArrived && worker.heldPlaces.isForArrival(name)) {
+        worker.heldPlaces.markArrived(name);
+        worker.heldPlaces.hold(*task, m_environment.clock.now() + LongestHold);
+        task->nextWorker = worker.listing.name;
+    }
+}
+
 void JobScheduler::placeHeldTasks(const RecoveryHolds &holds)
 {
     const Instant now = m_environment.clock.now();
--- /dev/null
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -0,0 +1,198 @@
+// JobScheduler: places that are held here for tasks of other partitions, and tasks that look for places in those.
+#include "scheduling/CrashVerdict.h"
+#include "scheduling/Evacuation.h"
+#include "scheduling/JobScheduler.h"
+
+#include <algorithm>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+bool isMovable(const StepState &step)
+{
+    const StepSpecification &specification = step.specification();
+    const JobState &job = *step.occurrence->job;
+    return specification.longRunning && !specification.gang && specification.after.empty() && !job.isFinished()
+        && !job.ownedElsewhere && job.specification.repeatCount == 0;
+}
+
+}
+
+std::set<TaskName> JobScheduler::holdPlacesFor(
+    const JobSpecification &specification, const QueuePolicy &policy, const std::vector<DelegatedTask> &tasks)
+{
+    std::set<TaskName> held;
+    const auto known = m_jobs.find(specification.id);
+    const bool isForeign = known == m_jobs.end() || (known->second->ownedElsewhere && !known->second->isFinished());
+    if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent() || !isForeign) {
+        return held;
+    }
+    // The job as it would be here, with only these tasks waiting.
+    JobState arriving;
+    arriving.specification = specification;
+    arriving.policy = policy;
+    arriving.ownedElsewhere = true;
+    assignImageIds(createOccurrence(arriving, 0));
+    markAllDelegated(arriving);
+    std::set<int> refusedSteps;
+    for (TaskState *task : acceptDelegated(arriving, tasks, DelegationSource::Message)) {
+        // Tasks of the step that run here already count for its limit per worker.
+        const TaskState *present = known == m_jobs.end() ? nullptr : known->second->find(nameOf(*task));
+        const bool isHere = present != nullptr && present->phase != RunPhase::Delegated;
+        if (isHere || refusedSteps.contains(task->step->number)) {
+            continue;
+        }
+        if (holdArrivalPlace(*task, present == nullptr ? *task->step : *present->step)) {
+            held.insert(nameOf(*task));
+        } else {
+            refusedSteps.insert(task->step->number);
+        }
+    }
+    m_environment.listener.logDecision(
+        "places-requested", specification.id, {{"tasks", tasks.size()}, {"held", held.size()}});
+    return held;
+}
+
+bool JobScheduler::holdArrivalPlace(const TaskState &task, const StepState &step)
+{
+    const Instant until = m_environment.clock.now() + LongestHold;
+    const TaskName name = nameOf(task);
+    for (auto &[workerName, worker] : m_workers) {
+        if (worker.heldPlaces.isForArrival(name)) {
+            worker.heldPlaces.holdForArrival(name, step.specification(), until);
+            return true;
+        }
+    }
+    WorkerState *open = choose(step, task);
+    WorkerState *worker = open == nullptr ? chooseBusy(step, task) : open;
+    if (worker == nullptr) {
+        return false;
+    }
+    worker->heldPlaces.holdForArrival(name, step.specification(), until);
+    if (worker == open) {
+        worker->heldPlaces.claim(name);
+    }
+    return true;
+}
+
+std::vector<TaskState *> JobScheduler::tasksWithoutPlace(const UnplacedStep &unplaced)
+{
+    std::vector<TaskState *> tasks;
+    const auto found = m_jobs.find(unplaced.job);
+    if (found == m_jobs.end()) {
+        return tasks;
+    }
+    const RecoveryHolds holds = recoveryHolds();
+    for (auto &[number, occurrence] : found->second->occurrences) {
+        for (TaskState &task : occurrence.steps[static_cast<std::size_t>(unplaced.step)].tasks) {
+            if (isDelegable(task, holds)) {
+                tasks.push_back(&task);
+            }
+        }
+    }
+    return tasks;
+}
+
+std::vector<TaskState *> JobScheduler::leavingTasksWithoutPlace()
+{
+    std::vector<TaskState *> tasks;
+    for (auto &[name, worker] : m_workers) {
+        const bool answers = worker.hasAnswered && worker.consecutiveUnanswered == 0;
+        if (!worker.listing.draining || !answers || !worker.drainingSince) {
+            continue;
+        }
+        const DrainProgress progress(
+            *worker.drainingSince, worker.sawDrainBegin, m_limits.drain, m_environment.clock.now());
+        for (TaskState *task : worker.tasks) {
+            const bool hasPlace = !task->nextWorker.empty() || !task->nextPartition.empty();
+            const bool mayLeave = judge(task->crashes) == CrashVerdict::Retry && !mayLostRunsDecide(task->crashes);
+            if (isMovable(*task->step) && !hasPlace && mayLeave && isToBeEvacuated(*task, progress)
+                && mayBeEvacuatedNow(*task, progress)) {
+                tasks.push_back(task);
+            }
+        }
+    }
+    return tasks;
+}
+
+void JobScheduler::releasePlacesFor(const std::set<TaskName> &tasks)
+{
+    for (auto &[name, worker] : m_workers) {
+        for (const TaskName &task : tasks) {
+            if (worker.heldPlaces.isForArrival(task)) {
+                worker.heldPlaces.release(task);
+                dispatchSoon();
+            }
+        }
+    }
+}
+
+RelocatedTasks JobScheduler::beginRelocation(const std::string &partition, const std::set<TaskName> &names)
+{
+    RelocatedTasks relocated;
+    const RecoveryHolds holds = recoveryHolds();
+    for (const TaskName &name : names) {
+        TaskState *task = findTask(name);
+        if (task == nullptr || !isMovable(*task->step)) {
+            continue;
+        }
+        if (isDelegable(*task, holds)) {
+            relocated.waiting[name.job].insert(name);
+            continue;
+        }
+        const WorkerState *worker = findWorker(task->worker);
+        const bool isLeaving = task->phase == RunPhase::Running && worker != nullptr && worker->listing.draining;
+        if (!isLeaving || !task->nextWorker.empty()) {
+            continue;
+        }
+        m_environment.listener.logDecision("run-evacuated", name.text(),
+            {{"worker", worker->listing.name}, {"run", task->run}, {"percent", task->percent},
+                {"partition", partition}});
+        task->nextPartition = partition;
+        task->nextPartitionUntil = m_environment.clock.now() + LongestHold;
+        relocated.stopping.insert(name);
+        beginStop(*task);
+    }
+    return relocated;
+}
+
+std::map<std::string, std::set<TaskName>> JobScheduler::stoppedForRelocation()
+{
+    std::map<std::string, std::set<TaskName>> stopped;
+    const Instant now = m_environment.clock.now();
+    const RecoveryHolds holds = recoveryHolds();
+    for (JobState *job : m_unfinishedJobs) {
+        for (auto &[number, occurrence] : job->occurrences) {
+            for (StepState &step : occurrence.steps) {
+                for (TaskState &task : step.tasks) {
+                    if (task.nextPartition.empty()) {
+                        continue;
+                    }
+                    if (now >= task.nextPartitionUntil) {
+                        task.nextPartition.clear();
+                    } else if (isDelegable(task, holds)) {
+                        stopped[task.nextPartition].insert(nameOf(task));
+                    }
+                }
+            }
+        }
+    }
+    return stopped;
+}
+
+void JobScheduler::delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->isFinished() || found->second->ownedElsewhere || tasks.empty()) {
+        return;
+    }
+    LeavingTasks leaving {*found->second, tasks.begin()->step, static_cast<int>(tasks.size()), m_firstRunNumber - 1};
+    leaving.only = &tasks;
+    delegateTasks(leaving, recoveryHolds(), partition);
+    m_environment.listener.progressChanged(id);
+}
+
+}
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -32,6 +32,7 @@
     step.highestRun = std::max(step.highestRun, run);
     task.phase = RunPhase::Starting;
     task.worker = worker.listing.name;
+    task.nextPartition.clear();
     task.placedAt = m_environment.clock.now();
     task.deliveryUncertain = false;
     task.runStartedAt.reset();
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -69,6 +69,9 @@
     std::string worker;
     // The worker on which a place is held for the next run, or empty.
     std::string nextWorker;
+    // The partition that holds a place for the next run, and until when, if the run is being stopped for it.
+    std::string nextPartition;
+    Instant nextPartitionUntil;
     // Numbers of the failed runs. After a take-over, run ends are reported again and in any order, so a mere count
     // would be wrong.
     std::set<std::uint64_t> failedRuns;
--- a/source/scheduling/TaskDelegation.cpp
+++ b/source/scheduling/TaskDelegation.cpp
@@ -58,12 +58,14 @@
     for (auto &[number, occurrence] : leaving.job.occurrences) {
         StepState &step = occurrence.steps[static_cast<std::size_t>(leaving.step)];
         for (TaskState &task : step.tasks) {
-            if (count <= 0 || !isDelegable(task, holds)) {
+            const bool isNamed = leaving.only == nullptr || leaving.only->contains(nameOf(task));
+            if (count <= 0 || !isNamed || !isDelegable(task, holds)) {
                 continue;
             }
             --count;
             --step.waitingCount;
             task.phase = RunPhase::Delegated;
+            task.nextPartition.clear();
             // Runs of earlier terms are not known to this one, and the other partition must use none of their numbers,
             // because crashes are kept by run.
             task.run = std::max(task.run, leaving.lastEarlierRun + task.lastRunElsewhere);
@@ -77,12 +79,17 @@
 
 }
 
+DelegatedTask delegationOf(const TaskState &task)
+{
+    return {nameOf(task), task.run, countedCrashes(task.crashes)};
+}
+
 std::vector<DelegatedTask> tasksDelegatedTo(const JobState &job, const std::string &partition)
 {
     std::vector<DelegatedTask> tasks;
     forEachTask(job, [&](const TaskState &task) {
         if (task.delegatedTo == partition) {
-            tasks.push_back({nameOf(task), task.run, countedCrashes(task.crashes)});
+            tasks.push_back(delegationOf(task));
         }
     });
     return tasks;
@@ -147,7 +154,8 @@
 {
     // A task whose lost runs may still decide its verdict, or may after one more crash, waits for them here, because
     // only this partition can ask their workers and the other one would judge that crash without them.
-    if (task.phase != RunPhase::Waiting || holds.isHeldBack(task) || judge(task.crashes) != CrashVerdict::Retry
+    const bool mayLeave = task.phase == RunPhase::Waiting && task.nextWorker.empty();
+    if (!mayLeave || holds.isHeldBack(task) || judge(task.crashes) != CrashVerdict::Retry
         || mayLostRunsDecide(task.crashes)) {
         return false;
     }
--- a/source/scheduling/TaskDelegation.h
+++ b/source/scheduling/TaskDelegation.h
@@ -4,6 +4,7 @@
 #include "scheduling/RecoveryHolds.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     bool operator==(const DelegatedTask &) const = default;
 };
 
+// Returns what another partition has to know of a task that it may run next.
+[[nodiscard]] DelegatedTask delegationOf(const TaskState &task);
+
 // Returns the tasks of a job that are delegated to the partition, with what is known of their crashes.
 [[nodiscard]] std::vector<DelegatedTask> tasksDelegatedTo(const JobState &job, const std::string &partition);
 
@@ -61,6 +65,8 @@
     int count = 0;
     // The number before the first one that this leader term gives to a run.
     std::uint64_t lastEarlierRun = 0;
+    // If not null, only these tasks leave.
+    const std::set<TaskName> *only = nullptr;
 };
 
 // Delegates waiting tasks to another partition.
--- a/source/tenure/HeadroomLedger.cpp
+++ b/source/tenure/HeadroomLedger.cpp
@@ -72,6 +72,12 @@
     return partitions;
 }
 
+bool HeadroomLedger::isCurrent(const std::string &partition) const
+{
+    const auto reportedAt = m_reportedAt.find(partition);
+    return reportedAt != m_reportedAt.end() && m_clock.now() - reportedAt->second <= LongestReportAge;
+}
+
 const PartitionHeadrooms &HeadroomLedger::headrooms() const
 {
     return m_headrooms;
--- a/source/tenure/HeadroomLedger.h
+++ b/source/tenure/HeadroomLedger.h
@@ -33,6 +33,9 @@
     // their last report is old, so that they may have no owner.
     [[nodiscard]] std::set<std::string> avoided(const std::string &pool, const std::string &job) const;
 
+    // Returns whether a partition has reported lately, so that it probably has an owner.
+    [[nodiscard]] bool isCurrent(const std::string &partition) const;
+
     [[nodiscard]] const PartitionHeadrooms &headrooms() const;
 
 private:
--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -79,6 +79,8 @@
         status(*leader, parts[2], respond);
     } else if (collection == "jobs" && parts.size() == ItemParts && request.method == "DELETE") {
         cancel(*leader, parts[2], respond);
+    } else if (collection == "places" && parts.size() == CollectionParts && request.method == "POST") {
+        holdPlaces(*leader, request, respond);
     } else if (collection == "room" && parts.size() == CollectionParts && request.method == "GET") {
         respond(jsonResponse(HttpStatus::Ok, describe(leader->jobScheduler().headrooms())));
     } else if (collection == "queues" && parts.size() == ItemParts && request.method == "GET") {
@@ -103,6 +105,16 @@
         [respond](const AcceptResult &result) { respond(submissionResponse(result)); });
 }
 
+void JobApi::holdPlaces(PartitionLeader &leader, const HttpRequest &request, const HttpServer::Responder &respond)
+{
+    const Result<PlaceRequest> places = parsePlaceRequest(request.body);
+    if (const Error *error = errorOf(places)) {
+        respond(jsonResponse(HttpStatus::BadRequest, {{"detail", error->detail}, {"remedy", error->remedy}}));
+        return;
+    }
+    respond(jsonResponse(HttpStatus::Ok, describe(leader.holdPlaces(std::get<PlaceRequest>(places)))));
+}
+
 void JobApi::cancel(PartitionLeader &leader, const std::string &id, const HttpServer::Responder &respond)
 {
     using CancelOutcome = PartitionLeader::CancelOutcome;
--- a/source/tenure/JobApi.h
+++ b/source/tenure/JobApi.h
@@ -21,6 +21,7 @@
 
 private:
     void submit(PartitionLeader &leader, const HttpRequest &request, const HttpServer::Responder &respond);
+    static void holdPlaces(PartitionLeader &leader, const HttpRequest &request, const HttpServer::Responder &respond);
     void cancel(PartitionLeader &leader, const std::string &id, const HttpServer::Responder &respond);
     static void status(const PartitionLeader &leader, const std::string &id, const HttpServer::Responder &respond);
 
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -38,6 +38,13 @@
     , m_headrooms(m_environment.clock)
     , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
 {
+    if (m_environment.places != nullptr) {
+        m_placeSearch.emplace(PlaceSearch::Environment {m_environment.clock, *m_environment.places, m_headrooms,
+                                  [this](const std::string &partition, const std::set<TaskName> &tasks) {
+                                      return onPlacesHeld(partition, tasks);
+                                  }},
+            m_position.partition);
+    }
 }
 
 PartitionLeader::~PartitionLeader()
@@ -269,6 +276,7 @@
     if (m_jobScheduler.isLeaseRecordDue() && !m_journal.isStoreUnavailable()) {
         writeLeaseHolders();
     }
+    delegateStoppedTasks();
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
         delegateUnplacedTasks();
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -8,6 +8,7 @@
 #include "tenure/JobJournal.h"
 #include "tenure/PartitionChoice.h"
 #include "tenure/PendingSubmissions.h"
+#include "tenure/PlaceSearch.h"
 #include "tenure/PredecessorTenure.h"
 
 namespace Wagtail
@@ -30,6 +31,8 @@
         std::function<void()> onOwnershipLost;
         PlacementAdvisor *advisor = nullptr;
         SchedulingPolicies policies = {};
+        // Null if tasks are passed on by headroom alone.
+        PlaceRequester *places = nullptr;
     };
 
     struct Limits
@@ -88,6 +91,9 @@
     void updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms);
     void setAuthority(SchedulingAuthority authority);
 
+    // Holds places for tasks that another partition may send.
+    [[nodiscard]] PlaceAnswer holdPlaces(const PlaceRequest &request);
+
     // Returns whether long-running tasks wait for room in other partitions, so that fresh reports of it are needed.
     [[nodiscard]] bool seeksRoom() const;
 
@@ -144,6 +150,14 @@
     // Passes long-running tasks that find no worker on to partitions with headroom.
     void delegateUnplacedTasks();
     void delegate(const UnplacedStep &unplaced);
+    // Looks for places in other partitions for tasks that wait in vain, and for those on draining workers.
+    void seekPlaces(const std::vector<UnplacedStep> &unplaced);
+    // Returns the record of a job that names the tasks, without its payload.
+    [[nodiscard]] static JobRecord placeDemand(const std::vector<TaskState *> &tasks);
+    // Passes tasks on to a partition that holds places for them. Returns those that leave for it.
+    std::set<TaskName> onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks);
+    void delegateStoppedTasks();
+    void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
     // Gives tasks of another partition's job back to it, if other partitions have headroom for them.
     void giveBack(const UnplacedStep &unplaced);
     // Takes back tasks that another partition gives back.
@@ -193,6 +207,8 @@
     // The numbers of the records of the lease holders that were put into the journal and are not stored yet, by text.
     std::map<std::string, std::uint64_t> m_leaseRecords;
     HeadroomLedger m_headrooms;
+    // Empty if the environment has no PlaceRequester.
+    std::optional<PlaceSearch> m_placeSearch;
     DelegatedTaskReturner m_returner;
     // Identifies the next message to another partition among those of this term.
     std::uint64_t m_nextMessage = 0;
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -30,17 +30,106 @@
     }
     const std::vector<UnplacedStep> steps = m_jobScheduler.unplacedLongRunning();
     m_seeksRoom = !steps.empty();
+    std::vector<UnplacedStep> seeking;
     for (const UnplacedStep &unplaced : steps) {
         // All delegations of a job that wait share one transaction, whose size is limited.
         if (m_journal.hasUnsentDelegation(unplaced.job)) {
             continue;
         }
+        // A worker takes tasks of a queue that needs advice only if the advisor has named it since they arrived.
+        const bool isAdvised = m_jobScheduler.find(unplaced.job)->policy.advised;
         if (unplaced.ownedElsewhere) {
             giveBack(unplaced);
+        } else if (m_placeSearch && !isAdvised) {
+            seeking.push_back(unplaced);
         } else {
             delegate(unplaced);
         }
     }
+    if (m_placeSearch) {
+        seekPlaces(seeking);
+    }
+}
+
+JobRecord PartitionLeader::placeDemand(const std::vector<TaskState *> &tasks)
+{
+    const JobState &job = *tasks.front()->step->occurrence->job;
+    JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
+    record.specification.payload.clear();
+    for (const TaskState *task : tasks) {
+        record.delegated.push_back(delegationOf(*task));
+    }
+    return record;
+}
+
+void PartitionLeader::seekPlaces(const std::vector<UnplacedStep> &unplaced)
+{
+    std::vector<JobRecord> demands;
+    for (const UnplacedStep &step : unplaced) {
+        const std::vector<TaskState *> tasks = m_jobScheduler.tasksWithoutPlace(step);
+        if (!tasks.empty()) {
+            demands.push_back(placeDemand(tasks));
+        }
+    }
+    std::map<std::string, std::vector<TaskState *>> leaving;
+    for (TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
+        const JobState &job = *task->step->occurrence->job;
+        if (!job.policy.advised && !m_journal.hasUnsentDelegation(job.specification.id)) {
+            leaving[job.specification.id].push_back(task);
+        }
+    }
+    for (const auto &[id, tasks] : leaving) {
+        demands.push_back(placeDemand(tasks));
+    }
+    m_seeksRoom = m_seeksRoom || !leaving.empty();
+    m_placeSearch->seek(demands);
+}
+
+std::set<TaskName> PartitionLeader::onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks)
+{
+    // Tasks whose delegation can't be recorded may still find a worker here, and those that run are not stopped.
+    if (m_termEnded || m_journal.isStoreUnavailable()) {
+        return {};
+    }
+    const RelocatedTasks relocated = m_jobScheduler.beginRelocation(partition, tasks);
+    std::set<TaskName> leaving = relocated.stopping;
+    for (const auto &[id, waiting] : relocated.waiting) {
+        leaving.insert(waiting.begin(), waiting.end());
+        delegate(id, waiting, partition);
+    }
+    return leaving;
+}
+
+void PartitionLeader::delegateStoppedTasks()
+{
+    for (const auto &[partition, tasks] : m_jobScheduler.stoppedForRelocation()) {
+        std::map<std::string, std::set<TaskName>> byJob;
+        for (const TaskName &task : tasks) {
+            byJob[task.job].insert(task);
+        }
+        for (const auto &[id, names] : byJob) {
+            delegate(id, names, partition);
+        }
+    }
+}
+
+void PartitionLeader::delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
+{
+    m_jobScheduler.delegate(id, tasks, partition);
+    m_environment.log("tasks-delegated", id,
+        {{"partition", partition}, {"step", tasks.begin()->step}, {"count", tasks.size()}, {"place_held", true}});
+    sendDelegated(*m_jobScheduler.find(id), partition);
+}
+
+PlaceAnswer PartitionLeader::holdPlaces(const PlaceRequest &request)
+{
+    PlaceAnswer answer;
+    m_jobScheduler.releasePlacesFor(request.released);
+    for (const JobRecord &job : request.jobs) {
+        answer.held.merge(m_jobScheduler.holdPlacesFor(job.specification, job.policy, job.delegated));
+    }
+    answer.headrooms = m_jobScheduler.headrooms();
+    return answer;
 }
 
 void PartitionLeader::delegate(const UnplacedStep &unplaced)
@@ -62,8 +151,10 @@
     if (!home) {
         return;
     }
-    int count = 0;
-    for (const DelegationChoice &choice : chooseDelegatesFor(unplaced)) {
+    // The home partition passes a task on only to a place that is held for it.
+    int count = m_placeSearch ? unplaced.waiting : 0;
+    for (const DelegationChoice &choice :
+        m_placeSearch ? std::vector<DelegationChoice>() : chooseDelegatesFor(unplaced)) {
         // The home partition will choose among the same ones.
         m_headrooms.reserve(
             choice.partition, m_jobScheduler.find(unplaced.job)->policy.pool, demandOf(unplaced, choice.count));
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -37,6 +37,12 @@
     for (const std::string &partition : m_environment.plan.partitions()) {
         m_partitions[partition];
     }
+    if (m_environment.peers != nullptr) {
+        m_places = std::make_unique<PeerPlaceRequester>(PeerPlaceRequester::Environment {
+            m_environment.scheduler, *m_environment.peers, [this](const std::string &partition) {
+                return ownerOf(partition);
+            }});
+    }
 }
 
 PartitionOwnership::~PartitionOwnership()
@@ -251,7 +257,7 @@
                 }
             });
         },
-        m_environment.advisor};
+        m_environment.advisor, {}, m_places.get()};
     state.leader = std::make_unique<PartitionLeader>(
         std::move(environment), m_limits, JournalPosition {partition, term, revision, revision});
     state.leader->updateWorkers(workersOf(partition));
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -6,6 +6,7 @@
 #include "tenure/OutageTenure.h"
 #include "tenure/PartitionLeader.h"
 #include "tenure/PartitionPlan.h"
+#include "tenure/PeerPlaceRequester.h"
 #include "tenure/StoreHealthReport.h"
 #include "tenure/TermSuccession.h"
 
@@ -27,6 +28,8 @@
         const PartitionPlan &plan;
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
         PlacementAdvisor *advisor = nullptr;
+        // Reaches the other instances. Null if tasks are passed on to other partitions by headroom alone.
+        HttpClient *peers = nullptr;
     };
 
     PartitionOwnership(Environment environment, InstanceEntry self, PartitionLeader::Limits limits);
@@ -103,6 +106,8 @@
     void releaseNext(std::vector<std::string> partitions, std::function<void()> handler);
 
     Environment m_environment;
+    // Null if there are no peers.
+    std::unique_ptr<PeerPlaceRequester> m_places;
     InstanceEntry m_self;
     PartitionLeader::Limits m_limits;
     Instant m_startedAt;
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -85,7 +85,8 @@
         , cluster([](const std::string &) {})
         , feed(store, scheduler, cluster, JobKeys::Cluster)
         , self {name, name, "depot", "wheatbelt", name + "-" + std::to_string(incarnation), 250}
-        , ownership({clock, scheduler, store, gateway, lease, cluster, plan, discardLog, &advisor}, self, limits())
+        , ownership(
+              {clock, scheduler, store, gateway, lease, cluster, plan, discardLog, &advisor, &peers}, self, limits())
         , api(ownership)
         , router({clock, scheduler, store, peers, ownership, plan, discardLog, plan.partitions().front()})
     {
