--- a/source/scheduling/HeldPlaces.h
+++ b/source/scheduling/HeldPlaces.h
@@ -16,6 +16,19 @@
     // Holds a place for the next run of the task until the given time, or changes until when its place is held.
     void hold(const TaskState &task, Instant until);
 
+    // Holds a place for a task of the step that another partition may send here until the given time, or changes until
+    // when its place is held.
+    void holdForArrival(const TaskName &task, const StepSpecification &step, Instant until);
+
+    // Returns whether a place is held for a task that another partition may send.
+    [[nodiscard]] bool isForArrival(const TaskName &task) const;
+
+    // Turns the place into one of a task of this partition, because the task has arrived.
+    void markArrived(const TaskName &task);
+
+    // Notes that the task is being stopped for its place, or is on its way to it, so that room for it there is taken.
+    void claim(const TaskName &task);
+
     // Releases the place of the task. Has no effect if it has none here.
     void release(const TaskName &task);
 
@@ -30,6 +43,10 @@
     // Returns the resources of all places.
     [[nodiscard]] const Resources &resources() const;
 
+    // Returns the resources of the places that tasks other than the given one have claimed. The other places may still
+    // be in use by batch tasks.
+    [[nodiscard]] Resources claimedByOthers(const TaskName &task) const;
+
     // Returns the part of them that is held for long-running tasks.
     [[nodiscard]] const Resources &resourcesOfLongRunning() const;
 
@@ -39,8 +56,13 @@
         Instant until;
         Resources resources;
         bool longRunning = false;
+        bool forArrival = false;
+        bool claimed = false;
     };
 
+    // Adds a place for the task unless it has one.
+    Place &add(const TaskName &task, const StepSpecification &step);
+
     std::map<TaskName, Place> m_places;
     Resources m_resources;
     Resources m_resourcesOfLongRunning;
--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -12,19 +12,17 @@
 namespace
 {
 
-// A place is held for one task so long at most. It covers a stop whose order has to be repeated, and the batch tasks on
-// a worker that takes no new ones.
-constexpr Milliseconds LongestHold {3'000};
-
-// Returns whether a task may still need the place that is held for it.
+// Returns whether a task may need the place that is held for it soon. The run on a worker that does not answer any more
+// can't be stopped, and the task may go on elsewhere only when its leases have expired.
 bool isOnItsWay(const TaskState &task, const WorkerState *present)
 {
     switch (task.phase) {
     case RunPhase::Waiting:
-    case RunPhase::Stopping:
         return !task.step->occurrence->job->isFinished();
+    case RunPhase::Stopping:
+        return !task.step->occurrence->job->isFinished() && present != nullptr && present->consecutiveUnanswered == 0;
     case RunPhase::Running:
-        return present != nullptr && present->listing.draining;
+        return present != nullptr && present->listing.draining && present->consecutiveUnanswered == 0;
     default:
         return false;
     }
@@ -43,8 +41,11 @@
             && Resources().fitsInto(worker.freeBesideLongRunning());
         for (const auto &[taskName, until] : worker.heldPlaces.tasks()) {
             TaskState *task = findTask(taskName);
-            const bool wanted
-                = task != nullptr && task->nextWorker == name && isOnItsWay(*task, findWorker(task->worker));
+            receiveArrival(worker, taskName, task);
+            const bool awaited
+                = worker.heldPlaces.isForArrival(taskName) && (task == nullptr || task->phase == RunPhase::Delegated);
+            const bool wanted = awaited
+                || (task != nullptr && task->nextWorker == name && isOnItsWay(*task, findWorker(task->worker)));
             if (usable && wanted && now < until) {
                 continue;
             }
@@ -58,6 +59,16 @@
     }
 }
 
+void JobScheduler::receiveArrival(WorkerState &worker, const TaskName &name, TaskState *task)
+{
+    const bool hasArrived = task != nullptr && task->phase == RunPhase::Waiting && task->nextWorker.empty();
+    if (hasArrived && worker.heldPlaces.isForArrival(name)) {
+        worker.heldPlaces.markArrived(name);
+        worker.heldPlaces.hold(*task, m_environment.clock.now() + LongestHold);
+        task->nextWorker = worker.listing.name;
+    }
+}
+
 void JobScheduler::placeHeldTasks(const RecoveryHolds &holds)
 {
     const Instant now = m_environment.clock.now();
@@ -70,7 +81,10 @@
             if (task == nullptr || !mayPlace(*task) || holds.isHeldBack(*task)) {
                 continue;
             }
-            const bool open = isHeldPlaceOpen(*task);
+            if (!isHeldPlaceOpen(*task)) {
+                // Batch tasks still use it.
+                continue;
+            }
             worker.heldPlaces.release(taskName);
             task->nextWorker.clear();
             // Since the place was held, runs may have been adopted on the worker, and the routes may have changed.
@@ -80,8 +94,9 @@
             query.avoidedWorkers = &task->avoidedWorkers;
             query.interference = &m_interference;
             query.now = now;
+            query.hasFreeResources = true;
             // Otherwise the task looks for a place like any other.
-            if (open && placementCost(worker, query) && isPermitted(*task->step, worker)) {
+            if (placementCost(worker, query) && isPermitted(*task->step, worker)) {
                 placeHeldTask(*task, worker);
             }
         }
@@ -102,8 +117,14 @@
 
 bool JobScheduler::isHeldPlaceOpen(const TaskState &task) const
 {
-    const auto place = m_workers.find(task.nextWorker);
-    return place != m_workers.end() && Resources().fitsInto(place->second.freeResources());
+    const auto found = m_workers.find(task.nextWorker);
+    if (found == m_workers.end()) {
+        return false;
+    }
+    const WorkerState &worker = found->second;
+    const Resources unused = worker.listing.capacity - worker.used;
+    const Resources claimed = worker.heldPlaces.claimedByOthers(nameOf(task));
+    return WorkerState::countedDemand(task.step->specification()).fitsInto(unused - claimed);
 }
 
 bool JobScheduler::holdPlace(TaskState &task, FailedPlacements &failedHolds)
@@ -186,7 +207,9 @@
         if (!isHeldPlaceOpen(*task) || !mayBeEvacuatedNow(*task, progress)) {
             continue;
         }
-        m_workers.at(task->nextWorker).heldPlaces.hold(*task, now + LongestHold);
+        HeldPlaces &places = m_workers.at(task->nextWorker).heldPlaces;
+        places.hold(*task, now + LongestHold);
+        places.claim(nameOf(*task));
         m_environment.listener.logDecision("run-evacuated", nameOf(*task).text(),
             {{"worker", worker.listing.name}, {"run", task->run}, {"percent", task->percent},
                 {"drained_ms", progress.knownFor().count()}, {"place", task->nextWorker}});
