Scheduling: Start no task whose end a late acknowledgement may erase

A worker restarted under its name while a report request that acknowledges ends was on its way. Starts that were sent before the restart was known reached the next incarnation, which was right to keep them. Its ends are numbered from 1 again, so the late request made it forget ends that nobody had read.

No order names an incarnation, so the order of calls has to keep the two apart: a worker takes no task that ends by itself from the moment an acknowledgement is sent until it is answered, or until it can't be carried out any more (6 s after it was sent). Acknowledgements were held back already while starts are unsettled. Long-running tasks are restarted however they end, and are not held back. A request that acknowledges ends asks for no waiting time any more, so that an answer takes one round trip and not up to two seconds.

It costs one more report request for each acknowledgement, a round trip without new batch tasks on that worker, and up to 6 s without them after an acknowledgement that got no answer.

KeptRun.isNotRepeatedAfterALateAcknowledgementOfItsEnd was red with four violations and is green.

--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -96,7 +96,7 @@
     const auto isReady = [&](const TaskState &member) {
         const WorkerState *worker = findWorker(member.worker);
         return member.phase == RunPhase::Starting && member.run == task.run && worker != nullptr
-            && acceptsTasks(*worker, now) && mayRepeatStart(*worker, *member.step)
+            && acceptsTasks(*worker, now) && mayRepeatStart(*worker, *member.step, now)
             && m_leaseHandover.mayGrant(member.worker);
     };
     const StepState &step = *task.step;
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -155,7 +155,8 @@
     }
     ReportRequest request;
     request.recordedEnd = mayAcknowledge ? worker.recordedEnd : 0;
-    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !holdsAcknowledgement
+    // While an acknowledgement is on its way the worker takes no tasks whose ends matter.
+    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !unacknowledged
         && !worker.unsettledStarts.isUnclear();
     if (mayWait) {
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
@@ -481,9 +482,9 @@
         }
         // If the worker has crashed, the next incarnation would carry out the repeated start as well.
         const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0
-            && !worker.unsettledStarts.isUnclear();
+            && !worker.unsettledStarts.isUnclear() && !worker.isAcknowledging();
         if (task->phase == RunPhase::Starting && mayStart) {
-            if (mayRepeatStart(worker, *task->step)) {
+            if (mayRepeatStart(worker, *task->step, now)) {
                 sendStart(*task);
             } else {
                 withdrawStart(*task);
--- a/source/scheduling/PlacementSurvey.cpp
+++ b/source/scheduling/PlacementSurvey.cpp
@@ -14,7 +14,7 @@
         const Resources demand = WorkerState::countedDemand(specification);
         if (!meetsRequirements(worker, specification, pool)) {
             ++survey.unsuitable;
-        } else if (!acceptsTasks(worker, now)) {
+        } else if (!acceptsTasks(worker, now) || !willLearnOfEnd(worker, specification, now)) {
             ++survey.unusable;
         } else if (hasReachedPerWorkerLimit(worker, step)) {
             ++survey.atPerWorkerLimit;
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -69,12 +69,18 @@
         && worker.consecutiveUnanswered == 0 && worker.obsoleteRuns.isEmpty() && worker.quarantinedUntil <= now;
 }
 
-bool mayRepeatStart(const WorkerState &worker, const StepState &step)
+bool mayRepeatStart(const WorkerState &worker, const StepState &step, Instant now)
 {
-    return worker.listed && !worker.listing.draining && !worker.isRestartListed() && !worker.isOverCapacity()
+    return willLearnOfEnd(worker, step.specification(), now) && worker.listed && !worker.listing.draining
+        && !worker.isRestartListed() && !worker.isOverCapacity()
         && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool);
 }
 
+bool willLearnOfEnd(const WorkerState &worker, const StepSpecification &step, Instant now)
+{
+    return step.longRunning || !worker.mayForgetEnds(now);
+}
+
 bool hasReachedPerWorkerLimit(const WorkerState &worker, const StepState &step)
 {
     const int limit = step.specification().perWorkerLimit;
@@ -99,7 +105,7 @@
     const StepSpecification &step = query.step->specification();
     // The resources are checked first, because it is cheap and most workers are full under load.
     if (!WorkerState::countedDemand(step).fitsInto(worker.freeResources()) || !acceptsTasks(worker, query.now)
-        || !meetsRequirements(worker, step, query.pool)) {
+        || !willLearnOfEnd(worker, step, query.now) || !meetsRequirements(worker, step, query.pool)) {
         return std::nullopt;
     }
     if (hasReachedPerWorkerLimit(worker, *query.step)) {
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -24,7 +24,11 @@
 
 // Returns whether a start order that was held back or left unanswered may be sent now. Since the task was placed, the
 // worker may have lost some of its capacity, so that its tasks, this one included, no longer fit.
-[[nodiscard]] bool mayRepeatStart(const WorkerState &worker, const StepState &step);
+[[nodiscard]] bool mayRepeatStart(const WorkerState &worker, const StepState &step, Instant now);
+
+// Returns whether the end of a task of the step that starts on a worker now will reach the owner, unless the worker
+// crashes. Long-running tasks are restarted however they end.
+[[nodiscard]] bool willLearnOfEnd(const WorkerState &worker, const StepSpecification &step, Instant now);
 
 // Returns whether a worker already has as many tasks of a step, and places held for them, as
 // StepSpecification::perWorkerLimit allows.
--- a/source/scheduling/WorkerState.cpp
+++ b/source/scheduling/WorkerState.cpp
@@ -46,6 +46,16 @@
     return appliedEnd > recordedEnd;
 }
 
+bool WorkerState::isAcknowledging() const
+{
+    return reportPending && sentAcknowledgement > 0;
+}
+
+bool WorkerState::mayForgetEnds(Instant now) const
+{
+    return isAcknowledging() || now < lateRequests.acknowledgementsEndAt();
+}
+
 bool WorkerState::mayRunTasks() const
 {
     return !tasks.empty() || !obsoleteRuns.isEmpty();
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -116,6 +116,13 @@
     // Returns whether run ends have been applied that the store does not have yet.
     [[nodiscard]] bool hasUnrecordedEnds() const;
 
+    // Returns whether the pending report request lets the worker remove ends from its list.
+    [[nodiscard]] bool isAcknowledging() const;
+
+    // Returns whether the worker may yet carry out a request that lets it remove ends from its list. An incarnation
+    // that is not known yet would remove ends that nobody has read.
+    [[nodiscard]] bool mayForgetEnds(Instant now) const;
+
     // Returns whether anything may run on the worker now or without a further start order of this leader term.
     [[nodiscard]] bool mayRunTasks() const;
 
