Scheduling: Stop late starts on the next incarnation of their worker

A start got no answer and was refused, or carried out, when it was repeated. The worker restarted under its name within the time for which the first order may be late (6 s). Its next incarnation knew neither of the stop nor of the end, and carried the first order out. The owner had forgotten the order with the run.

LateStarts remembers the starts without an answer for each worker. When a later incarnation reports, the runs that are no longer wanted are stopped there by name, which makes it refuse them, and it takes no tasks until it has confirmed that. A worker that is not listed any more is not forgotten while a start may be late. No task waits before it is started elsewhere.

What stays open: an order that reaches the next incarnation before its owner's stop does. Only waiting for up to 6 s with each start that got no answer and was then refused would close that.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -439,7 +439,7 @@
     const Instant now = m_environment.clock.now();
     if (worker.listed || worker.mayBeListedAgain(now) || worker.hasUnrecordedEnds() || !worker.tasks.empty()
         || !worker.lostRuns.empty() || !worker.heldPlaces.isEmpty() || now < worker.lateRequests.acknowledgementsEndAt()
-        || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
+        || now < worker.lateStarts.endAt() || m_leaseHandover.isUnconfirmed(worker.listing.name)) {
         return false;
     }
     const std::optional<Instant> expiry = worker.leaseExpiry();
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -283,6 +283,8 @@
     void sendThrottle(TaskState &task, int percent);
     // Ends the former incarnation of a worker, and decides what becomes of its tasks.
     void onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next);
+    // Stops the runs that late start orders to a former incarnation of a worker may begin on the present one.
+    void stopLateStarts(WorkerState &worker);
     // Returns when a lease that the worker grants now, to whatever run, has surely expired.
     [[nodiscard]] Instant longestLeaseExpiry() const;
     // Applies the worker's clock in the answer to an order, if the known incarnation has answered.
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -114,6 +114,9 @@
     if (worker != nullptr) {
         incarnation = observeAnswer(*worker, answer, sentAt);
         worker->unsettledStarts.answered(incarnation, m_environment.clock.now(), longestLeaseExpiry());
+        if (answer.outcome == OrderOutcome::Unknown) {
+            worker->lateStarts.unanswered(run, sentAt);
+        }
     }
     TaskState *task = findTask(run.task);
     if (worker == nullptr || task == nullptr || task->run != run.run || task->worker != workerName) {
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -401,6 +401,18 @@
     return m_environment.clock.now() + WorkerClock::longestDuration(m_limits.longestLease);
 }
 
+void JobScheduler::stopLateStarts(WorkerState &worker)
+{
+    for (const auto &[run, until] : worker.lateStarts.after(m_environment.clock.now())) {
+        const TaskState *task = findTask(run.task);
+        const bool isCurrent = task != nullptr && task->worker == worker.listing.name && task->run == run.run;
+        if (!isCurrent) {
+            worker.obsoleteRuns.add(run, until);
+            stopObsolete(worker, run);
+        }
+    }
+}
+
 void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next)
 {
     std::vector<TaskState *> lost;
@@ -425,6 +437,7 @@
     worker.sentAcknowledgement = 0;
     worker.acknowledgedEnd = 0;
     worker.obsoleteRuns.restart(worker.unsettledStarts.isEmpty() ? std::nullopt : std::optional(longestLeaseExpiry()));
+    stopLateStarts(worker);
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
     const bool mayHoldLeases = !kept.empty() || !uncertain.empty() || !worker.obsoleteRuns.isEmpty();
--- /dev/null
+++ b/source/scheduling/LateCall.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "base/Clock.h"
+
+namespace Wagtail
+{
+
+// How long after it was sent a worker may still carry out a call that got no answer.
+constexpr Milliseconds LongestLateCall {6'000};
+
+}
--- a/source/scheduling/LateReportRequests.cpp
+++ b/source/scheduling/LateReportRequests.cpp
@@ -1,18 +1,12 @@
 #include "scheduling/LateReportRequests.h"
 
+#include "scheduling/LateCall.h"
+
 #include <algorithm>
 
 namespace Wagtail
 {
 
-namespace
-{
-
-// How long after it was sent a worker may still carry out a request that got no answer.
-constexpr Milliseconds LongestLateCall {6'000};
-
-}
-
 void LateReportRequests::unanswered(Instant sentAt, Effects effects)
 {
     const Instant until = sentAt + LongestLateCall;
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -4,6 +4,7 @@
 #include "scheduling/HeldPlaces.h"
 #include "scheduling/JobState.h"
 #include "scheduling/LateReportRequests.h"
+#include "scheduling/LateStarts.h"
 #include "scheduling/ObsoleteRuns.h"
 #include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
@@ -66,6 +67,7 @@
     // Whether the pending report request renews the leases.
     bool sentRenewal = false;
     LateReportRequests lateRequests;
+    LateStarts lateStarts;
     // The tasks of the run ends that have been applied and not recorded, by the number of the end.
     std::map<std::uint64_t, TaskName> unrecordedEnds;
     // Tasks whose current run is assigned to this worker, in any phase.
