--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -155,7 +155,8 @@
     }
     ReportRequest request;
     request.recordedEnd = mayAcknowledge ? worker.recordedEnd : 0;
-    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !holdsAcknowledgement
+    // While an acknowledgement is on its way the worker takes no tasks whose ends matter.
+    const bool mayWait = worker.hasAnswered && worker.consecutiveUnanswered == 0 && !unrecorded && !unacknowledged
         && !worker.unsettledStarts.isUnclear();
     if (mayWait) {
         const bool mixed = !worker.serving.empty() && !worker.backfilling.empty();
@@ -400,6 +401,18 @@
     return m_environment.clock.now() + WorkerClock::longestDuration(m_limits.longestLease);
 }
 
+void JobScheduler::stopLateStarts(WorkerState &worker)
+{
+    for (const auto &[run, until] : worker.lateStarts.after(m_environment.clock.now())) {
+        const TaskState *task = findTask(run.task);
+        const bool isCurrent = task != nullptr && task->worker == worker.listing.name && task->run == run.run;
+        if (!isCurrent) {
+            worker.obsoleteRuns.add(run, until);
+            stopObsolete(worker, run);
+        }
+    }
+}
+
 void JobScheduler::onWorkerRestarted(WorkerState &worker, std::int64_t incarnation, const NextIncarnation &next)
 {
     std::vector<TaskState *> lost;
@@ -424,11 +437,13 @@
     worker.sentAcknowledgement = 0;
     worker.acknowledgedEnd = 0;
     worker.obsoleteRuns.restart(worker.unsettledStarts.isEmpty() ? std::nullopt : std::optional(longestLeaseExpiry()));
+    stopLateStarts(worker);
     worker.clock.reset(m_environment.clock.now());
     worker.leaseGrantedUntil = 0;
     const bool mayHoldLeases = !kept.empty() || !uncertain.empty() || !worker.obsoleteRuns.isEmpty();
     worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
-    const Instant renewalsEndAt = worker.lateRequests.renewalsEndAt();
+    // A start that the worker refuses renews the leases as well.
+    const Instant renewalsEndAt = std::max(worker.lateRequests.renewalsEndAt(), worker.lateStarts.endAt());
     if (m_environment.clock.now() < renewalsEndAt) {
         worker.priorLeaseExpiresAt
             = std::max(worker.priorLeaseExpiresAt, renewalsEndAt + WorkerClock::longestDuration(m_limits.longestLease));
@@ -481,9 +496,9 @@
         }
         // If the worker has crashed, the next incarnation would carry out the repeated start as well.
         const bool mayStart = m_authority == SchedulingAuthority::Full && worker.consecutiveUnanswered == 0
-            && !worker.unsettledStarts.isUnclear();
+            && !worker.unsettledStarts.isUnclear() && !worker.isAcknowledging();
         if (task->phase == RunPhase::Starting && mayStart) {
-            if (mayRepeatStart(worker, *task->step)) {
+            if (mayRepeatStart(worker, *task->step, now)) {
                 sendStart(*task);
             } else {
                 withdrawStart(*task);
