Tenure: Keep the cancellation of a job that no partition has accepted

A caller that cancelled before it had an answer to its submission was told that there is no such job (410) by an instance or owner that could not know of its acceptance: the owner had redirected the job, the instance knew no owner, or another instance's transaction was on its way to the store. Then the job was accepted and ran.

A job without a home is now cancelled in advance. One transaction, with the condition that the home does not exist, leaves the cancellation in the inboxes of all partitions (31 in each transaction), and the caller is told that the job is cancelled. If the home exists by then, the request goes on to its owner. An instance that has seen the home of a job which is gone answers 410 without a write, as before. The state of an unknown job stays 410.

--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -122,6 +122,9 @@
     if (!entry.partition.empty()) {
         document["from"] = entry.partition;
     }
+    if (entry.isEarly) {
+        document["early"] = true;
+    }
     return writeJson(document);
 }
 
@@ -142,6 +145,7 @@
     }
     entry.request = *request;
     if (entry.request == InboxRequest::Cancel) {
+        entry.isEarly = memberOr(document, "early", false);
         return entry;
     }
     if (entry.request == InboxRequest::GiveUp || entry.request == InboxRequest::Return) {
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -53,6 +53,9 @@
     std::vector<DelegatedTask> tasks = {};
     // The partition that gives tasks back. Set in returns only.
     std::string partition = {};
+    // Whether no partition had accepted the job when the entry was written, so that one may do so later. Set in
+    // cancellations only.
+    bool isEarly = false;
 };
 
 [[nodiscard]] std::string serialize(const InboxEntry &entry);
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -30,6 +30,10 @@
 // The largest number of waiting jobs that an owner is believed. The sum over all partitions stays within an int.
 constexpr int MaximumWaitingCount = 1'000'000;
 
+// The platform's store accepts at most 32 conditions, writes and erasures per transaction. One is the condition on the
+// job's home key.
+constexpr std::size_t MaxInboxesPerTransaction = 31;
+
 // Returns a string member of an owner's JSON answer, or an empty string if there is none.
 std::string textMember(const std::string &answer, const char *member)
 {
@@ -401,17 +405,57 @@
             }
             if (!*entry) {
                 // Whoever cancels a job that does not exist relies on it that the job never runs.
-                const bool mayBeAccepted = m_unsettled.mayBeAccepted(request->job)
-                    || (request->isOwnerUnclear && request->method == "DELETE");
-                finishRequest(
-                    request, mayBeAccepted ? RouteOutcome::Unknown : RouteOutcome::NotFound, JobPhase::Pending);
+                const bool cancels = request->method == "DELETE";
+                const bool wasRemoved = m_homes.contains(request->job);
+                if (m_unsettled.mayBeAccepted(request->job) || (request->isOwnerUnclear && cancels)) {
+                    finishRequest(request, RouteOutcome::Unknown, JobPhase::Pending);
+                } else if (cancels && !wasRemoved) {
+                    cancelEarly(request, 0);
+                } else {
+                    finishRequest(request, RouteOutcome::NotFound, JobPhase::Pending);
+                }
                 return;
             }
-            request->homeRead = true;
-            const bool same = request->partition == (*entry)->value;
-            request->partition = (*entry)->value;
-            cacheHome(request->job, request->partition);
-            same ? serveFromStore(request) : forwardToOwner(request);
+            followHome(request, (*entry)->value);
+        });
+}
+
+void JobRouter::followHome(const std::shared_ptr<JobRequest> &request, const std::string &partition)
+{
+    request->homeRead = true;
+    const bool same = request->partition == partition;
+    request->partition = partition;
+    cacheHome(request->job, partition);
+    same ? serveFromStore(request) : forwardToOwner(request);
+}
+
+void JobRouter::cancelEarly(const std::shared_ptr<JobRequest> &request, std::size_t firstPartition)
+{
+    const std::vector<std::string> partitions = m_environment.plan.partitions();
+    const std::size_t end = std::min(partitions.size(), firstPartition + MaxInboxesPerTransaction);
+    const std::string value = serialize(InboxEntry {InboxRequest::Cancel, request->job, std::nullopt, {}, {}, true});
+    StoreTransaction transaction;
+    transaction.conditions = {{JobKeys::home(request->job), MustNotExist}};
+    for (std::size_t i = firstPartition; i < end; ++i) {
+        transaction.writes.push_back({JobKeys::inboxCancellation(partitions[i], request->job), value, std::nullopt, 0});
+    }
+    m_environment.log("job-cancelled-early", request->job, {{"inboxes", end - firstPartition}});
+    m_environment.store.commit(
+        std::move(transaction), [this, alive = m_alive, request, end](const Result<StoreTransactionResult> &result) {
+            if (!*alive) {
+                return;
+            }
+            const auto *commit = std::get_if<StoreTransactionResult>(&result);
+            const bool isRefused = commit != nullptr && !commit->committed;
+            if (commit == nullptr || (isRefused && commit->currentEntries.empty())) {
+                finishRequest(request, RouteOutcome::Unknown, JobPhase::Pending);
+            } else if (isRefused) {
+                followHome(request, commit->currentEntries.front().value);
+            } else if (end < m_environment.plan.partitions().size()) {
+                cancelEarly(request, end);
+            } else {
+                finishRequest(request, RouteOutcome::Done, JobPhase::Cancelled);
+            }
         });
 }
 
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -78,6 +78,11 @@
     void sendRequest(const std::shared_ptr<JobRequest> &request);
     void forwardToOwner(const std::shared_ptr<JobRequest> &request);
     void readHome(const std::shared_ptr<JobRequest> &request);
+    // Continues a request whose job's home partition the store has named.
+    void followHome(const std::shared_ptr<JobRequest> &request, const std::string &partition);
+    // Leaves the cancellation of a job that no partition has accepted in the inboxes of all partitions from the given
+    // one on, because a submission of the job may be on its way to any of them.
+    void cancelEarly(const std::shared_ptr<JobRequest> &request, std::size_t firstPartition);
     void serveFromStore(const std::shared_ptr<JobRequest> &request);
     void finishRequest(const std::shared_ptr<JobRequest> &request, RouteOutcome outcome, JobPhase phase);
     void cacheHome(const std::string &job, const std::string &partition);
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -36,6 +36,7 @@
           m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWatchTime)
     , m_headrooms(m_environment.clock)
     , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
+    , m_earlyCancellations(m_environment.clock)
 {
 }
 
@@ -280,6 +281,7 @@
         return;
     }
     m_lastCleanup = now;
+    eraseExpiredCancellations();
     for (const RemovedJob &job : m_jobScheduler.removeFinished(now - m_limits.statusRetention)) {
         if (!job.ownedElsewhere) {
             m_journal.erase(JobKeys::home(job.id));
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -3,6 +3,7 @@
 #include "configuration/PrefixWatcher.h"
 #include "scheduling/JobScheduler.h"
 #include "tenure/DelegatedTaskReturner.h"
+#include "tenure/EarlyCancellations.h"
 #include "tenure/GivenUpTaskReporter.h"
 #include "tenure/HeadroomLedger.h"
 #include "tenure/JobJournal.h"
@@ -126,10 +127,12 @@
     void applyInboxEntry(const std::string &key, const InboxEntry &entry);
     void restoreJob(const StoreEntry &entry, const std::string *progress);
 
-    // Applies a cancellation from the inbox. Keeps it there while the job's acceptance has no known outcome.
-    void applyCancellation(const std::string &key, const std::string &id);
-    // Applies the cancellation that was kept until the outcome of the job's acceptance was known, if there is one.
+    // Applies a cancellation from the inbox. Keeps it there while the job's acceptance has no known outcome, and an
+    // early one for its lifetime.
+    void applyCancellation(const std::string &key, const InboxEntry &entry);
+    // Applies the cancellation that was kept until the job was known or the outcome of its acceptance, if there is one.
     void applyKeptCancellation(const std::string &id);
+    void eraseExpiredCancellations();
     void cancelLocally(const JobState &job, std::function<void(bool)> handler);
 
     // Fails a job by the verdict of another partition. Erases the verdict's key once the store has the end of the job.
@@ -192,6 +195,7 @@
     std::map<std::string, std::uint64_t> m_leaseRecords;
     HeadroomLedger m_headrooms;
     DelegatedTaskReturner m_returner;
+    EarlyCancellations m_earlyCancellations;
     // Identifies the next message to another partition among those of this term.
     std::uint64_t m_nextMessage = 0;
     bool m_seeksRoom = false;
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -177,17 +177,19 @@
     if (entry.request == InboxRequest::Submit) {
         const JobRecord &record = *entry.record;
         m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
+        applyKeptCancellation(entry.job);
         m_journal.erase(key);
         return;
     }
     if (entry.request == InboxRequest::Delegate) {
         const JobRecord &record = *entry.record;
         m_jobScheduler.addDelegated(record.specification, record.policy, record.acceptedWall, record.delegated);
+        applyKeptCancellation(entry.job);
         m_journal.erase(key);
         return;
     }
     if (entry.request == InboxRequest::Cancel) {
-        applyCancellation(key, entry.job);
+        applyCancellation(key, entry);
         return;
     }
     if (entry.request == InboxRequest::Return) {
@@ -202,13 +204,20 @@
     failDelegated(*job, key, entry);
 }
 
-void PartitionLeader::applyCancellation(const std::string &key, const std::string &id)
+void PartitionLeader::applyCancellation(const std::string &key, const InboxEntry &entry)
 {
+    const std::string &id = entry.job;
     const JobState *job = m_jobScheduler.find(id);
     if (job != nullptr) {
+        m_earlyCancellations.remove(id);
         cancelLocally(*job, [this, key](bool) { m_journal.erase(key); });
         return;
     }
+    if (entry.isEarly) {
+        m_earlyCancellations.add(id);
+        m_environment.log("cancellation-kept", id, {{"reason", "the job may be accepted later"}});
+        return;
+    }
     if (m_journal.isAccepting(id)) {
         m_environment.log("cancellation-kept", id, {{"reason", "the outcome of the acceptance is unknown"}});
         return;
@@ -222,6 +231,17 @@
     const std::string key = JobKeys::inboxCancellation(m_position.partition, id);
     if (m_inbox.find(key) != nullptr) {
         onInboxChanged(key);
+    } else if (m_earlyCancellations.contains(id)) {
+        // Its key was erased because its lifetime was over when it was written again.
+        applyCancellation(key, {InboxRequest::Cancel, id, std::nullopt, {}, {}, true});
+    }
+}
+
+void PartitionLeader::eraseExpiredCancellations()
+{
+    for (const std::string &id : m_earlyCancellations.removeExpired()) {
+        m_environment.log("cancellation-dropped", id, {{"reason", "the job was not accepted"}});
+        m_journal.erase(JobKeys::inboxCancellation(m_position.partition, id));
     }
 }
 
--- a/source/tenure/tests/CancelledSubmissionTest.cpp
+++ b/source/tenure/tests/CancelledSubmissionTest.cpp
@@ -52,6 +52,20 @@
             [&instance](const auto &entry) { return entry.second.get() != &instance; });
         return *other->second;
     }
+
+    static std::size_t inboxSize(TestCluster &cluster)
+    {
+        std::size_t size = 0;
+        for (const std::string &partition : cluster.plan.partitions()) {
+            size += cluster.state.list(JobKeys::inbox(partition)).entries.size();
+        }
+        return size;
+    }
+
+    static unsigned long startCount(TestCluster &cluster, const std::string &id)
+    {
+        return cluster.workers.startCount({id, 0, 0, 0});
+    }
 };
 
 }
@@ -130,4 +144,147 @@
     }
 }
 
+// The submission and further copies of it reach any instance after the cancellation.
+TEST_F(CancelledSubmission, isCancelledHoweverLateItArrives)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    const auto cancelled = cancel(cluster, instanceBeside(cluster, owner), "job");
+    cluster.advance(Second * 30);
+    ASSERT_EQ(*cancelled, RouteOutcome::Done);
+    for (TestInstance *instance : {&owner, &instanceBeside(cluster, owner)}) {
+        const auto submitted = submit(cluster, *instance, "job", 1);
+        cluster.advance(Second * 2);
+        EXPECT_EQ(*submitted, RouteOutcome::Done);
+        EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    }
+    EXPECT_EQ(startCount(cluster, "job"), 0U);
+    EXPECT_EQ(inboxSize(cluster), 0U);
+}
+
+// The partition that accepts the job is not the one that is asked about it first.
+TEST_F(CancelledSubmission, isCancelledInWhicheverPartitionAcceptsIt)
+{
+    TestCluster cluster(Regions);
+    cluster.advance(Second * 3);
+    // Leaves more room in the other partition.
+    submit(cluster, *cluster.ownerOf("a"), "first", 2);
+    cluster.advance(Second * 2);
+    const auto cancelled = cancel(cluster, *cluster.ownerOf("b"), "job");
+    cluster.advance(Second);
+    ASSERT_EQ(*cancelled, RouteOutcome::Done);
+    submit(cluster, *cluster.ownerOf("a"), "job", 2);
+    cluster.advance(Second * 2);
+    ASSERT_EQ(cluster.state.read(JobKeys::home("job"))->value, "b");
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    EXPECT_EQ(startCount(cluster, "job"), 0U);
+}
+
+TEST_F(CancelledSubmission, isCancelledIfTheStoreCarriesOutItsAcceptanceLate)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    TestInstance &sender = instanceBeside(cluster, owner);
+    const auto server = cluster.peers.servers.extract(owner.self.name);
+    sender.store.delay = Second * 20;
+    submit(cluster, sender, "job", 1);
+    cluster.advance(Second);
+    const auto cancelled = cancel(cluster, owner, "job");
+    cluster.advance(Second);
+    ASSERT_EQ(*cancelled, RouteOutcome::Done);
+    ASSERT_FALSE(cluster.state.read(JobKeys::home("job")));
+    cluster.advance(Second * 25);
+    ASSERT_TRUE(cluster.state.read(JobKeys::home("job")));
+    sender.store.delay = Milliseconds(1);
+    cluster.peers.servers[owner.self.name] = server.mapped();
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    EXPECT_EQ(startCount(cluster, "job"), 0U);
+    EXPECT_EQ(inboxSize(cluster), 0U);
+}
+
+TEST_F(CancelledSubmission, isCancelledUnderTheNextOwner)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    const auto cancelled = cancel(cluster, *cluster.owner(), "job");
+    cluster.advance(Second);
+    ASSERT_EQ(*cancelled, RouteOutcome::Done);
+    cluster.kill(cluster.owner()->self.name.back() - '0');
+    cluster.advance(Second * 12);
+    const auto submitted = submit(cluster, *cluster.owner(), "job", 1);
+    cluster.advance(Second * 2);
+    EXPECT_EQ(*submitted, RouteOutcome::Done);
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    EXPECT_EQ(startCount(cluster, "job"), 0U);
+}
+
+// The job is accepted after the instance has read that it does not exist.
+TEST_F(CancelledSubmission, isCancelledIfItIsAcceptedWhileItsCancellationIsWritten)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    TestInstance &other = instanceBeside(cluster, owner);
+    other.store.delay = Milliseconds(100);
+    const auto cancelled = cancel(cluster, other, "job");
+    cluster.advance(Milliseconds(160));
+    const auto submitted = submit(cluster, owner, "job", 1);
+    cluster.advance(Second * 2);
+    EXPECT_EQ(*submitted, RouteOutcome::Done);
+    EXPECT_EQ(*cancelled, RouteOutcome::Done);
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Cancelled);
+    EXPECT_EQ(inboxSize(cluster), 0U);
+}
+
+// Cancellations of jobs that never come must not pile up in the store.
+TEST_F(CancelledSubmission, isCancelledInAdvanceForALimitedTime)
+{
+    TestCluster cluster(Regions);
+    cluster.advance(Second * 3);
+    const auto cancelled = cancel(cluster, *cluster.ownerOf("a"), "job");
+    cluster.advance(Second);
+    ASSERT_EQ(*cancelled, RouteOutcome::Done);
+    EXPECT_EQ(inboxSize(cluster), cluster.plan.partitions().size());
+    cluster.advance(EarlyCancellations::Lifetime + Second * 6);
+    EXPECT_EQ(inboxSize(cluster), 0U);
+    submit(cluster, *cluster.ownerOf("a"), "job", 1);
+    cluster.advance(Second * 2);
+    EXPECT_EQ(cluster.phaseOf("job"), JobPhase::Running);
+}
+
+TEST_F(CancelledSubmission, isDeniedWithoutAWriteOnceItWasRemoved)
+{
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    TestInstance &owner = *cluster.owner();
+    submit(cluster, owner, "job", 1);
+    cluster.advance(Second * 2);
+    cancel(cluster, owner, "job");
+    cluster.advance(TestInstance::limits().statusRetention + Second * 10);
+    ASSERT_FALSE(cluster.state.read(JobKeys::home("job")));
+    const auto cancelled = cancel(cluster, owner, "job");
+    cluster.advance(Milliseconds(100));
+    EXPECT_EQ(*cancelled, RouteOutcome::NotFound);
+    EXPECT_EQ(inboxSize(cluster), 0U);
+}
+
+// One transaction can't hold the inboxes of all partitions.
+TEST_F(CancelledSubmission, isCancelledInAdvanceInManyPartitions)
+{
+    constexpr int DataCentres = 40;
+    std::map<std::string, std::string> regions;
+    for (int i = 0; i < DataCentres; ++i) {
+        regions["centre-" + std::to_string(i)] = "wheatbelt";
+    }
+    TestCluster cluster(regions);
+    cluster.advance(Second * 3);
+    ASSERT_EQ(cluster.plan.partitions().size(), DataCentres);
+    const auto cancelled = cancel(cluster, *cluster.owner(), "job");
+    cluster.advance(Second);
+    EXPECT_EQ(*cancelled, RouteOutcome::Done);
+    EXPECT_EQ(inboxSize(cluster), DataCentres);
+}
+
 }
