--- a/source/daemon/main.cpp
+++ b/source/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "base/BlockedSignals.h"
 #include "daemon/Daemon.h"
 #include "logging/Log.h"
 #include "settings/SettingsFile.h"
@@ -14,7 +15,7 @@
 constexpr int ExitSettings = 3;
 constexpr int ExitAddress = 4;
 
-int serve(const Wagtail::Settings &settings)
+int serve(const Wagtail::Settings &settings, Wagtail::BlockedSignals &signals)
 {
     Wagtail::startLog(settings.instanceName, settings.logLevel);
     curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -23,6 +24,8 @@
         Wagtail::printErrors({*error});
         return ExitAddress;
     }
+    // The daemon handles them from its creation on.
+    signals.release();
     const int status = std::get<std::unique_ptr<Wagtail::Daemon>>(daemon)->run();
     Wagtail::flushLog();
     // Handlers of late answers may still refer to objects of the other stopped threads, so destroying them in order is
@@ -34,6 +37,7 @@
 
 int main(int count, const char **arguments)
 {
+    Wagtail::BlockedSignals signals {SIGTERM, SIGINT};
     char *settingsPath = nullptr;
     int checkOnly = 0;
     const poptOption options[] = {
@@ -65,5 +69,5 @@
         std::printf("%s is valid\n", path.c_str());
         return 0;
     }
-    return serve(std::get<Wagtail::Settings>(settings));
+    return serve(std::get<Wagtail::Settings>(settings), signals);
 }
--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -106,3 +106,10 @@
     COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence connections-reset --seed 1 --seconds 30
         --lease-ms 6000 --port 21000)
 set_tests_properties(history.node-connections-reset PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
+
+# Programs that are stopped while they start.
+foreach(program wagtail-node wagtaild)
+    add_test(NAME history.early-stop-${program}
+        COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_early_stop.py --program ${program} --seed 7 --port 22000)
+    set_tests_properties(history.early-stop-${program} PROPERTIES RESOURCE_LOCK deployment TIMEOUT 120)
+endforeach()
