Http: Take an answer that ends within its head for no answer

Callers saw an answer with the status of the first line, without fields and without a body, when a connection was closed within the head of an answer. libcurl reports no error then, as it does for a body that ends early. An owner took such a report for one that it had read, so that it did not count the request as one that may still be carried out late; a status of another instance without a body was shown as that of a waiting job.

An answer counts only when the empty line after its head has arrived. PartialAnswerTest.isNoAnswerIfItEndsWithinItsHead failed before; answers that end within their body, with a stated length or in chunks, were lost before as well.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -39,6 +39,7 @@
     HttpCall call;
     HttpClient::Handler handler;
     HttpAnswer answer;
+    bool hasWholeHead = false;
     curl_slist *headers = nullptr;
     CURL *handle = nullptr;
     const CurlHttpClient::RepeatObserver *onRepeat = nullptr;
@@ -99,6 +100,9 @@
     const std::size_t colon = line.find(':');
     if (line.starts_with("HTTP/")) {
         answer.headers.clear();
+        transfer->hasWholeHead = false;
+    } else if (line == "\r\n" || line == "\n") {
+        transfer->hasWholeHead = true;
     } else if (colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
         while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
@@ -440,12 +444,15 @@
         curl_slist_free_all(transfer->headers);
         curl_easy_reset(handle);
         returnHandle(handle);
-        if (code == CURLE_OK) {
+        // libcurl reports no error if the connection is closed within the head of an answer.
+        const bool isWhole = code == CURLE_OK && transfer->hasWholeHead;
+        if (isWhole) {
             transfer->answer.delivery = Delivery::Answered;
             transfer->answer.status = static_cast<int>(status);
         } else {
             transfer->answer.delivery = sentBytes == 0 ? Delivery::NotSent : Delivery::Lost;
-            transfer->answer.failure = curl_easy_strerror(code);
+            transfer->answer.failure = code == CURLE_OK ? "the connection was closed within the head of the answer"
+                                                        : curl_easy_strerror(code);
         }
         closeConnectionsWhenIdle();
         transfer->handler(std::move(transfer->answer));
--- a/source/testing/ResettingHttpServer.h
+++ b/source/testing/ResettingHttpServer.h
@@ -23,6 +23,11 @@
         Reset,
         // Answers and then closes the connection.
         AnswerAndClose,
+        // Sends the beginning of an answer, which ends within its head, and closes the connection.
+        AnswerWithinHead,
+        // The same within the body, with a stated length and with chunks.
+        AnswerWithinBody,
+        AnswerWithinChunk,
     };
 
     // Calls beyond the given ones are refused.
@@ -92,11 +97,10 @@
             connection.socket.close();
             return;
         }
-        const std::string status = reaction == Reaction::Refuse ? "503 Service Unavailable" : "200 OK";
-        connection.output = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+        connection.output = answerFor(reaction);
         asio::async_write(connection.socket, asio::buffer(connection.output),
             [this, &connection, reaction](const asio::error_code &error, std::size_t) {
-                if (!error && reaction == Reaction::AnswerAndClose) {
+                if (!error && reaction != Reaction::Answer && reaction != Reaction::Refuse) {
                     connection.socket.close();
                 } else if (!error) {
                     read(connection);
@@ -104,6 +108,23 @@
             });
     }
 
+    static std::string answerFor(Reaction reaction)
+    {
+        const std::string begin = "HTTP/1.1 200 OK\r\n";
+        switch (reaction) {
+        case Reaction::Refuse:
+            return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        case Reaction::AnswerWithinHead:
+            return begin + "Content-Type: application/json\r\nContent-Le";
+        case Reaction::AnswerWithinBody:
+            return begin + "Content-Length: 12\r\n\r\n{\"Run\"";
+        case Reaction::AnswerWithinChunk:
+            return begin + "Transfer-Encoding: chunked\r\n\r\nc\r\n{\"Run\":true}\r\n";
+        default:
+            return begin + "Content-Length: 0\r\n\r\n";
+        }
+    }
+
     std::vector<Reaction> m_reactions;
     asio::ip::tcp::acceptor m_acceptor;
     std::list<Connection> m_connections;
