History: Cut, reset and delay connections to overlapping groups of workers

The sequence wire: six in ten workers reject three calls in ten, while links to a tenth or a quarter of the workers are cut one way, reset or delayed every 0.2 to 0.8 s, on groups that overlap, and now and then an instance is killed.

--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -12,6 +12,7 @@
 RESETS = {"least_reset_gap_ms": 100, "most_reset_gap_ms": 400}
 RESETS_S = 8.0
 CALM_S = 1.0
+GROUPS_S = 10.0
 # The usual time from the end of a sequence to its next beginning.
 USUAL_GAP_S = (6.0, 8.0)
 
@@ -340,7 +341,6 @@
         self.add(at, "workers", workers=list(range(self.workers)))
         return at
 
-
     def some(self, count, share):
         """Returns the numbers of a share of so many things, at least one."""
         return sorted(self.random.sample(range(count), max(1, int(count * share))))
@@ -392,6 +392,34 @@
             self.add(at + RESETS_S, "link", link=instance)
         return self.add_connections_reset(at)
 
+    def add_groups(self, at, shares, add_fault):
+        """Adds faults of overlapping groups of workers, which are over 0.3 to 4 s later, every 0.2 to 0.8 s."""
+        end = at + GROUPS_S
+        while at < end:
+            add_fault(at, self.some(self.workers, self.random.choice(shares)), self.random.uniform(0.3, 4.0))
+            at += self.random.uniform(0.2, 0.8)
+        return end
+
+    def add_refusals(self, at, end):
+        """Six in ten workers reject three calls in ten."""
+        refusing = self.some(self.workers, 0.6)
+        self.add(at, "workers", workers=refusing, refuse=0.3)
+        self.add(end, "workers", workers=refusing)
+
+    def add_wire(self, at):
+        """Most workers reject some calls, while connections to groups of workers are cut one way, reset or delayed, and
+        now and then an instance is killed."""
+        def add_fault(begin, workers, for_s):
+            fault = self.random.choice([{"requests_cut": True}, {"answers_cut": True}, RESETS,
+                                        {"delay_ms": 300, "delay_spread_ms": 1500}])
+            self.add(begin, "connections", kind="worker", links=workers, **fault)
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+            if self.random.random() < 0.05:
+                self.add(begin, "kill", instance=self.random.randrange(self.instances),
+                         restart_after_s=self.random.uniform(0.1, 2.0))
+        self.add_refusals(at, at + GROUPS_S)
+        return self.add_groups(at, [0.1, 0.25], add_fault)
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -400,6 +428,8 @@
              "lagging-starts": Schedule.add_lagging_starts,
              "delays": Schedule.add_delays,
              "connections-reset": Schedule.add_connections_reset,
-             "all-connections-reset": Schedule.add_all_connections_reset}
+             "all-connections-reset": Schedule.add_all_connections_reset,
+             "wire": Schedule.add_wire}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
-GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S)}
+GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
+          **dict.fromkeys(["wire"], (0.0, CALM_S))}
