Stand-ins: End answers within their head or body, and count those that outlive a restart

A relay delivers only the beginning of a share of the answers and closes or resets the connection. It also counts pieces of answers that arrive after the life of the worker in which it gave them.

--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -83,7 +83,8 @@
 # A stand-in of the platform in its published protocol, on which wagtail-node runs as on the real one.
 file(GLOB platform_standin_files CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/Platform*.cpp)
 add_library(wagtail-platform-standins STATIC ${platform_standin_files} ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp
-    ${CMAKE_SOURCE_DIR}/standins/GangRegistry.cpp ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp
+    ${CMAKE_SOURCE_DIR}/standins/PartialAnswer.cpp ${CMAKE_SOURCE_DIR}/standins/GangRegistry.cpp
+    ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp
     ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
 target_link_libraries(wagtail-platform-standins PUBLIC wagtail-standins wagtail-logging)
 add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp)
--- a/standins/FaultyRelay.cpp
+++ b/standins/FaultyRelay.cpp
@@ -1,5 +1,7 @@
 #include "FaultyRelay.h"
 
+#include "PartialAnswer.h"
+
 #include <array>
 #include <asio/write.hpp>
 
@@ -24,11 +26,10 @@
 class FaultyRelay::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(asio::io_context &context, tcp::socket client, const Faults &faults, std::mt19937_64 &random)
-        : m_faults(faults)
-        , m_random(random)
-        , m_requests(context, std::move(client))
-        , m_answers(context, tcp::socket(context))
+    Connection(FaultyRelay &relay, tcp::socket client)
+        : m_relay(relay)
+        , m_requests(relay.m_context, std::move(client))
+        , m_answers(relay.m_context, tcp::socket(relay.m_context))
     {
     }
 
@@ -75,17 +76,20 @@
         tcp::socket source;
         asio::steady_timer timer;
         std::array<char, BufferBytes> buffer {};
+        // The target's life in which the data was read.
+        std::uint64_t life = 0;
     };
 
     [[nodiscard]] bool isCut(const Direction &direction) const
     {
-        return &direction == &m_requests ? m_faults.requestsCut : m_faults.answersCut;
+        return &direction == &m_requests ? m_relay.m_faults.requestsCut : m_relay.m_faults.answersCut;
     }
 
     [[nodiscard]] Milliseconds delay()
     {
-        return m_faults.delay
-            + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, m_faults.delaySpread.count())(m_random));
+        return m_relay.m_faults.delay
+            + Milliseconds(
+                std::uniform_int_distribution<std::int64_t>(0, m_relay.m_faults.delaySpread.count())(m_relay.m_random));
     }
 
     void read(Direction &direction)
@@ -97,6 +101,7 @@
                 } else if (self->m_silent) {
                     self->read(direction);
                 } else {
+                    direction.life = self->m_relay.m_life;
                     self->hold(direction, size, self->delay());
                 }
             });
@@ -122,6 +127,13 @@
             read(direction);
             return;
         }
+        if (&direction == &m_answers) {
+            m_relay.m_counts.outdated += direction.life < m_relay.m_life ? 1 : 0;
+            if (std::uniform_real_distribution<double>(0.0, 1.0)(m_relay.m_random) < m_relay.m_faults.partialAnswers) {
+                writePart(size);
+                return;
+            }
+        }
         tcp::socket &sink = &direction == &m_requests ? m_answers.source : m_requests.source;
         asio::async_write(sink, asio::buffer(direction.buffer, size),
             [self = shared_from_this(), &direction](const asio::error_code &error, std::size_t) {
@@ -133,6 +145,23 @@
             });
     }
 
+    void writePart(std::size_t size)
+    {
+        PartialAnswer part = cutAnswer({m_answers.buffer.data(), size}, m_relay.m_random);
+        ++(part.endsWithinHead ? m_relay.m_counts.cutHeads : m_relay.m_counts.cutBodies);
+        const auto text = std::make_shared<std::string>(std::move(part.text));
+        asio::async_write(m_requests.source, asio::buffer(*text),
+            [self = shared_from_this(), text](const asio::error_code &error, std::size_t) {
+                if (error || std::bernoulli_distribution(0.5)(self->m_relay.m_random)) {
+                    self->close();
+                    return;
+                }
+                // A reset drops what the client has not read yet.
+                self->m_answers.timer.expires_after(HoldPeriod);
+                self->m_answers.timer.async_wait([self](const asio::error_code &) { self->reset(); });
+            });
+    }
+
     void close()
     {
         asio::error_code ignored;
@@ -142,8 +171,7 @@
         m_answers.timer.cancel();
     }
 
-    const Faults &m_faults;
-    std::mt19937_64 &m_random;
+    FaultyRelay &m_relay;
     // The sources of both directions: the client and the target.
     Direction m_requests;
     Direction m_answers;
@@ -168,7 +196,7 @@
         }
         ++m_counts.accepted;
         std::erase_if(m_connections, [](const auto &connection) { return connection.expired(); });
-        auto connection = std::make_shared<Connection>(m_context, std::move(socket), m_faults, m_random);
+        auto connection = std::make_shared<Connection>(*this, std::move(socket));
         m_connections.push_back(connection);
         connection->open(m_target);
         accept();
@@ -207,6 +235,11 @@
     }
 }
 
+void FaultyRelay::noteRestart()
+{
+    ++m_life;
+}
+
 const FaultyRelay::Counts &FaultyRelay::counts() const
 {
     return m_counts;
--- a/standins/PlatformLinks.cpp
+++ b/standins/PlatformLinks.cpp
@@ -18,6 +18,7 @@
     faults.delaySpread = milliseconds(order, "delay_spread_ms");
     faults.requestsCut = memberOr(order, "requests_cut", false);
     faults.answersCut = memberOr(order, "answers_cut", false);
+    faults.partialAnswers = memberOr(order, "partial_answers", 0.0);
     faults.mostResetGap = milliseconds(order, "most_reset_gap_ms");
     faults.leastResetGap = std::min(milliseconds(order, "least_reset_gap_ms"), faults.mostResetGap);
     return faults;
@@ -57,6 +58,11 @@
     }
 }
 
+void PlatformLinks::noteRestart(const std::string &kind, std::size_t number)
+{
+    m_links.at(kind).at(number)->noteRestart();
+}
+
 Json PlatformLinks::counts() const
 {
     Json kinds = Json::object();
@@ -65,8 +71,12 @@
         for (const auto &link : links) {
             sum.accepted += link->counts().accepted;
             sum.reset += link->counts().reset;
+            sum.cutHeads += link->counts().cutHeads;
+            sum.cutBodies += link->counts().cutBodies;
+            sum.outdated += link->counts().outdated;
         }
-        kinds[kind] = {{"accepted", sum.accepted}, {"reset", sum.reset}};
+        kinds[kind] = {{"accepted", sum.accepted}, {"reset", sum.reset}, {"cut_heads", sum.cutHeads},
+            {"cut_bodies", sum.cutBodies}, {"outdated", sum.outdated}};
     }
     return kinds;
 }
--- a/standins/PlatformLinks.h
+++ b/standins/PlatformLinks.h
@@ -22,7 +22,10 @@
     // over.
     void apply(const Json &order);
 
-    // Returns how many connections each kind of link has accepted and reset.
+    // A life of a link's target ends.
+    void noteRestart(const std::string &kind, std::size_t number);
+
+    // Returns what the links of each kind have counted.
     [[nodiscard]] Json counts() const;
 
 private:
--- a/standins/PlatformProgram.cpp
+++ b/standins/PlatformProgram.cpp
@@ -210,8 +210,9 @@
         worker.setFaults(faults);
         if (drain.count() > 0) {
             worker.drain(drain, downtime);
-        } else if (downtime.count() > 0) {
+        } else if (downtime.count() > 0 && worker.isUp()) {
             worker.crash(downtime, memberOr(order, "new_name", false));
+            m_links.noteRestart("worker", index);
         }
     }
 }
--- a/standins/tests/FaultyRelayTest.cpp
+++ b/standins/tests/FaultyRelayTest.cpp
@@ -68,4 +68,34 @@
     EXPECT_EQ(m_relay.counts().reset, 0U);
 }
 
+TEST_F(FaultyRelayTest, endsConnectionsWithinAnswers)
+{
+    FaultyRelay::Faults faults;
+    faults.partialAnswers = 1.0;
+    m_relay.setFaults(faults);
+    constexpr std::uint64_t Exchanges = 20;
+    for (std::uint64_t i = 1; i <= Exchanges; ++i) {
+        m_echo.connect();
+        const asio::error_code error = m_echo.exchange();
+        EXPECT_TRUE(error == asio::error::eof || error == asio::error::connection_reset) << error.message();
+        EXPECT_EQ(m_relay.counts().cutBodies, i);
+    }
+    EXPECT_EQ(m_relay.counts().cutHeads, 0U);
+}
+
+TEST_F(FaultyRelayTest, deliversAnswersAfterTheirTargetHasRestarted)
+{
+    FaultyRelay::Faults faults;
+    faults.answersCut = true;
+    m_relay.setFaults(faults);
+    m_echo.connect();
+    ASSERT_EQ(m_echo.exchangeWithin(Short), asio::error::would_block);
+    m_relay.noteRestart();
+    m_relay.setFaults({});
+    EXPECT_FALSE(m_echo.awaitEnd(Long));
+    EXPECT_EQ(m_relay.counts().outdated, 1U);
+    EXPECT_FALSE(m_echo.exchange());
+    EXPECT_EQ(m_relay.counts().outdated, 1U);
+}
+
 }
--- a/standins/tests/PlatformLinksTest.cpp
+++ b/standins/tests/PlatformLinksTest.cpp
@@ -26,6 +26,11 @@
         return {{"kind", kind}, {"links", {link}}, {"least_reset_gap_ms", 10}, {"most_reset_gap_ms", 30}};
     }
 
+    static Json counts(int accepted, int reset)
+    {
+        return {{"accepted", accepted}, {"reset", reset}, {"cut_heads", 0}, {"cut_bodies", 0}, {"outdated", 0}};
+    }
+
     asio::io_context m_context {1};
     RelayedEcho m_echo {m_context};
     RelayedEcho m_peerEcho {m_context};
@@ -40,8 +45,8 @@
     ASSERT_FALSE(m_echo.exchange());
     m_links.apply(resets("worker", 0));
     EXPECT_EQ(m_echo.awaitEnd(Long), asio::error::connection_reset);
-    EXPECT_EQ(m_links.counts()["worker"], (Json {{"accepted", 1}, {"reset", 1}}));
-    EXPECT_EQ(m_links.counts()["peer"], (Json {{"accepted", 0}, {"reset", 0}}));
+    EXPECT_EQ(m_links.counts()["worker"], counts(1, 1));
+    EXPECT_EQ(m_links.counts()["peer"], counts(0, 0));
 }
 
 TEST_F(PlatformLinksTest, leavesOtherLinksAlone)
@@ -61,7 +66,16 @@
     m_echo.connect();
     EXPECT_EQ(m_echo.awaitEnd(Short), asio::error::would_block);
     EXPECT_FALSE(m_echo.exchange());
-    EXPECT_EQ(m_links.counts()["worker"], (Json {{"accepted", 1}, {"reset", 0}}));
+    EXPECT_EQ(m_links.counts()["worker"], counts(1, 0));
+}
+
+TEST_F(PlatformLinksTest, cutsAnswersShort)
+{
+    m_links.apply({{"kind", "worker"}, {"links", {0}}, {"partial_answers", 1.0}});
+    m_echo.connect();
+    EXPECT_TRUE(m_echo.exchange());
+    EXPECT_EQ(m_links.counts()["worker"]["cut_bodies"], 1);
+    EXPECT_EQ(m_links.counts()["peer"]["cut_bodies"], 0);
 }
 
 }
--- a/standins/tests/RelayedEcho.h
+++ b/standins/tests/RelayedEcho.h
@@ -45,10 +45,16 @@
 
     // Sends a byte and returns the error that ends the wait for its return, or none if it comes back.
     asio::error_code exchange()
+    {
+        return exchangeWithin(LongestExchange);
+    }
+
+    // The same, with would_block if nothing happens within the time.
+    asio::error_code exchangeWithin(std::chrono::milliseconds longest)
     {
         m_output = 'a';
         asio::async_write(m_client, asio::buffer(&m_output, 1), [](const asio::error_code &, std::size_t) {});
-        return awaitEnd(LongestExchange);
+        return awaitEnd(longest);
     }
 
     // Returns how the connection ends within the time, would_block if it does not, or no error if a byte arrives.
