--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -420,6 +420,26 @@
         self.add_refusals(at, at + GROUPS_S)
         return self.add_groups(at, [0.1, 0.25], add_fault)
 
+    def add_cut_answers(self, at):
+        """Answers of groups of workers, and of some peers and of the store to some instances, end within their head or
+        their body."""
+        def add_fault(begin, workers, for_s):
+            self.add(begin, "connections", kind="worker", links=workers, **self.random.choice([{}, PATH_DELAY]),
+                     partial_answers=self.random.choice([0.1, 0.3, 0.7]))
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+        self.add_refusals(at, at + GROUPS_S)
+        self.add_instance_faults(at, at + GROUPS_S, 0.25, partial_answers=0.05)
+        return self.add_groups(at, [0.1, 0.25], add_fault)
+
+    def add_instance_faults(self, at, end, share, **fault):
+        """Gives some links of peers, and some links of instances to the store, a fault."""
+        instances = self.some(self.instances, share)
+        self.add(at, "instance_connections", kind="peer", instances=instances, **fault)
+        self.add(end, "instance_connections", kind="peer", instances=instances)
+        for instance in self.some(self.instances, share):
+            self.add(at, "link", link=instance, **fault)
+            self.add(end, "link", link=instance)
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -429,7 +449,8 @@
              "delays": Schedule.add_delays,
              "connections-reset": Schedule.add_connections_reset,
              "all-connections-reset": Schedule.add_all_connections_reset,
-             "wire": Schedule.add_wire}
+             "wire": Schedule.add_wire,
+             "answers-cut": Schedule.add_cut_answers}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
 GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
-          **dict.fromkeys(["wire"], (0.0, CALM_S))}
+          **dict.fromkeys(["wire", "answers-cut"], (0.0, CALM_S))}
