History: Let answers of workers arrive after the restart of the worker

The sequence late-answers. The relay holds the answers of some workers, which restart under their names meanwhile.

--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -440,6 +440,23 @@
             self.add(at, "link", link=instance, **fault)
             self.add(end, "link", link=instance)
 
+    def add_late_answers(self, at):
+        """Holds the answers of groups of workers until the workers have restarted under their names."""
+        # A task that loses its worker again and again is given up, so most workers stay.
+        restarting = self.some(self.workers, 0.1)
+
+        def add_fault(begin, _, __):
+            self.add_held_answers(begin, sorted(self.random.sample(restarting, (len(restarting) + 2) // 3)))
+        return self.add_groups(at, [0.0], add_fault)
+
+    def add_held_answers(self, at, workers):
+        # Orders wait 0.4 s for their answer, and report requests longer.
+        held_s = self.random.choice([0.2, 0.3, 0.38, 1.0, 2.0])
+        self.add(at, "connections", kind="worker", links=workers, answers_cut=True)
+        self.add(at + self.random.uniform(0.3, 0.7) * held_s, "workers", workers=workers, downtime_ms=20)
+        self.add(at + held_s, "connections", kind="worker", links=workers)
+        self.add(at + held_s, "workers", workers=workers)
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -450,7 +467,8 @@
              "connections-reset": Schedule.add_connections_reset,
              "all-connections-reset": Schedule.add_all_connections_reset,
              "wire": Schedule.add_wire,
-             "answers-cut": Schedule.add_cut_answers}
+             "answers-cut": Schedule.add_cut_answers,
+             "late-answers": Schedule.add_late_answers}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
 GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
-          **dict.fromkeys(["wire", "answers-cut"], (0.0, CALM_S))}
+          **dict.fromkeys(["wire", "answers-cut", "late-answers"], (0.0, CALM_S))}
