--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -457,6 +457,18 @@
         self.add(at + held_s, "connections", kind="worker", links=workers)
         self.add(at + held_s, "workers", workers=workers)
 
+    def add_queued_calls(self, at):
+        """Groups of workers take so long to answer that calls to them wait for a connection or are given up, while
+        others are down, so that more tasks start on the rest."""
+        down = self.some(self.workers, 0.5)
+        self.add(at, "workers", workers=down, downtime_ms=int(GROUPS_S * 1000))
+
+        def add_fault(begin, workers, for_s):
+            delay_ms, spread_ms = self.random.choice([(100, 60), (150, 40), (180, 200), (400, 1200)])
+            self.add(begin, "connections", kind="worker", links=workers, delay_ms=delay_ms, delay_spread_ms=spread_ms)
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+        return self.add_groups(at, [0.25, 0.5], add_fault)
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -468,7 +480,8 @@
              "all-connections-reset": Schedule.add_all_connections_reset,
              "wire": Schedule.add_wire,
              "answers-cut": Schedule.add_cut_answers,
-             "late-answers": Schedule.add_late_answers}
+             "late-answers": Schedule.add_late_answers,
+             "queued-calls": Schedule.add_queued_calls}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
 GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
-          **dict.fromkeys(["wire", "answers-cut", "late-answers"], (0.0, CALM_S))}
+          **dict.fromkeys(["wire", "answers-cut", "late-answers", "queued-calls"], (0.0, CALM_S))}
