History: Repeat calls of callers at another instance while the first copy is under way

The sequence resubmissions: a balancer sends a submission or a cancellation, cuts the connection or reads no answer, and sends it again to another instance. The status of the last copy is what the caller believes. Paths to peers and to the store are late, and instances are killed or lose their leases.

--- a/tests/history/node_callers.py
+++ b/tests/history/node_callers.py
@@ -10,6 +10,8 @@
 
 DEADLINE_S = 3.0
 MOST_ATTEMPTS = 6
+# A balancer reads no answer to a call for so long at most before it repeats it.
+LONGEST_UNREAD_S = 0.3
 # So many of 16 jobs are handed in once more only if there was no answer.
 GIVING_UP_OF_16 = 5
 
@@ -109,14 +111,29 @@
     def __init__(self):
         self.open = {}
 
+    @staticmethod
+    def send(connection, method, path, body):
+        connection.request(method, path, body, {"Host": HOST, "Content-Type": "application/json",
+                                                "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+
+    @classmethod
+    def begin(cls, port, method, path, body):
+        """Sends one call on a connection of its own and returns the connection, or nothing if that failed."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=DEADLINE_S)
+        try:
+            cls.send(connection, method, path, body)
+            return connection
+        except OSError:
+            connection.close()
+            return None
+
     def call(self, port, method, path, body=None):
         """Sends one call and returns (status, body); status 0 stands for no answer."""
         connection = self.open.get(port)
         if connection is None:
             connection = self.open[port] = http.client.HTTPConnection("127.0.0.1", port, timeout=DEADLINE_S)
         try:
-            connection.request(method, path, body, {"Host": HOST, "Content-Type": "application/json",
-                                                    "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+            self.send(connection, method, path, body)
             answer = connection.getresponse()
             return answer.status, answer.read()
         except (OSError, http.client.HTTPException):
@@ -144,6 +161,8 @@
         self.threads = []
         self.jobs_per_s = jobs_per_s
         self.job_kind = job_kind
+        # Calls that were repeated at another instance while the first copy was under way.
+        self.repeated = {"POST": 0, "DELETE": 0}
 
     def start(self, submitters, askers):
         self.submitting.set()
@@ -181,8 +200,7 @@
 
     def submit(self, job, generator, connections):
         for _ in range(MOST_ATTEMPTS):
-            port = generator.choice(self.deployment.caller_ports())
-            status, _ = connections.call(port, "POST", job.path(), job.body)
+            status = self.balance(generator, connections, "POST", job.path(), job.body)
             job.statuses.append(status)
             if 200 <= status < 300:
                 job.accepted_at = time.time()
@@ -193,6 +211,25 @@
                 return
             time.sleep(generator.uniform(0.1, 0.6))
 
+    def balance(self, generator, connections, method, path, body=None):
+        """Sends one call and returns the status that the caller sees. A call may be given up after it was sent, cut or
+        left unread, and repeated at another instance."""
+        ports = self.deployment.caller_ports()
+        generator.shuffle(ports)
+        first = None
+        if len(ports) > 1 and generator.random() < self.deployment.resubmissions:
+            first = connections.begin(ports.pop(), method, path, body)
+        if first is not None:
+            with self.lock:
+                self.repeated[method] += 1
+            time.sleep(generator.choice([0.0, generator.uniform(0.0, LONGEST_UNREAD_S)]))
+            if generator.random() < 0.5:
+                first.close()
+        status, _ = connections.call(ports.pop(), method, path, body)
+        if first is not None:
+            first.close()
+        return status
+
     def cancel_over_stayed(self, generator, connections):
         """Cancels the oldest job that lasts and has stayed for its time."""
         now = time.time()
@@ -207,8 +244,7 @@
     def cancel(self, job, generator, connections):
         job.cancelled = True
         for _ in range(MOST_ATTEMPTS):
-            port = generator.choice(self.deployment.caller_ports())
-            if connections.call(port, "DELETE", job.path())[0] in (200, 410):
+            if self.balance(generator, connections, "DELETE", job.path()) in (200, 410):
                 job.cancelled_at = time.time()
                 return
             time.sleep(0.3)
--- a/tests/history/node_deployment.py
+++ b/tests/history/node_deployment.py
@@ -71,6 +71,8 @@
         self.worker_ports = self.relay_ports + 2 * instances * RELAYS_PER_INSTANCE
         self.worker_links = self.worker_ports + workers
         self.faults = []
+        # The share of calls of callers that the balancer repeats at another instance while the first copy is under way.
+        self.resubmissions = 0.0
         self.restarts = 0
         # When to start a process again that was ended, and when to kill one that was asked to end.
         self.restart_at = {}
@@ -287,6 +289,9 @@
         if name in self.processes and call(self.port(instance) + 1, "GET", "/-/ready", timeout=0.3)[0]:
             self.signal(name, signal.SIGHUP)
 
+    def do_resubmissions(self, share):
+        self.resubmissions = share
+
     def do_drop_lease(self, instance):
         """Takes the lease of one instance away, with its entry and what it owns."""
         call(self.control, "POST", "/lease", {"key": "wagtail/cluster/instances/" + self.name(instance)})
@@ -344,6 +349,7 @@
 
     def calm(self):
         """Ends all faults."""
+        self.do_resubmissions(share=0.0)
         self.supervise_former(math.inf)
         self.do_store()
         everyone = list(range(self.worker_count))
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -13,6 +13,8 @@
 RESETS_S = 8.0
 CALM_S = 1.0
 GROUPS_S = 10.0
+# The store and peers answer so late that copies of a submission are under way together.
+LATE_PATH = {"delay_ms": 50, "delay_spread_ms": 250}
 # The usual time from the end of a sequence to its next beginning.
 USUAL_GAP_S = (6.0, 8.0)
 
@@ -469,6 +471,23 @@
             self.add(begin + for_s, "connections", kind="worker", links=workers)
         return self.add_groups(at, [0.25, 0.5], add_fault)
 
+    def add_resubmissions(self, at):
+        """Most calls of callers are given up after they were sent and repeated at another instance while the first copy
+        is under way, on late paths to the store and to peers. Some instances are killed or lose their leases."""
+        end = at + GROUPS_S
+        self.add(at, "resubmissions", share=0.6)
+        self.add(end, "resubmissions", share=0.0)
+        self.add_instance_faults(at, end, 0.7, **LATE_PATH)
+        at += self.random.uniform(1.0, 4.0)
+        while at < end:
+            instance = self.random.randrange(self.instances)
+            if self.random.random() < 0.5:
+                self.add(at, "kill", instance=instance, restart_after_s=self.random.uniform(0.1, 2.0))
+            else:
+                self.add(at, "drop_lease", instance=instance)
+            at += self.random.uniform(1.0, 4.0)
+        return end
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -481,7 +500,9 @@
              "wire": Schedule.add_wire,
              "answers-cut": Schedule.add_cut_answers,
              "late-answers": Schedule.add_late_answers,
-             "queued-calls": Schedule.add_queued_calls}
+             "queued-calls": Schedule.add_queued_calls,
+             "resubmissions": Schedule.add_resubmissions}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
 GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
-          **dict.fromkeys(["wire", "answers-cut", "late-answers", "queued-calls"], (0.0, CALM_S))}
+          **dict.fromkeys(
+              ["wire", "answers-cut", "late-answers", "queued-calls", "resubmissions"], (0.0, CALM_S))}
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -107,7 +107,8 @@
           flush=True)
     print(f"processor time {used_s['instances']:.1f} s of the running instances, {used_s['platform']:.1f} s of the "
           f"platform; connections {json.dumps(counts['connections'])}; longest step of this program "
-          f"{deployment.longest_step_s:.1f} s", flush=True)
+          f"{deployment.longest_step_s:.1f} s; "
+          f"calls repeated while under way {json.dumps(callers.repeated)}", flush=True)
     return faults
 
 
