--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -412,7 +412,7 @@
         """Most workers reject some calls, while connections to groups of workers are cut one way, reset or delayed, and
         now and then an instance is killed."""
         def add_fault(begin, workers, for_s):
-            fault = self.random.choice([{"requests_cut": True}, {"answers_cut": True}, RESETS,
+            fault = self.random.choice([{"requests_cut": True}, {"answers_cut": True}, {**PATH_DELAY, **RESETS},
                                         {"delay_ms": 300, "delay_spread_ms": 1500}])
             self.add(begin, "connections", kind="worker", links=workers, **fault)
             self.add(begin + for_s, "connections", kind="worker", links=workers)
