--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -473,11 +473,13 @@
 
     def add_resubmissions(self, at):
         """Most calls of callers are given up after they were sent and repeated at another instance while the first copy
-        is under way, on late paths to the store and to peers. Some instances are killed or lose their leases."""
+        is under way. Paths to the store and to peers are late and may break. Some instances are killed or lose their
+        leases."""
         end = at + GROUPS_S
         self.add(at, "resubmissions", share=0.6)
         self.add(end, "resubmissions", share=0.0)
-        self.add_instance_faults(at, end, 0.7, **LATE_PATH)
+        fault = self.random.choice([{}, RESETS, {"partial_answers": 0.3}])
+        self.add_instance_faults(at, end, 0.7, **LATE_PATH, **fault)
         at += self.random.uniform(1.0, 4.0)
         while at < end:
             instance = self.random.randrange(self.instances)
