--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -41,6 +41,7 @@
             self.add_late_orders()
             self.add_revocations()
             self.add_resets()
+            self.add_answer_faults()
         else:
             self.repeat(SEQUENCES[sequence], *GAPS_S.get(sequence, USUAL_GAP_S))
         self.events.sort(key=lambda event: event[0])
@@ -363,6 +364,19 @@
                 self.add(at, "instance_connections", kind=kind, instances=instances, **delay, **RESETS)
                 self.add(at + for_s, "instance_connections", kind=kind, instances=instances)
 
+    def add_answer_faults(self):
+        """Cuts answers of workers short, holds them until the workers have restarted, and repeats calls of callers
+        while they are under way."""
+        for at in self.times(6.0):
+            workers = self.some(self.workers, self.random.choice([0.05, 0.2]))
+            self.add(at, "connections", kind="worker", links=workers, partial_answers=self.random.choice([0.1, 0.5]))
+            self.add(at + self.random.uniform(1.0, 5.0), "connections", kind="worker", links=workers)
+        for at in self.times(6.0):
+            self.add_held_answers(at, self.some(self.workers, 0.02))
+        for at in self.times(8.0):
+            self.add(at, "resubmissions", share=0.4)
+            self.add(at + self.random.uniform(1.0, 5.0), "resubmissions", share=0.0)
+
     def add_delays(self, at):
         """Delays what passes between instances and workers, and nothing else."""
         self.add(at, "connections", kind="worker", links=list(range(self.workers)), **PATH_DELAY)
