--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -107,3 +107,9 @@
     COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence connections-reset --seed 1 --seconds 30
         --lease-ms 6000 --port 21000)
 set_tests_properties(history.node-connections-reset PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
+
+# The same while links to groups of workers are cut one way, reset or delayed, and instances are killed.
+add_test(NAME history.wire
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence wire --seed 1 --seconds 30
+        --lease-ms 6000 --port 22000)
+set_tests_properties(history.wire PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
