--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -83,7 +83,8 @@
 # A stand-in of the platform in its published protocol, on which wagtail-node runs as on the real one.
 file(GLOB platform_standin_files CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/Platform*.cpp)
 add_library(wagtail-platform-standins STATIC ${platform_standin_files} ${CMAKE_SOURCE_DIR}/standins/FaultyRelay.cpp
-    ${CMAKE_SOURCE_DIR}/standins/GangRegistry.cpp ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp
+    ${CMAKE_SOURCE_DIR}/standins/PartialAnswer.cpp ${CMAKE_SOURCE_DIR}/standins/GangRegistry.cpp
+    ${CMAKE_SOURCE_DIR}/standins/RunLedger.cpp
     ${CMAKE_SOURCE_DIR}/standins/WorkerRegistration.cpp)
 target_link_libraries(wagtail-platform-standins PUBLIC wagtail-standins wagtail-logging)
 add_executable(wagtail-standin-platform ${CMAKE_SOURCE_DIR}/standins/platform_main.cpp)
@@ -113,3 +114,9 @@
         COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_early_stop.py --program ${program} --seed 7 --port 22000)
     set_tests_properties(history.early-stop-${program} PROPERTIES RESOURCE_LOCK deployment TIMEOUT 120)
 endforeach()
+
+# The same while links to groups of workers are cut one way, reset or delayed, and instances are killed.
+add_test(NAME history.wire
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence wire --seed 1 --seconds 30
+        --lease-ms 6000 --port 22000)
+set_tests_properties(history.wire PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
