Scheduling: Expect a late start to renew the leases of the next incarnation

Callers could see a task run on two workers. A worker takes the lease expiry also from a start that it refuses because it was told to stop the run, and the expiry is a time on the clock of its former incarnation. Such a start, sent before a restart and carried out late, made the next incarnation hold its leases longer than its owner expected when it was not heard any more.

The leases of an incarnation that late starts may reach count as held as long as after late report requests.

LateRenewal.byAStartExtendsNoLeaseOfTheNextIncarnationBeyondWhatItsOwnerExpects is red without the change (one task on two workers) and green with it. The other test of the fixture has the same steps as before, which the two share now.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -442,7 +442,8 @@
     worker.leaseGrantedUntil = 0;
     const bool mayHoldLeases = !kept.empty() || !uncertain.empty() || !worker.obsoleteRuns.isEmpty();
     worker.priorLeaseExpiresAt = mayHoldLeases ? longestLeaseExpiry() : Instant();
-    const Instant renewalsEndAt = worker.lateRequests.renewalsEndAt();
+    // A start that the worker refuses renews the leases as well.
+    const Instant renewalsEndAt = std::max(worker.lateRequests.renewalsEndAt(), worker.lateStarts.endAt());
     if (m_environment.clock.now() < renewalsEndAt) {
         worker.priorLeaseExpiresAt
             = std::max(worker.priorLeaseExpiresAt, renewalsEndAt + WorkerClock::longestDuration(m_limits.longestLease));
--- a/source/tenure/tests/LateRenewalTest.cpp
+++ b/source/tenure/tests/LateRenewalTest.cpp
@@ -10,7 +10,7 @@
 
 constexpr Milliseconds Second {1'000};
 
-// A cluster in which a worker carries an unanswered request that renews its leases out late.
+// A cluster in which a worker carries an unanswered call that renews its leases out late.
 class LateRenewal : public testing::Test
 {
 protected:
@@ -26,9 +26,11 @@
         FakeWorkerGateway &gateway = m_cluster.owner()->gateway;
         gateway.lateCallsOutliveRestarts = true;
         gateway.filter = [this](CallKind kind, const std::string &worker) -> std::optional<UnansweredCall> {
-            if (kind != CallKind::Report || worker != m_worker || m_isSent) {
+            const bool isChosen = worker == m_worker || (m_worker.empty() && m_kind == CallKind::Start);
+            if (kind != m_kind || !isChosen || m_isSent) {
                 return std::nullopt;
             }
+            m_worker = worker;
             m_isSent = true;
             return UnansweredCall {Lateness};
         };
@@ -39,8 +41,46 @@
         return m_cluster.owner()->ownership.leader("fleet")->jobScheduler().workers().at(worker);
     }
 
+    // Starts long-running tasks until one of them runs on the worker.
+    [[nodiscard]] std::string startLongRunning()
+    {
+        for (int i = 0; i < 4; ++i) {
+            m_cluster.startLongRunning("job-" + std::to_string(i));
+        }
+        m_cluster.advance(Second * 10);
+        const JobScheduler &jobs = m_cluster.owner()->ownership.leader("fleet")->jobScheduler();
+        return jobs.find("job-0")->occurrences.at(0).steps[0].tasks[0].worker;
+    }
+
+    void submitLongRunning(const std::string &id, int width)
+    {
+        JobRecord record = TestCluster::job(id, 1, width);
+        record.specification.steps[0].longRunning = true;
+        m_cluster.workers.setBehaviour(record.specification.id, {Milliseconds(100), 0, true});
+        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    }
+
+    // Restarts the worker, which answers all later requests and gets other tasks, until it is not heard any more and
+    // not listed either. The call was sent at the given time.
+    void restartAndLoseWorker(Instant sentAt)
+    {
+        const std::int64_t formerIncarnation = stateOf(m_worker).incarnation;
+        m_cluster.restartWorker(std::stoi(m_worker.substr(m_worker.rfind('-') + 1)));
+        for (int i = 0; i < 3; ++i) {
+            submitLongRunning("later-" + std::to_string(i), 3);
+        }
+        m_cluster.advance(
+            Milliseconds(2'000) - std::chrono::duration_cast<Milliseconds>(m_cluster.clock.now() - sentAt));
+        ASSERT_NE(stateOf(m_worker).incarnation, formerIncarnation);
+        ASSERT_EQ(stateOf(m_worker).consecutiveUnanswered, 0);
+        RecordProperty("tasks", static_cast<int>(stateOf(m_worker).tasks.size()));
+        m_cluster.owner()->gateway.cutWorkers.insert(m_worker);
+        m_cluster.advance(Second * 20);
+    }
+
     TestCluster m_cluster;
-    // The worker that leaves a request unanswered, and whether that was sent.
+    CallKind m_kind = CallKind::Report;
+    // The worker that leaves a call unanswered, for a start the first one that gets any, and whether that was sent.
     std::string m_worker;
     bool m_isSent = false;
 };
@@ -52,39 +92,28 @@
 // and the tasks ran on two workers.
 TEST_F(LateRenewal, extendsNoLeaseOfTheNextIncarnationBeyondWhatItsOwnerExpects)
 {
-    for (int i = 0; i < 4; ++i) {
-        m_cluster.startLongRunning("job-" + std::to_string(i));
-    }
-    m_cluster.advance(Second * 10);
-    const std::string worker = m_cluster.owner()
-                                   ->ownership.leader("fleet")
-                                   ->jobScheduler()
-                                   .find("job-0")
-                                   ->occurrences.at(0)
-                                   .steps[0]
-                                   .tasks[0]
-                                   .worker;
-    m_worker = worker;
+    m_worker = startLongRunning();
     while (!m_isSent) {
         m_cluster.advance(Milliseconds(20));
     }
-    const Instant sentAt = m_cluster.clock.now();
-    const std::int64_t formerIncarnation = stateOf(worker).incarnation;
-    m_cluster.restartWorker(std::stoi(worker.substr(worker.rfind('-') + 1)));
-    // The worker answers all later requests, and its owner starts other tasks there.
-    for (int i = 0; i < 3; ++i) {
-        JobRecord record = TestCluster::job("later-" + std::to_string(i), 1, 3);
-        record.specification.steps[0].longRunning = true;
-        m_cluster.workers.setBehaviour(record.specification.id, {Milliseconds(100), 0, true});
-        m_cluster.owner()->router.submit(record, m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
+    ASSERT_NO_FATAL_FAILURE(restartAndLoseWorker(m_cluster.clock.now()));
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
+// The same by an order to start a run that the next incarnation was told to stop: it refused the start, but took the
+// expiry.
+TEST_F(LateRenewal, byAStartExtendsNoLeaseOfTheNextIncarnationBeyondWhatItsOwnerExpects)
+{
+    (void)startLongRunning();
+    m_kind = CallKind::Start;
+    submitLongRunning("next", 1);
+    for (int i = 0; i < 100 && !m_isSent; ++i) {
+        m_cluster.advance(Milliseconds(20));
     }
-    m_cluster.advance(Milliseconds(2'000) - std::chrono::duration_cast<Milliseconds>(m_cluster.clock.now() - sentAt));
-    ASSERT_NE(stateOf(worker).incarnation, formerIncarnation);
-    ASSERT_EQ(stateOf(worker).consecutiveUnanswered, 0);
-    RecordProperty("tasks", static_cast<int>(stateOf(worker).tasks.size()));
-    // Then the worker is not heard any more, and is not listed either.
-    m_cluster.owner()->gateway.cutWorkers.insert(worker);
-    m_cluster.advance(Second * 20);
+    ASSERT_TRUE(m_isSent);
+    const Instant sentAt = m_cluster.clock.now();
+    m_cluster.advance(Milliseconds(900));
+    ASSERT_NO_FATAL_FAILURE(restartAndLoseWorker(sentAt));
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
