Tenure: Limit the writes for cancellations of unknown jobs

Each cancellation of a job without a home writes to the store, whose limit of writes all instances share, and leaves keys that owners erase later. An instance now allows 20 of them at once and five a second (WriteAllowance). A further one is refused for now (503): nothing was done, and nobody is told that there is no such job.

Test: CancelledSubmission.isCancelledInAdvanceAtALimitedRate, WriteAllowanceTest.

--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -101,7 +101,8 @@
     std::function<void(RouteOutcome, JobPhase)> handler;
 };
 
-JobRouter::JobRouter(Environment environment) : m_environment(std::move(environment)), m_unsettled(m_environment.clock)
+JobRouter::JobRouter(Environment environment)
+    : m_environment(std::move(environment)), m_unsettled(m_environment.clock), m_earlyCancellations(m_environment.clock)
 {
 }
 
@@ -410,7 +411,11 @@
                 if (m_unsettled.mayBeAccepted(request->job) || (request->isOwnerUnclear && cancels)) {
                     finishRequest(request, RouteOutcome::Unknown, JobPhase::Pending);
                 } else if (cancels && !wasRemoved) {
-                    cancelEarly(request, 0);
+                    if (m_earlyCancellations.tryTake()) {
+                        cancelEarly(request, 0);
+                    } else {
+                        finishRequest(request, RouteOutcome::Unavailable, JobPhase::Pending);
+                    }
                 } else {
                     finishRequest(request, RouteOutcome::NotFound, JobPhase::Pending);
                 }
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -3,6 +3,7 @@
 #include "http/HttpClient.h"
 #include "tenure/PartitionOwnership.h"
 #include "tenure/UnsettledSubmissions.h"
+#include "tenure/WriteAllowance.h"
 
 #include <deque>
 #include <unordered_map>
@@ -91,6 +92,7 @@
     std::unordered_map<std::string, std::string> m_homes;
     std::deque<std::string> m_homeOrder;
     UnsettledSubmissions m_unsettled;
+    WriteAllowance m_earlyCancellations;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/tests/CancelledSubmissionTest.cpp
+++ b/source/tenure/tests/CancelledSubmissionTest.cpp
@@ -287,4 +287,27 @@
     EXPECT_EQ(inboxSize(cluster), DataCentres);
 }
 
+// Callers that cancel unknown jobs must not use up the store's limit of writes. None of them is told that there is no
+// such job.
+TEST_F(CancelledSubmission, isCancelledInAdvanceAtALimitedRate)
+{
+    constexpr int TooMany = WriteAllowance::MostAtOnce + 5;
+    TestCluster cluster;
+    cluster.advance(Second * 2);
+    std::vector<std::shared_ptr<std::optional<RouteOutcome>>> outcomes;
+    outcomes.reserve(TooMany);
+    for (int i = 0; i < TooMany; ++i) {
+        outcomes.push_back(cancel(cluster, *cluster.owner(), "job-" + std::to_string(i)));
+    }
+    cluster.advance(Milliseconds(100));
+    for (int i = 0; i < TooMany; ++i) {
+        EXPECT_EQ(*outcomes[static_cast<std::size_t>(i)],
+            i < WriteAllowance::MostAtOnce ? RouteOutcome::Done : RouteOutcome::Unavailable);
+    }
+    cluster.advance(Second);
+    const auto later = cancel(cluster, *cluster.owner(), "job-" + std::to_string(TooMany - 1));
+    cluster.advance(Milliseconds(100));
+    EXPECT_EQ(*later, RouteOutcome::Done);
+}
+
 }
