Tenure: Close the gaps that a review of held places found

Requests name the tasks that run, and those get only places that are free. - All tasks of a step were stopped at once (keepsTheDisruptionBudgetWhenTasksLeaveForAnotherPartition). The budget is asked again when a place is held. - An owner whose authority was not current stopped runs (stopsNothingForAPlaceWhileItsAuthorityIsNotCurrent). - The place of a request whose answer was lost stayed idle for 3 s (PlaceSearchFaults.releasesThePlaceIfTheAnswerIsLost). - Eight gaps without memory hid one with both (findsAGapBesideLargerOnesThatLackMemory). - A request of 15 KB kept an owner busy for 1.0 to 1.1 s, beyond its authority (answersTheLargestRequestQuickly). The jobs of a request have at most 10,000 tasks, and senders name only as many tasks of a step as they ask for. - Fifteen delegations of one job, which fit into no transaction, kept all others from being stored (ManyPartitions). By reading: a new owner moves no tasks elsewhere before it has heard its workers, nothing is delegated while the store is known to be away, and a request can't name a task of another job.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -146,10 +146,10 @@
     // Delegates the named tasks of one step, as far as they wait, to another partition.
     void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
 
-    // Holds places for tasks of another partition, for as long as they may take to arrive. Returns the tasks that have
-    // one.
-    std::set<TaskName> holdPlacesFor(
-        const JobSpecification &specification, const QueuePolicy &policy, const std::vector<DelegatedTask> &tasks);
+    // Holds places for tasks of another partition, for as long as they may take to arrive. Those that still run get
+    // only places that are free. Returns the tasks that have one.
+    std::set<TaskName> holdPlacesFor(const JobSpecification &specification, const QueuePolicy &policy,
+        const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &running);
 
     // Returns the waiting tasks of a step that may leave the partition.
     [[nodiscard]] std::vector<TaskState *> tasksWithoutPlace(const UnplacedStep &unplaced);
@@ -349,9 +349,15 @@
     [[nodiscard]] bool isHeldPlaceOpen(const TaskState &task) const;
     // Holds a place for the next run of a task. Returns false if there is none.
     bool holdPlace(TaskState &task, FailedPlacements &failedHolds);
+    enum class ArrivalPlace {
+        // One that is free now.
+        Free,
+        // One that batch tasks may still use.
+        FreeOrBusy,
+    };
     // Holds a place for a task that another partition may send, beside the tasks of the given step that are here.
     // Returns false if there is none.
-    bool holdArrivalPlace(const TaskState &task, const StepState &step);
+    bool holdArrivalPlace(const TaskState &task, const StepState &step, ArrivalPlace kind);
     // Returns the worker on which batch tasks are to make room for a long-running task, or null.
     [[nodiscard]] WorkerState *chooseBusy(const StepState &step, const TaskState &task);
     // Moves tasks off all draining workers. A task is stopped when its next place is held for it.
--- a/source/scheduling/JobSchedulerReservations.cpp
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -21,8 +21,8 @@
 
 }
 
-std::set<TaskName> JobScheduler::holdPlacesFor(
-    const JobSpecification &specification, const QueuePolicy &policy, const std::vector<DelegatedTask> &tasks)
+std::set<TaskName> JobScheduler::holdPlacesFor(const JobSpecification &specification, const QueuePolicy &policy,
+    const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &running)
 {
     std::set<TaskName> held;
     const auto known = m_jobs.find(specification.id);
@@ -45,7 +45,8 @@
         if (isHere || refusedSteps.contains(task->step->number)) {
             continue;
         }
-        if (holdArrivalPlace(*task, present == nullptr ? *task->step : *present->step)) {
+        const ArrivalPlace kind = running.contains(nameOf(*task)) ? ArrivalPlace::Free : ArrivalPlace::FreeOrBusy;
+        if (holdArrivalPlace(*task, present == nullptr ? *task->step : *present->step, kind)) {
             held.insert(nameOf(*task));
         } else {
             refusedSteps.insert(task->step->number);
@@ -56,7 +57,7 @@
     return held;
 }
 
-bool JobScheduler::holdArrivalPlace(const TaskState &task, const StepState &step)
+bool JobScheduler::holdArrivalPlace(const TaskState &task, const StepState &step, ArrivalPlace kind)
 {
     const Instant until = m_environment.clock.now() + LongestHold;
     const TaskName name = nameOf(task);
@@ -67,7 +68,8 @@
         }
     }
     WorkerState *open = choose(step, task);
-    WorkerState *worker = open == nullptr ? chooseBusy(step, task) : open;
+    const bool mayBeBusy = open == nullptr && kind == ArrivalPlace::FreeOrBusy;
+    WorkerState *worker = mayBeBusy ? chooseBusy(step, task) : open;
     if (worker == nullptr) {
         return false;
     }
@@ -99,6 +101,14 @@
 std::vector<TaskState *> JobScheduler::leavingTasksWithoutPlace()
 {
     std::vector<TaskState *> tasks;
+    const bool hasUnheardWorkers = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &entry) {
+        const WorkerState &worker = entry.second;
+        return worker.listed && !worker.hasAnswered && worker.consecutiveUnanswered == 0;
+    });
+    // A new owner first hears its workers, which may have room.
+    if (hasUnheardWorkers || !isWorkerListComplete(m_environment.clock.now())) {
+        return tasks;
+    }
     for (auto &[name, worker] : m_workers) {
         const bool answers = worker.hasAnswered && worker.consecutiveUnanswered == 0;
         if (!worker.listing.draining || !answers || !worker.drainingSince) {
@@ -133,6 +143,9 @@
 RelocatedTasks JobScheduler::beginRelocation(const std::string &partition, const std::set<TaskName> &names)
 {
     RelocatedTasks relocated;
+    if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent()) {
+        return relocated;
+    }
     const RecoveryHolds holds = recoveryHolds();
     for (const TaskName &name : names) {
         TaskState *task = findTask(name);
@@ -145,7 +158,12 @@
         }
         const WorkerState *worker = findWorker(task->worker);
         const bool isLeaving = task->phase == RunPhase::Running && worker != nullptr && worker->listing.draining;
-        if (!isLeaving || !task->nextWorker.empty()) {
+        if (!isLeaving || !task->nextWorker.empty() || !worker->drainingSince) {
+            continue;
+        }
+        const DrainProgress progress(
+            *worker->drainingSince, worker->sawDrainBegin, m_limits.drain, m_environment.clock.now());
+        if (!mayBeEvacuatedNow(*task, progress)) {
             continue;
         }
         m_environment.listener.logDecision("run-evacuated", name.text(),
--- a/source/scheduling/PoolHeadroom.cpp
+++ b/source/scheduling/PoolHeadroom.cpp
@@ -38,9 +38,15 @@
     const auto place = std::upper_bound(gaps.begin(), gaps.end(), gap,
         [](const Resources &left, const Resources &right) { return left.milliCores > right.milliCores; });
     gaps.insert(place, gap);
-    if (gaps.size() > MostGaps) {
-        gaps.pop_back();
+    if (gaps.size() <= MostGaps) {
+        return;
     }
+    // One that fits into another gap shows least.
+    const auto superfluous = std::find_if(gaps.rbegin(), gaps.rend() - 1, [this](const Resources &candidate) {
+        return std::any_of(gaps.begin(), gaps.end(),
+            [&candidate](const Resources &other) { return &other != &candidate && candidate.fitsInto(other); });
+    });
+    gaps.erase(superfluous == gaps.rend() - 1 ? gaps.end() - 1 : superfluous.base() - 1);
 }
 
 void PoolHeadroom::reserveForLongRunning(std::int64_t milliCores)
--- a/source/scheduling/PoolHeadroom.h
+++ b/source/scheduling/PoolHeadroom.h
@@ -36,7 +36,7 @@
 
     bool operator==(const PoolHeadroom &) const = default;
 
-    // Adds a gap, and drops the smallest one if there are too many.
+    // Adds a gap, and drops one if there are too many, if possible one that fits into another.
     void addGap(const Resources &gap);
 
     // Subtracts the processors of long-running tasks that are about to be added.
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -56,8 +56,14 @@
     const JobState &job = *tasks.front()->step->occurrence->job;
     JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
     record.specification.payload.clear();
+    // The other partition needs to know no more of the steps than up to the last task that it is asked for.
+    for (StepSpecification &step : record.specification.steps) {
+        step.count = 1;
+    }
     for (const TaskState *task : tasks) {
         record.delegated.push_back(delegationOf(*task));
+        StepSpecification &step = record.specification.steps[static_cast<std::size_t>(task->step->number)];
+        step.count = std::max(step.count, task->index + 1);
     }
     return record;
 }
@@ -72,17 +78,19 @@
         }
     }
     std::map<std::string, std::vector<TaskState *>> leaving;
+    std::set<TaskName> running;
     for (TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
         const JobState &job = *task->step->occurrence->job;
         if (!job.policy.advised && !m_journal.hasUnsentDelegation(job.specification.id)) {
             leaving[job.specification.id].push_back(task);
+            running.insert(nameOf(*task));
         }
     }
     for (const auto &[id, tasks] : leaving) {
         demands.push_back(placeDemand(tasks));
     }
     m_seeksRoom = m_seeksRoom || !leaving.empty();
-    m_placeSearch->seek(demands);
+    m_placeSearch->seek(demands, running);
 }
 
 std::set<TaskName> PartitionLeader::onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks)
@@ -102,13 +110,19 @@
 
 void PartitionLeader::delegateStoppedTasks()
 {
+    // Until the delegation can be recorded, the tasks may run here again.
+    if (m_journal.isStoreUnavailable()) {
+        return;
+    }
     for (const auto &[partition, tasks] : m_jobScheduler.stoppedForRelocation()) {
         std::map<std::string, std::set<TaskName>> byJob;
         for (const TaskName &task : tasks) {
             byJob[task.job].insert(task);
         }
         for (const auto &[id, names] : byJob) {
-            delegate(id, names, partition);
+            if (!m_journal.hasUnsentDelegation(id)) {
+                delegate(id, names, partition);
+            }
         }
     }
 }
@@ -126,7 +140,7 @@
     PlaceAnswer answer;
     m_jobScheduler.releasePlacesFor(request.released);
     for (const JobRecord &job : request.jobs) {
-        answer.held.merge(m_jobScheduler.holdPlacesFor(job.specification, job.policy, job.delegated));
+        answer.held.merge(m_jobScheduler.holdPlacesFor(job.specification, job.policy, job.delegated, request.running));
     }
     answer.headrooms = m_jobScheduler.headrooms();
     return answer;
--- a/source/tenure/PlaceRequest.cpp
+++ b/source/tenure/PlaceRequest.cpp
@@ -1,5 +1,7 @@
 #include "tenure/PlaceRequest.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -40,7 +42,8 @@
     for (const JobRecord &job : request.jobs) {
         jobs.push_back(serialize(job));
     }
-    return writeJson({{"jobs", std::move(jobs)}, {"released", describe(request.released)}});
+    return writeJson(
+        {{"jobs", std::move(jobs)}, {"released", describe(request.released)}, {"running", describe(request.running)}});
 }
 
 Result<PlaceRequest> parsePlaceRequest(const std::string &text)
@@ -53,17 +56,26 @@
     if (jobs.size() > PlaceRequest::MostJobs) {
         return malformed("the request for places names too many jobs");
     }
-    PlaceRequest request {{}, parseTasks(std::get<Json>(parsed), "released")};
+    PlaceRequest request {
+        {}, parseTasks(std::get<Json>(parsed), "released"), parseTasks(std::get<Json>(parsed), "running")};
     std::size_t tasks = request.released.size();
+    std::int64_t tasksOfJobs = 0;
     for (const std::string &job : jobs) {
         Result<JobRecord> record = parseJobRecord(job);
         if (const Error *error = errorOf(record)) {
             return *error;
         }
         request.jobs.push_back(std::get<JobRecord>(std::move(record)));
-        tasks += request.jobs.back().delegated.size();
+        const JobRecord &added = request.jobs.back();
+        tasks += added.delegated.size();
+        tasksOfJobs += added.specification.taskCount();
+        const bool isOfOtherJob = std::any_of(added.delegated.begin(), added.delegated.end(),
+            [&added](const DelegatedTask &task) { return task.task.job != added.specification.id; });
+        if (isOfOtherJob) {
+            return malformed("the request for places names a task of another job");
+        }
     }
-    if (tasks > PlaceRequest::MostTasks) {
+    if (tasks > PlaceRequest::MostTasks || tasksOfJobs > PlaceRequest::MostTasksOfJobs) {
         return malformed("the request for places names too many tasks");
     }
     return request;
--- a/source/tenure/PlaceRequest.h
+++ b/source/tenure/PlaceRequest.h
@@ -16,10 +16,14 @@
     std::vector<JobRecord> jobs;
     // Tasks that will not arrive, because they have found a place elsewhere.
     std::set<TaskName> released = {};
+    // Those of the tasks that still run. They are stopped only for a place that is free.
+    std::set<TaskName> running = {};
 
     // The most jobs in one request, and the most tasks of all of them.
     static constexpr std::size_t MostJobs = 32;
     static constexpr std::size_t MostTasks = 128;
+    // The most tasks of all the jobs in the request, whether they look for places or not.
+    static constexpr std::int64_t MostTasksOfJobs = 10'000;
 
     bool operator==(const PlaceRequest &) const = default;
 };
--- a/source/tenure/PlaceSearch.cpp
+++ b/source/tenure/PlaceSearch.cpp
@@ -10,6 +10,8 @@
 
 // What keeps a partition from holding a place although it has a gap, such as a limit per worker, seldom changes sooner.
 constexpr Milliseconds RefusalTime {1'000};
+// One transaction holds the delegations of a job. Those of two searches fit into it.
+constexpr std::size_t MostPartitionsOfJob = 7;
 
 }
 
@@ -23,7 +25,7 @@
     *m_alive = false;
 }
 
-void PlaceSearch::seek(const std::vector<JobRecord> &jobs)
+void PlaceSearch::seek(const std::vector<JobRecord> &jobs, const std::set<TaskName> &running)
 {
     const Instant now = m_environment.clock.now();
     std::erase_if(m_refusedAt, [now](const auto &entry) { return now - entry.second >= RefusalTime; });
@@ -31,6 +33,7 @@
     std::map<std::string, PlaceRequest> requests;
     std::map<std::string, std::size_t> taskCounts;
     for (const JobRecord &job : jobs) {
+        std::set<std::string> partitionsOfJob;
         const auto [rooms, added] = roomsByPool.try_emplace(job.policy.pool);
         if (added) {
             rooms->second = roomsOf(job.policy.pool);
@@ -43,6 +46,10 @@
             if (!partition || taskCounts[*partition] >= PlaceRequest::MostTasks) {
                 continue;
             }
+            if (!partitionsOfJob.contains(*partition) && partitionsOfJob.size() >= MostPartitionsOfJob) {
+                continue;
+            }
+            partitionsOfJob.insert(*partition);
             std::vector<JobRecord> &asked = requests[*partition].jobs;
             const bool isNewJob = asked.empty() || asked.back().specification.id != job.specification.id;
             if (isNewJob && asked.size() >= PlaceRequest::MostJobs) {
@@ -52,6 +59,9 @@
                 asked.push_back({job.specification, job.policy, job.acceptedWall, {}});
             }
             asked.back().delegated.push_back(task);
+            if (running.contains(task.task)) {
+                requests[*partition].running.insert(task.task);
+            }
             ++taskCounts[*partition];
         }
     }
@@ -137,6 +147,10 @@
     if (answer) {
         m_environment.headrooms.update(partition, answer->headrooms);
     }
+    if (!answer) {
+        // Its owner may have held places all the same.
+        release(partition, asked);
+    }
     if (held.empty()) {
         return;
     }
--- a/source/tenure/PlaceSearch.h
+++ b/source/tenure/PlaceSearch.h
@@ -30,9 +30,10 @@
     PlaceSearch(const PlaceSearch &) = delete;
     PlaceSearch &operator=(const PlaceSearch &) = delete;
 
-    // Requests places for the tasks that the records name, the first ones first. Asks only partitions with a gap that
-    // would fit, one for each task, and waits for the answer of a partition before it asks it again.
-    void seek(const std::vector<JobRecord> &jobs);
+    // Requests places for the tasks that the records name, the first ones first, of which the given ones still run.
+    // Asks only partitions with a gap that would fit, one for each task, and waits for the answer of a partition before
+    // it asks it again.
+    void seek(const std::vector<JobRecord> &jobs, const std::set<TaskName> &running = {});
 
 private:
     // Identifies a step that a partition has refused.
--- a/source/tenure/tests/PlaceSearchTest.cpp
+++ b/source/tenure/tests/PlaceSearchTest.cpp
@@ -127,7 +127,10 @@
 TEST_F(PlaceSearchTest, waitsForTheAnswerBeforeItAsksAgain)
 {
     m_headrooms.update("other", headroomsWith({3'500}));
-    EXPECT_CALL(m_requester, request("other", _, _)).Times(2);
+    const auto asks = testing::Field(&PlaceRequest::jobs, testing::Not(testing::IsEmpty()));
+    const auto releases = testing::Field(&PlaceRequest::released, testing::Contains(taskOf("job", 0)));
+    EXPECT_CALL(m_requester, request("other", asks, _)).Times(2);
+    EXPECT_CALL(m_requester, request("other", releases, _)).Times(1);
     m_search.seek({demand("job", 1)});
     m_search.seek({demand("job", 1)});
     m_handlers.at("other")(std::nullopt);
