--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -4,6 +4,7 @@
 #include "scheduling/HeldPlaces.h"
 #include "scheduling/JobState.h"
 #include "scheduling/LateReportRequests.h"
+#include "scheduling/LateStarts.h"
 #include "scheduling/ObsoleteRuns.h"
 #include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
@@ -66,6 +67,7 @@
     // Whether the pending report request renews the leases.
     bool sentRenewal = false;
     LateReportRequests lateRequests;
+    LateStarts lateStarts;
     // The tasks of the run ends that have been applied and not recorded, by the number of the end.
     std::map<std::uint64_t, TaskName> unrecordedEnds;
     // Tasks whose current run is assigned to this worker, in any phase.
@@ -116,6 +118,13 @@
     // Returns whether run ends have been applied that the store does not have yet.
     [[nodiscard]] bool hasUnrecordedEnds() const;
 
+    // Returns whether the pending report request lets the worker remove ends from its list.
+    [[nodiscard]] bool isAcknowledging() const;
+
+    // Returns whether the worker may yet carry out a request that lets it remove ends from its list. An incarnation
+    // that is not known yet would remove ends that nobody has read.
+    [[nodiscard]] bool mayForgetEnds(Instant now) const;
+
     // Returns whether anything may run on the worker now or without a further start order of this leader term.
     [[nodiscard]] bool mayRunTasks() const;
 
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -12,6 +12,9 @@
 RESETS = {"least_reset_gap_ms": 100, "most_reset_gap_ms": 400}
 RESETS_S = 8.0
 CALM_S = 1.0
+GROUPS_S = 10.0
+# The store and peers answer so late that copies of a submission are under way together.
+LATE_PATH = {"delay_ms": 50, "delay_spread_ms": 250}
 # The usual time from the end of a sequence to its next beginning.
 USUAL_GAP_S = (6.0, 8.0)
 
@@ -38,6 +41,7 @@
             self.add_late_orders()
             self.add_revocations()
             self.add_resets()
+            self.add_answer_faults()
         else:
             self.repeat(SEQUENCES[sequence], *GAPS_S.get(sequence, USUAL_GAP_S))
         self.events.sort(key=lambda event: event[0])
@@ -340,7 +344,6 @@
         self.add(at, "workers", workers=list(range(self.workers)))
         return at
 
-
     def some(self, count, share):
         """Returns the numbers of a share of so many things, at least one."""
         return sorted(self.random.sample(range(count), max(1, int(count * share))))
@@ -361,6 +364,19 @@
                 self.add(at, "instance_connections", kind=kind, instances=instances, **delay, **RESETS)
                 self.add(at + for_s, "instance_connections", kind=kind, instances=instances)
 
+    def add_answer_faults(self):
+        """Cuts answers of workers short, holds them until the workers have restarted, and repeats calls of callers
+        while they are under way."""
+        for at in self.times(6.0):
+            workers = self.some(self.workers, self.random.choice([0.05, 0.2]))
+            self.add(at, "connections", kind="worker", links=workers, partial_answers=self.random.choice([0.1, 0.5]))
+            self.add(at + self.random.uniform(1.0, 5.0), "connections", kind="worker", links=workers)
+        for at in self.times(6.0):
+            self.add_held_answers(at, self.some(self.workers, 0.02))
+        for at in self.times(8.0):
+            self.add(at, "resubmissions", share=0.4)
+            self.add(at + self.random.uniform(1.0, 5.0), "resubmissions", share=0.0)
+
     def add_delays(self, at):
         """Delays what passes between instances and workers, and nothing else."""
         self.add(at, "connections", kind="worker", links=list(range(self.workers)), **PATH_DELAY)
@@ -392,6 +408,102 @@
             self.add(at + RESETS_S, "link", link=instance)
         return self.add_connections_reset(at)
 
+    def add_groups(self, at, shares, add_fault):
+        """Adds faults of overlapping groups of workers, which are over 0.3 to 4 s later, every 0.2 to 0.8 s."""
+        end = at + GROUPS_S
+        while at < end:
+            add_fault(at, self.some(self.workers, self.random.choice(shares)), self.random.uniform(0.3, 4.0))
+            at += self.random.uniform(0.2, 0.8)
+        return end
+
+    def add_refusals(self, at, end):
+        """Six in ten workers reject three calls in ten."""
+        refusing = self.some(self.workers, 0.6)
+        self.add(at, "workers", workers=refusing, refuse=0.3)
+        self.add(end, "workers", workers=refusing)
+
+    def add_wire(self, at):
+        """Most workers reject some calls, while connections to groups of workers are cut one way, reset or delayed, and
+        now and then an instance is killed."""
+        def add_fault(begin, workers, for_s):
+            fault = self.random.choice([{"requests_cut": True}, {"answers_cut": True}, {**PATH_DELAY, **RESETS},
+                                        {"delay_ms": 300, "delay_spread_ms": 1500}])
+            self.add(begin, "connections", kind="worker", links=workers, **fault)
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+            if self.random.random() < 0.05:
+                self.add(begin, "kill", instance=self.random.randrange(self.instances),
+                         restart_after_s=self.random.uniform(0.1, 2.0))
+        self.add_refusals(at, at + GROUPS_S)
+        return self.add_groups(at, [0.1, 0.25], add_fault)
+
+    def add_cut_answers(self, at):
+        """Answers of groups of workers, and of some peers and of the store to some instances, end within their head or
+        their body."""
+        def add_fault(begin, workers, for_s):
+            self.add(begin, "connections", kind="worker", links=workers, **self.random.choice([{}, PATH_DELAY]),
+                     partial_answers=self.random.choice([0.1, 0.3, 0.7]))
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+        self.add_refusals(at, at + GROUPS_S)
+        self.add_instance_faults(at, at + GROUPS_S, 0.25, partial_answers=0.05)
+        return self.add_groups(at, [0.1, 0.25], add_fault)
+
+    def add_instance_faults(self, at, end, share, **fault):
+        """Gives some links of peers, and some links of instances to the store, a fault."""
+        instances = self.some(self.instances, share)
+        self.add(at, "instance_connections", kind="peer", instances=instances, **fault)
+        self.add(end, "instance_connections", kind="peer", instances=instances)
+        for instance in self.some(self.instances, share):
+            self.add(at, "link", link=instance, **fault)
+            self.add(end, "link", link=instance)
+
+    def add_late_answers(self, at):
+        """Holds the answers of groups of workers until the workers have restarted under their names."""
+        # A task that loses its worker again and again is given up, so most workers stay.
+        restarting = self.some(self.workers, 0.1)
+
+        def add_fault(begin, _, __):
+            self.add_held_answers(begin, sorted(self.random.sample(restarting, (len(restarting) + 2) // 3)))
+        return self.add_groups(at, [0.0], add_fault)
+
+    def add_held_answers(self, at, workers):
+        # Orders wait 0.4 s for their answer, and report requests longer.
+        held_s = self.random.choice([0.2, 0.3, 0.38, 1.0, 2.0])
+        self.add(at, "connections", kind="worker", links=workers, answers_cut=True)
+        self.add(at + self.random.uniform(0.3, 0.7) * held_s, "workers", workers=workers, downtime_ms=20)
+        self.add(at + held_s, "connections", kind="worker", links=workers)
+        self.add(at + held_s, "workers", workers=workers)
+
+    def add_queued_calls(self, at):
+        """Groups of workers take so long to answer that calls to them wait for a connection or are given up, while
+        others are down, so that more tasks start on the rest."""
+        down = self.some(self.workers, 0.5)
+        self.add(at, "workers", workers=down, downtime_ms=int(GROUPS_S * 1000))
+
+        def add_fault(begin, workers, for_s):
+            delay_ms, spread_ms = self.random.choice([(100, 60), (150, 40), (180, 200), (400, 1200)])
+            self.add(begin, "connections", kind="worker", links=workers, delay_ms=delay_ms, delay_spread_ms=spread_ms)
+            self.add(begin + for_s, "connections", kind="worker", links=workers)
+        return self.add_groups(at, [0.25, 0.5], add_fault)
+
+    def add_resubmissions(self, at):
+        """Most calls of callers are given up after they were sent and repeated at another instance while the first copy
+        is under way. Paths to the store and to peers are late and may break. Some instances are killed or lose their
+        leases."""
+        end = at + GROUPS_S
+        self.add(at, "resubmissions", share=0.6)
+        self.add(end, "resubmissions", share=0.0)
+        fault = self.random.choice([{}, RESETS, {"partial_answers": 0.3}])
+        self.add_instance_faults(at, end, 0.7, **LATE_PATH, **fault)
+        at += self.random.uniform(1.0, 4.0)
+        while at < end:
+            instance = self.random.randrange(self.instances)
+            if self.random.random() < 0.5:
+                self.add(at, "kill", instance=instance, restart_after_s=self.random.uniform(0.1, 2.0))
+            else:
+                self.add(at, "drop_lease", instance=instance)
+            at += self.random.uniform(1.0, 4.0)
+        return end
+
 
 SEQUENCES = {"owners-replaced-before-an-outage": Schedule.add_owners_replaced_before_an_outage,
              "congested-region": Schedule.add_congested_region,
@@ -400,6 +512,13 @@
              "lagging-starts": Schedule.add_lagging_starts,
              "delays": Schedule.add_delays,
              "connections-reset": Schedule.add_connections_reset,
-             "all-connections-reset": Schedule.add_all_connections_reset}
+             "all-connections-reset": Schedule.add_all_connections_reset,
+             "wire": Schedule.add_wire,
+             "answers-cut": Schedule.add_cut_answers,
+             "late-answers": Schedule.add_late_answers,
+             "queued-calls": Schedule.add_queued_calls,
+             "resubmissions": Schedule.add_resubmissions}
 # The time from the end of a sequence to its next beginning, at least and at most, where it is not the usual one.
-GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S)}
+GAPS_S = {"delays": (0.0, 0.0), "connections-reset": (CALM_S, CALM_S), "all-connections-reset": (CALM_S, CALM_S),
+          **dict.fromkeys(
+              ["wire", "answers-cut", "late-answers", "queued-calls", "resubmissions"], (0.0, CALM_S))}
