--- a/source/tenure/tests/RelocationFaultsTest.cpp
+++ b/source/tenure/tests/RelocationFaultsTest.cpp
@@ -208,15 +208,16 @@
 {
     submit("a", "job", 2, 3'000);
     std::vector<std::function<void()>> answers;
-    for (auto &[name, server] : m_cluster.peers.servers) {
-        server = [&answers, server](const HttpRequest &request, const HttpServer::Responder &respond) {
-            if (!request.path.ends_with("/places")) {
-                return server(request, respond);
-            }
-            return server(request, [&answers, respond](const HttpResponse &response) {
-                answers.emplace_back([respond, response] { respond(response); });
-            });
-        };
+    for (auto &entry : m_cluster.peers.servers) {
+        entry.second
+            = [&answers, server = entry.second](const HttpRequest &request, const HttpServer::Responder &respond) {
+                  if (!request.path.ends_with("/places")) {
+                      return server(request, respond);
+                  }
+                  return server(request, [&answers, respond](const HttpResponse &response) {
+                      answers.emplace_back([respond, response] { respond(response); });
+                  });
+              };
     }
     drain({"worker-0"});
     for (int i = 0; i < 50 && answers.empty(); ++i) {
