--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -102,6 +102,12 @@
     COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --seed 4 --seconds 40 --port 20000)
 set_tests_properties(history.node PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
 
+# The same without answers that end early or arrive late and without repeated calls.
+add_test(NAME history.node-without-answer-faults
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --seed 4 --seconds 40 --without-answer-faults
+        --port 20000)
+set_tests_properties(history.node-without-answer-faults PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
+
 # The same while the connections to workers break under starts that some workers reject.
 add_test(NAME history.node-connections-reset
     COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence connections-reset --seed 1 --seconds 30
--- a/tests/history/node_schedule.py
+++ b/tests/history/node_schedule.py
@@ -22,8 +22,9 @@
 class Schedule:
     """A list of (time in seconds, action, arguments), in the order of time."""
 
-    def __init__(self, seed, seconds, instances, workers, sequence=None):
-        """Plays faults of all kinds, or only the named sequence again and again."""
+    def __init__(self, seed, seconds, instances, workers, sequence=None, answer_faults=True):
+        """Plays faults of all kinds, or only the named sequence again and again. Without a sequence, the faults of
+        answers and the repeated calls can be left out; all others stay as they are."""
         self.random = random.Random(seed)
         self.seconds = seconds
         self.instances = instances
@@ -41,7 +42,8 @@
             self.add_late_orders()
             self.add_revocations()
             self.add_resets()
-            self.add_answer_faults()
+            if answer_faults:
+                self.add_answer_faults()
         else:
             self.repeat(SEQUENCES[sequence], *GAPS_S.get(sequence, USUAL_GAP_S))
         self.events.sort(key=lambda event: event[0])
--- a/tests/history/run_node.py
+++ b/tests/history/run_node.py
@@ -1,7 +1,7 @@
 """Runs wagtail-node processes on a stand-in of their platform under faults, and checks what is seen from outside.
 
 usage: run_node.py [--seed N] [--seconds S] [--instances K] [--workers W] [--lease-ms MS] [--port P]
-                   [--build FOLDER] [--keep] [--sequence NAME] [--chains] [--print-schedule]
+                   [--build FOLDER] [--keep] [--sequence NAME] [--without-answer-faults] [--chains] [--print-schedule]
 
 Exits with 1 and names the folder with the logs, merged by time, if a check fails.
 """
@@ -76,8 +76,13 @@
     return time.time() - begin
 
 
+def create_schedule(arguments):
+    return Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence,
+                    not arguments.without_answer_faults)
+
+
 def run(deployment, arguments):
-    schedule = Schedule(arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence)
+    schedule = create_schedule(arguments)
     deployment.start_all()
     kind, jobs_per_s = (ChainJob, arguments.workers / 12) if arguments.chains else (Job, arguments.workers / 8)
     callers = Callers(deployment, arguments.seed, jobs_per_s, kind)
@@ -123,12 +128,13 @@
     parser.add_argument("--build", default=programs.BUILD, help="the folder with the programs")
     parser.add_argument("--keep", action="store_true", help="keep the logs also if all checks pass")
     parser.add_argument("--sequence", choices=list(SEQUENCES), help="play this sequence of faults only")
+    parser.add_argument("--without-answer-faults", action="store_true",
+                        help="leave out answers that end early or arrive late, and repeated calls")
     parser.add_argument("--chains", action="store_true", help="hand in chains of short tasks only")
     parser.add_argument("--print-schedule", action="store_true", help="print the faults and exit")
     arguments = parser.parse_args()
     if arguments.print_schedule:
-        schedule = Schedule(
-            arguments.seed, arguments.seconds, arguments.instances, arguments.workers, arguments.sequence)
+        schedule = create_schedule(arguments)
         for event in schedule.events:
             print(*event)
         return 0
@@ -144,6 +150,7 @@
         print(f"logs: {deployment.merge_logs()}; repeat with: run_node.py --seed {arguments.seed} "
               f"--seconds {arguments.seconds:g} --instances {arguments.instances} --workers {arguments.workers} "
               f"--lease-ms {lease_ms}" + (f" --sequence {arguments.sequence}" if arguments.sequence else "")
+              + (" --without-answer-faults" if arguments.without_answer_faults else "")
               + (" --chains" if arguments.chains else ""))
     else:
         shutil.rmtree(folder)
