Scheduling: Log why free workers take no backfilling task

tasks-waiting says how many workers have room, and not why none of them takes a backfilling step: no unused processors, a serving task over its target (by its own load or by backfill), the predicted interference, or a precondition of probes. The new member `backfill` counts each of them, with the processors that the pool's tasks are expected to use.

--- a/source/scheduling/BackfillProbe.cpp
+++ b/source/scheduling/BackfillProbe.cpp
@@ -24,13 +24,13 @@
 // Below its lowest speed, a throttled task would be paused.
 constexpr double LowestProbeSpeedPercent = 15.0;
 
+}
+
 bool runsProbe(const WorkerState &worker)
 {
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const TaskState *task) { return task->isProbe; });
 }
 
-}
-
 std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor)
 {
     if (idleFor < CautiousProbeDelay) {
--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -26,6 +26,9 @@
 // is large enough to learn from.
 [[nodiscard]] int probeSpeed(double demand);
 
+// Returns whether a probe runs on the worker.
+[[nodiscard]] bool runsProbe(const WorkerState &worker);
+
 // Returns whether each serving task has some distance to its limit, with all other tasks at their permitted speed.
 [[nodiscard]] bool hasHeadroomForProbe(const BackfillInterferenceModel &model,
     const std::vector<ServingSample> &serving, const std::vector<BackfillSample> &backfilling);
--- a/source/scheduling/BackfillThrottle.cpp
+++ b/source/scheduling/BackfillThrottle.cpp
@@ -54,6 +54,11 @@
 
 }
 
+bool isOverTargetForLong(const ServingSample &serving)
+{
+    return serving.overTargetMilliseconds >= MaximumOverTargetMilliseconds;
+}
+
 double pendingLoadGrowth(
     const BackfillInterferenceModel &model, ImageId serving, const std::vector<BackfillSample> &backfilling)
 {
@@ -75,7 +80,7 @@
     }
     bool nearLimit = false;
     for (const ServingSample &sample : serving) {
-        if (sample.overTargetMilliseconds >= MaximumOverTargetMilliseconds) {
+        if (isOverTargetForLong(sample)) {
             return std::vector<int>(backfilling.size(), 0);
         }
         if (sample.load > sample.limit - ThrottleMargin) {
@@ -122,7 +127,7 @@
 {
     double maximum = -1.0;
     for (const ServingSample &sample : serving) {
-        if (sample.overTargetMilliseconds >= MaximumOverTargetMilliseconds) {
+        if (isOverTargetForLong(sample)) {
             return MaximumExcessLoad;
         }
         const double growth = model.coefficient(sample.image, image) * demand;
--- a/source/scheduling/BackfillThrottle.h
+++ b/source/scheduling/BackfillThrottle.h
@@ -16,6 +16,8 @@
     double limit = 0.0;
     // How long its tail latency has been over the target; 0 if it is not.
     std::int64_t overTargetMilliseconds = 0;
+    // Whether it would be within its target without the backfilling tasks, by the interference model.
+    bool isOverByBackfill = false;
 };
 
 // A backfilling task on a worker at the time of the worker's last report.
@@ -29,6 +31,9 @@
     int percent = 100;
 };
 
+// Returns whether a serving task has been over its target for so long that all backfilling tasks beside it are stopped.
+[[nodiscard]] bool isOverTargetForLong(const ServingSample &serving);
+
 // Returns the speed at which each backfilling task may work next, in percent of its full speed and in the given order.
 // The tasks that interfere most with a serving task close to its limit are throttled first. The others continue, and
 // speed is restored as far as the limits of all serving tasks allow.
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -66,7 +66,8 @@
             task->overTargetByBackfill = load - m_interference.loadGrowth(image, use) <= limit;
         }
         const auto overFor = task->overTargetSince ? now - *task->overTargetSince : Instant::duration::zero();
-        worker.serving.push_back({image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count()});
+        worker.serving.push_back({image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count(),
+            task->overTargetSince && task->overTargetByBackfill});
     }
     worker.backfillUse = std::move(use);
     worker.sampledAt = now;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -1,4 +1,5 @@
 // JobScheduler: placement of waiting tasks on workers.
+#include "scheduling/BackfillSurvey.h"
 #include "scheduling/JobRank.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/PlacementSurvey.h"
@@ -132,6 +133,9 @@
     inputs["delegated_here"] = step.occurrence->job->ownedElsewhere;
     inputs["step"] = step.number;
     inputs["reserved"] = m_reservedWorkers.size();
+    if (step.specification().backfills) {
+        inputs["backfill"] = describe(surveyBackfill(m_workers, step, m_interference, now));
+    }
     const std::string_view event = step.specification().longRunning ? "lasting-tasks-waiting" : "tasks-waiting";
     m_environment.listener.logDecision(event, step.occurrence->job->specification.id, inputs);
 }
