--- a/source/scheduling/BackfillSurvey.cpp
+++ b/source/scheduling/BackfillSurvey.cpp
@@ -12,7 +12,9 @@
 
 void countStart(BackfillSurvey &survey, const WorkerState &worker, const PlacementQuery &query)
 {
-    const auto isOver = [](const ServingSample &sample) { return isOverTargetForLong(sample); };
+    const auto isOver = [](const ServingSample &sample) {
+        return isOverTargetForLong(sample);
+    };
     const auto over = std::find_if(worker.serving.begin(), worker.serving.end(), isOver);
     if (placementCost(worker, query)) {
         ++survey.acceptable;
