--- a/source/scheduling/tests/BackfillProbeTest.cpp
+++ b/source/scheduling/tests/BackfillProbeTest.cpp
@@ -1,4 +1,4 @@
-#include "testing/SchedulerHarness.h"
+#include "testing/ServingWorkers.h"
 
 #include <gtest/gtest.h>
 
@@ -9,62 +9,11 @@
 {
 
 constexpr Milliseconds Second {1'000};
-constexpr std::int64_t WorkerCores = 64'000;
-constexpr std::int64_t TargetMilliseconds = 50;
-constexpr std::int64_t IdleTail = 10;
 constexpr std::int64_t HalfOfTarget = 25;
 constexpr std::int64_t OverTarget = 70;
 // The platform calls it harm when a serving task is over its target for this long because of backfilling tasks.
 constexpr Milliseconds HarmTime {4'000};
 
-StepSpecification servingStep(int count)
-{
-    StepSpecification step;
-    step.count = count;
-    step.demand = {13'000, 1'000, 0};
-    step.longRunning = true;
-    step.perWorkerLimit = 1;
-    step.image = "pump";
-    step.tailTarget = Milliseconds(TargetMilliseconds);
-    return step;
-}
-
-StepSpecification fillingStep(int count)
-{
-    StepSpecification step;
-    step.count = count;
-    step.demand = {7'000, 1'000, 0};
-    step.estimate = Second * 3;
-    step.image = "batch";
-    step.backfills = true;
-    return step;
-}
-
-// The tail latency that a serving task reports at a time.
-using TailAt = std::function<std::int64_t(Instant)>;
-
-// Four workers with a serving task each, whose tail latency is low for two seconds.
-class ServingWorkers
-{
-public:
-    explicit ServingWorkers(const TailAt &laterTail)
-    {
-        constexpr int Workers = 4;
-        for (int i = 0; i < Workers; ++i) {
-            harness.addWorker("worker-" + std::to_string(i), WorkerCores, 64'000);
-        }
-        harness.advance(Second / 2);
-        const Instant risesAt = harness.clock.now() + Second * 2;
-        const auto tail = [risesAt, laterTail](Instant now) {
-            return now < risesAt ? IdleTail : laterTail(now);
-        };
-        harness.submit("watch", {servingStep(Workers)}, {Second, 0, true, tail});
-        harness.advance(Second * 3);
-    }
-
-    SchedulerHarness harness;
-};
-
 WorkerState workerWithServing(std::vector<ServingSample> serving)
 {
     WorkerState worker;
@@ -79,9 +28,9 @@
 TEST(BackfillProbe, startsATaskThatNoWorkerWouldTake)
 {
     ServingWorkers workers([](Instant) { return HalfOfTarget; });
-    workers.harness.submit("filling", {fillingStep(4)}, {Second * 3, 0, false, [](Instant) {
-                                                             return 7'000;
-                                                         }});
+    workers.harness.submit("filling", {ServingWorkers::fillingStep(4)}, {Second * 3, 0, false, [](Instant) {
+                                                                             return 7'000;
+                                                                         }});
     workers.harness.advance(Second * 14);
     const std::optional<Milliseconds> duration = workers.harness.durationOf("filling");
     ASSERT_TRUE(duration.has_value());
@@ -95,7 +44,7 @@
     SchedulerHarness *harness = nullptr;
     Instant withinTargetAt;
     Milliseconds longestOver {0};
-    const TailAt tail = [&](Instant now) {
+    const ServingWorkers::TailAt tail = [&](Instant now) {
         const bool disturbed = harness != nullptr && harness->workers.workingCount("filling") > 0;
         if (!disturbed) {
             withinTargetAt = now;
@@ -106,9 +55,9 @@
     };
     ServingWorkers workers(tail);
     harness = &workers.harness;
-    harness->submit("filling", {fillingStep(1)}, {Second * 60, 0, false, [](Instant) {
-                                                      return 7'000;
-                                                  }});
+    harness->submit("filling", {ServingWorkers::fillingStep(1)}, {Second * 60, 0, false, [](Instant) {
+                                                                      return 7'000;
+                                                                  }});
     harness->advance(Second * 60);
     EXPECT_GT(harness->workers.startCount({"filling", 0, 0, 0}), 0);
     EXPECT_LT(harness->workers.startCount({"filling", 0, 0, 0}), 10);
