Scheduling: Start a task of each job that has nothing running

Cause: the predicted interference ruled out over half of the workers, and the rest had no unused processors by what their tasks were expected to use. Such a prediction is corrected only by tasks that run. Probes, which bound the wait, needed a pool that is expected to be at most half in use; other backfilling tasks kept it at 0.54 to 0.95 until the end. Tasks of jobs that began a further step late began to wait anew.

Now one task of each job that has nothing running starts as a probe, however much of the pool is in use and beside other probes: after 8 s, or after 2 s if the job can't meet its objective any more, since jobs that can are placed before it. Probes need unused processors for their reduced speed only. The headroom that a probe leaves to serving tasks is as before.

Evidence: BackfillStarvation.startsAJobBesideBusyProcessors failed before.

--- a/source/scheduling/BackfillProbe.cpp
+++ b/source/scheduling/BackfillProbe.cpp
@@ -15,6 +15,9 @@
 // an overdue task some seconds until callers expect it to run.
 constexpr Milliseconds CautiousProbeDelay {3'000};
 constexpr Milliseconds OverdueProbeDelay {8'000};
+// Jobs that can meet their objective have their turn before those that can't, which would wait for as long as such jobs
+// come. Callers expect an accepted job to have something running within three seconds.
+constexpr Milliseconds LateJobProbeDelay {2'000};
 // Distance from the load limit that probes leave. Closer to the limit they would be throttled at the next report.
 constexpr double ProbeMargin = 0.05;
 // The use of a probe, as a share of its worker. It is twice the least change of use that the interference model learns
@@ -31,6 +34,19 @@
     return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const TaskState *task) { return task->isProbe; });
 }
 
+std::string_view nameOf(ProbeKind kind)
+{
+    switch (kind) {
+    case ProbeKind::Cautious:
+        return "cautious";
+    case ProbeKind::Overdue:
+        return "overdue";
+    case ProbeKind::Starved:
+        return "starved";
+    }
+    return "unknown";
+}
+
 std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor)
 {
     if (idleFor < CautiousProbeDelay) {
@@ -39,6 +55,12 @@
     return idleFor < OverdueProbeDelay ? ProbeKind::Cautious : ProbeKind::Overdue;
 }
 
+Milliseconds starvedProbeDelay(JobTier tier)
+{
+    const bool isLate = tier == JobTier::Late || tier == JobTier::Expired;
+    return isLate ? LateJobProbeDelay : OverdueProbeDelay;
+}
+
 int probeSpeed(double demand)
 {
     if (demand <= 0.0) {
@@ -61,7 +83,8 @@
     const BackfillInterferenceModel &model, const WorkerState &worker, ImageId image, double demand, ProbeKind kind)
 {
     // The effects of several probes on one worker could not be told apart.
-    if (runsProbe(worker) || !hasHeadroomForProbe(model, worker.serving, worker.backfilling)) {
+    const bool isAlone = kind == ProbeKind::Starved || !runsProbe(worker);
+    if (!isAlone || !hasHeadroomForProbe(model, worker.serving, worker.backfilling)) {
         return std::nullopt;
     }
     const double use = demand * probeSpeed(demand) / FullSpeedPercent;
--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/JobRank.h"
 #include "scheduling/WorkerState.h"
 
 #include <set>
@@ -14,14 +15,22 @@
     Cautious,
     // The load of each serving task is some distance below its limit without the probe, whatever the prediction says.
     Overdue,
+    // The same for a job that has nothing running. Its worker may run other probes.
+    Starved,
 };
 
+[[nodiscard]] std::string_view nameOf(ProbeKind kind);
+
 // Returns the kind of probe as which a task may start that has not worked for the given time, or nothing if it has to
 // wait for a worker that is not ruled out. This bounds the time for which a prediction can keep a task waiting: what it
 // is based on can only be corrected by tasks that run.
 // Load pattern: a few backfilling tasks beside serving tasks with a steady load on most workers.
 [[nodiscard]] std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor);
 
+// Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool is
+// in use.
+[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier);
+
 // Returns the speed at which a task that asks for the given share of a worker's processors starts as a probe. Its use
 // is large enough to learn from.
 [[nodiscard]] int probeSpeed(double demand);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -425,6 +425,10 @@
     [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
     [[nodiscard]] WorkerState *choose(
         const StepState &step, const TaskState &task, std::optional<ProbeKind> probe = std::nullopt);
+    // Starts the task as a probe. Returns false if no worker may take it.
+    bool startProbe(TaskState &task, ProbeKind kind);
+    // Starts one task of each job as a probe that has waited for too long and has nothing running.
+    void placeStarvedJobs(const std::vector<StepState *> &waiting, const RecoveryHolds &holds);
     // Starts tasks of the given steps as probes that have waited for too long.
     void placeProbes(const std::vector<StepState *> &waiting, const RecoveryHolds &holds);
     // Returns how long a ready backfilling task has not worked.
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -90,6 +90,7 @@
             }
         }
     }
+    placeStarvedJobs(waiting, holds);
     placeProbes(waiting, holds);
     // Tasks that run nowhere come before those that still run.
     if (std::exchange(m_evacuationDue, false)) {
--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -1,6 +1,7 @@
 // JobScheduler: backfilling tasks that start at a reduced speed where the predicted interference rules them out.
 #include "scheduling/BackfillProbe.h"
 #include "scheduling/JobScheduler.h"
+#include "scheduling/StarvedJobs.h"
 
 namespace Wagtail
 {
@@ -29,6 +30,37 @@
     }
 }
 
+bool JobScheduler::startProbe(TaskState &task, ProbeKind kind)
+{
+    StepState &step = *task.step;
+    WorkerState *worker = choose(step, task, kind);
+    if (worker == nullptr) {
+        return false;
+    }
+    place(task, *worker, nextRun(step, task), probeSpeed(worker->processorShare(step.specification())));
+    task.isProbe = true;
+    startPlaced({&task});
+    m_environment.listener.logDecision("backfill-probed", nameOf(task).text(),
+        {{"worker", worker->listing.name}, {"speed_percent", task.speedPercent}, {"idle_ms", idleTime(task).count()},
+            {"kind", nameOf(kind)}});
+    return true;
+}
+
+void JobScheduler::placeStarvedJobs(const std::vector<StepState *> &waiting, const RecoveryHolds &holds)
+{
+    FailedPlacements failed;
+    for (TaskState *task : starvedTasks(waiting, holds, m_environment.clock.now())) {
+        if (!mayPlace(*task) || failed.covers(*task->step)) {
+            continue;
+        }
+        if (startProbe(*task, ProbeKind::Starved)) {
+            logPlacement(*task->step, {task});
+        } else {
+            failed.add(*task->step);
+        }
+    }
+}
+
 void JobScheduler::placeProbes(const std::vector<StepState *> &waiting, const RecoveryHolds &holds)
 {
     const Instant now = m_environment.clock.now();
@@ -51,18 +83,11 @@
             if (!poolsWithRoom->contains(step->occurrence->job->policy.pool) || failed[*kind].covers(*step)) {
                 break;
             }
-            WorkerState *worker = choose(*step, task, kind);
-            if (worker == nullptr) {
+            if (!startProbe(task, *kind)) {
                 failed[*kind].add(*step);
                 break;
             }
-            place(task, *worker, nextRun(*step, task), probeSpeed(worker->processorShare(specification)));
-            task.isProbe = true;
-            startPlaced({&task});
             placed.push_back(&task);
-            m_environment.listener.logDecision("backfill-probed", nameOf(task).text(),
-                {{"worker", worker->listing.name}, {"speed_percent", task.speedPercent},
-                    {"idle_ms", idleTime(task).count()}, {"overdue", *kind == ProbeKind::Overdue}});
         }
         logPlacement(*step, placed);
     }
--- /dev/null
+++ b/source/scheduling/StarvedJobs.cpp
@@ -0,0 +1,64 @@
+#include "scheduling/StarvedJobs.h"
+
+#include "scheduling/BackfillProbe.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Wagtail
+{
+
+namespace
+{
+
+bool isReady(const TaskState &task, const RecoveryHolds &holds, Instant now)
+{
+    return task.phase == RunPhase::Waiting && task.notBefore <= now && task.idleSince && !holds.isHeldBack(task);
+}
+
+// Returns the ready task of the step that has been idle for longest, or null.
+TaskState *longestIdle(StepState &step, const RecoveryHolds &holds, Instant now)
+{
+    TaskState *longest = nullptr;
+    for (TaskState &task : step.tasks) {
+        if (isReady(task, holds, now) && (longest == nullptr || *task.idleSince < *longest->idleSince)) {
+            longest = &task;
+        }
+    }
+    return longest;
+}
+
+}
+
+bool hasNothingRunning(const JobState &job)
+{
+    return std::all_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &entry) {
+        const std::deque<StepState> &steps = entry.second.steps;
+        return std::all_of(steps.begin(), steps.end(), [](const StepState &step) {
+            return step.doneCount + step.waitingCount == static_cast<int>(step.tasks.size());
+        });
+    });
+}
+
+std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
+{
+    std::vector<TaskState *> starved;
+    std::set<const JobState *> jobs;
+    for (StepState *step : waiting) {
+        const JobState *job = step->occurrence->job;
+        const StepSpecification &specification = step->specification();
+        if (!specification.backfills || specification.gang || jobs.contains(job) || !hasNothingRunning(*job)) {
+            continue;
+        }
+        TaskState *task = longestIdle(*step, holds, now);
+        if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now))) {
+            starved.push_back(task);
+            jobs.insert(job);
+        }
+    }
+    std::stable_sort(starved.begin(), starved.end(),
+        [](const TaskState *left, const TaskState *right) { return *left->idleSince < *right->idleSince; });
+    return starved;
+}
+
+}
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -40,6 +40,14 @@
     return OtherImageCost * static_cast<double>(others) + (same > 0 ? 0.0 : NewImageCost);
 }
 
+// Returns the processors that a backfilling task will use at first, in thousandths of a core.
+std::int64_t expectedUse(const StepSpecification &step, const WorkerState &worker, const PlacementQuery &query)
+{
+    constexpr int FullSpeedPercent = 100;
+    const int percent = query.probe ? probeSpeed(worker.processorShare(step)) : FullSpeedPercent;
+    return step.demand.milliCores * percent / FullSpeedPercent;
+}
+
 // Returns the cost of placing a backfilling task beside the serving tasks of a worker, or nothing if it would disturb
 // them.
 std::optional<double> interferenceCost(const WorkerState &worker, const PlacementQuery &query)
@@ -114,7 +122,7 @@
     }
     const std::int64_t capacity = worker.listing.capacity.milliCores;
     const std::int64_t unused = capacity - worker.expectedMilliCores;
-    if (step.backfills && unused < step.demand.milliCores) {
+    if (step.backfills && unused < expectedUse(step, worker, query)) {
         return std::nullopt;
     }
     // Backfilling tasks are spread over the unused processors, and all others are packed.
