Scheduling: Let starved jobs share processors in use

Cause: other backfilling tasks were expected to use 0.96 to 1.05 of the pool until the end, and a worker without unused processors takes no probe. But the processors that serving tasks leave are shared by all backfilling tasks of a worker, and expectations count paused ones at full speed.

A task of a job that has nothing running now needs no unused processors.

BackfillStarvation.startsAJobBesideProcessorsInFullUse failed before.

--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/WorkerChoice.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Wagtail
 {
@@ -40,12 +41,17 @@
     return OtherImageCost * static_cast<double>(others) + (same > 0 ? 0.0 : NewImageCost);
 }
 
-// Returns the processors that a backfilling task will use at first, in thousandths of a core.
-std::int64_t expectedUse(const StepSpecification &step, const WorkerState &worker, const PlacementQuery &query)
+// Returns the processors that must be unused for a backfilling task, in thousandths of a core. That of a starved job
+// shares those that other backfilling tasks use.
+std::int64_t neededUnused(const StepSpecification &step, const WorkerState &worker, const PlacementQuery &query)
 {
     constexpr int FullSpeedPercent = 100;
-    const int percent = query.probe ? probeSpeed(worker.processorShare(step)) : FullSpeedPercent;
-    return step.demand.milliCores * percent / FullSpeedPercent;
+    if (!query.probe) {
+        return step.demand.milliCores;
+    }
+    const int percent = probeSpeed(worker.processorShare(step));
+    return query.probe == ProbeKind::Starved ? std::numeric_limits<std::int64_t>::min()
+                                             : step.demand.milliCores * percent / FullSpeedPercent;
 }
 
 // Returns the cost of placing a backfilling task beside the serving tasks of a worker, or nothing if it would disturb
@@ -122,7 +128,7 @@
     }
     const std::int64_t capacity = worker.listing.capacity.milliCores;
     const std::int64_t unused = capacity - worker.expectedMilliCores;
-    if (step.backfills && unused < expectedUse(step, worker, query)) {
+    if (step.backfills && unused < neededUnused(step, worker, query)) {
         return std::nullopt;
     }
     // Backfilling tasks are spread over the unused processors, and all others are packed.
--- a/source/scheduling/tests/BackfillStarvationTest.cpp
+++ b/source/scheduling/tests/BackfillStarvationTest.cpp
@@ -45,4 +45,18 @@
     EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
 }
 
+// Backfilling tasks of other jobs used all processors that serving tasks left, one after the other.
+TEST(BackfillStarvation, startsAJobBesideProcessorsInFullUse)
+{
+    ServingWorkers workers([](Instant) { return HalfOfTarget; });
+    SchedulerHarness &harness = workers.harness;
+    harness.submit("steady", {stepOf("steady", 8, 28'500)}, workFor(Second * 60, 28'500));
+    harness.advance(Second * 20);
+    ASSERT_EQ(harness.workers.workingCount("steady"), 8);
+    harness.submit("filling", {stepOf("batch", 4, 12'000)}, workFor(Second * 2, 12'000));
+    harness.advance(LongestWait);
+    EXPECT_GT(harness.workers.startCount({"filling", 0, 0, 0}), 0U);
+    EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
+}
+
 }
