Scheduling: Try each step of a starved job

A job with several open steps has nothing running while one of them could: a round tried only the step that was first in the order, and the next round tried it again. Now each waiting step of such a job is tried until one starts.

StarvedSteps.startsAnotherStepOfTheJobThatFits failed before.

--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -50,7 +50,8 @@
 {
     FailedPlacements failed;
     for (TaskState *task : starvedTasks(waiting, holds, m_environment.clock.now())) {
-        if (!mayPlace(*task) || failed.covers(*task->step)) {
+        const bool isServed = !hasNothingRunning(*task->step->occurrence->job);
+        if (isServed || !mayPlace(*task) || failed.covers(*task->step)) {
             continue;
         }
         if (startProbe(*task, ProbeKind::Starved)) {
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -3,7 +3,6 @@
 #include "scheduling/BackfillProbe.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Wagtail
 {
@@ -43,17 +42,15 @@
 std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
 {
     std::vector<TaskState *> starved;
-    std::set<const JobState *> jobs;
     for (StepState *step : waiting) {
         const JobState *job = step->occurrence->job;
         const StepSpecification &specification = step->specification();
-        if (!specification.backfills || specification.gang || jobs.contains(job) || !hasNothingRunning(*job)) {
+        if (!specification.backfills || specification.gang || !hasNothingRunning(*job)) {
             continue;
         }
         TaskState *task = longestIdle(*step, holds, now);
         if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now))) {
             starved.push_back(task);
-            jobs.insert(job);
         }
     }
     std::stable_sort(starved.begin(), starved.end(),
--- a/source/scheduling/StarvedJobs.h
+++ b/source/scheduling/StarvedJobs.h
@@ -11,9 +11,10 @@
 // Returns whether a job has nothing running: each task is done or waits.
 [[nodiscard]] bool hasNothingRunning(const JobState &job);
 
-// Returns one waiting task of each job that has nothing running although one of its backfilling tasks has been idle for
-// too long, the longest idle first. The steps are those that found no worker in this round of placement.
-// Load pattern: a backlog of jobs, whose largest tasks find no headroom beside those of the others.
+// Returns, for each job that has nothing running, one backfilling task of each of its waiting steps whose tasks have
+// been idle for too long, the longest idle first. The job needs only one of them to run. The steps are those that found
+// no worker in this round of placement. Load pattern: a backlog of jobs, whose largest tasks find no headroom beside
+// those of the others.
 [[nodiscard]] std::vector<TaskState *> starvedTasks(
     const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now);
 
