Scheduling: Reserve no workers for a gang that can't start

Nothing ended that, since the gang starts together or not at all.

The reservation is a class of its own now and counts how many members fit once batch tasks have left. If they are too few it reserves none.

ReservedWorkers.takeBatchTasksWhileAGangLacksAWorker failed before.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
+#include "scheduling/ReservedWorkers.h"
 #include "scheduling/RestartFate.h"
 #include "scheduling/SchedulingPolicies.h"
 #include "scheduling/SuspectIsolation.h"
@@ -416,8 +417,6 @@
     void placeGang(StepState &step);
     // Undoes the last placement on a worker, for which no start order was sent.
     void undoPlacement(TaskState &task);
-    // Reserves up to the given number of workers for a long-running step.
-    void reserveWorkers(const StepState &step, int count);
     void recordWaiting(StepState &step);
     void logPlacement(const StepState &step, const std::vector<const TaskState *> &tasks);
     // Notes that a task that must be kept away from others has found no worker.
@@ -463,8 +462,7 @@
     // Whether a query to the advisor is open. The advisor handles one at a time.
     bool m_advicePending = false;
     Instant m_nextAdviceAt;
-    // Workers that take no other tasks until waiting long-running tasks fit there. Each dispatch chooses them anew.
-    std::set<std::string> m_reservedWorkers;
+    ReservedWorkers m_reservedWorkers;
     FailedPlacements m_failedPlacements;
     Instant m_startedAt;
     LeaseHandover m_leaseHandover;
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -85,7 +85,7 @@
                     queryAdvisor(step);
                 }
                 if (step.specification().longRunning) {
-                    reserveWorkers(step, unplaced);
+                    m_reservedWorkers.reserveFor(m_workers, step, static_cast<std::size_t>(unplaced), now);
                 }
             }
         }
@@ -141,23 +141,6 @@
     m_environment.listener.logDecision(event, step.occurrence->job->specification.id, inputs);
 }
 
-void JobScheduler::reserveWorkers(const StepState &step, int count)
-{
-    const Instant now = m_environment.clock.now();
-    std::vector<std::pair<std::int64_t, std::string>> candidates;
-    for (const auto &[name, worker] : m_workers) {
-        if (!m_reservedWorkers.contains(name) && couldTakeLater(worker, step, now)
-            && step.specification().demand.fitsInto(worker.freeBesideLongRunning())) {
-            candidates.emplace_back(-worker.freeResources().milliCores, name);
-        }
-    }
-    std::sort(candidates.begin(), candidates.end());
-    const std::size_t wanted = std::min(candidates.size(), static_cast<std::size_t>(count));
-    for (std::size_t i = 0; i < wanted; ++i) {
-        m_reservedWorkers.insert(candidates[i].second);
-    }
-}
-
 void JobScheduler::placeStep(StepState &step, const RecoveryHolds &holds)
 {
     if (step.specification().gang) {
