Scheduling: Start gangs of starved jobs as probes

Now the members of a starved gang start together at the speed of probes, if each finds a worker.

BackfillGang.startsBesideServingTasksWithHeadroom failed before.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -414,7 +414,8 @@
     // Notes that the tasks of a step begin to wait for workers.
     void openStep(StepState &step);
     void placeStep(StepState &step, const RecoveryHolds &holds);
-    void placeGang(StepState &step);
+    // Places all members of a gang, or none. Returns whether it did.
+    bool placeGang(StepState &step, std::optional<ProbeKind> probe = std::nullopt);
     // Undoes the last placement on a worker, for which no start order was sent.
     void undoPlacement(TaskState &task);
     void recordWaiting(StepState &step);
@@ -426,6 +427,9 @@
         const StepState &step, const TaskState &task, std::optional<ProbeKind> probe = std::nullopt);
     // Starts the task as a probe. Returns false if no worker may take it.
     bool startProbe(TaskState &task, ProbeKind kind);
+    void logProbe(const TaskState &task, ProbeKind kind);
+    // Starts the task of a starved job as a probe, together with the other members of its gang.
+    bool startStarved(TaskState &task);
     // Starts one task of each job as a probe that has waited for too long and has nothing running.
     void placeStarvedJobs(const std::vector<StepState *> &waiting, const RecoveryHolds &holds);
     // Starts tasks of the given steps as probes that have waited for too long.
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -146,7 +146,7 @@
     if (step.specification().gang) {
         // The members start together, so all of them have to be ready.
         if (readyCount(step, holds) == static_cast<int>(step.tasks.size())) {
-            placeGang(step);
+            (void)placeGang(step);
         }
         return;
     }
@@ -196,17 +196,17 @@
             {"waiting", step.waitingCount}, {"runs", std::move(runs)}});
 }
 
-void JobScheduler::placeGang(StepState &step)
+bool JobScheduler::placeGang(StepState &step, std::optional<ProbeKind> probe)
 {
     for (const TaskState &task : step.tasks) {
         if (!mayPlace(task)) {
-            return;
+            return false;
         }
     }
     const std::uint64_t run = nextRun(step, step.tasks.front());
     std::vector<TaskState *> placed;
     for (TaskState &task : step.tasks) {
-        WorkerState *worker = choose(step, task);
+        WorkerState *worker = choose(step, task, probe);
         if (worker == nullptr) {
             // No start order was sent yet, so the run number can be reused.
             for (auto member = placed.rbegin(); member != placed.rend(); ++member) {
@@ -217,13 +217,15 @@
             for (TaskState &member : step.tasks) {
                 noteIsolationWait(member);
             }
-            return;
+            return false;
         }
-        place(task, *worker, run);
+        place(task, *worker, run, probe ? probeSpeed(worker->processorShare(step.specification())) : FullSpeedPercent);
+        task.isProbe = probe.has_value();
         placed.push_back(&task);
     }
     startPlaced(placed);
     logPlacement(step, {placed.begin(), placed.end()});
+    return true;
 }
 
 void JobScheduler::undoPlacement(TaskState &task)
--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -40,9 +40,29 @@
     place(task, *worker, nextRun(step, task), probeSpeed(worker->processorShare(step.specification())));
     task.isProbe = true;
     startPlaced({&task});
+    logProbe(task, kind);
+    return true;
+}
+
+void JobScheduler::logProbe(const TaskState &task, ProbeKind kind)
+{
     m_environment.listener.logDecision("backfill-probed", nameOf(task).text(),
-        {{"worker", worker->listing.name}, {"speed_percent", task.speedPercent}, {"idle_ms", idleTime(task).count()},
+        {{"worker", task.worker}, {"speed_percent", task.speedPercent}, {"idle_ms", idleTime(task).count()},
             {"kind", nameOf(kind)}});
+}
+
+bool JobScheduler::startStarved(TaskState &task)
+{
+    StepState &step = *task.step;
+    if (!step.specification().gang) {
+        const bool started = startProbe(task, ProbeKind::Starved);
+        logPlacement(step, started ? std::vector<const TaskState *> {&task} : std::vector<const TaskState *> {});
+        return started;
+    }
+    if (!placeGang(step, ProbeKind::Starved)) {
+        return false;
+    }
+    logProbe(task, ProbeKind::Starved);
     return true;
 }
 
@@ -50,14 +70,14 @@
 {
     FailedPlacements failed;
     for (TaskState *task : starvedTasks(waiting, holds, m_environment.clock.now())) {
-        const bool isServed = !hasNothingRunning(*task->step->occurrence->job);
-        if (isServed || !mayPlace(*task) || failed.covers(*task->step)) {
+        const StepState &step = *task->step;
+        const bool isServed = !hasNothingRunning(*step.occurrence->job);
+        const bool isCovered = !step.specification().gang && failed.covers(step);
+        if (isServed || isCovered || !mayPlace(*task) || startStarved(*task)) {
             continue;
         }
-        if (startProbe(*task, ProbeKind::Starved)) {
-            logPlacement(*task->step, {task});
-        } else {
-            failed.add(*task->step);
+        if (!step.specification().gang) {
+            failed.add(step);
         }
     }
 }
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -15,6 +15,13 @@
     return task.phase == RunPhase::Waiting && task.notBefore <= now && task.idleSince && !holds.isHeldBack(task);
 }
 
+// Returns whether all members of a gang may start.
+bool isGangReady(const StepState &step, const RecoveryHolds &holds, Instant now)
+{
+    return std::all_of(
+        step.tasks.begin(), step.tasks.end(), [&](const TaskState &task) { return isReady(task, holds, now); });
+}
+
 // Returns the ready task of the step that has been idle for longest, or null.
 TaskState *longestIdle(StepState &step, const RecoveryHolds &holds, Instant now)
 {
@@ -45,7 +52,8 @@
     for (StepState *step : waiting) {
         const JobState *job = step->occurrence->job;
         const StepSpecification &specification = step->specification();
-        if (!specification.backfills || specification.gang || !hasNothingRunning(*job)) {
+        const bool isReadyToStart = !specification.gang || isGangReady(*step, holds, now);
+        if (!specification.backfills || !isReadyToStart || !hasNothingRunning(*job)) {
             continue;
         }
         TaskState *task = longestIdle(*step, holds, now);
