Scheduling: Quarantine at most half of a pool

Failures of different jobs count against the worker.

No further worker is quarantined once half of the listed workers of its pool are: then the jobs are more likely to be at fault.

Quarantine.leavesWorkersToOthersWhenJobsFailEverywhere failed before.

--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -42,6 +42,21 @@
 // How long after the expiry of its leases the owner waits for the run ends of a worker that the platform still lists.
 constexpr Milliseconds LongestEndWait {10'000};
 
+// Returns whether half of the listed workers of a pool are quarantined. If jobs of many kinds fail on so many workers,
+// the jobs are more likely to be at fault, and the rest of the pool has to stay for others.
+bool isHalfQuarantined(const std::map<std::string, WorkerState> &workers, const std::string &pool, Instant now)
+{
+    int listed = 0;
+    int quarantined = 0;
+    for (const auto &[name, worker] : workers) {
+        if (worker.listed && worker.listing.pool == pool) {
+            ++listed;
+            quarantined += worker.quarantinedUntil > now ? 1 : 0;
+        }
+    }
+    return quarantined * 2 >= listed;
+}
+
 }
 
 OrderTarget JobScheduler::target(const WorkerState &worker) const
@@ -526,6 +541,9 @@
     if (worker.consecutiveFailures < FailuresBeforeQuarantine) {
         return;
     }
+    if (isHalfQuarantined(m_workers, worker.listing.pool, m_environment.clock.now())) {
+        return;
+    }
     const int doublings = std::min(worker.quarantineCount, MaximumQuarantineDoublings);
     const Milliseconds duration = InitialQuarantine * (1 << doublings);
     ++worker.quarantineCount;
