Scheduling: Expect no growth of use from settled tasks

The growth is expected for two seconds after a task was given its speed.

ExpectedUse.leavesHeadroomToAJobBesideTasksThatUseLittle failed before.

--- a/source/scheduling/BackfillThrottle.cpp
+++ b/source/scheduling/BackfillThrottle.cpp
@@ -64,7 +64,7 @@
 {
     double sum = 0.0;
     for (const BackfillSample &task : backfilling) {
-        const double missing = task.demand * task.percent / FullSpeedPercent - task.use;
+        const double missing = task.isSettled ? 0.0 : task.demand * task.percent / FullSpeedPercent - task.use;
         sum += model.coefficient(serving, task.image) * std::max(0.0, missing);
     }
     return sum;
--- a/source/scheduling/BackfillThrottle.h
+++ b/source/scheduling/BackfillThrottle.h
@@ -29,6 +29,8 @@
     double use = 0.0;
     // The share of its full speed at which it may work.
     int percent = 100;
+    // Whether it has had that speed for so long that its use will not grow any more.
+    bool isSettled = false;
 };
 
 // Returns whether a serving task has been over its target for so long that all backfilling tasks beside it are stopped.
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -13,6 +13,8 @@
 // Between reports that are further apart, the serving load itself may have changed too much to learn from.
 constexpr Milliseconds MaximumSampleInterval {1'200};
 constexpr double SaturatedLoad = 0.92;
+// Covers the start of a task, its restore from a checkpoint and two reports.
+constexpr Milliseconds SettlingTime {2'000};
 // Smaller changes of speed are not worth an order.
 constexpr int MinimumSpeedChangePercent = 10;
 // A backfilling task that stays below this speed for this long is moved to another worker, unless a restart would lose
@@ -34,7 +36,8 @@
             const double share = static_cast<double>(task->usage) / capacity;
             use[task->step->image] += share;
             worker.backfilling.push_back(
-                {task->step->image, worker.processorShare(step), share, std::max(0, task->speedPercent)});
+                {task->step->image, worker.processorShare(step), share, std::max(0, task->speedPercent),
+                    task->phase == RunPhase::Running && now - task->speedSetAt >= SettlingTime});
         }
     }
     BackfillUse change = use;
@@ -161,6 +164,7 @@
         return;
     }
     task.speedPercent = percent;
+    task.speedSetAt = m_environment.clock.now();
     task.times.begin(percent == 0 ? TaskActivity::Paused : TaskActivity::Running, m_environment.clock.now());
     const RunName name {nameOf(task), task.run};
     m_environment.gateway.throttle(
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -42,6 +42,7 @@
     task.percent = 0;
     task.progressRequestedAt = {};
     task.speedPercent = speedPercent;
+    task.speedSetAt = task.placedAt;
     task.isProbe = false;
     task.usage = 0;
     task.overTargetSince.reset();
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -116,6 +116,8 @@
     // For backfilling tasks, the share of its speed at which the run may work. Negative if the worker did not confirm
     // the last change.
     int speedPercent = 100;
+    // When the run was given that speed.
+    Instant speedSetAt;
     // For serving tasks, the load at the last report, and since when the tail latency has been over its target.
     double load = 0.0;
     std::optional<Instant> overTargetSince;
