Scheduling: Move tasks that are paused for long

Moving it would have lost its progress; waiting had no bound.

After 8 s of pause it is moved if another worker would take it.

PausedTask.leavesAWorkerWhoseServingTaskStaysOverItsTarget failed before. Listed still: a task whose progress is lost with each swing of a serving load, and serving loads close to or over the target on every worker.

--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -21,6 +21,9 @@
 // much of its progress.
 constexpr int SlowPercent = 40;
 constexpr Milliseconds MaximumSlowedTime {1'200};
+// A task that is paused for this long is moved although a restart loses its progress. It is longer than the swings of a
+// serving load.
+constexpr Milliseconds LongestPauseWithProgress {8'000};
 
 }
 
@@ -117,9 +120,10 @@
         } else if (!task->slowedSince) {
             task->slowedSince = now;
         }
+        const bool pausedForLong = task->pausedSince && now - *task->pausedSince >= LongestPauseWithProgress;
         const bool cheap = task->step->specification().checkpoints || task->percent < CheapRestartPercent;
         const bool slow = task->slowedSince && now - *task->slowedSince >= MaximumSlowedTime;
-        const WorkerState *better = slow && cheap ? choose(*task->step, *task) : nullptr;
+        const WorkerState *better = slow && (cheap || pausedForLong) ? choose(*task->step, *task) : nullptr;
         if (better != nullptr && better != &worker) {
             m_environment.listener.logDecision("backfill-moved", nameOf(*task).text(),
                 {{"worker", worker.listing.name}, {"percent", task->percent}, {"speed_percent", percent}});
