Tenure: Move delegated tasks off draining workers to other partitions

What callers saw: a long-running task that another partition had delegated here stayed on its draining worker until the worker left, although a third partition, or its home, had room, and then waited for the leases to expire and went home. Cause: only tasks of the partition's own jobs looked for places elsewhere, and a home partition held no places for tasks of its own jobs. Change: such a task looks for a place as at home, except in its own partition. When one is held, its run is stopped and it is given back with the name of the partition that holds the place, to which the home partition delegates it at its next tick.

Relocation.bringsADelegatedTaskOnADrainingWorkerHome is new.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -163,16 +163,22 @@
     // Prepares tasks to leave for a partition that holds places for them. Stops those that run.
     RelocatedTasks beginRelocation(const std::string &partition, const std::set<TaskName> &names);
 
-    // Returns the tasks that beginRelocation() has stopped and that may be delegated now, by partition.
+    // Returns the tasks that beginRelocation() has stopped, or that were given back on their way to another partition,
+    // and that may leave for it now, by partition.
     [[nodiscard]] std::map<std::string, std::set<TaskName>> stoppedForRelocation();
 
     // Gives up to the given number of waiting tasks of a step back to the partition that owns the job. Returns them.
     // They must be sent there in the transaction that records the progress of the job.
     std::vector<DelegatedTask> giveBack(const UnplacedStep &unplaced, int count);
 
+    // Gives the named tasks of one step back in the same way, as far as they wait.
+    std::vector<DelegatedTask> giveBack(const std::string &id, const std::set<TaskName> &tasks);
+
     // Makes tasks that the partition has given back wait for workers again. Returns how many tasks do so; a message
-    // that has come before changes nothing.
-    int takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks);
+    // that has come before changes nothing. If the next partition is not empty, it holds places for the tasks, and
+    // stoppedForRelocation() names them.
+    int takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks,
+        const std::string &nextPartition = {});
 
     // Fails a job because another partition has given up one of the named tasks, which were delegated to it. Returns
     // false if the job has ended or none of them is one of its delegated tasks.
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -116,7 +116,8 @@
     return tasks;
 }
 
-int JobScheduler::takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks)
+int JobScheduler::takeBack(const std::string &id, const std::string &partition, const std::vector<DelegatedTask> &tasks,
+    const std::string &nextPartition)
 {
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end() || found->second->isFinished() || found->second->ownedElsewhere) {
@@ -124,6 +125,10 @@
     }
     JobState &job = *found->second;
     const TakenBackTasks taken = Wagtail::takeBack(job, partition, tasks);
+    for (TaskState *task : taken.waiting) {
+        task->nextPartition = nextPartition;
+        task->nextPartitionUntil = m_environment.clock.now() + LongestHold;
+    }
     m_environment.listener.progressChanged(id);
     dispatchSoon();
     for (TaskState *task : taken.crashed) {
--- a/source/scheduling/JobSchedulerReservations.cpp
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -1,5 +1,4 @@
 // JobScheduler: places that are held here for tasks of other partitions, and tasks that look for places in those.
-#include "scheduling/CrashVerdict.h"
 #include "scheduling/Evacuation.h"
 #include "scheduling/JobScheduler.h"
 
@@ -16,7 +15,7 @@
     const StepSpecification &specification = step.specification();
     const JobState &job = *step.occurrence->job;
     return specification.longRunning && !specification.gang && specification.after.empty() && !job.isFinished()
-        && !job.ownedElsewhere && job.specification.repeatCount == 0;
+        && job.specification.repeatCount == 0;
 }
 
 }
@@ -26,8 +25,9 @@
 {
     std::set<TaskName> held;
     const auto known = m_jobs.find(specification.id);
-    const bool isForeign = known == m_jobs.end() || (known->second->ownedElsewhere && !known->second->isFinished());
-    if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent() || !isForeign) {
+    // The home partition of a job may get back what it has delegated.
+    const bool mayArrive = known == m_jobs.end() || !known->second->isFinished();
+    if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent() || !mayArrive) {
         return held;
     }
     // The job as it would be here, with only these tasks waiting.
@@ -118,8 +118,7 @@
             *worker.drainingSince, worker.sawDrainBegin, m_limits.drain, m_environment.clock.now());
         for (TaskState *task : worker.tasks) {
             const bool hasPlace = !task->nextWorker.empty() || !task->nextPartition.empty();
-            const bool mayLeave = judge(task->crashes) == CrashVerdict::Retry && !mayLostRunsDecide(task->crashes);
-            if (isMovable(*task->step) && !hasPlace && mayLeave && isToBeEvacuated(*task, progress)
+            if (isMovable(*task->step) && !hasPlace && mayCrashesLeave(*task) && isToBeEvacuated(*task, progress)
                 && mayBeEvacuatedNow(*task, progress)) {
                 tasks.push_back(task);
             }
@@ -213,4 +212,17 @@
     m_environment.listener.progressChanged(id);
 }
 
+std::vector<DelegatedTask> JobScheduler::giveBack(const std::string &id, const std::set<TaskName> &tasks)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end() || found->second->isFinished() || !found->second->ownedElsewhere || tasks.empty()) {
+        return {};
+    }
+    LeavingTasks leaving {*found->second, tasks.begin()->step, static_cast<int>(tasks.size()), m_firstRunNumber - 1};
+    leaving.only = &tasks;
+    std::vector<DelegatedTask> returned = returnTasks(leaving, recoveryHolds());
+    m_environment.listener.progressChanged(id);
+    return returned;
+}
+
 }
--- a/source/scheduling/TaskDelegation.cpp
+++ b/source/scheduling/TaskDelegation.cpp
@@ -150,18 +150,25 @@
     return tasks;
 }
 
-bool isDelegable(const TaskState &task, const RecoveryHolds &holds)
+bool mayCrashesLeave(const TaskState &task)
 {
     // A task whose lost runs may still decide its verdict, or may after one more crash, waits for them here, because
     // only this partition can ask their workers and the other one would judge that crash without them.
-    const bool mayLeave = task.phase == RunPhase::Waiting && task.nextWorker.empty();
-    if (!mayLeave || holds.isHeldBack(task) || judge(task.crashes) != CrashVerdict::Retry
-        || mayLostRunsDecide(task.crashes)) {
+    if (judge(task.crashes) != CrashVerdict::Retry || mayLostRunsDecide(task.crashes)) {
         return false;
     }
     // The home partition starts a task that is given back without knowing of lost runs here. A task that crashes each
     // worker would go round between partitions that each know too few of its crashes.
-    return !task.step->occurrence->job->ownedElsewhere || task.crashes.openRuns().empty() || hasLivedLong(task);
+    const auto &openRuns = task.crashes.openRuns();
+    const bool hasLostRuns = std::any_of(openRuns.begin(), openRuns.end(),
+        [&task](const auto &entry) { return task.phase != RunPhase::Running || entry.first != task.run; });
+    return !task.step->occurrence->job->ownedElsewhere || !hasLostRuns || hasLivedLong(task);
+}
+
+bool isDelegable(const TaskState &task, const RecoveryHolds &holds)
+{
+    const bool mayLeave = task.phase == RunPhase::Waiting && task.nextWorker.empty();
+    return mayLeave && !holds.isHeldBack(task) && mayCrashesLeave(task);
 }
 
 void delegateTasks(const LeavingTasks &leaving, const RecoveryHolds &holds, const std::string &partition)
--- a/source/scheduling/TaskDelegation.h
+++ b/source/scheduling/TaskDelegation.h
@@ -53,6 +53,10 @@
 std::vector<TaskState *> acceptDelegated(
     JobState &job, const std::vector<DelegatedTask> &tasks, DelegationSource source);
 
+// Returns whether the crashes of a task need no answer of a worker of this partition, so that another one may run it
+// next. The current run, which would be stopped before, counts for nothing.
+[[nodiscard]] bool mayCrashesLeave(const TaskState &task);
+
 // Returns whether a task may leave this partition: it certainly runs nowhere, and its crashes need no answer of a
 // worker of this partition.
 [[nodiscard]] bool isDelegable(const TaskState &task, const RecoveryHolds &holds);
--- a/source/tenure/DelegatedTaskReturner.cpp
+++ b/source/tenure/DelegatedTaskReturner.cpp
@@ -42,10 +42,12 @@
     return std::nullopt;
 }
 
-void DelegatedTaskReturner::send(const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks)
+void DelegatedTaskReturner::send(
+    const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks, const std::string &nextPartition)
 {
     InboxEntry entry {InboxRequest::Return, job, std::nullopt, std::move(tasks)};
     entry.partition = m_partition;
+    entry.nextPartition = nextPartition;
     const std::string message = std::to_string(m_term) + "." + std::to_string(m_nextMessage);
     ++m_nextMessage;
     m_journal.delegate(
--- a/source/tenure/DelegatedTaskReturner.h
+++ b/source/tenure/DelegatedTaskReturner.h
@@ -24,8 +24,10 @@
     // Returns the home partition of the job. If it is not known yet, the store is asked for it.
     [[nodiscard]] std::optional<std::string> homeOf(const std::string &job);
 
-    // Sends tasks that JobScheduler::giveBack() has returned.
-    void send(const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks);
+    // Sends tasks that JobScheduler::giveBack() has returned. Names the partition that holds places for them, if there
+    // is one.
+    void send(const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks,
+        const std::string &nextPartition = {});
 
     // Sends the crashes that are known under the tasks of a job that were given back, as soon as its home is known.
     void reportCrashes(const std::string &job);
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -122,6 +122,9 @@
     if (!entry.partition.empty()) {
         document["from"] = entry.partition;
     }
+    if (!entry.nextPartition.empty()) {
+        document["next"] = entry.nextPartition;
+    }
     if (entry.isEarly) {
         document["early"] = true;
     }
@@ -151,6 +154,7 @@
     if (entry.request == InboxRequest::GiveUp || entry.request == InboxRequest::Return) {
         entry.tasks = parseDelegatedTasks(memberOr(document, tasksMember(entry.request), Json::array()));
         entry.partition = memberOr(document, "from", std::string());
+        entry.nextPartition = memberOr(document, "next", std::string());
         return entry;
     }
     Result<JobRecord> record = parseRecord(memberOr(document, "record", Json()));
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -56,6 +56,8 @@
     // Whether no partition had accepted the job when the entry was written, so that one may do so later. Set in
     // cancellations only.
     bool isEarly = false;
+    // The partition that holds places for the tasks that are given back, or empty. Set in returns only.
+    std::string nextPartition = {};
 };
 
 [[nodiscard]] std::string serialize(const InboxEntry &entry);
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -160,7 +160,11 @@
     // Passes tasks on to a partition that holds places for them. Returns those that leave for it.
     std::set<TaskName> onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks);
     void delegateStoppedTasks();
+    // Passes the named tasks of one step on to a partition that holds places for them, by way of the home partition of
+    // their job.
+    void passOn(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
     void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
+    void giveBack(const std::string &id, const std::set<TaskName> &tasks, const std::string &nextPartition);
     // Gives tasks of another partition's job back to it, if other partitions have headroom for them.
     void giveBack(const UnplacedStep &unplaced);
     // Takes back tasks that another partition gives back.
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -81,8 +81,11 @@
     std::set<TaskName> running;
     for (TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
         const JobState &job = *task->step->occurrence->job;
-        if (!job.policy.advised && !m_journal.hasUnsentDelegation(job.specification.id)) {
-            leaving[job.specification.id].push_back(task);
+        const std::string &id = job.specification.id;
+        // A task of another partition's job leaves by way of that partition.
+        const bool mayLeave = !job.ownedElsewhere || (m_mayGiveBack && m_returner.homeOf(id).has_value());
+        if (mayLeave && !job.policy.advised && !m_journal.hasUnsentDelegation(id)) {
+            leaving[id].push_back(task);
             running.insert(nameOf(*task));
         }
     }
@@ -103,7 +106,7 @@
     std::set<TaskName> leaving = relocated.stopping;
     for (const auto &[id, waiting] : relocated.waiting) {
         leaving.insert(waiting.begin(), waiting.end());
-        delegate(id, waiting, partition);
+        passOn(id, waiting, partition);
     }
     return leaving;
 }
@@ -121,12 +124,37 @@
         }
         for (const auto &[id, names] : byJob) {
             if (!m_journal.hasUnsentDelegation(id)) {
-                delegate(id, names, partition);
+                passOn(id, names, partition);
             }
         }
     }
 }
 
+void PartitionLeader::passOn(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
+{
+    if (m_jobScheduler.find(id)->ownedElsewhere) {
+        giveBack(id, tasks, partition);
+    } else {
+        delegate(id, tasks, partition);
+    }
+}
+
+void PartitionLeader::giveBack(const std::string &id, const std::set<TaskName> &tasks, const std::string &nextPartition)
+{
+    const std::optional<std::string> home = m_mayGiveBack ? m_returner.homeOf(id) : std::nullopt;
+    std::vector<DelegatedTask> returned;
+    if (home) {
+        returned = m_jobScheduler.giveBack(id, tasks);
+    }
+    if (returned.empty()) {
+        return;
+    }
+    m_environment.log("tasks-returned", id,
+        {{"partition", *home}, {"step", tasks.begin()->step}, {"count", returned.size()},
+            {"next_partition", nextPartition}});
+    m_returner.send(id, *home, std::move(returned), nextPartition);
+}
+
 void PartitionLeader::delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
 {
     m_jobScheduler.delegate(id, tasks, partition);
@@ -222,9 +250,13 @@
         m_journal.erase(key);
         return;
     }
-    const int count = m_jobScheduler.takeBack(entry.job, entry.partition, entry.tasks);
+    // A place that is held here waits for the tasks.
+    const bool isOnTheWay = entry.nextPartition != m_position.partition;
+    const int count = m_jobScheduler.takeBack(
+        entry.job, entry.partition, entry.tasks, isOnTheWay ? entry.nextPartition : std::string());
     m_environment.log("tasks-taken-back", entry.job,
-        {{"partition", entry.partition}, {"sent", entry.tasks.size()}, {"count", count}});
+        {{"partition", entry.partition}, {"sent", entry.tasks.size()}, {"count", count},
+            {"next_partition", entry.nextPartition}});
     if (count > 0) {
         m_headrooms.refuse(entry.partition, job->policy.pool, entry.job);
     }
--- a/source/tenure/tests/RelocationTest.cpp
+++ b/source/tenure/tests/RelocationTest.cpp
@@ -85,6 +85,21 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// A delegated task on a draining worker stayed there until the worker left, although its home partition had room again.
+TEST_F(Relocation, bringsADelegatedTaskOnADrainingWorkerHome)
+{
+    submit("a", "job", 2, 3'000);
+    drain({"worker-0"});
+    m_cluster.advance(Milliseconds(1'500));
+    ASSERT_EQ(runsIn("b"), 1U);
+    drain({"worker-1", "worker-3"});
+    m_cluster.advance(Milliseconds(1'500));
+    EXPECT_EQ(runsIn("a"), 2U);
+    EXPECT_EQ(runsIn("b"), 0U);
+    EXPECT_EQ(m_cluster.workers.runningCount(), 2U);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // A task keeps running on its draining worker as long as no partition has room for it.
 TEST_F(Relocation, leavesTasksOnADrainingWorkerWhileNoPartitionHasRoom)
 {
