Tenure: Send the store nothing that must not wait while it is away

What callers saw: the store went away while a long-running task was being stopped for a place in another partition. The task was delegated all the same and had no worker until the store was back, although one of its own partition had room. Cause: an owner learns only from its next transaction that the store is away, and what it has sent can't be withdrawn. The same held for the record of lease holders: one without a draining worker that had become empty was sent into the outage, so that the worker got no lease when it stayed. Change: StoreContact knows when the store has last answered. Tasks are stopped for, and passed on to, other partitions, and records of lease holders are written, only if it has answered within 0.2 s (0.5 s before a run is stopped); otherwise it is asked first.

A store that goes away within 0.2 s after an answer is still sent the delegation.

--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds CleanupPeriod {5'000};
 constexpr Milliseconds DelegationPeriod {200};
 constexpr Milliseconds HeadroomLogPeriod {2'000};
+// A record of lease holders is written only if the store has answered within this time.
+constexpr Milliseconds LongestSilence {200};
 // Interference between two images is learned within a few reports, so what a take-over loses is soon learned again.
 constexpr Milliseconds InterferenceModelWritePeriod {3'000};
 
@@ -36,6 +38,8 @@
     , m_inboxFeed(
           m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWatchTime)
     , m_headrooms(m_environment.clock)
+    , m_storeContact(
+          m_environment.clock, m_environment.store, JobKeys::owner(m_position.partition), [this] { onStoreAnswered(); })
     , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
     , m_earlyCancellations(m_environment.clock)
 {
@@ -273,10 +277,7 @@
     m_givenUpReporter.tick();
     m_returner.tick();
     const Instant now = m_environment.clock.now();
-    // A record that can't be stored yet would only keep its workers from getting leases.
-    if (m_jobScheduler.isLeaseRecordDue() && !m_journal.isStoreUnavailable()) {
-        writeLeaseHolders();
-    }
+    recordLeaseHolders();
     delegateStoppedTasks();
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
@@ -318,6 +319,25 @@
     }
 }
 
+void PartitionLeader::onStoreAnswered()
+{
+    recordLeaseHolders();
+    delegateStoppedTasks();
+}
+
+void PartitionLeader::recordLeaseHolders()
+{
+    // A record that can't be stored yet would only keep its workers from getting leases.
+    if (!m_loaded || m_termEnded || !m_jobScheduler.isLeaseRecordDue() || m_journal.isStoreUnavailable()) {
+        return;
+    }
+    if (m_storeContact.hasAnsweredWithin(LongestSilence)) {
+        writeLeaseHolders();
+    } else {
+        m_storeContact.ask();
+    }
+}
+
 void PartitionLeader::writeLeaseHolders()
 {
     const BegunLeaseRecord begun = m_jobScheduler.beginLeaseRecord();
@@ -403,6 +423,7 @@
 
 void PartitionLeader::onPhaseRecorded(const std::string &job, JobPhase phase)
 {
+    m_storeContact.noteAnswer();
     m_jobScheduler.phaseRecorded(job, phase);
     const JobState *state = m_jobScheduler.find(job);
     if (state == nullptr || !state->isFinished() || state->recordedPhase != state->phase) {
@@ -421,6 +442,7 @@
 
 void PartitionLeader::onPutRecorded(const std::string &key, const std::string &value)
 {
+    m_storeContact.noteAnswer();
     const auto record = m_leaseRecords.find(value);
     if (key != JobKeys::leaseHolders(m_position.partition) || record == m_leaseRecords.end()) {
         return;
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -11,6 +11,7 @@
 #include "tenure/PendingSubmissions.h"
 #include "tenure/PlaceSearch.h"
 #include "tenure/PredecessorTenure.h"
+#include "tenure/StoreContact.h"
 
 namespace Wagtail
 {
@@ -159,6 +160,7 @@
     [[nodiscard]] static JobRecord placeDemand(const std::vector<TaskState *> &tasks);
     // Passes tasks on to a partition that holds places for them. Returns those that leave for it.
     std::set<TaskName> onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks);
+    // Passes on tasks whose runs were stopped for places in other partitions, if the store has just answered.
     void delegateStoppedTasks();
     // Passes the named tasks of one step on to a partition that holds places for them, by way of the home partition of
     // their job.
@@ -179,6 +181,10 @@
     // Logs the headroom that others see, and the gaps behind it.
     void logHeadrooms();
     void endTerm(const std::string &reason);
+    // Writes the record of the lease holders, and passes on stopped tasks, if they wait for it.
+    void onStoreAnswered();
+    // Writes the record of the lease holders if it is due and the store has just answered.
+    void recordLeaseHolders();
     void writeLeaseHolders();
     void writeInterferenceModel();
 
@@ -216,6 +222,7 @@
     HeadroomLedger m_headrooms;
     // Empty if the environment has no PlaceRequester.
     std::optional<PlaceSearch> m_placeSearch;
+    StoreContact m_storeContact;
     DelegatedTaskReturner m_returner;
     EarlyCancellations m_earlyCancellations;
     // Identifies the next message to another partition among those of this term.
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -10,6 +10,10 @@
 
 // One transaction holds the delegations of a job to so many partitions and other entries.
 constexpr std::size_t MostDelegatesAtOnce = 8;
+// A stopped task is passed on only if the store has answered within this time, and any task with a place in another
+// partition is prepared to leave only within the longer one.
+constexpr Milliseconds LongestSilenceBeforeDelegation {200};
+constexpr Milliseconds LongestSilenceDuringSearch {500};
 
 }
 
@@ -93,13 +97,17 @@
         demands.push_back(placeDemand(tasks));
     }
     m_seeksRoom = m_seeksRoom || !leaving.empty();
+    if (!demands.empty() && !m_storeContact.hasAnsweredWithin(LongestSilenceBeforeDelegation)) {
+        m_storeContact.ask();
+    }
     m_placeSearch->seek(demands, running);
 }
 
 std::set<TaskName> PartitionLeader::onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks)
 {
     // Tasks whose delegation can't be recorded may still find a worker here, and those that run are not stopped.
-    if (m_termEnded || m_journal.isStoreUnavailable()) {
+    if (m_termEnded || m_journal.isStoreUnavailable()
+        || !m_storeContact.hasAnsweredWithin(LongestSilenceDuringSearch)) {
         return {};
     }
     const RelocatedTasks relocated = m_jobScheduler.beginRelocation(partition, tasks);
@@ -113,11 +121,20 @@
 
 void PartitionLeader::delegateStoppedTasks()
 {
-    // Until the delegation can be recorded, the tasks may run here again.
-    if (m_journal.isStoreUnavailable()) {
+    // Until the delegation can be recorded, the tasks may run here again. The journal learns only from its next
+    // transaction that the store is away, and can't withdraw that.
+    if (!m_loaded || m_termEnded || m_journal.isStoreUnavailable()) {
+        return;
+    }
+    const std::map<std::string, std::set<TaskName>> stopped = m_jobScheduler.stoppedForRelocation();
+    if (stopped.empty()) {
+        return;
+    }
+    if (!m_storeContact.hasAnsweredWithin(LongestSilenceBeforeDelegation)) {
+        m_storeContact.ask();
         return;
     }
-    for (const auto &[partition, tasks] : m_jobScheduler.stoppedForRelocation()) {
+    for (const auto &[partition, tasks] : stopped) {
         std::map<std::string, std::set<TaskName>> byJob;
         for (const TaskName &task : tasks) {
             byJob[task.job].insert(task);
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -62,6 +62,7 @@
         ++count;
     }
     m_loaded = true;
+    m_storeContact.noteAnswer();
     for (const auto &[name, worker] : m_listedWorkers) {
         m_jobScheduler.updateWorker(worker);
     }
