Scheduling: Keep places for suspects on different workers

What callers saw: places for two tasks that may have crashed their workers were held on one worker although another one was empty, so that the next crash took both along and told nothing. Cause: isolation looked at the tasks that run on a worker only, not at those for which places are held there, and it was not asked again when a task started at its place. Change: a held place knows the crashes of its task and counts in isolation like a task that was started lately. A task whose place is no longer isolated when it starts looks for another one.

--- a/source/scheduling/HeldPlaces.cpp
+++ b/source/scheduling/HeldPlaces.cpp
@@ -9,14 +9,12 @@
 
 void HeldPlaces::hold(const TaskState &task, Instant until)
 {
-    add(nameOf(task), task.step->specification()).until = until;
+    add(task, until);
 }
 
-void HeldPlaces::holdForArrival(const TaskName &task, const StepSpecification &step, Instant until)
+void HeldPlaces::holdForArrival(const TaskState &task, Instant until)
 {
-    Place &place = add(task, step);
-    place.until = until;
-    place.forArrival = true;
+    add(task, until).forArrival = true;
 }
 
 bool HeldPlaces::isForArrival(const TaskName &task) const
@@ -52,10 +50,24 @@
     return claimed;
 }
 
-HeldPlaces::Place &HeldPlaces::add(const TaskName &task, const StepSpecification &step)
+std::vector<const CrashHistory *> HeldPlaces::crashesOfOthers(const TaskName &task) const
+{
+    std::vector<const CrashHistory *> histories;
+    for (const auto &[name, place] : m_places) {
+        if (name != task) {
+            histories.push_back(&place.crashes);
+        }
+    }
+    return histories;
+}
+
+HeldPlaces::Place &HeldPlaces::add(const TaskState &task, Instant until)
 {
-    const auto [entry, added] = m_places.try_emplace(task);
+    const StepSpecification &step = task.step->specification();
+    const auto [entry, added] = m_places.try_emplace(nameOf(task));
     Place &place = entry->second;
+    place.until = until;
+    place.crashes = task.crashes;
     if (added) {
         place.resources = WorkerState::countedDemand(step);
         place.longRunning = step.longRunning;
--- a/source/scheduling/HeldPlaces.h
+++ b/source/scheduling/HeldPlaces.h
@@ -4,6 +4,7 @@
 #include "scheduling/JobState.h"
 
 #include <map>
+#include <vector>
 
 namespace Wagtail
 {
@@ -16,9 +17,9 @@
     // Holds a place for the next run of the task until the given time, or changes until when its place is held.
     void hold(const TaskState &task, Instant until);
 
-    // Holds a place for a task of the step that another partition may send here until the given time, or changes until
-    // when its place is held.
-    void holdForArrival(const TaskName &task, const StepSpecification &step, Instant until);
+    // Holds a place for a task that another partition may send here until the given time, or changes until when its
+    // place is held.
+    void holdForArrival(const TaskState &task, Instant until);
 
     // Returns whether a place is held for a task that another partition may send.
     [[nodiscard]] bool isForArrival(const TaskName &task) const;
@@ -37,6 +38,9 @@
 
     [[nodiscard]] bool isEmpty() const;
 
+    // Returns what is known of crashes under the tasks, other than the given one, that have a place.
+    [[nodiscard]] std::vector<const CrashHistory *> crashesOfOthers(const TaskName &task) const;
+
     // Returns how many places are held for tasks of the step.
     [[nodiscard]] int countOf(const StepState &step) const;
 
@@ -58,10 +62,12 @@
         bool longRunning = false;
         bool forArrival = false;
         bool claimed = false;
+        // As of when the place was last held for the task.
+        CrashHistory crashes;
     };
 
     // Adds a place for the task unless it has one.
-    Place &add(const TaskName &task, const StepSpecification &step);
+    Place &add(const TaskState &task, Instant until);
 
     std::map<TaskName, Place> m_places;
     Resources m_resources;
--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -87,7 +87,8 @@
             }
             worker.heldPlaces.release(taskName);
             task->nextWorker.clear();
-            // Since the place was held, runs may have been adopted on the worker, and the routes may have changed.
+            // Since the place was held, runs may have been adopted on the worker, the routes may have changed, and
+            // tasks may have come to be suspected of crashes.
             PlacementQuery query;
             query.step = task->step;
             query.pool = task->step->occurrence->job->policy.pool;
@@ -96,7 +97,9 @@
             query.now = now;
             query.hasFreeResources = true;
             // Otherwise the task looks for a place like any other.
-            if (placementCost(worker, query) && isPermitted(*task->step, worker)) {
+            const IsolationQuery isolation {isolationStrictness(*task), now};
+            if (placementCost(worker, query) && isPermitted(*task->step, worker)
+                && isolationCost(*task, worker, isolation)) {
                 placeHeldTask(*task, worker);
             }
         }
--- a/source/scheduling/JobSchedulerReservations.cpp
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -63,7 +63,7 @@
     const TaskName name = nameOf(task);
     for (auto &[workerName, worker] : m_workers) {
         if (worker.heldPlaces.isForArrival(name)) {
-            worker.heldPlaces.holdForArrival(name, step.specification(), until);
+            worker.heldPlaces.holdForArrival(task, until);
             return true;
         }
     }
@@ -73,7 +73,7 @@
     if (worker == nullptr) {
         return false;
     }
-    worker->heldPlaces.holdForArrival(name, step.specification(), until);
+    worker->heldPlaces.holdForArrival(task, until);
     if (worker == open) {
         worker->heldPlaces.claim(name);
     }
--- a/source/scheduling/SuspectIsolation.cpp
+++ b/source/scheduling/SuspectIsolation.cpp
@@ -99,6 +99,16 @@
         }
         cost += isRival ? SharedSuspicionCost : 0.0;
     }
+    if (worker.heldPlaces.isEmpty()) {
+        return cost;
+    }
+    for (const CrashHistory *other : worker.heldPlaces.crashesOfOthers(nameOf(task))) {
+        const bool isRival = areRivals(task.crashes, *other);
+        if (isRival && query.strictness == IsolationStrictness::Required) {
+            return std::nullopt;
+        }
+        cost += SharedStartCost + (isRival ? SharedSuspicionCost : 0.0);
+    }
     return cost;
 }
 
--- a/source/tenure/tests/RelocationFaultsTest.cpp
+++ b/source/tenure/tests/RelocationFaultsTest.cpp
@@ -251,8 +251,8 @@
     std::printf("%.3f ms each\n", took.count() / Repetitions);
 }
 
-// Two tasks that may crash their worker got places on the same one, although another one was empty. Isolation does not
-// see the tasks for which places are held, and is not checked again when they start.
+// Two tasks that may crash their worker got places on the same one, although another one was empty, because isolation
+// did not see the tasks for which places are held.
 TEST_F(RelocationFaults, holdsPlacesOfSuspectsOnDifferentWorkers)
 {
     PartitionLeader &leader = *m_cluster.ownerOf("b")->ownership.leader("b");
@@ -271,6 +271,35 @@
     }
 }
 
+// A task that had come to be suspected after a place was held for it was started there beside another suspect.
+TEST_F(RelocationFaults, startsNoSuspectAtAPlaceBesideAnotherSuspect)
+{
+    drain({"worker-3"});
+    m_cluster.advance(Second);
+    PlaceRequest request;
+    std::map<std::string, JobRecord> records;
+    for (const std::string id : {"left", "right"}) {
+        m_cluster.workers.setBehaviour(id, {Milliseconds(100), 0, true});
+        JobRecord &record = records[id];
+        record = TestCluster::job(id, 1, 1);
+        record.specification.steps[0].longRunning = true;
+        record.delegated = {{{id, 0, 0, 0}, 1}};
+    }
+    request.jobs = {records["left"]};
+    ASSERT_EQ(m_cluster.ownerOf("b")->ownership.leader("b")->holdPlaces(request).held.size(), 1U);
+    auto &scheduler = const_cast<JobScheduler &>(jobs("b"));
+    for (const std::string id : {"right", "left"}) {
+        JobRecord &record = records[id];
+        record.delegated[0].crashes.addCrash(1, {"worker-of-" + id, CrashTiming::Prompt});
+        scheduler.addDelegated(record.specification, record.policy, record.acceptedWall, record.delegated);
+        m_cluster.advance(Milliseconds(500));
+    }
+    ASSERT_NE(jobs("b").find("left"), nullptr);
+    EXPECT_EQ(tasks("b", "right")[0].worker, "worker-1");
+    EXPECT_EQ(tasks("b", "left")[0].worker, "");
+    EXPECT_EQ(runsIn("b"), 1U);
+}
+
 // Requests that no owner sends.
 TEST_F(RelocationFaults, refusesOrIgnoresMalformedRequests)
 {
