--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -10,6 +10,10 @@
 
 // One transaction holds the delegations of a job to so many partitions and other entries.
 constexpr std::size_t MostDelegatesAtOnce = 8;
+// A stopped task is passed on only if the store has answered within this time, and any task with a place in another
+// partition is prepared to leave only within the longer one.
+constexpr Milliseconds LongestSilenceBeforeDelegation {200};
+constexpr Milliseconds LongestSilenceDuringSearch {500};
 
 }
 
@@ -81,8 +85,11 @@
     std::set<TaskName> running;
     for (TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
         const JobState &job = *task->step->occurrence->job;
-        if (!job.policy.advised && !m_journal.hasUnsentDelegation(job.specification.id)) {
-            leaving[job.specification.id].push_back(task);
+        const std::string &id = job.specification.id;
+        // A task of another partition's job leaves by way of that partition.
+        const bool mayLeave = !job.ownedElsewhere || (m_mayGiveBack && m_returner.homeOf(id).has_value());
+        if (mayLeave && !job.policy.advised && !m_journal.hasUnsentDelegation(id)) {
+            leaving[id].push_back(task);
             running.insert(nameOf(*task));
         }
     }
@@ -90,43 +97,81 @@
         demands.push_back(placeDemand(tasks));
     }
     m_seeksRoom = m_seeksRoom || !leaving.empty();
+    if (!demands.empty() && !m_storeContact.hasAnsweredWithin(LongestSilenceBeforeDelegation)) {
+        m_storeContact.ask();
+    }
     m_placeSearch->seek(demands, running);
 }
 
 std::set<TaskName> PartitionLeader::onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks)
 {
     // Tasks whose delegation can't be recorded may still find a worker here, and those that run are not stopped.
-    if (m_termEnded || m_journal.isStoreUnavailable()) {
+    if (m_termEnded || m_journal.isStoreUnavailable()
+        || !m_storeContact.hasAnsweredWithin(LongestSilenceDuringSearch)) {
         return {};
     }
     const RelocatedTasks relocated = m_jobScheduler.beginRelocation(partition, tasks);
     std::set<TaskName> leaving = relocated.stopping;
     for (const auto &[id, waiting] : relocated.waiting) {
         leaving.insert(waiting.begin(), waiting.end());
-        delegate(id, waiting, partition);
+        passOn(id, waiting, partition);
     }
     return leaving;
 }
 
 void PartitionLeader::delegateStoppedTasks()
 {
-    // Until the delegation can be recorded, the tasks may run here again.
-    if (m_journal.isStoreUnavailable()) {
+    // Until the delegation can be recorded, the tasks may run here again. The journal learns only from its next
+    // transaction that the store is away, and can't withdraw that.
+    if (!m_loaded || m_termEnded || m_journal.isStoreUnavailable()) {
         return;
     }
-    for (const auto &[partition, tasks] : m_jobScheduler.stoppedForRelocation()) {
+    const std::map<std::string, std::set<TaskName>> stopped = m_jobScheduler.stoppedForRelocation();
+    if (stopped.empty()) {
+        return;
+    }
+    if (!m_storeContact.hasAnsweredWithin(LongestSilenceBeforeDelegation)) {
+        m_storeContact.ask();
+        return;
+    }
+    for (const auto &[partition, tasks] : stopped) {
         std::map<std::string, std::set<TaskName>> byJob;
         for (const TaskName &task : tasks) {
             byJob[task.job].insert(task);
         }
         for (const auto &[id, names] : byJob) {
             if (!m_journal.hasUnsentDelegation(id)) {
-                delegate(id, names, partition);
+                passOn(id, names, partition);
             }
         }
     }
 }
 
+void PartitionLeader::passOn(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
+{
+    if (m_jobScheduler.find(id)->ownedElsewhere) {
+        giveBack(id, tasks, partition);
+    } else {
+        delegate(id, tasks, partition);
+    }
+}
+
+void PartitionLeader::giveBack(const std::string &id, const std::set<TaskName> &tasks, const std::string &nextPartition)
+{
+    const std::optional<std::string> home = m_mayGiveBack ? m_returner.homeOf(id) : std::nullopt;
+    std::vector<DelegatedTask> returned;
+    if (home) {
+        returned = m_jobScheduler.giveBack(id, tasks);
+    }
+    if (returned.empty()) {
+        return;
+    }
+    m_environment.log("tasks-returned", id,
+        {{"partition", *home}, {"step", tasks.begin()->step}, {"count", returned.size()},
+            {"next_partition", nextPartition}});
+    m_returner.send(id, *home, std::move(returned), nextPartition);
+}
+
 void PartitionLeader::delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition)
 {
     m_jobScheduler.delegate(id, tasks, partition);
@@ -222,9 +267,13 @@
         m_journal.erase(key);
         return;
     }
-    const int count = m_jobScheduler.takeBack(entry.job, entry.partition, entry.tasks);
+    // A place that is held here waits for the tasks.
+    const bool isOnTheWay = entry.nextPartition != m_position.partition;
+    const int count = m_jobScheduler.takeBack(
+        entry.job, entry.partition, entry.tasks, isOnTheWay ? entry.nextPartition : std::string());
     m_environment.log("tasks-taken-back", entry.job,
-        {{"partition", entry.partition}, {"sent", entry.tasks.size()}, {"count", count}});
+        {{"partition", entry.partition}, {"sent", entry.tasks.size()}, {"count", count},
+            {"next_partition", entry.nextPartition}});
     if (count > 0) {
         m_headrooms.refuse(entry.partition, job->policy.pool, entry.job);
     }
