Tests: Recorded starts are withdrawn while run ends are acknowledged

The start of a task of an earlier term is held back until the store has it. It is withdrawn if the worker may not get a batch task at that moment, which includes that a request that acknowledges run ends is under way to it. The sync that records the start also records ends, and onRunEndsRecorded() sends such requests just before onStartsRecorded(), so workers whose runs end all the time withdraw starts again and again, without a log line.

--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -80,6 +80,19 @@
         m_submittedAt[job.id] = clock.now();
     }
 
+    // Adds a job that an earlier leader term has accepted, so that the start orders of its tasks are held back until
+    // they are recorded.
+    void restore(const std::string &id, const StepSpecification &step, FakeWorkers::Behaviour behaviour)
+    {
+        JobSpecification job;
+        job.id = id;
+        job.queue = "queue";
+        job.steps = {step};
+        workers.setBehaviour(id, std::move(behaviour));
+        m_jobs.restore(job, policyFor("pool"), clock.wallMilliseconds(), Json::object());
+        m_submittedAt[id] = clock.now();
+    }
+
     void advance(Milliseconds duration)
     {
         constexpr Milliseconds Step {20};
@@ -87,7 +100,7 @@
             m_scheduler.advance(Step, Step);
             workers.advance();
             m_jobs.onRunEndsRecorded(m_jobs.appliedRunEnds());
-            m_jobs.onStartsRecorded(m_jobs.heldStarts());
+            recordStarts(Step);
             m_untilTick -= Step;
             if (m_untilTick.count() <= 0) {
                 m_untilTick = JobScheduler::TickPeriod;
@@ -114,6 +127,8 @@
 
     ManualClock clock;
     FakeWorkers workers;
+    // How long the store takes to record starts that are held back.
+    Milliseconds startRecordingTime {0};
 
 private:
     static QueuePolicy policyFor(const std::string &pool)
@@ -121,6 +136,17 @@
         return {"queue", pool, 0, 3, 2.0, Milliseconds(1'000), false};
     }
 
+    void recordStarts(Milliseconds passed)
+    {
+        m_untilStartsRecorded -= passed;
+        if (m_untilStartsRecorded.count() > 0) {
+            return;
+        }
+        m_jobs.onStartsRecorded(startRecordingTime.count() > 0 ? m_startsBeingRecorded : m_jobs.heldStarts());
+        m_startsBeingRecorded = m_jobs.heldStarts();
+        m_untilStartsRecorded = startRecordingTime;
+    }
+
     // Lists workers that have come back after a crash with their new incarnation. All else stays as listed last.
     void listRestartedWorkers()
     {
@@ -172,6 +198,8 @@
     std::map<std::string, Instant> m_submittedAt;
     std::map<std::string, Instant> m_doneAt;
     Milliseconds m_untilTick {0};
+    std::set<RunName> m_startsBeingRecorded;
+    Milliseconds m_untilStartsRecorded {0};
     JobScheduler m_jobs;
 };
 
