Scheduling: Keep a recorded start while run ends are acknowledged

Cause: a recorded start was withdrawn if a request that acknowledges run ends was under way to its worker, which the sync that had recorded the start had just sent. Its task was placed and recorded anew, with the same chance each time.

Now such a start keeps its place and is sent when the worker has answered, before the next request. Starts to workers that take no tasks for other reasons, of which a lost acknowledgement is one, and those of gangs are withdrawn as before.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -370,6 +370,8 @@
     [[nodiscard]] static bool needsOpenRun(const TaskState &task);
     [[nodiscard]] bool mayPlace(const TaskState &task) const;
     void holdStart(TaskState &task);
+    // Sends the recorded starts that waited for the worker's answer to an acknowledgement.
+    void sendRecordedStarts(const WorkerState &worker);
     [[nodiscard]] bool maySendHeldStart(const TaskState &task);
     // Requeues tasks whose start orders are held back and whose worker takes no tasks any more.
     void withdrawHeldStarts(WorkerState &worker);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -26,6 +26,14 @@
     return item.timing == CrashTiming::Unknown && isShared ? CrashTiming::Ambiguous : item.timing;
 }
 
+// Returns whether a recorded start can be sent as soon as the worker has answered a request that acknowledges run ends.
+// The members of a gang are placed anew instead, because they have to start together.
+bool waitsForAcknowledgement(const WorkerState &worker, const TaskState &task, Instant now)
+{
+    return worker.isAcknowledging() && now >= worker.lateRequests.acknowledgementsEndAt() && acceptsTasks(worker, now)
+        && !task.step->specification().gang;
+}
+
 }
 
 bool JobScheduler::needsOpenRun(const TaskState &task)
@@ -79,7 +87,10 @@
             continue;
         }
         if (!maySendHeldStart(*task)) {
-            withdrawHeldStart(*task);
+            const WorkerState *worker = findWorker(task->worker);
+            if (worker == nullptr || !waitsForAcknowledgement(*worker, *task, m_environment.clock.now())) {
+                withdrawHeldStart(*task);
+            }
             continue;
         }
         task->awaitsRecording = false;
@@ -87,6 +98,18 @@
     }
 }
 
+void JobScheduler::sendRecordedStarts(const WorkerState &worker)
+{
+    std::set<RunName> recorded;
+    for (const TaskState *task : worker.tasks) {
+        const RunName run {nameOf(*task), task->run};
+        if (task->awaitsRecording && task->phase == RunPhase::Starting && !m_heldStarts.contains(run)) {
+            recorded.insert(run);
+        }
+    }
+    onStartsRecorded(recorded);
+}
+
 bool JobScheduler::maySendHeldStart(const TaskState &task)
 {
     if (m_authority != SchedulingAuthority::Full) {
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -219,6 +219,8 @@
         worker->answeredRequestSentAt = std::max(worker->answeredRequestSentAt, sentAt);
     }
     dispatchSoon();
+    // The next request may acknowledge run ends again.
+    sendRecordedStarts(*worker);
     requestReport(*worker);
 }
 
