--- a/source/tenure/PlaceSearch.cpp
+++ b/source/tenure/PlaceSearch.cpp
@@ -112,10 +112,11 @@
 
 void PlaceSearch::send(const std::string &partition, const PlaceRequest &request)
 {
-    std::set<TaskName> asked;
+    std::map<TaskName, Demand> asked;
     for (const JobRecord &job : request.jobs) {
         for (const DelegatedTask &task : job.delegated) {
-            asked.insert(task.task);
+            const StepSpecification &step = job.specification.steps[static_cast<std::size_t>(task.task.step)];
+            asked[task.task] = {job.policy.pool, step.demand};
         }
     }
     m_pending[partition] = std::move(asked);
@@ -133,14 +134,25 @@
         m_pending.begin(), m_pending.end(), [&task](const auto &entry) { return entry.second.contains(task); });
 }
 
+bool PlaceSearch::isRefusedBesideRoom(const Demand &demand, const PlaceAnswer &answer)
+{
+    const auto headroom = answer.headrooms.find(demand.pool);
+    return headroom != answer.headrooms.end()
+        && std::any_of(headroom->second.gaps.begin(), headroom->second.gaps.end(),
+            [&demand](const Resources &gap) { return demand.resources.fitsInto(gap); });
+}
+
 void PlaceSearch::onAnswer(const std::string &partition, const std::optional<PlaceAnswer> &answer)
 {
-    const std::set<TaskName> asked = std::move(m_pending.extract(partition).mapped());
+    const std::map<TaskName, Demand> asked = std::move(m_pending.extract(partition).mapped());
+    std::set<TaskName> names;
     std::set<TaskName> held;
-    for (const TaskName &task : asked) {
+    for (const auto &[task, demand] : asked) {
+        names.insert(task);
         if (answer && answer->held.contains(task)) {
             held.insert(task);
-        } else {
+        } else if (!answer || isRefusedBesideRoom(demand, *answer)) {
+            // A task that only came too late for a gap is asked for again as soon as the partition reports another one.
             m_refusedAt[{partition, task.job, task.step}] = m_environment.clock.now();
         }
     }
@@ -149,7 +161,7 @@
     }
     if (!answer) {
         // Its owner may have held places all the same.
-        release(partition, asked);
+        release(partition, std::move(names));
     }
     if (held.empty()) {
         return;
--- a/source/tenure/PlaceSearch.h
+++ b/source/tenure/PlaceSearch.h
@@ -40,6 +40,12 @@
     using Refusal = std::tuple<std::string, std::string, int>;
     // The free resources that are not asked for yet, by partition.
     using Rooms = std::map<std::string, std::vector<Resources>>;
+    // What a task for which a partition is asked needs there.
+    struct Demand
+    {
+        std::string pool;
+        Resources resources;
+    };
 
     [[nodiscard]] Rooms roomsOf(const std::string &pool) const;
     // Returns the partition to ask for a place of a task, and takes the place from its room. Returns nothing if no
@@ -48,13 +54,15 @@
         Rooms &rooms, const JobRecord &job, const DelegatedTask &task) const;
     void send(const std::string &partition, const PlaceRequest &request);
     [[nodiscard]] bool isPending(const TaskName &task) const;
+    // Returns whether a partition that has not held a place for a task of this demand had room for it all the same.
+    [[nodiscard]] static bool isRefusedBesideRoom(const Demand &demand, const PlaceAnswer &answer);
     void onAnswer(const std::string &partition, const std::optional<PlaceAnswer> &answer);
     void release(const std::string &partition, std::set<TaskName> tasks);
 
     Environment m_environment;
     std::string m_home;
     // The partitions whose answers are awaited, and the tasks for which they were asked.
-    std::map<std::string, std::set<TaskName>> m_pending;
+    std::map<std::string, std::map<TaskName, Demand>> m_pending;
     std::map<Refusal, Instant> m_refusedAt;
     // Shifts the partition that is tried first, so that owners ask different ones.
     std::size_t m_rotation = 0;
--- a/source/tenure/tests/PlaceSearchTest.cpp
+++ b/source/tenure/tests/PlaceSearchTest.cpp
@@ -141,6 +141,34 @@
     m_search.seek({demand("job", 1)});
 }
 
+// A task that came too late for a gap did not ask for the next one, which opened less than a second later.
+TEST_F(PlaceSearchTest, asksAgainAsSoonAsAFullPartitionHasRoom)
+{
+    m_headrooms.update("other", headroomsWith({3'500}));
+    m_search.seek({demand("job", 1)});
+    m_handlers.at("other")(PlaceAnswer {{}, headroomsWith({2'900})});
+    m_requests.clear();
+    m_search.seek({demand("job", 1)});
+    EXPECT_EQ(askedOf("other"), 0U);
+    m_headrooms.update("other", headroomsWith({3'500}));
+    m_search.seek({demand("job", 1)});
+    EXPECT_EQ(askedOf("other"), 1U);
+}
+
+// What keeps a task out of a gap, such as a limit per worker, would refuse it again at once.
+TEST_F(PlaceSearchTest, doesNotAskAgainAtOnceIfItWasRefusedBesideRoom)
+{
+    m_headrooms.update("other", headroomsWith({3'500}));
+    m_search.seek({demand("job", 1)});
+    m_handlers.at("other")(PlaceAnswer {{}, headroomsWith({3'500})});
+    m_requests.clear();
+    m_search.seek({demand("job", 1)});
+    EXPECT_EQ(askedOf("other"), 0U);
+    m_clock.advance(Milliseconds(1'000));
+    m_search.seek({demand("job", 1)});
+    EXPECT_EQ(askedOf("other"), 1U);
+}
+
 TEST_F(PlaceSearchTest, avoidsPartitionsThatReportNoMore)
 {
     m_headrooms.update("other", headroomsWith({3'500}));
