Tenure: Record refusals in the store before callers are told

Callers saw 503 or 429 for a submission that ran, because another copy of it was accepted: before with its answer lost, or later from a copy under way to an owner or the store. A refusal stated what one instance knew of its own copies.

429 is answered once the job's home key has a mark. Each acceptance names the state of that key which was known when its copy was received, so that earlier copies are refused by the store and a caller that comes back is served. Refusals for want of the store or an owner are answered as unknown (504) instead of 503, since nothing can be established then.

--- a/source/store/StoreMessages.h
+++ b/source/store/StoreMessages.h
@@ -69,6 +69,9 @@
     StoreRevision revision = 0;
     std::vector<StoreEntry> currentEntries;
 
+    // Returns the entry of a condition's key after an uncommitted transaction, or null if the key does not exist.
+    [[nodiscard]] const StoreEntry *currentEntry(const std::string &key) const;
+
     // Returns the current revision of a condition's key after an uncommitted transaction, or MustNotExist if the key
     // does not exist.
     [[nodiscard]] StoreRevision currentRevision(const std::string &key) const;
--- a/source/tenure/DelegatedTaskReturner.cpp
+++ b/source/tenure/DelegatedTaskReturner.cpp
@@ -35,7 +35,7 @@
         }
         m_asked.erase(job);
         const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
-        if (home != nullptr && *home) {
+        if (home != nullptr && *home && !JobKeys::isRefused((*home)->value)) {
             m_homes[job] = (*home)->value;
         }
     });
--- a/source/tenure/GivenUpTaskReporter.cpp
+++ b/source/tenure/GivenUpTaskReporter.cpp
@@ -59,7 +59,7 @@
         const auto pending = m_dueAt.find(job);
         if (home == nullptr && pending != m_dueAt.end()) {
             pending->second = m_clock.now() + RetryDelay;
-        } else if (home != nullptr && *home) {
+        } else if (home != nullptr && *home && !JobKeys::isRefused((*home)->value)) {
             send(job, (*home)->value);
         }
     });
--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -2,6 +2,8 @@
 
 #include "http/HttpStatus.h"
 
+#include <charconv>
+
 namespace Wagtail
 {
 
@@ -46,6 +48,11 @@
     case AcceptOutcome::Refused:
         return jsonResponse(HttpStatus::TooManyRequests,
             {{"detail", "the workers have no free capacity for the job"}, {"remedy", "submit it later"}});
+    case AcceptOutcome::RefusedBefore:
+        return jsonResponse(HttpStatus::PreconditionFailed,
+            {{"refusal", result.refusal}, {"refusal_age_ms", result.refusalAge.count()},
+                {"detail", "the job was refused before"},
+                {"remedy", "name the refusal if the submission was received after it"}});
     case AcceptOutcome::Unknown:
         break;
     }
@@ -100,9 +107,13 @@
         return;
     }
     const bool here = request.parameter("placement") == "here";
-    leader.submit(std::get<JobRecord>(std::move(record)),
+    const std::string refusalText = request.parameter("after_refusal").value_or("");
+    StoreRevision refusal = MustNotExist;
+    std::from_chars(refusalText.data(), refusalText.data() + refusalText.size(), refusal);
+    leader.submit(
+        std::get<JobRecord>(std::move(record)),
         here ? PartitionLeader::Placement::ThisPartition : PartitionLeader::Placement::AnyPartition,
-        [respond](const AcceptResult &result) { respond(submissionResponse(result)); });
+        [respond](const AcceptResult &result) { respond(submissionResponse(result)); }, refusal);
 }
 
 void JobApi::holdPlaces(PartitionLeader &leader, const HttpRequest &request, const HttpServer::Responder &respond)
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -44,13 +44,13 @@
     notifyFlushed();
 }
 
-void JobJournal::accept(JobRecord record, AcceptHandler handler)
+void JobJournal::accept(JobRecord record, AcceptHandler handler, StoreRevision refusal)
 {
     if (m_storeUnavailable) {
         handler({AcceptOutcome::StoreUnavailable, {}});
         return;
     }
-    m_accepts.push_back({std::move(record), std::move(handler)});
+    m_accepts.push_back({std::move(record), refusal, std::move(handler)});
     schedule(Urgency::High);
 }
 
@@ -223,7 +223,7 @@
         PendingAccept accept = std::move(m_accepts.front());
         m_accepts.pop_front();
         const std::string &id = accept.record.specification.id;
-        transaction.conditions.push_back({JobKeys::home(id), MustNotExist});
+        transaction.conditions.push_back({JobKeys::home(id), accept.refusal});
         transaction.writes.push_back({JobKeys::home(id), m_position.partition, std::nullopt, 0});
         transaction.writes.push_back(
             {JobKeys::jobs(m_position.partition) + id, serialize(accept.record), std::nullopt, 0});
@@ -369,17 +369,19 @@
         onCommitted(head);
         return;
     }
-    // Some of the jobs exist already. Removes them from the batch and sends the rest again.
+    // Some of the jobs exist already or were refused. Removes them from the batch and sends the rest again.
     Batch batch = std::move(*m_batch);
     m_batch.reset();
     for (PendingAccept &accept : batch.accepts) {
-        const std::string home = JobKeys::home(accept.record.specification.id);
-        const StoreEntry *present = nullptr;
-        for (const StoreEntry &entry : commit.currentEntries) {
-            present = entry.key == home ? &entry : present;
-        }
-        if (present != nullptr) {
-            accept.handler({AcceptOutcome::Exists, present->value});
+        const StoreEntry *home = commit.currentEntry(JobKeys::home(accept.record.specification.id));
+        if (home == nullptr) {
+            // The mark that the acceptance would have replaced has been erased.
+            accept.refusal = MustNotExist;
+            m_accepts.push_back(std::move(accept));
+        } else if (!JobKeys::isRefused(home->value)) {
+            accept.handler({AcceptOutcome::Exists, home->value});
+        } else if (home->revision != accept.refusal) {
+            accept.handler({AcceptOutcome::RefusedBefore, {}, home->revision});
         } else {
             m_accepts.push_back(std::move(accept));
         }
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -24,6 +24,8 @@
     Redirected,
     // No partition can ever run the job, or it would leave too little capacity for batch work. Nothing was recorded.
     Refused,
+    // The job's submission was refused before, and this copy of it may be older than the refusal. Nothing was recorded.
+    RefusedBefore,
     // The leader term ended before the result was known.
     Unknown,
 };
@@ -32,6 +34,9 @@
 {
     AcceptOutcome outcome = AcceptOutcome::Unknown;
     std::string partition;
+    // The revision of the mark of an earlier refusal, and since when the store has had it at least.
+    StoreRevision refusal = MustNotExist;
+    Milliseconds refusalAge {0};
 };
 
 // Provides the journal with the progress to write and is notified of what the store has recorded.
@@ -81,8 +86,9 @@
     JobJournal(const JobJournal &) = delete;
     JobJournal &operator=(const JobJournal &) = delete;
 
-    // Records a new job unless a job of the same id exists. Fails at once while the store does not answer.
-    void accept(JobRecord record, AcceptHandler handler);
+    // Records a new job unless a job of the same id exists or was refused at another revision than the given one. Fails
+    // at once while the store does not answer.
+    void accept(JobRecord record, AcceptHandler handler, StoreRevision refusal = MustNotExist);
 
     // Returns whether the outcome of recording the job is still unknown. The store may have the job already.
     [[nodiscard]] bool isAccepting(const std::string &job) const;
@@ -127,6 +133,8 @@
     struct PendingAccept
     {
         JobRecord record;
+        // The revision of the mark that the job's acceptance may replace, or MustNotExist.
+        StoreRevision refusal = MustNotExist;
         AcceptHandler handler;
     };
 
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -10,12 +10,20 @@
 inline const std::string Instances = Cluster + "instances/";
 inline const std::string Owners = Cluster + "owners/";
 
-// Returns the key that holds a job's home partition, which owns the job. Creating the key accepts the job.
+// Returns the key that holds a job's home partition, which owns the job. Writing a partition accepts the job.
 [[nodiscard]] inline std::string home(const std::string &job)
 {
     return "wagtail/homes/" + job;
 }
 
+// The value of a job's home key while its submission is refused. No partition has this name.
+inline const std::string RefusedHome = "/refused";
+
+[[nodiscard]] inline bool isRefused(const std::string &home)
+{
+    return home == RefusedHome;
+}
+
 // Returns the key that holds the instance that owns a partition.
 [[nodiscard]] inline std::string owner(const std::string &partition)
 {
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -26,6 +26,8 @@
 constexpr int SubmissionTimeDivisor = 2;
 // Submitting through an owner in another region takes about 100 ms, or 600 ms while the store is slow.
 constexpr Milliseconds MinSubmissionTime {700};
+// Clocks of two instances differ in rate by less than one part in this number.
+constexpr int ClockRateTolerance = 20;
 constexpr std::size_t MaxCachedHomes = 20'000;
 // The largest number of waiting jobs that an owner is believed. The sum over all partitions stays within an int.
 constexpr int MaximumWaitingCount = 1'000'000;
@@ -55,6 +57,7 @@
         return Effect::Accepted;
     case HttpStatus::SeeOther:
     case HttpStatus::BadRequest:
+    case HttpStatus::PreconditionFailed:
     case HttpStatus::TooManyRequests:
     case HttpStatus::ServiceUnavailable:
     case HttpStatus::MisdirectedRequest:
@@ -81,6 +84,8 @@
     Instant deadline;
     // Whether an owner redirected the job to another partition, which must not redirect it again.
     bool redirected = false;
+    // The revision of a refusal that is known to be older than this copy of the submission, or MustNotExist.
+    StoreRevision refusal = MustNotExist;
     std::function<void(RouteOutcome)> handler;
 
     [[nodiscard]] bool isFinished() const
@@ -101,6 +106,18 @@
     std::function<void(RouteOutcome, JobPhase)> handler;
 };
 
+std::string JobRouter::submissionTarget(const Submission &submission)
+{
+    std::string target = "/jobs";
+    if (submission.redirected) {
+        target += "?placement=here";
+    }
+    if (submission.refusal != MustNotExist) {
+        target += (submission.redirected ? "&after_refusal=" : "?after_refusal=") + std::to_string(submission.refusal);
+    }
+    return target;
+}
+
 JobRouter::JobRouter(Environment environment)
     : m_environment(std::move(environment)), m_unsettled(m_environment.clock), m_earlyCancellations(m_environment.clock)
 {
@@ -149,10 +166,13 @@
         finish(submission, RouteOutcome::Done);
         return;
     }
+    if (const SubmissionRefusals::Mark *mark = refusals().find(submission->record.specification.id)) {
+        submission->refusal = mark->revision;
+    }
     const auto left = std::chrono::duration_cast<Milliseconds>(submission->deadline - submission->submittedAt);
     m_environment.scheduler.after(std::max(left, Milliseconds(0)), [this, alive = m_alive, submission] {
         if (*alive) {
-            finish(submission, RouteOutcome::Unavailable);
+            finish(submission, RouteOutcome::Unknown);
         }
     });
     trySubmit(submission);
@@ -163,9 +183,9 @@
     if (submission->isFinished()) {
         return;
     }
-    const bool reportsNoEffect = outcome == RouteOutcome::Refused || outcome == RouteOutcome::Unavailable;
     const bool mayTakeEffect = m_unsettled.mayBeAccepted(submission->record.specification.id);
-    std::exchange(submission->handler, nullptr)(reportsNoEffect && mayTakeEffect ? RouteOutcome::Unknown : outcome);
+    std::exchange(submission->handler, nullptr)(
+        outcome == RouteOutcome::Refused && mayTakeEffect ? RouteOutcome::Unknown : outcome);
 }
 
 void JobRouter::trySubmit(const std::shared_ptr<Submission> &submission)
@@ -176,23 +196,26 @@
         m_unsettled.sent(id);
         const auto placement = submission->redirected ? PartitionLeader::Placement::ThisPartition
                                                       : PartitionLeader::Placement::AnyPartition;
-        leader->submit(submission->record, placement, [this, alive = m_alive, submission](const AcceptResult &result) {
-            if (!*alive) {
-                return;
-            }
-            HttpAnswer answer;
-            answer.delivery = result.outcome == AcceptOutcome::Unknown ? Delivery::Lost : Delivery::Answered;
-            HttpResponse response = submissionResponse(result);
-            answer.status = response.status;
-            answer.body = std::move(response.body);
-            onSubmitAnswer(submission, answer);
-        });
+        leader->submit(
+            submission->record, placement,
+            [this, alive = m_alive, submission](const AcceptResult &result) {
+                if (!*alive) {
+                    return;
+                }
+                HttpAnswer answer;
+                answer.delivery = result.outcome == AcceptOutcome::Unknown ? Delivery::Lost : Delivery::Answered;
+                HttpResponse response = submissionResponse(result);
+                answer.status = response.status;
+                answer.body = std::move(response.body);
+                onSubmitAnswer(submission, answer);
+            },
+            submission->refusal);
         return;
     }
     if (submission->body.empty()) {
         submission->body = serialize(submission->record);
     }
-    const std::string target = submission->redirected ? "/jobs?placement=here" : "/jobs";
+    const std::string target = submissionTarget(*submission);
     m_unsettled.sent(id);
     const bool sent = callOwner(submission->partition, "POST", target, submission->body,
         [this, submission](const HttpAnswer &answer) { onSubmitAnswer(submission, answer); });
@@ -219,12 +242,15 @@
     case HttpStatus::SeeOther:
         followRedirect(submission, answer.body);
         return;
-    case HttpStatus::BadRequest:
+    case HttpStatus::PreconditionFailed:
+        onRefusedBefore(submission, answer.body);
+        return;
     case HttpStatus::TooManyRequests:
         finish(submission, RouteOutcome::Refused);
         return;
+    case HttpStatus::BadRequest:
     case HttpStatus::ServiceUnavailable:
-        finish(submission, RouteOutcome::Unavailable);
+        finish(submission, RouteOutcome::Unknown);
         return;
     default:
         retrySubmit(submission);
@@ -243,6 +269,23 @@
     trySubmit(submission);
 }
 
+void JobRouter::onRefusedBefore(const std::shared_ptr<Submission> &submission, const std::string &answer)
+{
+    const Result<Json> document = parseJson(answer, "the owner's answer");
+    const Json *body = std::get_if<Json>(&document);
+    const StoreRevision refusal = body == nullptr ? MustNotExist : memberOr(*body, "refusal", StoreRevision {});
+    const Milliseconds age(body == nullptr ? 0 : memberOr(*body, "refusal_age_ms", std::int64_t {}));
+    const auto waited = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - submission->submittedAt);
+    if (refusal <= submission->refusal || age - age / ClockRateTolerance <= waited) {
+        finish(submission, RouteOutcome::Unknown);
+        return;
+    }
+    submission->refusal = refusal;
+    if (!submission->isFinished()) {
+        trySubmit(submission);
+    }
+}
+
 void JobRouter::retrySubmit(const std::shared_ptr<Submission> &submission)
 {
     if (submission->isFinished()) {
@@ -250,7 +293,7 @@
     }
     const Instant now = m_environment.clock.now();
     if (now + RetryPeriod >= submission->deadline) {
-        finish(submission, RouteOutcome::Unavailable);
+        finish(submission, RouteOutcome::Unknown);
         return;
     }
     if (!submission->redirected) {
@@ -258,7 +301,7 @@
     }
     if (now - submission->submittedAt >= StoreFallbackDelay) {
         if (m_environment.isStoreUnavailable()) {
-            finish(submission, RouteOutcome::Unavailable);
+            finish(submission, RouteOutcome::Unknown);
         } else {
             submitThroughStore(submission);
         }
@@ -276,7 +319,7 @@
     const std::string &id = submission->record.specification.id;
     const std::string &partition = submission->partition;
     StoreTransaction transaction;
-    transaction.conditions = {{JobKeys::home(id), MustNotExist}};
+    transaction.conditions = {{JobKeys::home(id), submission->refusal}};
     transaction.writes = {{JobKeys::home(id), partition, std::nullopt, 0},
         {JobKeys::jobs(partition) + id, serialize(submission->record), std::nullopt, 0},
         {JobKeys::inboxSubmission(partition, id), serialize(InboxEntry {InboxRequest::Submit, id, submission->record}),
@@ -290,15 +333,21 @@
             }
             const std::string &job = submission->record.specification.id;
             const auto *commit = std::get_if<StoreTransactionResult>(&result);
-            if (commit != nullptr) {
+            const StoreEntry *home = commit == nullptr ? nullptr : commit->currentEntry(JobKeys::home(job));
+            if (commit != nullptr && (commit->committed || (home != nullptr && !JobKeys::isRefused(home->value)))) {
                 m_unsettled.answered(job, UnsettledSubmissions::Effect::Accepted);
-                cacheHome(job, commit->committed ? submission->partition : commit->currentEntries.front().value);
+                refusals().remove(job);
+                cacheHome(job, commit->committed ? submission->partition : home->value);
                 finish(submission, RouteOutcome::Done);
                 return;
             }
-            if (errorOf(result)->kind == ErrorKind::Overloaded) {
+            if (commit != nullptr || errorOf(result)->kind == ErrorKind::Overloaded) {
+                // The store did nothing, or shows a refusal that may be later than this copy.
                 m_unsettled.answered(job, UnsettledSubmissions::Effect::None);
-                finish(submission, RouteOutcome::Unavailable);
+                if (home != nullptr) {
+                    refusals().add(job, home->revision);
+                }
+                finish(submission, RouteOutcome::Unknown);
                 return;
             }
             m_unsettled.answered(job, UnsettledSubmissions::Effect::Unknown);
@@ -306,6 +355,36 @@
         });
 }
 
+SubmissionRefusals &JobRouter::refusals()
+{
+    return m_environment.ownership.refusals();
+}
+
+void JobRouter::refuse(const std::string &id, std::function<void(RouteOutcome)> handler)
+{
+    if (m_homes.contains(id)) {
+        handler(RouteOutcome::Done);
+        return;
+    }
+    if (m_environment.isStoreUnavailable()) {
+        handler(RouteOutcome::Unknown);
+        return;
+    }
+    refusals().refuse(
+        id, [this, alive = m_alive, id, handler = std::move(handler)](const SubmissionRefusals::Answer &answer) {
+            if (!*alive) {
+                return;
+            }
+            using Verdict = SubmissionRefusals::Verdict;
+            if (answer.verdict == Verdict::Exists) {
+                cacheHome(id, answer.partition);
+                handler(RouteOutcome::Done);
+                return;
+            }
+            handler(answer.verdict == Verdict::Refused ? RouteOutcome::Refused : RouteOutcome::Unknown);
+        });
+}
+
 void JobRouter::status(const std::string &id, Instant deadline, std::function<void(RouteOutcome, JobPhase)> handler)
 {
     auto request = std::make_shared<JobRequest>();
@@ -404,7 +483,7 @@
                 finishRequest(request, RouteOutcome::Unavailable, JobPhase::Pending);
                 return;
             }
-            if (!*entry) {
+            if (!*entry || JobKeys::isRefused((*entry)->value)) {
                 // Whoever cancels a job that does not exist relies on it that the job never runs.
                 const bool cancels = request->method == "DELETE";
                 const bool wasRemoved = m_homes.contains(request->job);
@@ -412,7 +491,7 @@
                     finishRequest(request, RouteOutcome::Unknown, JobPhase::Pending);
                 } else if (cancels && !wasRemoved) {
                     if (m_earlyCancellations.tryTake()) {
-                        cancelEarly(request, 0);
+                        cancelEarly(request, 0, *entry ? (*entry)->revision : MustNotExist);
                     } else {
                         finishRequest(request, RouteOutcome::Unavailable, JobPhase::Pending);
                     }
@@ -434,30 +513,32 @@
     same ? serveFromStore(request) : forwardToOwner(request);
 }
 
-void JobRouter::cancelEarly(const std::shared_ptr<JobRequest> &request, std::size_t firstPartition)
+void JobRouter::cancelEarly(
+    const std::shared_ptr<JobRequest> &request, std::size_t firstPartition, StoreRevision refusal)
 {
     const std::vector<std::string> partitions = m_environment.plan.partitions();
     const std::size_t end = std::min(partitions.size(), firstPartition + MaxInboxesPerTransaction);
     const std::string value = serialize(InboxEntry {InboxRequest::Cancel, request->job, std::nullopt, {}, {}, true});
     StoreTransaction transaction;
-    transaction.conditions = {{JobKeys::home(request->job), MustNotExist}};
+    transaction.conditions = {{JobKeys::home(request->job), refusal}};
     for (std::size_t i = firstPartition; i < end; ++i) {
         transaction.writes.push_back({JobKeys::inboxCancellation(partitions[i], request->job), value, std::nullopt, 0});
     }
     m_environment.log("job-cancelled-early", request->job, {{"inboxes", end - firstPartition}});
-    m_environment.store.commit(
-        std::move(transaction), [this, alive = m_alive, request, end](const Result<StoreTransactionResult> &result) {
+    m_environment.store.commit(std::move(transaction),
+        [this, alive = m_alive, request, end, refusal](const Result<StoreTransactionResult> &result) {
             if (!*alive) {
                 return;
             }
             const auto *commit = std::get_if<StoreTransactionResult>(&result);
-            const bool isRefused = commit != nullptr && !commit->committed;
-            if (commit == nullptr || (isRefused && commit->currentEntries.empty())) {
+            const bool isConflict = commit != nullptr && !commit->committed;
+            const StoreEntry *home = isConflict ? commit->currentEntry(JobKeys::home(request->job)) : nullptr;
+            if (home != nullptr && !JobKeys::isRefused(home->value)) {
+                followHome(request, home->value);
+            } else if (commit == nullptr || isConflict) {
                 finishRequest(request, RouteOutcome::Unknown, JobPhase::Pending);
-            } else if (isRefused) {
-                followHome(request, commit->currentEntries.front().value);
             } else if (end < m_environment.plan.partitions().size()) {
-                cancelEarly(request, end);
+                cancelEarly(request, end, refusal);
             } else {
                 finishRequest(request, RouteOutcome::Done, JobPhase::Cancelled);
             }
--- a/source/tenure/JobRouter.h
+++ b/source/tenure/JobRouter.h
@@ -50,10 +50,14 @@
     JobRouter(const JobRouter &) = delete;
     JobRouter &operator=(const JobRouter &) = delete;
 
-    // Submits a job. Gives up with Unknown or Unavailable after about half of the time to the deadline, so that the
-    // caller can try another instance in the rest.
+    // Submits a job. Gives up with Unknown after about half of the time to the deadline, so that the caller can try
+    // another instance in the rest. Never reports Unavailable, because another instance may have accepted a copy.
     void submit(JobRecord record, Instant deadline, std::function<void(RouteOutcome)> handler);
 
+    // Refuses a submission that this instance can't handle. Reports Refused only once no copy of it that was received
+    // until now can be accepted, and Done if one was accepted.
+    void refuse(const std::string &id, std::function<void(RouteOutcome)> handler);
+
     // Both report Unknown shortly before the deadline if there is no result by then.
     void status(const std::string &id, Instant deadline, std::function<void(RouteOutcome, JobPhase)> handler);
     void cancel(const std::string &id, Instant deadline, std::function<void(RouteOutcome)> handler);
@@ -67,6 +71,8 @@
     struct JobRequest;
     using AnswerHandler = std::function<void(const HttpAnswer &)>;
 
+    [[nodiscard]] static std::string submissionTarget(const Submission &submission);
+    [[nodiscard]] SubmissionRefusals &refusals();
     [[nodiscard]] bool callOwner(const std::string &partition, const std::string &method, const std::string &target,
         std::string body, AnswerHandler handler);
     void trySubmit(const std::shared_ptr<Submission> &submission);
@@ -74,6 +80,8 @@
     void finish(const std::shared_ptr<Submission> &submission, RouteOutcome outcome);
     void onSubmitAnswer(const std::shared_ptr<Submission> &submission, const HttpAnswer &answer);
     void followRedirect(const std::shared_ptr<Submission> &submission, const std::string &answer);
+    // Submits the job again if its refusal is older than this copy of the submission.
+    void onRefusedBefore(const std::shared_ptr<Submission> &submission, const std::string &answer);
     void retrySubmit(const std::shared_ptr<Submission> &submission);
     void submitThroughStore(const std::shared_ptr<Submission> &submission);
     void sendRequest(const std::shared_ptr<JobRequest> &request);
@@ -83,7 +91,7 @@
     void followHome(const std::shared_ptr<JobRequest> &request, const std::string &partition);
     // Leaves the cancellation of a job that no partition has accepted in the inboxes of all partitions from the given
     // one on, because a submission of the job may be on its way to any of them.
-    void cancelEarly(const std::shared_ptr<JobRequest> &request, std::size_t firstPartition);
+    void cancelEarly(const std::shared_ptr<JobRequest> &request, std::size_t firstPartition, StoreRevision refusal);
     void serveFromStore(const std::shared_ptr<JobRequest> &request);
     void finishRequest(const std::shared_ptr<JobRequest> &request, RouteOutcome outcome, JobPhase phase);
     void cacheHome(const std::string &job, const std::string &partition);
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -100,20 +100,19 @@
 
 void PartitionLeader::refuse(const std::string &id)
 {
-    m_environment.store.read(
-        JobKeys::home(id), [this, alive = m_alive, id](const Result<std::optional<StoreEntry>> &result) {
-            if (!*alive) {
-                return;
-            }
-            const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
-            if (home == nullptr) {
-                m_submissions.finish(id, {AcceptOutcome::Unknown, {}});
-            } else if (*home) {
-                m_submissions.finish(id, {AcceptOutcome::Exists, (*home)->value});
-            } else {
-                m_submissions.finish(id, {AcceptOutcome::Refused, {}});
-            }
-        });
+    m_environment.refusals.refuse(id, [this, alive = m_alive, id](const SubmissionRefusals::Answer &answer) {
+        if (!*alive) {
+            return;
+        }
+        using Verdict = SubmissionRefusals::Verdict;
+        if (answer.verdict == Verdict::Refused) {
+            m_submissions.finish(id, {AcceptOutcome::Refused, {}});
+        } else if (answer.verdict == Verdict::Exists) {
+            m_submissions.finish(id, {AcceptOutcome::Exists, answer.partition});
+        } else {
+            m_submissions.finish(id, {AcceptOutcome::Unknown, {}});
+        }
+    });
 }
 
 void PartitionLeader::updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms)
@@ -123,7 +122,7 @@
     }
 }
 
-void PartitionLeader::submit(JobRecord record, Placement placement, SubmitHandler handler)
+void PartitionLeader::submit(JobRecord record, Placement placement, SubmitHandler handler, StoreRevision refusal)
 {
     const std::string id = record.specification.id;
     const JobState *known = m_jobScheduler.find(id);
@@ -136,6 +135,12 @@
     if (isCopy) {
         return;
     }
+    const SubmissionRefusals::Mark *mark = m_environment.refusals.find(id);
+    if (mark != nullptr && mark->revision > refusal) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - mark->knownSince);
+        m_submissions.finish(id, {AcceptOutcome::RefusedBefore, {}, mark->revision, age});
+        return;
+    }
     if (const std::optional<AcceptResult> decision = checkAdmission(record, placement)) {
         if (decision->outcome == AcceptOutcome::Refused) {
             refuse(id);
@@ -146,17 +151,25 @@
     }
     const std::int64_t demand = longRunningDemand(record.specification);
     m_pendingLongRunningMilliCores[record.policy.pool] += demand;
-    m_journal.accept(record, [this, record, demand](const AcceptResult &result) {
-        m_pendingLongRunningMilliCores[record.policy.pool] -= demand;
-        if (result.outcome == AcceptOutcome::Accepted) {
-            m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
-        }
-        // With an unknown outcome the term has ended, and the next owner reads the inbox.
-        if (result.outcome != AcceptOutcome::Unknown) {
-            applyKeptCancellation(record.specification.id);
-        }
-        m_submissions.finish(record.specification.id, result);
-    });
+    m_journal.accept(
+        record,
+        [this, record, demand](const AcceptResult &result) {
+            m_pendingLongRunningMilliCores[record.policy.pool] -= demand;
+            if (result.outcome == AcceptOutcome::RefusedBefore) {
+                m_environment.refusals.add(record.specification.id, result.refusal);
+            } else if (result.outcome == AcceptOutcome::Accepted || result.outcome == AcceptOutcome::Exists) {
+                m_environment.refusals.remove(record.specification.id);
+            }
+            if (result.outcome == AcceptOutcome::Accepted) {
+                m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
+            }
+            // With an unknown outcome the term has ended, and the next owner reads the inbox.
+            if (result.outcome != AcceptOutcome::Unknown) {
+                applyKeptCancellation(record.specification.id);
+            }
+            m_submissions.finish(record.specification.id, result);
+        },
+        refusal);
 }
 
 void PartitionLeader::cancel(const std::string &id, std::function<void(CancelOutcome)> handler)
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -11,6 +11,7 @@
 #include "tenure/PendingSubmissions.h"
 #include "tenure/PlaceSearch.h"
 #include "tenure/PredecessorTenure.h"
+#include "tenure/SubmissionRefusals.h"
 
 namespace Wagtail
 {
@@ -26,6 +27,7 @@
         Scheduler &scheduler;
         Store &store;
         WorkerGateway &gateway;
+        SubmissionRefusals &refusals;
         // Writes a decision to the log.
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
         // Called when the term is over. The leader must be destroyed afterwards, but not within the call.
@@ -67,7 +69,8 @@
     };
 
     using SubmitHandler = PendingSubmissions::Handler;
-    void submit(JobRecord record, Placement placement, SubmitHandler handler);
+    // Submits a job. It may have been refused at the given revision before this copy of the submission was received.
+    void submit(JobRecord record, Placement placement, SubmitHandler handler, StoreRevision refusal = MustNotExist);
 
     enum class CancelOutcome {
         // The store has the cancellation.
@@ -181,8 +184,7 @@
     // Returns the result if the job must not be accepted by this partition, and otherwise nothing.
     [[nodiscard]] std::optional<AcceptResult> checkAdmission(const JobRecord &record, Placement placement);
 
-    // Refuses a job, unless another partition has accepted it: a copy of a request may arrive after the first was
-    // answered.
+    // Refuses all copies of a submission, unless another partition has accepted one of them.
     void refuse(const std::string &id);
     void restoreInterferenceModel(const std::string &text);
 
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -30,6 +30,7 @@
 
 PartitionOwnership::PartitionOwnership(Environment environment, InstanceEntry self, PartitionLeader::Limits limits)
     : m_environment(std::move(environment))
+    , m_refusals(m_environment.clock, m_environment.scheduler, m_environment.store)
     , m_self(std::move(self))
     , m_limits(limits)
     , m_startedAt(m_environment.clock.now())
@@ -50,6 +51,11 @@
     *m_alive = false;
 }
 
+SubmissionRefusals &PartitionOwnership::refusals()
+{
+    return m_refusals;
+}
+
 std::optional<InstanceEntry> PartitionOwnership::ownerOf(const std::string &partition) const
 {
     const StoreEntry *entry = m_environment.cluster.find(JobKeys::owner(partition));
@@ -249,7 +255,7 @@
         {{"token", revision}, {"tenure", term}, {"follows", nameOf(state.succession)},
             {"ended_token", state.endedToken}});
     PartitionLeader::Environment environment {m_environment.clock, m_environment.scheduler, m_environment.store,
-        m_environment.gateway, m_environment.log,
+        m_environment.gateway, m_refusals, m_environment.log,
         [this, alive = m_alive, partition] {
             m_environment.scheduler.post([this, alive, partition] {
                 if (*alive) {
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -8,6 +8,7 @@
 #include "tenure/PartitionPlan.h"
 #include "tenure/PeerPlaceRequester.h"
 #include "tenure/StoreHealthReport.h"
+#include "tenure/SubmissionRefusals.h"
 #include "tenure/TermSuccession.h"
 
 namespace Wagtail
@@ -55,6 +56,9 @@
     // Returns the leader of a partition that this instance owns and has loaded, or null.
     [[nodiscard]] PartitionLeader *leader(const std::string &partition);
 
+    // Returns the refusals of submissions by this instance.
+    [[nodiscard]] SubmissionRefusals &refusals();
+
     // Returns the owner of a partition according to the cluster's entries.
     [[nodiscard]] std::optional<InstanceEntry> ownerOf(const std::string &partition) const;
 
@@ -106,6 +110,8 @@
     void releaseNext(std::vector<std::string> partitions, std::function<void()> handler);
 
     Environment m_environment;
+    // Outlives the leaders, because marks are erased after the end of their terms.
+    SubmissionRefusals m_refusals;
     // Null if there are no peers.
     std::unique_ptr<PeerPlaceRequester> m_places;
     InstanceEntry m_self;
--- a/source/tenure/tests/TestCluster.h
+++ b/source/tenure/tests/TestCluster.h
@@ -34,6 +34,10 @@
         HttpRequest request;
         request.method = call.method;
         request.path = rest.substr(rest.find('/'));
+        if (const std::size_t query = request.path.find('?'); query != std::string::npos) {
+            request.query = request.path.substr(query + 1);
+            request.path.erase(query);
+        }
         request.body = call.body;
         m_scheduler.after(Milliseconds(1), [this, host, request, handler = std::move(handler)] {
             const auto server = servers.find(host);
