--- a/source/slices.cmake
+++ b/source/slices.cmake
@@ -114,6 +114,12 @@
         --lease-ms 6000 --port 21000)
 set_tests_properties(history.node-connections-reset PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
 
+# The same while callers repeat calls at other instances before they have an answer.
+add_test(NAME history.node-resubmissions
+    COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/history/run_node.py --sequence resubmissions --seed 1 --seconds 40
+        --instances 8 --workers 100 --lease-ms 6000 --port 27000)
+set_tests_properties(history.node-resubmissions PROPERTIES RESOURCE_LOCK deployment TIMEOUT 300)
+
 # Programs that are stopped while they start.
 foreach(program wagtail-node wagtaild)
     add_test(NAME history.early-stop-${program}
