Scheduling: Count no crash as prompt after which a run may have been done

Callers saw a job as failed under whose task no worker had crashed: two runs were done, and their workers restarted before the owner had read the ends. Both counted as prompt crashes, of which two convict, because the lifetime of a run is taken up to the last contact with its worker.

A crash lies between the last contact and the proof of it: the birth of the next incarnation, or now. A run that may have been completed within that time, and while its leases lasted, counts as prompt-unread. By progress that is decided as after the expiry of leases, and without progress by half the submitter's estimate. Such crashes convict like late ones: three, or four if they are shared as well. A real culprit whose estimate is shorter than the restart of its worker therefore crashes three workers instead of two. Nothing that the owner learns tells the two apart, and a job that is shown as failed without cause breaks a rule, while one more crash does not.

UnreadEnd.countsAsNoCrashOfTheTask failed before and passes.

--- a/source/scheduling/CrashEvidence.cpp
+++ b/source/scheduling/CrashEvidence.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/CrashEvidence.h"
 
+#include "scheduling/UnreadEnd.h"
+
 #include <algorithm>
 
 namespace Wagtail
@@ -31,7 +33,7 @@
 
 }
 
-std::optional<CrashTiming> crashTiming(const TaskState &task, const WorkerState &worker)
+std::optional<CrashTiming> crashTiming(const TaskState &task, const WorkerState &worker, Instant crashedBy)
 {
     if (!task.runStartedAt || worker.listing.draining) {
         return std::nullopt;
@@ -51,14 +53,17 @@
     if (task.runAdopted) {
         return hasOtherCause ? CrashTiming::Ambiguous : CrashTiming::Unknown;
     }
+    if (mayHaveEndedUnread(task, std::min(crashedBy, worker.leaseExpiry().value_or(crashedBy)))) {
+        return hasOtherCause ? CrashTiming::Ambiguous : CrashTiming::PromptUnread;
+    }
     return hasOtherCause ? CrashTiming::PromptShared : CrashTiming::Prompt;
 }
 
-std::vector<CrashEvidence> crashEvidence(const WorkerState &worker)
+std::vector<CrashEvidence> crashEvidence(const WorkerState &worker, Instant crashedBy)
 {
     std::vector<CrashEvidence> evidence;
     for (const TaskState *task : worker.tasks) {
-        if (const std::optional<CrashTiming> timing = crashTiming(*task, worker)) {
+        if (const std::optional<CrashTiming> timing = crashTiming(*task, worker, crashedBy)) {
             evidence.push_back({{nameOf(*task), task->run}, worker.incarnation, *timing});
         }
     }
--- a/source/scheduling/CrashHistory.h
+++ b/source/scheduling/CrashHistory.h
@@ -17,6 +17,8 @@
     Prompt,
     // The same, but another task on the worker that had been started lately may have crashed it.
     PromptShared,
+    // The same, but the run may have been completed before the crash without its owner having read the end.
+    PromptUnread,
     // The worker was still alive at that time.
     Late,
     // The same, but another task on the worker that had been started lately may have crashed it, or is known to have.
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -376,9 +376,9 @@
     void withdrawHeldStart(TaskState &task);
     // Ends the incarnation of a worker whose address another worker has taken.
     void onWorkerReplaced(WorkerState &worker);
-    // Returns the runs that a worker has lost by a crash.
+    // Returns the runs that a worker has lost by a crash, which happened by the given time.
     [[nodiscard]] std::vector<CrashEvidence> collectCrashEvidence(
-        WorkerState &worker, const std::set<TaskState *> &kept = {});
+        WorkerState &worker, Instant crashedBy, const std::set<TaskState *> &kept = {});
     void countCrashes(const WorkerState &worker, const std::vector<CrashEvidence> &evidence);
     void giveUp(TaskState &task);
     void logGivenUp(const TaskName &task, const CrashHistory &history);
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -145,7 +145,7 @@
     }
     m_environment.listener.logDecision("worker-replaced", name,
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"tasks", worker.tasks.size()}});
-    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, m_environment.clock.now());
     m_leaseHandover.confirm(name);
     worker.obsoleteRuns.restart({});
     worker.priorLeaseExpiresAt = {};
@@ -160,9 +160,10 @@
     countCrashes(worker, evidence);
 }
 
-std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker, const std::set<TaskState *> &kept)
+std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(
+    WorkerState &worker, Instant crashedBy, const std::set<TaskState *> &kept)
 {
-    std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    std::vector<CrashEvidence> evidence = crashEvidence(worker, crashedBy);
     const auto isKept = [&kept](const CrashEvidence &item) {
         return std::any_of(
             kept.begin(), kept.end(), [&item](const TaskState *task) { return nameOf(*task) == item.run.task; });
@@ -280,7 +281,7 @@
 
 void JobScheduler::noteLostRuns(WorkerState &worker, const std::vector<TaskState *> &tasks)
 {
-    const std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    const std::vector<CrashEvidence> evidence = crashEvidence(worker, m_environment.clock.now());
     for (TaskState *task : tasks) {
         const bool wasSent = !task->awaitsRecording;
         requeue(*task, Milliseconds(0));
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -429,7 +429,7 @@
     m_environment.listener.logDecision("worker-restarted", worker.listing.name,
         {{"previous_incarnation", worker.incarnation}, {"incarnation", incarnation}, {"tasks", worker.tasks.size()},
             {"kept", kept.size()}, {"uncertain", uncertain.size()}});
-    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, kept);
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, next.bornBy, kept);
     worker.incarnation = incarnation;
     worker.appliedEnd = 0;
     worker.recordedEnd = 0;
--- a/source/scheduling/UnreadEnd.cpp
+++ b/source/scheduling/UnreadEnd.cpp
@@ -35,4 +35,11 @@
     return task.progressRequestedAt + remaining / LargestSpeedUp <= leasesExpireAt;
 }
 
+bool mayHaveEndedUnread(const TaskState &task, Instant by)
+{
+    const bool isTooShort
+        = task.runStartedAt && by - *task.runStartedAt < task.step->specification().estimate / LargestSpeedUp;
+    return !isTooShort && mayHaveCompleted(task, by);
+}
+
 }
