Tests: A job may fail by three failures that were read and then lost

A task that is to fail once does so again as long as no failure of it is acknowledged or listed. When workers restart after the owner has read a failure and before they got its acknowledgement, three runs of a task fail and are read. An owner that has read three failures must end the job, and a worker that forgets one does not undo it. FaultHistory allowed a job that is to succeed to fail only because of crashes.

It now allows that cause too, as CrashModel and DelegationModel did, and the cause became stricter for all three: only failures count whose report an instance has read. So far every failed run counted, read or not. FakeWorkersTest.allowFailureOnlyOfATaskWhoseFailuresWereRead shows the difference.

--- a/source/tenure/tests/FakeWorkersTest.cpp
+++ b/source/tenure/tests/FakeWorkersTest.cpp
@@ -133,6 +133,24 @@
     EXPECT_FALSE(m_workers.mayFail("other"));
 }
 
+TEST_F(FakeWorkersTest, allowFailureOnlyOfATaskWhoseFailuresWereRead)
+{
+    FakeWorkers::Behaviour behaviour;
+    behaviour.failures = 3;
+    m_workers.setBehaviour("job", behaviour);
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        start(Task, run);
+        advance(behaviour.duration);
+    }
+    const auto answer = m_workers.report("worker", 1, {});
+    ASSERT_TRUE(std::holds_alternative<RunReport>(answer));
+    const auto &report = std::get<RunReport>(answer);
+    EXPECT_EQ(report.ended.size(), 3U);
+    EXPECT_FALSE(m_workers.mayFail("job"));
+    m_workers.noteRead(report);
+    EXPECT_TRUE(m_workers.mayFail("job"));
+}
+
 TEST_F(FakeWorkersTest, refuseWhatDoesNotFitOnlyIfTheyGuardTheirCapacity)
 {
     setDemand();
--- a/source/tenure/tests/FaultHistory.h
+++ b/source/tenure/tests/FaultHistory.h
@@ -106,11 +106,13 @@
     };
 
     // Returns whether the job, unless it is cancelled, may have this phase in the end. A job may be given up although
-    // its tasks do not fail if restarts of workers hit one of them twice.
+    // its tasks do not fail if restarts of workers hit one of them twice. It may also fail because of three failed runs
+    // of a task that is to fail less often, if restarts lose failures after they were read and before they were
+    // acknowledged.
     [[nodiscard]] virtual bool mayEnd(const std::string &id, const Submitted &job, JobPhase phase) const
     {
         const JobPhase expected = job.failures >= Attempts ? JobPhase::Failed : JobPhase::Done;
-        return phase == expected || (phase == JobPhase::Failed && m_cluster.workers.mayBeGivenUp(id));
+        return phase == expected || (phase == JobPhase::Failed && m_cluster.workers.mayFail(id));
     }
 
     // Returns what the next job is to be called.
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -370,11 +370,21 @@
             [&job](const auto &entry) { return entry.first.job == job && entry.second >= CrashesBeforeGivingUp; });
     }
 
-    // Returns whether the job may be shown as failed: it may be given up, or as many runs of one of its tasks as
-    // allowed have failed.
+    // Notes that an instance has read a report.
+    void noteRead(const RunReport &report)
+    {
+        for (const EndedTask &ended : report.ended) {
+            if (ended.end == RunEnd::Failed) {
+                m_readFailures[ended.run.task].insert(ended.run.run);
+            }
+        }
+    }
+
+    // Returns whether the job may be shown as failed: it may be given up, or as many failed runs of one of its tasks as
+    // allowed have been read.
     [[nodiscard]] bool mayFail(const std::string &job) const
     {
-        const bool failed = std::any_of(m_failedRuns.begin(), m_failedRuns.end(),
+        const bool failed = std::any_of(m_readFailures.begin(), m_readFailures.end(),
             [&job](const auto &entry) { return entry.first.job == job && entry.second.size() >= MostAttempts; });
         return failed || mayBeGivenUp(job);
     }
@@ -620,9 +630,6 @@
         worker.lapsesAtEnd[worker.nextEnd] = worker.lapses;
         ++worker.nextEnd;
         m_endedAt[run.name] = m_clock.now();
-        if (how == RunEnd::Failed) {
-            m_failedRuns[run.name.task].insert(run.name.run);
-        }
         std::erase_if(worker.running, [&run](const Run &other) { return other.name == run.name; });
     }
 
@@ -664,8 +671,8 @@
     std::map<TaskName, Instant> m_notedDone;
     std::map<TaskName, std::set<std::uint64_t>> m_notedFailures;
     std::map<TaskName, std::set<std::uint64_t>> m_acknowledgedFailures;
-    // All failures, even those that nobody has read.
-    std::map<TaskName, std::set<std::uint64_t>> m_failedRuns;
+    // All failures that an instance has read, even if no acknowledgement of them has reached the worker.
+    std::map<TaskName, std::set<std::uint64_t>> m_readFailures;
     std::vector<std::string> m_violations;
 };
 
@@ -743,8 +750,12 @@
             const Milliseconds readingDelay = slow == reportDelays.end() ? Milliseconds(0) : slow->second;
             const auto *outcome = std::get_if<OrderOutcome>(&result);
             const bool unanswered = outcome != nullptr && *outcome == OrderOutcome::Unknown;
-            m_scheduler.after(unanswered ? Timeout : Delay + readingDelay,
-                [handler, result = std::move(result)] { handler(result); });
+            m_scheduler.after(unanswered ? Timeout : Delay + readingDelay, [this, handler, result = std::move(result)] {
+                if (const auto *report = std::get_if<RunReport>(&result)) {
+                    m_workers.noteRead(*report);
+                }
+                handler(result);
+            });
         });
     }
 
