--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -26,6 +26,14 @@
     return item.timing == CrashTiming::Unknown && isShared ? CrashTiming::Ambiguous : item.timing;
 }
 
+// Returns whether a recorded start can be sent as soon as the worker has answered a request that acknowledges run ends.
+// The members of a gang are placed anew instead, because they have to start together.
+bool waitsForAcknowledgement(const WorkerState &worker, const TaskState &task, Instant now)
+{
+    return worker.isAcknowledging() && now >= worker.lateRequests.acknowledgementsEndAt() && acceptsTasks(worker, now)
+        && !task.step->specification().gang;
+}
+
 }
 
 bool JobScheduler::needsOpenRun(const TaskState &task)
@@ -79,7 +87,10 @@
             continue;
         }
         if (!maySendHeldStart(*task)) {
-            withdrawHeldStart(*task);
+            const WorkerState *worker = findWorker(task->worker);
+            if (worker == nullptr || !waitsForAcknowledgement(*worker, *task, m_environment.clock.now())) {
+                withdrawHeldStart(*task);
+            }
             continue;
         }
         task->awaitsRecording = false;
@@ -87,6 +98,18 @@
     }
 }
 
+void JobScheduler::sendRecordedStarts(const WorkerState &worker)
+{
+    std::set<RunName> recorded;
+    for (const TaskState *task : worker.tasks) {
+        const RunName run {nameOf(*task), task->run};
+        if (task->awaitsRecording && task->phase == RunPhase::Starting && !m_heldStarts.contains(run)) {
+            recorded.insert(run);
+        }
+    }
+    onStartsRecorded(recorded);
+}
+
 bool JobScheduler::maySendHeldStart(const TaskState &task)
 {
     if (m_authority != SchedulingAuthority::Full) {
@@ -145,7 +168,7 @@
     }
     m_environment.listener.logDecision("worker-replaced", name,
         {{"address", worker.listing.address}, {"incarnation", worker.incarnation}, {"tasks", worker.tasks.size()}});
-    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker);
+    const std::vector<CrashEvidence> evidence = collectCrashEvidence(worker, m_environment.clock.now());
     m_leaseHandover.confirm(name);
     worker.obsoleteRuns.restart({});
     worker.priorLeaseExpiresAt = {};
@@ -160,9 +183,10 @@
     countCrashes(worker, evidence);
 }
 
-std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(WorkerState &worker, const std::set<TaskState *> &kept)
+std::vector<CrashEvidence> JobScheduler::collectCrashEvidence(
+    WorkerState &worker, Instant crashedBy, const std::set<TaskState *> &kept)
 {
-    std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    std::vector<CrashEvidence> evidence = crashEvidence(worker, crashedBy);
     const auto isKept = [&kept](const CrashEvidence &item) {
         return std::any_of(
             kept.begin(), kept.end(), [&item](const TaskState *task) { return nameOf(*task) == item.run.task; });
@@ -280,7 +304,7 @@
 
 void JobScheduler::noteLostRuns(WorkerState &worker, const std::vector<TaskState *> &tasks)
 {
-    const std::vector<CrashEvidence> evidence = crashEvidence(worker);
+    const std::vector<CrashEvidence> evidence = crashEvidence(worker, m_environment.clock.now());
     for (TaskState *task : tasks) {
         const bool wasSent = !task->awaitsRecording;
         requeue(*task, Milliseconds(0));
--- a/source/tenure/DelegatedTaskReturner.cpp
+++ b/source/tenure/DelegatedTaskReturner.cpp
@@ -35,17 +35,19 @@
         }
         m_asked.erase(job);
         const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
-        if (home != nullptr && *home) {
+        if (home != nullptr && *home && !JobKeys::isRefused((*home)->value)) {
             m_homes[job] = (*home)->value;
         }
     });
     return std::nullopt;
 }
 
-void DelegatedTaskReturner::send(const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks)
+void DelegatedTaskReturner::send(
+    const std::string &job, const std::string &home, std::vector<DelegatedTask> tasks, const std::string &nextPartition)
 {
     InboxEntry entry {InboxRequest::Return, job, std::nullopt, std::move(tasks)};
     entry.partition = m_partition;
+    entry.nextPartition = nextPartition;
     const std::string message = std::to_string(m_term) + "." + std::to_string(m_nextMessage);
     ++m_nextMessage;
     m_journal.delegate(
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds CleanupPeriod {5'000};
 constexpr Milliseconds DelegationPeriod {200};
 constexpr Milliseconds HeadroomLogPeriod {2'000};
+// A record of lease holders is written only if the store has answered within this time.
+constexpr Milliseconds LongestSilence {200};
 // Interference between two images is learned within a few reports, so what a take-over loses is soon learned again.
 constexpr Milliseconds InterferenceModelWritePeriod {3'000};
 
@@ -36,6 +38,8 @@
     , m_inboxFeed(
           m_environment.store, m_environment.scheduler, m_inbox, JobKeys::inbox(m_position.partition), InboxWatchTime)
     , m_headrooms(m_environment.clock)
+    , m_storeContact(
+          m_environment.clock, m_environment.store, JobKeys::owner(m_position.partition), [this] { onStoreAnswered(); })
     , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
     , m_earlyCancellations(m_environment.clock)
 {
@@ -100,20 +104,19 @@
 
 void PartitionLeader::refuse(const std::string &id)
 {
-    m_environment.store.read(
-        JobKeys::home(id), [this, alive = m_alive, id](const Result<std::optional<StoreEntry>> &result) {
-            if (!*alive) {
-                return;
-            }
-            const auto *home = std::get_if<std::optional<StoreEntry>>(&result);
-            if (home == nullptr) {
-                m_submissions.finish(id, {AcceptOutcome::Unknown, {}});
-            } else if (*home) {
-                m_submissions.finish(id, {AcceptOutcome::Exists, (*home)->value});
-            } else {
-                m_submissions.finish(id, {AcceptOutcome::Refused, {}});
-            }
-        });
+    m_environment.refusals.refuse(id, [this, alive = m_alive, id](const SubmissionRefusals::Answer &answer) {
+        if (!*alive) {
+            return;
+        }
+        using Verdict = SubmissionRefusals::Verdict;
+        if (answer.verdict == Verdict::Refused) {
+            m_submissions.finish(id, {AcceptOutcome::Refused, {}});
+        } else if (answer.verdict == Verdict::Exists) {
+            m_submissions.finish(id, {AcceptOutcome::Exists, answer.partition});
+        } else {
+            m_submissions.finish(id, {AcceptOutcome::Unknown, {}});
+        }
+    });
 }
 
 void PartitionLeader::updateHeadroom(const std::string &partition, const PoolHeadrooms &headrooms)
@@ -123,7 +126,7 @@
     }
 }
 
-void PartitionLeader::submit(JobRecord record, Placement placement, SubmitHandler handler)
+void PartitionLeader::submit(JobRecord record, Placement placement, SubmitHandler handler, StoreRevision refusal)
 {
     const std::string id = record.specification.id;
     const JobState *known = m_jobScheduler.find(id);
@@ -136,6 +139,12 @@
     if (isCopy) {
         return;
     }
+    const SubmissionRefusals::Mark *mark = m_environment.refusals.find(id);
+    if (mark != nullptr && mark->revision > refusal) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - mark->knownSince);
+        m_submissions.finish(id, {AcceptOutcome::RefusedBefore, {}, mark->revision, age});
+        return;
+    }
     if (const std::optional<AcceptResult> decision = checkAdmission(record, placement)) {
         if (decision->outcome == AcceptOutcome::Refused) {
             refuse(id);
@@ -146,17 +155,25 @@
     }
     const std::int64_t demand = longRunningDemand(record.specification);
     m_pendingLongRunningMilliCores[record.policy.pool] += demand;
-    m_journal.accept(record, [this, record, demand](const AcceptResult &result) {
-        m_pendingLongRunningMilliCores[record.policy.pool] -= demand;
-        if (result.outcome == AcceptOutcome::Accepted) {
-            m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
-        }
-        // With an unknown outcome the term has ended, and the next owner reads the inbox.
-        if (result.outcome != AcceptOutcome::Unknown) {
-            applyKeptCancellation(record.specification.id);
-        }
-        m_submissions.finish(record.specification.id, result);
-    });
+    m_journal.accept(
+        record,
+        [this, record, demand](const AcceptResult &result) {
+            m_pendingLongRunningMilliCores[record.policy.pool] -= demand;
+            if (result.outcome == AcceptOutcome::RefusedBefore) {
+                m_environment.refusals.add(record.specification.id, result.refusal);
+            } else if (result.outcome == AcceptOutcome::Accepted || result.outcome == AcceptOutcome::Exists) {
+                m_environment.refusals.remove(record.specification.id);
+            }
+            if (result.outcome == AcceptOutcome::Accepted) {
+                m_jobScheduler.add(record.specification, record.policy, record.acceptedWall);
+            }
+            // With an unknown outcome the term has ended, and the next owner reads the inbox.
+            if (result.outcome != AcceptOutcome::Unknown) {
+                applyKeptCancellation(record.specification.id);
+            }
+            m_submissions.finish(record.specification.id, result);
+        },
+        refusal);
 }
 
 void PartitionLeader::cancel(const std::string &id, std::function<void(CancelOutcome)> handler)
@@ -273,10 +290,7 @@
     m_givenUpReporter.tick();
     m_returner.tick();
     const Instant now = m_environment.clock.now();
-    // A record that can't be stored yet would only keep its workers from getting leases.
-    if (m_jobScheduler.isLeaseRecordDue() && !m_journal.isStoreUnavailable()) {
-        writeLeaseHolders();
-    }
+    recordLeaseHolders();
     delegateStoppedTasks();
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
@@ -318,6 +332,25 @@
     }
 }
 
+void PartitionLeader::onStoreAnswered()
+{
+    recordLeaseHolders();
+    delegateStoppedTasks();
+}
+
+void PartitionLeader::recordLeaseHolders()
+{
+    // A record that can't be stored yet would only keep its workers from getting leases.
+    if (!m_loaded || m_termEnded || !m_jobScheduler.isLeaseRecordDue() || m_journal.isStoreUnavailable()) {
+        return;
+    }
+    if (m_storeContact.hasAnsweredWithin(LongestSilence)) {
+        writeLeaseHolders();
+    } else {
+        m_storeContact.ask();
+    }
+}
+
 void PartitionLeader::writeLeaseHolders()
 {
     const BegunLeaseRecord begun = m_jobScheduler.beginLeaseRecord();
@@ -403,6 +436,7 @@
 
 void PartitionLeader::onPhaseRecorded(const std::string &job, JobPhase phase)
 {
+    m_storeContact.noteAnswer();
     m_jobScheduler.phaseRecorded(job, phase);
     const JobState *state = m_jobScheduler.find(job);
     if (state == nullptr || !state->isFinished() || state->recordedPhase != state->phase) {
@@ -421,6 +455,7 @@
 
 void PartitionLeader::onPutRecorded(const std::string &key, const std::string &value)
 {
+    m_storeContact.noteAnswer();
     const auto record = m_leaseRecords.find(value);
     if (key != JobKeys::leaseHolders(m_position.partition) || record == m_leaseRecords.end()) {
         return;
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -11,6 +11,8 @@
 #include "tenure/PendingSubmissions.h"
 #include "tenure/PlaceSearch.h"
 #include "tenure/PredecessorTenure.h"
+#include "tenure/StoreContact.h"
+#include "tenure/SubmissionRefusals.h"
 
 namespace Wagtail
 {
@@ -26,6 +28,7 @@
         Scheduler &scheduler;
         Store &store;
         WorkerGateway &gateway;
+        SubmissionRefusals &refusals;
         // Writes a decision to the log.
         std::function<void(std::string_view what, const std::string &subject, const Json &inputs)> log;
         // Called when the term is over. The leader must be destroyed afterwards, but not within the call.
@@ -67,7 +70,8 @@
     };
 
     using SubmitHandler = PendingSubmissions::Handler;
-    void submit(JobRecord record, Placement placement, SubmitHandler handler);
+    // Submits a job. It may have been refused at the given revision before this copy of the submission was received.
+    void submit(JobRecord record, Placement placement, SubmitHandler handler, StoreRevision refusal = MustNotExist);
 
     enum class CancelOutcome {
         // The store has the cancellation.
@@ -159,8 +163,13 @@
     [[nodiscard]] static JobRecord placeDemand(const std::vector<TaskState *> &tasks);
     // Passes tasks on to a partition that holds places for them. Returns those that leave for it.
     std::set<TaskName> onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks);
+    // Passes on tasks whose runs were stopped for places in other partitions, if the store has just answered.
     void delegateStoppedTasks();
+    // Passes the named tasks of one step on to a partition that holds places for them, by way of the home partition of
+    // their job.
+    void passOn(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
     void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
+    void giveBack(const std::string &id, const std::set<TaskName> &tasks, const std::string &nextPartition);
     // Gives tasks of another partition's job back to it, if other partitions have headroom for them.
     void giveBack(const UnplacedStep &unplaced);
     // Takes back tasks that another partition gives back.
@@ -175,14 +184,17 @@
     // Logs the headroom that others see, and the gaps behind it.
     void logHeadrooms();
     void endTerm(const std::string &reason);
+    // Writes the record of the lease holders, and passes on stopped tasks, if they wait for it.
+    void onStoreAnswered();
+    // Writes the record of the lease holders if it is due and the store has just answered.
+    void recordLeaseHolders();
     void writeLeaseHolders();
     void writeInterferenceModel();
 
     // Returns the result if the job must not be accepted by this partition, and otherwise nothing.
     [[nodiscard]] std::optional<AcceptResult> checkAdmission(const JobRecord &record, Placement placement);
 
-    // Refuses a job, unless another partition has accepted it: a copy of a request may arrive after the first was
-    // answered.
+    // Refuses all copies of a submission, unless another partition has accepted one of them.
     void refuse(const std::string &id);
     void restoreInterferenceModel(const std::string &text);
 
@@ -212,6 +224,7 @@
     HeadroomLedger m_headrooms;
     // Empty if the environment has no PlaceRequester.
     std::optional<PlaceSearch> m_placeSearch;
+    StoreContact m_storeContact;
     DelegatedTaskReturner m_returner;
     EarlyCancellations m_earlyCancellations;
     // Identifies the next message to another partition among those of this term.
