Scheduling: Let late jobs wait for those on time

Late jobs that had nothing running started a task after 2 s although jobs on time found no worker either. Now they do so only if no job on time waits, and after 8 s otherwise. The wait stays bounded.

--- a/source/scheduling/BackfillProbe.cpp
+++ b/source/scheduling/BackfillProbe.cpp
@@ -15,8 +15,8 @@
 // an overdue task some seconds until callers expect it to run.
 constexpr Milliseconds CautiousProbeDelay {3'000};
 constexpr Milliseconds OverdueProbeDelay {8'000};
-// Jobs that can meet their objective have their turn before those that can't, which would wait for as long as such jobs
-// come. Callers expect an accepted job to have something running within three seconds.
+// For jobs that can't meet their objective any more, while none waits that can. Callers expect an accepted job to have
+// something running within three seconds.
 constexpr Milliseconds LateJobProbeDelay {2'000};
 // Distance from the load limit that probes leave. Closer to the limit they would be throttled at the next report.
 constexpr double ProbeMargin = 0.05;
@@ -55,10 +55,10 @@
     return idleFor < OverdueProbeDelay ? ProbeKind::Cautious : ProbeKind::Overdue;
 }
 
-Milliseconds starvedProbeDelay(JobTier tier)
+Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait)
 {
     const bool isLate = tier == JobTier::Late || tier == JobTier::Expired;
-    return isLate ? LateJobProbeDelay : OverdueProbeDelay;
+    return isLate && !onTimeJobsWait ? LateJobProbeDelay : OverdueProbeDelay;
 }
 
 int probeSpeed(double demand)
--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -29,7 +29,7 @@
 
 // Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool is
 // in use.
-[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier);
+[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait);
 
 // Returns the speed at which a task that asks for the given share of a worker's processors starts as a probe. Its use
 // is large enough to learn from.
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -48,6 +48,8 @@
 
 std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
 {
+    const bool onTimeJobsWait = std::any_of(waiting.begin(), waiting.end(),
+        [now](const StepState *step) { return tierOf(*step->occurrence->job, now) == JobTier::OnTime; });
     std::vector<TaskState *> starved;
     for (StepState *step : waiting) {
         const JobState *job = step->occurrence->job;
@@ -57,7 +59,7 @@
             continue;
         }
         TaskState *task = longestIdle(*step, holds, now);
-        if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now))) {
+        if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now), onTimeJobsWait)) {
             starved.push_back(task);
         }
     }
--- a/source/scheduling/tests/StarvedJobsTest.cpp
+++ b/source/scheduling/tests/StarvedJobsTest.cpp
@@ -72,6 +72,18 @@
     EXPECT_EQ(starvedCount(*jobAccepted(Second * 60, Milliseconds(2'500))), 1U);
 }
 
+// Late jobs took processors from jobs that could still meet their objective.
+TEST(StarvedJobs, waitsLongerForLateJobsBesideThoseOnTime)
+{
+    const auto onTime = jobAccepted(Second * 3, Second * 3);
+    const auto late = jobAccepted(Second * 60, Second * 3);
+    const auto later = jobAccepted(Second * 60, Second * 9);
+    const std::vector<TaskState *> starved
+        = starvedTasks({&stepOf(*onTime), &stepOf(*late), &stepOf(*later)}, RecoveryHolds(), Now);
+    ASSERT_EQ(starved.size(), 1U);
+    EXPECT_EQ(starved[0]->step, &stepOf(*later));
+}
+
 TEST(StarvedJobs, passesOverTasksThatMustNotStartYet)
 {
     const auto job = jobAccepted(Second * 20, Second * 9);
