--- a/source/scheduling/tests/BackfillStarvationTest.cpp
+++ b/source/scheduling/tests/BackfillStarvationTest.cpp
@@ -13,21 +13,6 @@
 // Callers expect an accepted job to run this long after it could.
 constexpr Milliseconds LongestWait {14'000};
 
-FakeWorkers::Behaviour workFor(Milliseconds duration, std::int64_t milliCores)
-{
-    return {duration, 0, false, [milliCores](Instant) {
-                return milliCores;
-            }};
-}
-
-StepSpecification stepOf(const std::string &image, int count, std::int64_t milliCores)
-{
-    StepSpecification step = ServingWorkers::fillingStep(count);
-    step.image = image;
-    step.demand.milliCores = milliCores;
-    return step;
-}
-
 }
 
 // The prediction ruled all workers out, and no task corrected it, because backfilling tasks that disturb nobody used
@@ -36,10 +21,12 @@
 {
     ServingWorkers workers([](Instant) { return HalfOfTarget; });
     SchedulerHarness &harness = workers.harness;
-    harness.submit("steady", {stepOf("steady", 8, 15'000)}, workFor(Second * 60, 15'000));
+    harness.submit(
+        "steady", {ServingWorkers::stepOf("steady", 8, 15'000)}, ServingWorkers::workFor(Second * 60, 15'000));
     harness.advance(Second * 12);
     ASSERT_EQ(harness.workers.workingCount("steady"), 8);
-    harness.submit("filling", {stepOf("batch", 4, 12'000)}, workFor(Second * 2, 12'000));
+    harness.submit(
+        "filling", {ServingWorkers::stepOf("batch", 4, 12'000)}, ServingWorkers::workFor(Second * 2, 12'000));
     harness.advance(LongestWait);
     EXPECT_GT(harness.workers.startCount({"filling", 0, 0, 0}), 0U);
     EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
@@ -50,10 +37,12 @@
 {
     ServingWorkers workers([](Instant) { return HalfOfTarget; });
     SchedulerHarness &harness = workers.harness;
-    harness.submit("steady", {stepOf("steady", 8, 28'500)}, workFor(Second * 60, 28'500));
+    harness.submit(
+        "steady", {ServingWorkers::stepOf("steady", 8, 28'500)}, ServingWorkers::workFor(Second * 60, 28'500));
     harness.advance(Second * 20);
     ASSERT_EQ(harness.workers.workingCount("steady"), 8);
-    harness.submit("filling", {stepOf("batch", 4, 12'000)}, workFor(Second * 2, 12'000));
+    harness.submit(
+        "filling", {ServingWorkers::stepOf("batch", 4, 12'000)}, ServingWorkers::workFor(Second * 2, 12'000));
     harness.advance(LongestWait);
     EXPECT_GT(harness.workers.startCount({"filling", 0, 0, 0}), 0U);
     EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
--- a/source/scheduling/tests/ExpectedUseTest.cpp
+++ b/source/scheduling/tests/ExpectedUseTest.cpp
@@ -14,21 +14,6 @@
 constexpr Milliseconds LongestWait {14'000};
 constexpr std::int64_t LittleUse = 1'000;
 
-FakeWorkers::Behaviour workFor(Milliseconds duration, std::int64_t milliCores)
-{
-    return {duration, 0, false, [milliCores](Instant) {
-                return milliCores;
-            }};
-}
-
-StepSpecification stepOf(const std::string &image, int count, std::int64_t milliCores)
-{
-    StepSpecification step = ServingWorkers::fillingStep(count);
-    step.image = image;
-    step.demand.milliCores = milliCores;
-    return step;
-}
-
 }
 
 // Processors count as used that nobody uses, while the tasks that asked for them use few.
@@ -36,10 +21,12 @@
 {
     ServingWorkers workers([](Instant) { return ServingWorkers::IdleTail; });
     SchedulerHarness &harness = workers.harness;
-    harness.submit("steady", {stepOf("steady", 16, 14'000)}, workFor(Second * 60, LittleUse));
+    harness.submit(
+        "steady", {ServingWorkers::stepOf("steady", 16, 14'000)}, ServingWorkers::workFor(Second * 60, LittleUse));
     harness.advance(Second * 2);
     ASSERT_EQ(harness.workers.workingCount("steady"), 16);
-    harness.submit("filling", {stepOf("batch", 1, 12'000)}, workFor(Second * 2, 12'000));
+    harness.submit(
+        "filling", {ServingWorkers::stepOf("batch", 1, 12'000)}, ServingWorkers::workFor(Second * 2, 12'000));
     harness.advance(LongestWait);
     EXPECT_GT(harness.workers.startCount({"filling", 0, 0, 0}), 0U);
     EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
@@ -52,11 +39,12 @@
     ServingWorkers workers([](Instant) { return HalfOfTarget; });
     SchedulerHarness &harness = workers.harness;
     for (int i = 0; i < 12; ++i) {
-        harness.submit("steady-" + std::to_string(i), {stepOf("steady", 1, 15'000)}, workFor(Second * 60, LittleUse));
+        harness.submit("steady-" + std::to_string(i), {ServingWorkers::stepOf("steady", 1, 15'000)},
+            ServingWorkers::workFor(Second * 60, LittleUse));
     }
     harness.advance(Second * 20);
     ASSERT_EQ(harness.workers.runningCount(), 16U);
-    harness.submit("filling", {stepOf("batch", 1, 7'000)}, workFor(Second * 2, 7'000));
+    harness.submit("filling", {ServingWorkers::stepOf("batch", 1, 7'000)}, ServingWorkers::workFor(Second * 2, 7'000));
     harness.advance(LongestWait);
     EXPECT_GT(harness.workers.startCount({"filling", 0, 0, 0}), 0U);
     EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
--- a/source/testing/ServingWorkers.h
+++ b/source/testing/ServingWorkers.h
@@ -47,6 +47,23 @@
         return step;
     }
 
+    // The same with the given image and processors, in thousandths of a core.
+    [[nodiscard]] static StepSpecification stepOf(const std::string &image, int count, std::int64_t milliCores)
+    {
+        StepSpecification step = fillingStep(count);
+        step.image = image;
+        step.demand.milliCores = milliCores;
+        return step;
+    }
+
+    // Returns the behaviour of tasks that use the given processors, in thousandths of a core, for a time.
+    [[nodiscard]] static FakeWorkers::Behaviour workFor(Milliseconds duration, std::int64_t milliCores)
+    {
+        return {duration, 0, false, [milliCores](Instant) {
+                    return milliCores;
+                }};
+    }
+
     SchedulerHarness harness;
 
 private:
