--- a/source/scheduling/tests/StarvedJobsTest.cpp
+++ b/source/scheduling/tests/StarvedJobsTest.cpp
@@ -55,6 +55,7 @@
     EXPECT_EQ(starved[1]->step, &stepOf(*recent));
 }
 
+// A job with a running task has its share, and a probe would take headroom from jobs that have none.
 TEST(StarvedJobs, passesOverJobsThatHaveATaskRunning)
 {
     const auto job = jobAccepted(Second * 20, Second * 9);
@@ -84,6 +85,7 @@
     EXPECT_EQ(starved[0]->step, &stepOf(*later));
 }
 
+// A task that was just refused or requeued must not be sent again before its delay is over.
 TEST(StarvedJobs, passesOverTasksThatMustNotStartYet)
 {
     const auto job = jobAccepted(Second * 20, Second * 9);
