Tenure: Hand partitions of a late owner over to a faster instance

Each instance now announces what it takes for a fixed computation in its entry. Candidates that take twice as long as the fastest one with the same share of processor time come last in taking over. An owner whose event loop was 150 ms late on average over two seconds releases a partition if the first candidate has at least twice the processor time per partition, records its last changes for 1 s at most and lets its runs go on until the release is stored. A term lasts 5 s at least, so hand-overs can't follow each other closely; instances that are equally slow keep what they have.

--- a/source/tenure/InstanceEntry.cpp
+++ b/source/tenure/InstanceEntry.cpp
@@ -13,7 +13,7 @@
 {
     return {{"name", entry.name}, {"address", entry.address}, {"data_centre", entry.dataCentre},
         {"region", entry.region}, {"incarnation", entry.incarnation}, {"millicores", entry.milliCores},
-        {"message_version", entry.messageVersion}};
+        {"message_version", entry.messageVersion}, {"probe_us", entry.probeMicroseconds}};
 }
 
 Result<InstanceEntry> parseInstance(const Json &document)
@@ -21,7 +21,7 @@
     InstanceEntry entry {memberOr(document, "name", std::string()), memberOr(document, "address", std::string()),
         memberOr(document, "data_centre", std::string()), memberOr(document, "region", std::string()),
         memberOr(document, "incarnation", std::string()), memberOr(document, "millicores", std::int64_t {0}),
-        memberOr(document, "message_version", std::int64_t {0})};
+        memberOr(document, "message_version", std::int64_t {0}), memberOr(document, "probe_us", std::int64_t {0})};
     if (entry.name.empty() || !hasOnlyHostCharacters(entry.address)) {
         return Error {ErrorKind::InvalidInput, "the instance's entry has no name or an address that is no host",
             "restart the instance, which writes its entry again"};
--- a/source/tenure/InstanceEntry.h
+++ b/source/tenure/InstanceEntry.h
@@ -28,6 +28,10 @@
     static constexpr std::int64_t ReturnVersion = 1;
     static constexpr std::int64_t CurrentMessageVersion = ReturnVersion;
 
+    // What the process takes for a fixed computation, in microseconds. Zero if it is an earlier version that does not
+    // measure it. See ProcessorProbe.
+    std::int64_t probeMicroseconds = 0;
+
     bool operator==(const InstanceEntry &) const = default;
 };
 
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -1,9 +1,11 @@
 #include "tenure/PartitionOwnership.h"
 
+#include "tenure/InstanceSpeeds.h"
 #include "tenure/JobKeys.h"
 #include "tenure/TakeOverRank.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Wagtail
 {
@@ -23,6 +25,12 @@
 // Running instances register again within this time after an outage in which the store dropped their leases. A new
 // process does not know of them before.
 constexpr Milliseconds NewProcessDelay {2'000};
+// An owner that is late may never have recorded all changes. What is missing after this time its successor learns from
+// the workers, as after a crash.
+constexpr Milliseconds LongestFlush {1'000};
+// A hand-over begins only if the store has answered lately, because nothing starts until it has released the partition.
+constexpr Milliseconds LongestStoreSilence {1'500};
+constexpr Milliseconds EraseRetryDelay {250};
 // Higher terms in a partition's head were not written by an owner. Run numbers are multiples of the term.
 constexpr std::uint64_t MaximumTerm = 1'000'000'000;
 
@@ -167,7 +175,7 @@
         [](const auto &entry) { return entry.second.leader != nullptr || entry.second.takingOver; }));
 }
 
-Milliseconds PartitionOwnership::takeOverDelay(const std::string &partition) const
+std::vector<OwnerCandidate> PartitionOwnership::candidatesFor(const std::string &partition) const
 {
     const std::set<std::string> &inside = m_environment.plan.dataCentres(partition);
     std::map<std::string, int> owned;
@@ -178,13 +186,25 @@
     }
     // The cluster's entries do not show yet what this instance has just taken over.
     owned[m_self.name] = std::max(owned[m_self.name], ownedPartitionCount());
+    const std::vector<InstanceEntry> instances = m_instances.candidates(m_environment.clock.now());
+    const InstanceSpeeds speeds(instances);
     std::vector<OwnerCandidate> candidates;
-    for (const InstanceEntry &instance : m_instances.candidates(m_environment.clock.now())) {
+    for (const InstanceEntry &instance : instances) {
         candidates.push_back({instance.name, m_environment.plan.dataCentresInRegion(partition, instance.region),
-            inside.contains(instance.dataCentre), instance.milliCores, owned[instance.name]});
+            inside.contains(instance.dataCentre), speeds.effectiveMilliCores(instance), owned[instance.name],
+            speeds.isSlow(instance)});
     }
+    return candidates;
+}
+
+Milliseconds PartitionOwnership::takeOverDelay(const std::string &partition) const
+{
+    const std::vector<OwnerCandidate> candidates = candidatesFor(partition);
     const std::int64_t rank = std::min(takeOverRank(m_self.name, partition, candidates), MaxRank);
-    return DelayPerRank * (rank + (rank == 0 ? 0 : RanksPerOwnedPartition * owned[m_self.name]));
+    const auto self = std::find_if(candidates.begin(), candidates.end(),
+        [this](const OwnerCandidate &candidate) { return candidate.name == m_self.name; });
+    const int owned = self == candidates.end() ? ownedPartitionCount() : self->ownedPartitions;
+    return DelayPerRank * (rank + (rank == 0 ? 0 : RanksPerOwnedPartition * owned));
 }
 
 void PartitionOwnership::takeOver(const std::string &partition, StoreRevision ownerRevision)
@@ -251,6 +271,7 @@
     if (state.leader || revision <= state.endedToken) {
         return;
     }
+    state.termStartedAt = m_environment.clock.now();
     m_environment.log("leader-term-started", partition,
         {{"token", revision}, {"tenure", term}, {"follows", nameOf(state.succession)},
             {"ended_token", state.endedToken}});
@@ -314,10 +335,87 @@
         if (state.leader) {
             state.leader->setMayGiveBack(allReadReturns);
             state.leader->setLeaseConfirmedAt(m_environment.lease.confirmedAt());
-            state.leader->setAuthority(authority);
+            const bool isHandedOver = state.releasing && authority == SchedulingAuthority::Full;
+            state.leader->setAuthority(isHandedOver ? SchedulingAuthority::KeepRunning : authority);
             state.leader->tick();
         }
     }
+    reviewHandOver();
+}
+
+void PartitionOwnership::setLoad(const InstanceLoad &load)
+{
+    m_load = load;
+}
+
+void PartitionOwnership::reviewHandOver()
+{
+    const bool isReleasing = std::any_of(
+        m_partitions.begin(), m_partitions.end(), [](const auto &entry) { return entry.second.releasing; });
+    const Instant now = m_environment.clock.now();
+    const bool isStoreSilent = now - m_environment.lease.confirmedAt() > LongestStoreSilence;
+    if (m_releasing || isReleasing || m_storeOutage || isStoreSilent || !m_environment.lease.isHeld()) {
+        return;
+    }
+    std::vector<OwnedPartition> owned;
+    for (const auto &[partition, state] : m_partitions) {
+        if (state.leader) {
+            owned.push_back({partition, state.termStartedAt, candidatesFor(partition)});
+        }
+    }
+    if (const std::optional<HandOverDecision> decision = chooseHandOver(m_self.name, m_load, owned, now)) {
+        beginHandOver(*decision);
+    }
+}
+
+void PartitionOwnership::beginHandOver(const HandOverDecision &decision)
+{
+    PartitionState &state = m_partitions[decision.partition];
+    const StoreRevision token = state.leader->position().ownerRevision;
+    m_environment.log("hand-over-begun", decision.partition,
+        {{"token", token}, {"successor", decision.successor}, {"loop_delay_ms", m_load.meanLoopDelay.count()},
+            {"probe_us", m_load.probeTime.count()}});
+    state.releasing = true;
+    state.leader->setAuthority(SchedulingAuthority::KeepRunning);
+    const auto erase
+        = [this, alive = m_alive, isErased = std::make_shared<bool>(false), partition = decision.partition, token] {
+              if (*alive && !std::exchange(*isErased, true)) {
+                  eraseOwner(partition, token);
+              }
+          };
+    state.leader->flush(erase);
+    m_environment.scheduler.after(LongestFlush, erase);
+}
+
+bool PartitionOwnership::isTermCurrent(const std::string &partition, StoreRevision token) const
+{
+    const auto state = m_partitions.find(partition);
+    return state != m_partitions.end() && state->second.leader
+        && state->second.leader->position().ownerRevision == token;
+}
+
+void PartitionOwnership::eraseOwner(const std::string &partition, StoreRevision token)
+{
+    if (!isTermCurrent(partition, token)) {
+        return;
+    }
+    m_environment.store.erase(
+        JobKeys::owner(partition), token, [this, alive = m_alive, partition, token](const Status &status) {
+            if (!*alive || !isTermCurrent(partition, token)) {
+                return;
+            }
+            const Error *error = errorOf(status);
+            if (error == nullptr || error->kind == ErrorKind::Conflict) {
+                m_environment.log("partition-released", partition, {{"token", token}});
+                dropLeader(partition);
+                return;
+            }
+            m_environment.scheduler.after(EraseRetryDelay, [this, alive, partition, token] {
+                if (*alive) {
+                    eraseOwner(partition, token);
+                }
+            });
+        });
 }
 
 void PartitionOwnership::setStoreOutage(bool confirmed)
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "membership/InstanceLease.h"
+#include "responsiveness/InstanceLoadMonitor.h"
+#include "tenure/HandOverChoice.h"
 #include "tenure/InstanceEntry.h"
 #include "tenure/KnownInstances.h"
 #include "tenure/OutageTenure.h"
@@ -69,6 +71,9 @@
     // can reach the store to take over.
     void setStoreOutage(bool confirmed);
 
+    // Sets what this instance measures of itself. An owner that is late hands partitions over to faster instances.
+    void setLoad(const InstanceLoad &load);
+
     // Returns the last known changes of the partitions' owners.
     [[nodiscard]] OwnerRevisions ownerRevisions() const;
 
@@ -86,6 +91,7 @@
         // Whether the partition is released once its last changes are recorded. Until then it accepts no requests, so
         // that no further changes arrive.
         bool releasing = false;
+        Instant termStartedAt;
         std::optional<Instant> vacantSince;
         // The store's lease under which the owner key was written last. The key ends with it.
         LeaseIdentifier ownerLease = 0;
@@ -101,11 +107,19 @@
     void writeOwner(const std::string &partition, StoreRevision ownerRevision, const std::optional<StoreEntry> &head);
     void startTerm(const std::string &partition, std::uint64_t term, StoreRevision revision);
     void dropLeader(const std::string &partition);
+    // Begins to hand over a partition if this instance is too late for it.
+    void reviewHandOver();
+    void beginHandOver(const HandOverDecision &decision);
+    // Releases the partition for a successor. An unanswered call is repeated until its effect is known, because
+    // nobody could take the partition as long as the key remains.
+    [[nodiscard]] bool isTermCurrent(const std::string &partition, StoreRevision token) const;
+    void eraseOwner(const std::string &partition, StoreRevision token);
     void observeInstances();
     // Logs when the instance's store lease ends or is back, and how old its last confirmation is.
     void logStoreLease();
     [[nodiscard]] int ownedPartitionCount() const;
     [[nodiscard]] Milliseconds takeOverDelay(const std::string &partition) const;
+    [[nodiscard]] std::vector<OwnerCandidate> candidatesFor(const std::string &partition) const;
     [[nodiscard]] std::map<std::string, WorkerListing> workersOf(const std::string &partition) const;
     void releaseNext(std::vector<std::string> partitions, std::function<void()> handler);
 
@@ -126,6 +140,7 @@
     std::map<std::string, PartitionState> m_partitions;
     std::map<std::string, WorkerListing> m_workers;
     std::map<std::string, QueuePolicy> m_policies;
+    InstanceLoad m_load;
     bool m_releasing = false;
     bool m_storeOutage = false;
     bool m_wasLeaseHeld = false;
--- a/source/tenure/TakeOverRank.h
+++ b/source/tenure/TakeOverRank.h
@@ -18,13 +18,19 @@
     // Processor time that the instance may use, in thousandths of a core, and the number of partitions that it owns.
     std::int64_t milliCores = 0;
     int ownedPartitions = 0;
+    // Whether it runs clearly slower than others of its kind. See InstanceSpeeds.
+    bool isSlow = false;
 
     bool operator==(const OwnerCandidate &) const = default;
 };
 
-// Returns how many candidates precede the named one in taking over a vacant partition. The first ones have the most of
-// the partition's data centres in their region, then the most processor time per partition, counting the one to be
-// taken over, and then are in one of the partition's data centres.
+// Returns the names of the candidates in the order in which they take over a vacant partition. Slow ones come last.
+// Among the others the first ones have the most of the partition's data centres in their region, then the most
+// processor time per partition, counting the one to be taken over, and then are in one of the partition's data centres.
+[[nodiscard]] std::vector<std::string> takeOverOrder(
+    const std::string &partition, const std::vector<OwnerCandidate> &candidates);
+
+// Returns how many candidates precede the named one in that order.
 [[nodiscard]] std::int64_t takeOverRank(
     const std::string &name, const std::string &partition, const std::vector<OwnerCandidate> &candidates);
 
