Tenure: Read the configuration from slow instances last

The strongest two instances of a region read the configuration for all others, also if one of them runs several times slower than the rest, so that the others get it late. Slow ones now come last. RegionalSourcesTest.readsFromNoSlowInstanceWhileThereAreFastOnes failed before.

--- a/source/tenure/RegionalSources.cpp
+++ b/source/tenure/RegionalSources.cpp
@@ -1,6 +1,7 @@
 #include "tenure/RegionalSources.h"
 
 #include "base/Identifier.h"
+#include "tenure/InstanceSpeeds.h"
 
 #include <algorithm>
 #include <tuple>
@@ -24,8 +25,9 @@
             ranking.push_back(instance);
         }
     }
-    const auto rankOf = [](const InstanceEntry &instance) {
-        return std::tuple(-instance.milliCores, stableHash(instance.name), instance.name);
+    const InstanceSpeeds speeds(ranking);
+    const auto rankOf = [&speeds](const InstanceEntry &instance) {
+        return std::tuple(speeds.isSlow(instance), -instance.milliCores, stableHash(instance.name), instance.name);
     };
     std::sort(ranking.begin(), ranking.end(),
         [&rankOf](const InstanceEntry &left, const InstanceEntry &right) { return rankOf(left) < rankOf(right); });
--- a/source/tenure/tests/RegionalSourcesTest.cpp
+++ b/source/tenure/tests/RegionalSourcesTest.cpp
@@ -43,6 +43,22 @@
     EXPECT_EQ(readers.size(), 2U);
 }
 
+// All others of the region waited for a configuration that a slow instance passed on late.
+TEST(RegionalSourcesTest, readsFromNoSlowInstanceWhileThereAreFastOnes)
+{
+    constexpr std::int64_t UsualProbe = 50;
+    constexpr std::int64_t SlowProbe = 250;
+    std::vector<InstanceEntry> measured = instances();
+    for (InstanceEntry &entry : measured) {
+        entry.probeMicroseconds = entry.name == "b" ? SlowProbe : UsualProbe;
+    }
+    for (const InstanceEntry &self : measured) {
+        const std::vector<std::string> sources = regionalSources(self, measured);
+        EXPECT_EQ(std::count(sources.begin(), sources.end(), "b:1"), 0) << self.name;
+        EXPECT_EQ(sources.empty(), self.name == "c" || self.name == "d" || self.region == "south") << self.name;
+    }
+}
+
 TEST(RegionalSourcesTest, readsTheStoreInARegionOfOne)
 {
     EXPECT_TRUE(regionalSources(instance("f", "south", 500), instances()).empty());
