Scheduling: Leave time between rounds of placement

Each answer of a worker led to a round over all waiting jobs. A round is now followed by a pause of three times its length, 0.5 s at most; rounds that take no time are not delayed. PlacementPacing.leavesTimeForReportsBesideABacklog failed before (138 s of placement in 51 s counted three times).

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -7,6 +7,7 @@
 #include "scheduling/FailedPlacements.h"
 #include "scheduling/LeaseHandover.h"
 #include "scheduling/PlacementAdvisor.h"
+#include "scheduling/PlacementPacing.h"
 #include "scheduling/PoolHeadroom.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/ReservedWorkers.h"
@@ -418,6 +419,7 @@
 
     // Placement
     void dispatchSoon();
+    void beginDispatch();
     void dispatch();
     // Notes that the tasks of a step begin to wait for workers.
     void openStep(StepState &step);
@@ -469,6 +471,7 @@
     // When the authority was last known to be up to date.
     Instant m_authorityReviewedAt;
     bool m_dispatchPosted = false;
+    PlacementPacing m_pacing;
     // Whether draining workers are evacuated in the next round of placement.
     bool m_evacuationDue = false;
     // Whether a query to the advisor is open. The advisor handles one at a time.
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -32,19 +32,32 @@
         return;
     }
     m_dispatchPosted = true;
-    m_environment.scheduler.post([weak = std::weak_ptr(m_self)] {
+    const auto round = [weak = std::weak_ptr(m_self)] {
         if (const auto self = weak.lock()) {
-            (*self)->dispatch();
+            (*self)->beginDispatch();
         }
-    });
+    };
+    const Milliseconds delay = m_pacing.delayUntilNext(m_environment.clock.now());
+    if (delay.count() > 0) {
+        m_environment.scheduler.after(delay, round);
+    } else {
+        m_environment.scheduler.post(round);
+    }
 }
 
-void JobScheduler::dispatch()
+void JobScheduler::beginDispatch()
 {
     m_dispatchPosted = false;
     if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent()) {
         return;
     }
+    const Instant begin = m_environment.clock.now();
+    dispatch();
+    m_pacing.noteRound(begin, m_environment.clock.now());
+}
+
+void JobScheduler::dispatch()
+{
     const Instant now = m_environment.clock.now();
     const RecoveryHolds holds = recoveryHolds();
     reviewHeldPlaces();
