Platform: Keep new tasks away from data centres that the operator has closed

Nothing followed the operator's keys that ask for a data centre to be evacuated: instances watched them and dropped them. Workers of such a data centre now take no new tasks, held places and repeated starts included, until the key is removed; what runs there goes on.

--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -128,7 +128,7 @@
 
 void JobScheduler::withdrawHeldStarts(WorkerState &worker)
 {
-    const bool acceptsStarts = worker.listed && !worker.listing.draining && worker.consecutiveUnanswered == 0;
+    const bool acceptsStarts = worker.listed && worker.listing.takesNewTasks() && worker.consecutiveUnanswered == 0;
     if (acceptsStarts) {
         return;
     }
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -78,14 +78,14 @@
 bool acceptsTasks(const WorkerState &worker, Instant now)
 {
     // A worker that was silent may be missing from the list that a successor reads until its restart is listed.
-    return worker.listed && !worker.listing.draining && worker.hasAnswered && !worker.isRestartListed()
+    return worker.listed && worker.listing.takesNewTasks() && worker.hasAnswered && !worker.isRestartListed()
         && !worker.isListingOutdated() && !worker.refusedForCapacity && !holdsTooManyEnds(worker)
         && worker.consecutiveUnanswered == 0 && worker.obsoleteRuns.isEmpty() && worker.quarantinedUntil <= now;
 }
 
 bool mayRepeatStart(const WorkerState &worker, const StepState &step, Instant now)
 {
-    return willLearnOfEnd(worker, step.specification(), now) && worker.listed && !worker.listing.draining
+    return willLearnOfEnd(worker, step.specification(), now) && worker.listed && worker.listing.takesNewTasks()
         && !worker.isRestartListed() && !worker.isOverCapacity()
         && meetsRequirements(worker, step.specification(), step.occurrence->job->policy.pool);
 }
--- a/source/scheduling/WorkerGateway.h
+++ b/source/scheduling/WorkerGateway.h
@@ -28,6 +28,13 @@
     // Wall time of the worker's start in milliseconds. It grows when the worker restarts under the same name.
     std::int64_t incarnation = 0;
     bool draining = false;
+    // Whether operators keep new tasks away from the worker's data centre. Those that run there go on.
+    bool closed = false;
+
+    [[nodiscard]] bool takesNewTasks() const
+    {
+        return !draining && !closed;
+    }
 
     bool operator==(const WorkerListing &) const = default;
 };
--- a/source/testing/SchedulerHarness.h
+++ b/source/testing/SchedulerHarness.h
@@ -45,6 +45,14 @@
         m_jobs.updateWorker(listing);
     }
 
+    // Closes a worker's data centre to new tasks, or opens it again.
+    void setWorkerClosed(const std::string &name, bool closed)
+    {
+        WorkerListing listing = m_jobs.workers().at(name).listing;
+        listing.closed = closed;
+        m_jobs.updateWorker(listing);
+    }
+
     // Ends a worker for good and lists it no more.
     void removeWorker(const std::string &name)
     {
