--- a/source/tenure/tests/InstanceSpeedsTest.cpp
+++ b/source/tenure/tests/InstanceSpeedsTest.cpp
@@ -51,6 +51,17 @@
     EXPECT_FALSE(speeds.isSlow(small));
 }
 
+// The only instance with its share must not pass for fast however slow it is.
+TEST(InstanceSpeeds, findsASlowInstanceThatIsTheOnlyOneOfItsShare)
+{
+    const InstanceEntry usual = instance("usual", 250, 50);
+    const InstanceEntry slow = instance("slow", 500, 250);
+    const InstanceSpeeds speeds({usual, slow});
+    EXPECT_TRUE(speeds.isSlow(slow));
+    EXPECT_EQ(speeds.effectiveMilliCores(slow), 100);
+    EXPECT_FALSE(speeds.isSlow(usual));
+}
+
 // Processes of earlier versions do not measure their speed.
 TEST(InstanceSpeeds, takesInstancesWithoutAMeasurementForUsual)
 {
