--- a/source/tenure/tests/TakeOverRankTest.cpp
+++ b/source/tenure/tests/TakeOverRankTest.cpp
@@ -24,6 +24,15 @@
 }
 
 // An instance that is not listed yet ranks last.
+// The one fast instance of a fleet must not take over each partition that becomes vacant.
+TEST(TakeOverRank, prefersFastInstancesOnlyWhileTheyHaveProcessorTime)
+{
+    const std::vector<OwnerCandidate> idle {{"slow", 2, true, 50, 0, true}, {"fast", 1, false, 250, 0, false}};
+    EXPECT_EQ(takeOverRank("fast", "depot", idle), 0);
+    const std::vector<OwnerCandidate> busy {{"slow", 2, true, 50, 0, true}, {"fast", 1, false, 250, 3, false}};
+    EXPECT_EQ(takeOverRank("slow", "depot", busy), 0);
+}
+
 TEST(TakeOverRank, ranksListedInstancesFirst)
 {
     EXPECT_EQ(takeOverRank("new", "depot", {{"other", 0, false, 100, 0}}), 1);
