Tenure: Withdraw a hand-over while the store is away

A hand-over is withdrawn if the store has not taken the last changes within 1 s and its last write was not answered; the age of the last renewal does not count. Once the release has been sent, its effect has to be known first, and nothing starts until then.

--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -369,6 +369,11 @@
     m_journal.put(JobKeys::interferenceModel(m_position.partition), std::move(text));
 }
 
+bool PartitionLeader::isStoreUnavailable() const
+{
+    return m_journal.isStoreUnavailable();
+}
+
 void PartitionLeader::flush(std::function<void()> handler)
 {
     if (m_loaded) {
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -109,6 +109,9 @@
     void setLeaseConfirmedAt(Instant confirmedAt);
     void tick();
 
+    // Returns whether the last write to the store was not answered.
+    [[nodiscard]] bool isStoreUnavailable() const;
+
     // Calls the handler once the store has all changes up to now.
     void flush(std::function<void()> handler);
 
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -28,8 +28,6 @@
 // An owner that is late may never have recorded all changes. What is missing after this time its successor learns from
 // the workers, as after a crash.
 constexpr Milliseconds LongestFlush {1'000};
-// A hand-over begins only if the store has answered lately, because nothing starts until it has released the partition.
-constexpr Milliseconds LongestStoreSilence {1'500};
 constexpr Milliseconds EraseRetryDelay {250};
 // Higher terms in a partition's head were not written by an owner. Run numbers are multiples of the term.
 constexpr std::uint64_t MaximumTerm = 1'000'000'000;
@@ -353,8 +351,7 @@
     const bool isReleasing = std::any_of(
         m_partitions.begin(), m_partitions.end(), [](const auto &entry) { return entry.second.releasing; });
     const Instant now = m_environment.clock.now();
-    const bool isStoreSilent = now - m_environment.lease.confirmedAt() > LongestStoreSilence;
-    if (m_releasing || isReleasing || m_storeOutage || isStoreSilent || !m_environment.lease.isHeld()) {
+    if (m_releasing || isReleasing || m_storeOutage || !m_environment.lease.isHeld()) {
         return;
     }
     std::vector<OwnedPartition> owned;
@@ -377,14 +374,26 @@
             {"probe_us", m_load.probeTime.count()}});
     state.releasing = true;
     state.leader->setAuthority(SchedulingAuthority::KeepRunning);
-    const auto erase
-        = [this, alive = m_alive, isErased = std::make_shared<bool>(false), partition = decision.partition, token] {
-              if (*alive && !std::exchange(*isErased, true)) {
-                  eraseOwner(partition, token);
-              }
-          };
-    state.leader->flush(erase);
-    m_environment.scheduler.after(LongestFlush, erase);
+    const auto isDecided = std::make_shared<bool>(false);
+    state.leader->flush([this, alive = m_alive, isDecided, partition = decision.partition, token] {
+        if (*alive && !std::exchange(*isDecided, true)) {
+            eraseOwner(partition, token);
+        }
+    });
+    m_environment.scheduler.after(
+        LongestFlush, [this, alive = m_alive, isDecided, partition = decision.partition, token] {
+            if (!*alive || std::exchange(*isDecided, true) || !isTermCurrent(partition, token)) {
+                return;
+            }
+            PartitionState &late = m_partitions[partition];
+            if (late.leader->isStoreUnavailable()) {
+                // Nobody could take the partition over, and nothing would start until the store is back.
+                m_environment.log("hand-over-withdrawn", partition, {{"token", token}});
+                late.releasing = false;
+                return;
+            }
+            eraseOwner(partition, token);
+        });
 }
 
 bool PartitionOwnership::isTermCurrent(const std::string &partition, StoreRevision token) const
--- a/source/tenure/tests/SlowOwnerTest.cpp
+++ b/source/tenure/tests/SlowOwnerTest.cpp
@@ -104,6 +104,35 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// The store goes away before the owner has released its partition. Nobody can take it over then, so it has to go on.
+TEST_F(SlowOwner, goesOnIfTheStoreGoesAway)
+{
+    m_cluster.advance(Second * 5);
+    TestInstance *former = m_cluster.owner();
+    former->store.down = true;
+    slowDown(*former);
+    m_cluster.advance(Milliseconds(1'600));
+    EXPECT_EQ(m_cluster.owner(), former);
+}
+
+// An owner that is very late reads the answers to its renewals late as well, and looked as if it did not reach the
+// store.
+TEST_F(SlowOwner, handsOverHoweverOldItsLastRenewalIs)
+{
+    m_cluster.advance(Second * 5);
+    TestInstance *former = m_cluster.owner();
+    announce(*former, SlowProbe);
+    m_cluster.advance(Milliseconds(100));
+    former->store.down = true;
+    m_cluster.advance(Milliseconds(1'700));
+    former->store.down = false;
+    former->ownership.setLoad({Milliseconds(1'600), Milliseconds(2'000), std::chrono::microseconds(SlowProbe)});
+    m_cluster.advance(Milliseconds(200));
+    EXPECT_EQ(former->ownership.leader("fleet"), nullptr);
+    m_cluster.advance(Second * 4);
+    EXPECT_NE(m_cluster.owner(), former);
+}
+
 // Tasks of jobs that wait must start under the successor as soon as under the owner.
 TEST_F(SlowOwner, losesNoAcceptedJob)
 {
