Http: Read answers that have arrived before their calls are given up

A call on a new connection was given up unsent if the loop came to the connection after the timeout, each time again while turns of the loop took longer than that.

libcurl gets no timeout any more. CallDeadline holds the time of a call, DeadlineQueue the deadlines of all calls, with a single timer that replaces those of long answers as well. When deadlines pass, the sockets of these calls are polled and read first, however many there are; only calls without an answer are given up, which closes their connections as before.

If the loop is late by 50 ms or more, a call that is sent only now or whose answer has arrived in part gets its time once more. What would be harmful late stays bounded: a call is sent at most 1 s after its time (receivers may carry calls out seconds later), and an answer that is read more than 2 s after its time is lost as before, because it may say what is no longer true.

--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -1,5 +1,8 @@
 #include "http/CurlHttpClient.h"
 
+#include "http/CallDeadline.h"
+#include "http/DeadlineQueue.h"
+
 #include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -9,8 +12,10 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Wagtail
@@ -19,23 +24,34 @@
 namespace
 {
 
+// A socket that libcurl opened, and the events that it waits for.
+struct SocketWatch
+{
+    explicit SocketWatch(asio::io_context &context, int socket) : descriptor(context, socket)
+    {
+    }
+
+    asio::posix::stream_descriptor descriptor;
+    int wanted = CURL_POLL_NONE;
+    bool readWaiting = false;
+    bool writeWaiting = false;
+};
+
 // One transfer: the call, its handler and the answer as it arrives.
 struct Transfer
 {
-    explicit Transfer(asio::io_context &context) : stallTimer(context)
+    explicit Transfer(HttpCall sentCall) : call(std::move(sentCall)), deadline(call)
     {
     }
 
-    // Notes that a part of the answer has arrived.
-    void noteProgress()
+    // Returns whether a part of the call was put on the wire.
+    [[nodiscard]] bool isSent() const
     {
-        if (call.longAnswer) {
-            stalledAt = Clock::now() + std::chrono::milliseconds(call.longAnswer->stallMilliseconds);
-        }
+        long bytes = 0;
+        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &bytes);
+        return bytes > 0;
     }
 
-    using Clock = std::chrono::steady_clock;
-
     HttpCall call;
     HttpClient::Handler handler;
     HttpAnswer answer;
@@ -43,23 +59,16 @@
     curl_slist *headers = nullptr;
     CURL *handle = nullptr;
     const CurlHttpClient::RepeatObserver *onRepeat = nullptr;
-    // Used by calls with limits for a long answer.
-    asio::steady_timer stallTimer;
-    Clock::time_point stalledAt;
+    // The last socket that libcurl has opened or taken for the transfer.
+    std::weak_ptr<SocketWatch> socket;
+    CallDeadline deadline;
+    // The deadline that is in the queue, which progress does not move.
+    std::optional<Instant> queuedDeadline;
+    bool isFinished = false;
 };
 
-// A socket that libcurl opened, and the events that it waits for.
-struct SocketWatch
-{
-    explicit SocketWatch(asio::io_context &context, int socket) : descriptor(context, socket)
-    {
-    }
-
-    asio::posix::stream_descriptor descriptor;
-    int wanted = CURL_POLL_NONE;
-    bool readWaiting = false;
-    bool writeWaiting = false;
-};
+// How often sockets are read before a call is given up. libcurl reads one buffer each time.
+constexpr int LongestCatchUp = 16;
 
 // Several times the largest page or list of changes that a store sends.
 constexpr std::size_t MaximumAnswerBytes = 64U << 20U;
@@ -81,7 +90,7 @@
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
 {
     auto *transfer = static_cast<Transfer *>(target);
-    transfer->noteProgress();
+    transfer->deadline.noteProgress(std::chrono::steady_clock::now());
     std::string &body = transfer->answer.body;
     if (body.size() + size * count > MaximumAnswerBytes) {
         // Ends the transfer with an error.
@@ -95,7 +104,7 @@
 {
     const std::string_view line(data, size * count);
     auto *transfer = static_cast<Transfer *>(target);
-    transfer->noteProgress();
+    transfer->deadline.noteProgress(std::chrono::steady_clock::now());
     HttpAnswer &answer = transfer->answer;
     const std::size_t colon = line.find(':');
     if (line.starts_with("HTTP/")) {
@@ -119,11 +128,10 @@
 // Called each time when a connection is ready and the call is about to be put on the wire.
 int beforeSending(void *target, char *, char *, int, int)
 {
-    const auto *transfer = static_cast<Transfer *>(target);
-    long sentBytes = 0;
-    curl_easy_getinfo(transfer->handle, CURLINFO_REQUEST_SIZE, &sentBytes);
-    if (sentBytes == 0) {
-        return CURL_PREREQFUNC_OK;
+    auto *transfer = static_cast<Transfer *>(target);
+    if (!transfer->isSent()) {
+        return transfer->deadline.admitSending(std::chrono::steady_clock::now()) ? CURL_PREREQFUNC_OK
+                                                                                 : CURL_PREREQFUNC_ABORT;
     }
     const bool mayRepeat = transfer->call.mayBeSentAgain();
     if (*transfer->onRepeat) {
@@ -143,6 +151,7 @@
         : m_context(context)
         , m_timer(context)
         , m_idleTimer(context)
+        , m_deadlines(context, [this](const std::vector<DeadlineQueue::Key> &due) { onDue(due); })
         , m_onRepeat(std::move(onRepeat))
         , m_connectionsPerHost(connectionsPerHost)
         , m_longestIdleTime(longestIdleTime)
@@ -174,23 +183,20 @@
             asio::post(m_context, [handler = std::move(handler), unsent] { handler(unsent); });
             return;
         }
-        auto transfer = std::make_shared<Transfer>(m_context);
-        transfer->call = std::move(call);
+        auto transfer = std::make_shared<Transfer>(std::move(call));
         transfer->handler = std::move(handler);
         transfer->handle = takeHandle();
         transfer->onRepeat = &m_onRepeat;
         configure(*transfer);
         CURL *const handle = transfer->handle;
         m_transfers.emplace(handle, transfer);
+        m_added.push_back(std::move(transfer));
         curl_multi_add_handle(m_multi, handle);
-        if (transfer->call.longAnswer) {
-            transfer->stalledAt
-                = Transfer::Clock::now() + std::chrono::milliseconds(transfer->call.timeoutMilliseconds);
-            watchForStall(transfer);
-        }
     }
 
 private:
+    using Transfers = std::vector<std::shared_ptr<Transfer>>;
+
     static constexpr long MaximumIdleConnections = 4096;
     static constexpr std::size_t MaximumIdleHandles = 256;
 
@@ -228,8 +234,6 @@
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers);
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-            call.longAnswer ? call.longAnswer->totalMilliseconds : call.timeoutMilliseconds);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
@@ -294,7 +298,7 @@
         return 0;
     }
 
-    static int onSocket(CURL *, curl_socket_t socket, int wanted, void *self, void *)
+    static int onSocket(CURL *handle, curl_socket_t socket, int wanted, void *self, void *)
     {
         auto *client = static_cast<Implementation *>(self);
         const auto found = client->m_sockets.find(socket);
@@ -302,6 +306,10 @@
             return 0;
         }
         found->second->wanted = wanted == CURL_POLL_REMOVE ? CURL_POLL_NONE : wanted;
+        const auto transfer = client->m_transfers.find(handle);
+        if (wanted != CURL_POLL_REMOVE && transfer != client->m_transfers.end()) {
+            transfer->second->socket = found->second;
+        }
         client->wait(found->second);
         return 0;
     }
@@ -394,29 +402,91 @@
         arm();
     }
 
-    // Progress only moves the deadline away, so the timer is set anew when it fires.
-    void watchForStall(const std::shared_ptr<Transfer> &transfer)
+    void watch(const std::shared_ptr<Transfer> &transfer)
+    {
+        transfer->queuedDeadline = transfer->deadline.time();
+        m_deadlines.add(transfer->handle, *transfer->queuedDeadline);
+    }
+
+    // Gives up the calls whose time is over, unless their answers have only not been read yet.
+    void onDue(const std::vector<DeadlineQueue::Key> &keys)
+    {
+        // Handlers may destroy the client.
+        const auto live = shared_from_this();
+        const Instant now = std::chrono::steady_clock::now();
+        Transfers overdue;
+        for (const DeadlineQueue::Key key : keys) {
+            const std::shared_ptr<Transfer> &transfer = m_transfers.at(key);
+            transfer->queuedDeadline.reset();
+            if (now < transfer->deadline.time()) {
+                watch(transfer);
+            } else {
+                overdue.push_back(transfer);
+            }
+        }
+        int turns = 0;
+        while (turns < LongestCatchUp && handleReadySockets(overdue)) {
+            ++turns;
+        }
+        for (const std::shared_ptr<Transfer> &transfer : overdue) {
+            if (transfer->isFinished) {
+                continue;
+            }
+            if (std::chrono::steady_clock::now() < transfer->deadline.time()) {
+                watch(transfer);
+            } else {
+                finish(transfer->handle, CURLE_OPERATION_TIMEDOUT);
+            }
+        }
+    }
+
+    // Lets libcurl handle the sockets of the transfers that are ready, and returns whether there were any.
+    bool handleReadySockets(const Transfers &overdue)
     {
-        transfer->stallTimer.expires_at(transfer->stalledAt);
-        transfer->stallTimer.async_wait(
-            [weak = weak_from_this(), watched = std::weak_ptr(transfer)](const asio::error_code &error) {
-                const auto live = weak.lock();
-                const auto unfinished = watched.lock();
-                if (!live || !unfinished || error) {
-                    return;
-                }
-                if (Transfer::Clock::now() < unfinished->stalledAt) {
-                    live->watchForStall(unfinished);
-                } else {
-                    live->finish(unfinished->handle, CURLE_OPERATION_TIMEDOUT);
-                }
-            });
+        std::vector<pollfd> polled;
+        std::vector<std::shared_ptr<SocketWatch>> watches;
+        for (const std::shared_ptr<Transfer> &transfer : overdue) {
+            const std::shared_ptr<SocketWatch> watch = transfer->socket.lock();
+            if (!transfer->isFinished && watch && watch->descriptor.is_open()) {
+                const bool reads = (watch->wanted & CURL_POLL_IN) != 0;
+                const bool writes = (watch->wanted & CURL_POLL_OUT) != 0;
+                const int events = (reads ? POLLIN : 0) | (writes ? POLLOUT : 0);
+                polled.push_back({watch->descriptor.native_handle(), static_cast<short>(events), 0});
+                watches.push_back(watch);
+            }
+        }
+        if (polled.empty() || ::poll(polled.data(), polled.size(), 0) <= 0) {
+            return false;
+        }
+        bool handledAny = false;
+        for (std::size_t i = 0; i < polled.size(); ++i) {
+            const int ready = polled[i].revents;
+            const int ended = ready & (POLLERR | POLLHUP);
+            const int action = ((ready & POLLIN) != 0 || ended != 0 ? CURL_CSELECT_IN : 0)
+                | ((ready & POLLOUT) != 0 || ended != 0 ? CURL_CSELECT_OUT : 0);
+            // What was handled before may have closed the socket.
+            if (action != 0 && watches[i]->descriptor.is_open()) {
+                handledAny = true;
+                act(polled[i].fd, action);
+            }
+        }
+        return handledAny;
     }
 
     void act(curl_socket_t socket, int action)
     {
+        // Each turn begins the transfers that were added before. Their time counts from here on, because the event loop
+        // may be late.
+        const Transfers begun = std::exchange(m_added, {});
         int running = 0;
         curl_multi_socket_action(m_multi, socket, action, &running);
+        if (!begun.empty()) {
+            const Instant now = std::chrono::steady_clock::now();
+            for (const std::shared_ptr<Transfer> &transfer : begun) {
+                transfer->deadline.begin(now);
+                watch(transfer);
+            }
+        }
         collectFinished();
     }
 
@@ -436,9 +506,12 @@
         assert(found != m_transfers.end());
         const std::shared_ptr<Transfer> transfer = std::move(found->second);
         m_transfers.erase(found);
-        long sentBytes = 0;
+        transfer->isFinished = true;
+        if (transfer->queuedDeadline) {
+            m_deadlines.remove(handle, *transfer->queuedDeadline);
+        }
+        const bool isSent = transfer->isSent();
         long status = 0;
-        curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
         curl_multi_remove_handle(m_multi, handle);
         curl_slist_free_all(transfer->headers);
@@ -446,13 +519,15 @@
         returnHandle(handle);
         // libcurl reports no error if the connection is closed within the head of an answer.
         const bool isWhole = code == CURLE_OK && transfer->hasWholeHead;
-        if (isWhole) {
+        const bool isTooLate = !transfer->deadline.admitsAnswer(std::chrono::steady_clock::now());
+        if (isWhole && !isTooLate) {
             transfer->answer.delivery = Delivery::Answered;
             transfer->answer.status = static_cast<int>(status);
         } else {
-            transfer->answer.delivery = sentBytes == 0 ? Delivery::NotSent : Delivery::Lost;
-            transfer->answer.failure = code == CURLE_OK ? "the connection was closed within the head of the answer"
-                                                        : curl_easy_strerror(code);
+            transfer->answer.delivery = isSent ? Delivery::Lost : Delivery::NotSent;
+            transfer->answer.failure = isWhole ? "the answer was read too late"
+                : code == CURLE_OK             ? "the connection was closed within the head of the answer"
+                                               : curl_easy_strerror(code);
         }
         closeConnectionsWhenIdle();
         transfer->handler(std::move(transfer->answer));
@@ -488,6 +563,7 @@
     asio::io_context &m_context;
     asio::steady_timer m_timer;
     asio::steady_timer m_idleTimer;
+    DeadlineQueue m_deadlines;
     RepeatObserver m_onRepeat;
     long m_connectionsPerHost;
     std::optional<std::chrono::seconds> m_longestIdleTime;
@@ -497,6 +573,8 @@
     CURLM *m_multi;
     std::unordered_map<int, std::shared_ptr<SocketWatch>> m_sockets;
     std::unordered_map<CURL *, std::shared_ptr<Transfer>> m_transfers;
+    // Transfers that libcurl has not begun yet.
+    Transfers m_added;
     std::vector<CURL *> m_idleHandles;
 };
 
