Http: Pass waiting calls on after a late loop has read the answers before them

Cause: a call that waits for a connection to its host was given up as not sent when its timer fired, although the answers that would have freed the connection lay in their sockets.

Such a call now gets a moment if its timer fires late by 50 ms or more, and its time once more if a connection becomes free then. As in CurlHttpClient, it is not sent more than 1 s after its time.

PerHostQueueTest.passesCallsOnAfterALateLoopHasReadTheAnswers and passesCallsOnWhenALateLoopReadsTheAnswersFirst failed before and pass; passesNoCallOnLongAfterItsTime passes on both.

--- a/source/http/PerHostQueue.cpp
+++ b/source/http/PerHostQueue.cpp
@@ -1,5 +1,7 @@
 #include "http/PerHostQueue.h"
 
+#include "http/CallDeadline.h"
+
 #include <algorithm>
 #include <cassert>
 #include <deque>
@@ -21,12 +23,15 @@
     return url.substr(begin, end == std::string::npos ? end : end - begin);
 }
 
+// Enough for a turn of the event loop.
+constexpr Milliseconds TimeToReadAnswers {50};
+
 struct WaitingCall
 {
     std::uint64_t number = 0;
     HttpCall call;
     HttpClient::Handler handler;
-    Instant deadline;
+    CallDeadline deadline;
 };
 
 struct Host
@@ -53,17 +58,23 @@
             passOn(name, host, std::move(call), std::move(handler));
             return;
         }
-        const Milliseconds timeout(call.timeoutMilliseconds);
+        CallDeadline deadline(call);
+        deadline.begin(m_clock.now());
         const std::uint64_t number = ++m_lastNumber;
-        host.waiting.push_back({number, std::move(call), std::move(handler), m_clock.now() + timeout});
-        m_scheduler.after(timeout, [weak = weak_from_this(), name, number] {
+        host.waiting.push_back({number, std::move(call), std::move(handler), deadline});
+        m_scheduler.after(remainingTime(deadline), [weak = weak_from_this(), name, number] {
             if (const auto self = weak.lock()) {
-                self->giveUp(name, number);
+                self->onTimeOver(name, number);
             }
         });
     }
 
 private:
+    [[nodiscard]] Milliseconds remainingTime(const CallDeadline &deadline) const
+    {
+        return std::chrono::duration_cast<Milliseconds>(deadline.time() - m_clock.now());
+    }
+
     void passOn(const std::string &name, Host &host, HttpCall call, Handler handler)
     {
         ++host.open;
@@ -85,12 +96,11 @@
         while (!host.waiting.empty() && host.open < m_openPerHost) {
             WaitingCall next = std::move(host.waiting.front());
             host.waiting.pop_front();
-            const auto left = std::chrono::duration_cast<Milliseconds>(next.deadline - m_clock.now());
-            if (left.count() <= 0) {
+            if (!next.deadline.admitSending(m_clock.now())) {
                 answerUnsent(std::move(next.handler));
                 continue;
             }
-            next.call.timeoutMilliseconds = left.count();
+            next.call.timeoutMilliseconds = std::max(remainingTime(next.deadline), Milliseconds(1)).count();
             passOn(name, host, std::move(next.call), std::move(next.handler));
         }
         if (host.open == 0) {
@@ -98,20 +108,46 @@
         }
     }
 
+    // Gives a waiting call up. If the event loop is late, the answers that would have freed a connection may only not
+    // have been read yet, so they get a moment.
+    void onTimeOver(const std::string &name, std::uint64_t number)
+    {
+        const auto entry = findWaiting(name, number);
+        if (!entry) {
+            return;
+        }
+        const bool isLoopLate = -remainingTime((*entry)->deadline) >= CallDeadline::ShortestLoopDelay;
+        if (!isLoopLate) {
+            giveUp(name, number);
+            return;
+        }
+        m_scheduler.after(TimeToReadAnswers, [weak = weak_from_this(), name, number] {
+            if (const auto self = weak.lock()) {
+                self->giveUp(name, number);
+            }
+        });
+    }
+
     void giveUp(const std::string &name, std::uint64_t number)
+    {
+        if (const auto entry = findWaiting(name, number)) {
+            Handler handler = std::move((*entry)->handler);
+            m_hosts.at(name).waiting.erase(*entry);
+            answerUnsent(std::move(handler));
+        }
+    }
+
+    [[nodiscard]] std::optional<std::deque<WaitingCall>::iterator> findWaiting(
+        const std::string &name, std::uint64_t number)
     {
         const auto host = m_hosts.find(name);
         if (host == m_hosts.end()) {
-            return;
+            return std::nullopt;
         }
         std::deque<WaitingCall> &waiting = host->second.waiting;
         const auto found = std::find_if(
             waiting.begin(), waiting.end(), [number](const WaitingCall &entry) { return entry.number == number; });
-        if (found != waiting.end()) {
-            Handler handler = std::move(found->handler);
-            waiting.erase(found);
-            answerUnsent(std::move(handler));
-        }
+        return found == waiting.end() ? std::nullopt : std::optional(found);
     }
 
     void answerUnsent(Handler handler)
--- a/source/http/tests/PerHostQueueTest.cpp
+++ b/source/http/tests/PerHostQueueTest.cpp
@@ -131,6 +131,48 @@
     EXPECT_EQ(answers.size(), 2U);
 }
 
+// Guards against orders that count as undeliverable though only their sender was late to read the answers before them.
+TEST_F(PerHostQueueTest, passesCallsOnAfterALateLoopHasReadTheAnswers)
+{
+    for (const std::string path : {"1", "2", "3", "late", "last"}) {
+        send("http://worker/" + path);
+    }
+    clock.advance(Timeout + Milliseconds(300));
+    scheduler.runDue();
+    EXPECT_TRUE(answers.empty());
+    client.answer("http://worker/1");
+    EXPECT_EQ(client.urls().back(), "http://worker/late");
+    EXPECT_EQ(client.open.back().first.timeoutMilliseconds, Timeout.count());
+    scheduler.advance(Milliseconds(100), Milliseconds(10));
+    ASSERT_TRUE(answers.contains("http://worker/last"));
+    EXPECT_EQ(answers.at("http://worker/last"), Delivery::NotSent);
+    EXPECT_FALSE(answers.contains("http://worker/late"));
+}
+
+// An answer may be read before the timer of a waiting call fires.
+TEST_F(PerHostQueueTest, passesCallsOnWhenALateLoopReadsTheAnswersFirst)
+{
+    for (const std::string path : {"1", "2", "3", "late"}) {
+        send("http://worker/" + path);
+    }
+    clock.advance(Timeout + Milliseconds(300));
+    client.answer("http://worker/1");
+    EXPECT_EQ(client.urls().back(), "http://worker/late");
+}
+
+// A worker may carry an order out seconds after it was sent, but what its owner assumes of that has an end.
+TEST_F(PerHostQueueTest, passesNoCallOnLongAfterItsTime)
+{
+    for (const std::string path : {"1", "2", "3", "late"}) {
+        send("http://worker/" + path);
+    }
+    clock.advance(Timeout + Milliseconds(1'100));
+    client.answer("http://worker/1");
+    scheduler.runDue();
+    ASSERT_TRUE(answers.contains("http://worker/late"));
+    EXPECT_EQ(answers.at("http://worker/late"), Delivery::NotSent);
+}
+
 // A handler may send the next call at once.
 TEST_F(PerHostQueueTest, takesCallsFromWithinHandlers)
 {
