Tenure: Ask the successor before a partition is released for it

The successor is asked first; it agrees if it holds its lease, has known the others for 2 s, does not stop and is in time itself.

--- a/source/tenure/HandOverChoice.cpp
+++ b/source/tenure/HandOverChoice.cpp
@@ -41,10 +41,15 @@
 
 }
 
+bool isLate(const InstanceLoad &load)
+{
+    return load.meanLoopDelay >= LateLoopDelay;
+}
+
 std::optional<HandOverDecision> chooseHandOver(
     const std::string &self, const InstanceLoad &load, const std::vector<OwnedPartition> &owned, Instant now)
 {
-    if (load.meanLoopDelay < LateLoopDelay) {
+    if (!isLate(load)) {
         return std::nullopt;
     }
     for (const OwnedPartition &partition : owned) {
--- a/source/tenure/HandOverChoice.h
+++ b/source/tenure/HandOverChoice.h
@@ -28,6 +28,9 @@
     bool operator==(const HandOverDecision &) const = default;
 };
 
+// Returns whether the event loop of the instance is too late for the duties of an owner.
+[[nodiscard]] bool isLate(const InstanceLoad &load);
+
 // Chooses the partition that an owner should hand over because its event loop is late, if there is an instance with
 // clearly more processor time for it. Being late alone is no reason: where all instances are equally loaded, a
 // hand-over only costs time. Each term lasts long enough for the successor to load the partition, so that hand-overs
--- a/source/tenure/JobApi.cpp
+++ b/source/tenure/JobApi.cpp
@@ -66,6 +66,10 @@
 
 bool JobApi::handle(const HttpRequest &request, const HttpServer::Responder &respond)
 {
+    if (request.path == SuccessorQuery::Path && request.method == "GET") {
+        respond({m_ownership.mayTakeOver() ? HttpStatus::Ok : HttpStatus::ServiceUnavailable, {}, {}});
+        return true;
+    }
     if (!request.path.starts_with(PathPrefix)) {
         return false;
     }
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -49,6 +49,7 @@
             m_environment.scheduler, *m_environment.peers, [this](const std::string &partition) {
                 return ownerOf(partition);
             }});
+        m_successors = std::make_unique<SuccessorQuery>(m_environment.clock, *m_environment.peers);
     }
 }
 
@@ -351,20 +352,46 @@
     const bool isReleasing = std::any_of(
         m_partitions.begin(), m_partitions.end(), [](const auto &entry) { return entry.second.releasing; });
     const Instant now = m_environment.clock.now();
-    if (m_releasing || isReleasing || m_storeOutage || !m_environment.lease.isHeld()) {
+    const bool mayRelease = !m_releasing && !isReleasing && !m_storeOutage && m_environment.lease.isHeld();
+    if (!mayRelease || !m_successors || m_successors->isPending()) {
         return;
     }
     std::vector<OwnedPartition> owned;
     for (const auto &[partition, state] : m_partitions) {
         if (state.leader) {
-            owned.push_back({partition, state.termStartedAt, candidatesFor(partition)});
+            std::vector<OwnerCandidate> candidates = candidatesFor(partition);
+            std::erase_if(candidates,
+                [this](const OwnerCandidate &candidate) { return m_successors->hasRefused(candidate.name); });
+            owned.push_back({partition, state.termStartedAt, std::move(candidates)});
         }
     }
     if (const std::optional<HandOverDecision> decision = chooseHandOver(m_self.name, m_load, owned, now)) {
-        beginHandOver(*decision);
+        askSuccessor(*decision);
     }
 }
 
+void PartitionOwnership::askSuccessor(const HandOverDecision &decision)
+{
+    const auto successor = std::find_if(m_listedInstances.begin(), m_listedInstances.end(),
+        [&decision](const InstanceEntry &instance) { return instance.name == decision.successor; });
+    if (successor == m_listedInstances.end()) {
+        return;
+    }
+    const StoreRevision token = m_partitions[decision.partition].leader->position().ownerRevision;
+    m_successors->ask(*successor, [this, decision, token] {
+        if (isTermCurrent(decision.partition, token) && !m_releasing && m_environment.lease.isHeld()) {
+            beginHandOver(decision);
+        }
+    });
+}
+
+bool PartitionOwnership::mayTakeOver() const
+{
+    const Instant now = m_environment.clock.now();
+    const bool knowsOthers = m_registeredAt && now - *m_registeredAt >= NewProcessDelay;
+    return knowsOthers && !m_releasing && !m_storeOutage && m_environment.lease.isHeld() && !isLate(m_load);
+}
+
 void PartitionOwnership::beginHandOver(const HandOverDecision &decision)
 {
     PartitionState &state = m_partitions[decision.partition];
--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -11,6 +11,7 @@
 #include "tenure/PeerPlaceRequester.h"
 #include "tenure/StoreHealthReport.h"
 #include "tenure/SubmissionRefusals.h"
+#include "tenure/SuccessorQuery.h"
 #include "tenure/TermSuccession.h"
 
 namespace Wagtail
@@ -74,6 +75,9 @@
     // Sets what this instance measures of itself. An owner that is late hands partitions over to faster instances.
     void setLoad(const InstanceLoad &load);
 
+    // Returns whether this instance would take a vacant partition over now.
+    [[nodiscard]] bool mayTakeOver() const;
+
     // Returns the last known changes of the partitions' owners.
     [[nodiscard]] OwnerRevisions ownerRevisions() const;
 
@@ -109,6 +113,7 @@
     void dropLeader(const std::string &partition);
     // Begins to hand over a partition if this instance is too late for it.
     void reviewHandOver();
+    void askSuccessor(const HandOverDecision &decision);
     void beginHandOver(const HandOverDecision &decision);
     // Releases the partition for a successor. An unanswered call is repeated until its effect is known, because
     // nobody could take the partition as long as the key remains.
@@ -128,6 +133,7 @@
     SubmissionRefusals m_refusals;
     // Null if there are no peers.
     std::unique_ptr<PeerPlaceRequester> m_places;
+    std::unique_ptr<SuccessorQuery> m_successors;
     InstanceEntry m_self;
     PartitionLeader::Limits m_limits;
     Instant m_startedAt;
