Membership: Write an instance's newest description again if only an earlier one arrived

The answer to the write of an earlier description counted as that of the newest one, whose own write had failed, so the entry kept the earlier text for good. An instance that had turned slow went on to count as fast, and as an owner handed nothing over. An answer now counts only for the description that it was written with. InstanceLease.writesTheLastDescriptionAgainIfOnlyAnEarlierOneArrived failed before (the entry was "second" instead of "third") and passes.

--- a/source/membership/InstanceLease.cpp
+++ b/source/membership/InstanceLease.cpp
@@ -67,8 +67,8 @@
 {
     const LeaseIdentifier lease = m_lease;
     m_store.write({m_key, m_description, std::nullopt, lease},
-        [this, alive = m_alive, lease](const Result<StoreRevision> &result) {
-            if (*alive && errorOf(result) == nullptr && lease == m_lease) {
+        [this, alive = m_alive, lease, description = m_description](const Result<StoreRevision> &result) {
+            if (*alive && errorOf(result) == nullptr && lease == m_lease && description == m_description) {
                 m_keyWritten = true;
             }
         });
