--- a/source/responsiveness/tests/LoopDelayWindowTest.cpp
+++ b/source/responsiveness/tests/LoopDelayWindowTest.cpp
@@ -40,4 +40,25 @@
     EXPECT_TRUE(window.isComplete(begin + Milliseconds(2'000)));
 }
 
+// A handler of 1.2 s holds up the measurements that would show that the loop is in time otherwise.
+TEST(LoopDelayWindow, weighsOneLongDelayByItsTime)
+{
+    LoopDelayWindow window;
+    Instant at {Milliseconds(1'000)};
+    constexpr Milliseconds Period {250};
+    constexpr Milliseconds Longest {1'200};
+    for (int i = 0; i < 8; ++i) {
+        window.add(at, Milliseconds(0));
+        at += Period;
+    }
+    at += Longest;
+    window.add(at, Longest);
+    for (int i = 0; i < 2; ++i) {
+        at += Period;
+        window.add(at, Milliseconds(0));
+    }
+    // The owner hands over from 150 ms on.
+    EXPECT_LT(window.mean(), Milliseconds(150));
+}
+
 }
--- a/source/tenure/tests/InstanceSpeedsTest.cpp
+++ b/source/tenure/tests/InstanceSpeedsTest.cpp
@@ -62,4 +62,12 @@
     EXPECT_EQ(speeds.effectiveMilliCores(earlier), 250);
 }
 
+// An instance without an equal was never slow, so it kept its partitions and came first however slow it was.
+TEST(InstanceSpeeds, noticesASlowInstanceThatIsTheOnlyOneOfItsShare)
+{
+    const InstanceEntry usual = instance("usual", 250, 50);
+    const InstanceEntry slow = instance("slow", 500, 250);
+    EXPECT_TRUE(InstanceSpeeds({usual, slow}).isSlow(slow));
+}
+
 }
--- a/source/tenure/tests/TakeOverRankTest.cpp
+++ b/source/tenure/tests/TakeOverRankTest.cpp
@@ -29,4 +29,12 @@
     EXPECT_EQ(takeOverRank("new", "depot", {{"other", 0, false, 100, 0}}), 1);
 }
 
+// A fast instance with many partitions must not take the next one as well while a slow one that is idle could give it
+// more processor time.
+TEST(TakeOverRank, prefersAnIdleSlowInstanceToAFastOneWithManyPartitions)
+{
+    const std::vector<OwnerCandidate> candidates {{"busy", 1, true, 500, 9, false}, {"slow", 1, true, 250, 0, true}};
+    EXPECT_EQ(takeOverRank("slow", "depot", candidates), 0);
+}
+
 }
