Scheduling: Try probes beside serving tasks that are busy by themselves

A serving task near or over its target by its own load closed its worker for starved probes too, without an end, though no backfilling task was the cause. A starved probe keeps its place when it is paused: requeued, it had nothing running again, and went from worker to worker.

Also new: a job that only works in trials ends, and twelve probes that do disturb don't keep a serving task over its target for 2 s.

--- a/source/scheduling/BackfillProbe.cpp
+++ b/source/scheduling/BackfillProbe.cpp
@@ -23,10 +23,27 @@
 // The use of a probe, as a share of its worker. It is twice the least change of use that the interference model learns
 // from, because the change may be spread over two reports.
 constexpr double ProbeUse = 0.08;
+// Probes that work in a trial on one worker. Together they use at most a quarter of it.
+constexpr std::ptrdiff_t MostProbesOnTrial = 3;
 constexpr double FullSpeedPercent = 100.0;
 // Below its lowest speed, a throttled task would be paused.
 constexpr double LowestProbeSpeedPercent = 15.0;
 
+// Returns whether a serving task has some distance to its limit, with all backfilling tasks at their permitted speed.
+bool hasHeadroomBeside(
+    const BackfillInterferenceModel &model, const ServingSample &sample, const std::vector<BackfillSample> &backfilling)
+{
+    const double load = sample.load + pendingLoadGrowth(model, sample.image, backfilling);
+    return sample.overTargetMilliseconds == 0 && load < sample.limit - ProbeMargin;
+}
+
+// Returns how many probes on the worker are not paused.
+std::ptrdiff_t workingProbes(const WorkerState &worker)
+{
+    return std::count_if(worker.tasks.begin(), worker.tasks.end(),
+        [](const TaskState *task) { return task->isProbe && task->speedPercent > 0; });
+}
+
 }
 
 bool runsProbe(const WorkerState &worker)
@@ -73,10 +90,27 @@
 bool hasHeadroomForProbe(const BackfillInterferenceModel &model, const std::vector<ServingSample> &serving,
     const std::vector<BackfillSample> &backfilling)
 {
-    return std::all_of(serving.begin(), serving.end(), [&](const ServingSample &sample) {
-        const double load = sample.load + pendingLoadGrowth(model, sample.image, backfilling);
-        return sample.overTargetMilliseconds == 0 && load < sample.limit - ProbeMargin;
-    });
+    return std::all_of(serving.begin(), serving.end(),
+        [&](const ServingSample &sample) { return hasHeadroomBeside(model, sample, backfilling); });
+}
+
+bool isNearLimitByItself(
+    const BackfillInterferenceModel &model, const ServingSample &sample, const BackfillUse &use, bool before)
+{
+    const double threshold = sample.limit - ProbeMargin;
+    if (sample.overTargetMilliseconds == 0 && sample.load < threshold) {
+        return false;
+    }
+    return before || sample.load - model.loadGrowth(sample.image, use) >= threshold;
+}
+
+bool mayTryProbe(const BackfillInterferenceModel &model, const WorkerState &worker, Instant now)
+{
+    const bool isOpen = worker.trial.isOpen(now) && workingProbes(worker) < MostProbesOnTrial;
+    return (isOpen || worker.trial.mayBegin(now))
+        && std::all_of(worker.serving.begin(), worker.serving.end(), [&](const ServingSample &sample) {
+               return sample.isNearLimitByItself || hasHeadroomBeside(model, sample, worker.backfilling);
+           });
 }
 
 std::optional<double> probeExcessLoad(
--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -15,7 +15,8 @@
     Cautious,
     // The load of each serving task is some distance below its limit without the probe, whatever the prediction says.
     Overdue,
-    // The same for a job that has nothing running. Its worker may run other probes.
+    // The same for a job that has nothing running. Its worker may run other probes. Where serving tasks are close to
+    // their limits by themselves, it starts nevertheless and works in trials. See ProbeTrial.
     Starved,
 };
 
@@ -42,6 +43,16 @@
 [[nodiscard]] bool hasHeadroomForProbe(const BackfillInterferenceModel &model,
     const std::vector<ServingSample> &serving, const std::vector<BackfillSample> &backfilling);
 
+// Returns whether a serving task is close to its limit, or over it, without the backfilling tasks beside it, given
+// whether it was so at the last report. It is known while none of them works, and else where the growth of load that
+// the model expects of them does not explain it.
+[[nodiscard]] bool isNearLimitByItself(
+    const BackfillInterferenceModel &model, const ServingSample &sample, const BackfillUse &use, bool before);
+
+// Returns whether a probe of a starved job may work, for the length of a trial, beside the serving tasks of a worker
+// that leave it no headroom.
+[[nodiscard]] bool mayTryProbe(const BackfillInterferenceModel &model, const WorkerState &worker, Instant now);
+
 // Returns predictedExcessLoad() for a probe of the given image and demand at its reduced speed, or nothing if the
 // worker may not take the probe.
 [[nodiscard]] std::optional<double> probeExcessLoad(
--- a/source/scheduling/BackfillThrottle.cpp
+++ b/source/scheduling/BackfillThrottle.cpp
@@ -26,6 +26,12 @@
 // load is.
 constexpr double MinimumLoadGrowth = 0.015;
 
+// Returns whether a backfilling task may go on beside a serving task that is close to its limit.
+bool isSpared(const BackfillSample &task, const ServingSample &serving)
+{
+    return task.isOnTrial && serving.isNearLimitByItself;
+}
+
 // Reduces the speeds of the backfilling tasks, those that raise the load of the serving task most first, until its load
 // is expected to fall to the target margin below its limit.
 void reduceSpeeds(const BackfillInterferenceModel &model, const ServingSample &serving,
@@ -45,6 +51,9 @@
         if (needed <= 0.0 || growth < MinimumLoadGrowth) {
             break;
         }
+        if (isSpared(backfilling[i], serving)) {
+            continue;
+        }
         const double keptShare = std::max(0.0, 1.0 - needed / growth);
         const int percent = static_cast<int>(speeds[i] * keptShare);
         speeds[i] = percent < MinimumSpeedPercent ? 0 : percent;
@@ -52,6 +61,14 @@
     }
 }
 
+// Sets the speeds of the backfilling tasks to 0.
+void stopAll(const ServingSample &serving, const std::vector<BackfillSample> &backfilling, std::vector<int> &speeds)
+{
+    for (std::size_t i = 0; i < backfilling.size(); ++i) {
+        speeds[i] = isSpared(backfilling[i], serving) ? speeds[i] : 0;
+    }
+}
+
 }
 
 bool isOverTargetForLong(const ServingSample &serving)
@@ -81,7 +98,9 @@
     bool nearLimit = false;
     for (const ServingSample &sample : serving) {
         if (isOverTargetForLong(sample)) {
-            return std::vector<int>(backfilling.size(), 0);
+            nearLimit = true;
+            stopAll(sample, backfilling, speeds);
+            continue;
         }
         if (sample.load > sample.limit - ThrottleMargin) {
             nearLimit = true;
--- a/source/scheduling/BackfillThrottle.h
+++ b/source/scheduling/BackfillThrottle.h
@@ -18,6 +18,8 @@
     std::int64_t overTargetMilliseconds = 0;
     // Whether it would be within its target without the backfilling tasks, by the interference model.
     bool isOverByBackfill = false;
+    // Whether it is close to its limit, or over it, without the backfilling tasks. See isNearLimitByItself().
+    bool isNearLimitByItself = false;
 };
 
 // A backfilling task on a worker at the time of the worker's last report.
@@ -31,6 +33,8 @@
     int percent = 100;
     // Whether it has had that speed for so long that its use will not grow any more.
     bool isSettled = false;
+    // Whether it may work beside serving tasks that are close to their limits by themselves. See ProbeTrial.
+    bool isOnTrial = false;
 };
 
 // Returns whether a serving task has been over its target for so long that all backfilling tasks beside it are stopped.
@@ -38,8 +42,9 @@
 
 // Returns the speed at which each backfilling task may work next, in percent of its full speed and in the given order.
 // The tasks that interfere most with a serving task close to its limit are throttled first. The others continue, and
-// speed is restored as far as the limits of all serving tasks allow.
-// Load pattern: serving load that changes within seconds beside bursts of backfilling tasks.
+// speed is restored as far as the limits of all serving tasks allow. Tasks on trial keep their speed beside serving
+// tasks that are close to their limits by themselves. Load pattern: serving load that changes within seconds beside
+// bursts of backfilling tasks.
 [[nodiscard]] std::vector<int> nextSpeeds(const BackfillInterferenceModel &model,
     const std::vector<ServingSample> &serving, const std::vector<BackfillSample> &backfilling);
 
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -318,9 +318,12 @@
     void updateInterference(WorkerState &worker);
     void throttleBackfill(WorkerState &worker);
     void logTimeOverTarget(const TaskState &task);
-    // Returns whether a task that is paused at the given speed has waited so long that it works at the speed of a
-    // probe.
-    [[nodiscard]] bool mayProbeAgain(const WorkerState &worker, const TaskState &task, int speedPercent) const;
+    // Returns the given speed, or that of a probe if the task has been paused for so long that it works again.
+    [[nodiscard]] int speedAfterPause(WorkerState &worker, TaskState &task, int speedPercent);
+    // Returns whether a paused task, the only one that its job has on workers, is the next to work there in a trial.
+    [[nodiscard]] bool isNextOnTrial(const WorkerState &worker, const TaskState &task) const;
+    // Begins a trial on a worker that gets the probe of a starved job and has no headroom for it.
+    void beginTrialIfNeeded(WorkerState &worker);
     // Stops a task whose pause has lasted too long. Returns whether it did.
     bool requeueIfPaused(TaskState &task, int speedPercent);
     void sendThrottle(TaskState &task, int percent);
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -1,6 +1,7 @@
 // JobScheduler: learns how much backfilling tasks interfere with serving tasks, and throttles them.
 #include "scheduling/BackfillProbe.h"
 #include "scheduling/JobScheduler.h"
+#include "scheduling/StarvedJobs.h"
 
 #include <algorithm>
 
@@ -40,7 +41,8 @@
             use[task->step->image] += share;
             worker.backfilling.push_back(
                 {task->step->image, worker.processorShare(step), share, std::max(0, task->speedPercent),
-                    task->phase == RunPhase::Running && now - task->speedSetAt >= SettlingTime});
+                    task->phase == RunPhase::Running && now - task->speedSetAt >= SettlingTime,
+                    task->isProbe && worker.trial.isOpen(now)});
         }
     }
     BackfillUse change = use;
@@ -72,8 +74,11 @@
             task->overTargetByBackfill = load - m_interference.loadGrowth(image, use) <= limit;
         }
         const auto overFor = task->overTargetSince ? now - *task->overTargetSince : Instant::duration::zero();
-        worker.serving.push_back({image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count(),
-            task->overTargetSince && task->overTargetByBackfill});
+        ServingSample sample {image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count(),
+            task->overTargetSince && task->overTargetByBackfill};
+        task->isNearLimitByItself = isNearLimitByItself(m_interference, sample, use, task->isNearLimitByItself);
+        sample.isNearLimitByItself = task->isNearLimitByItself;
+        worker.serving.push_back(sample);
     }
     worker.backfillUse = std::move(use);
     worker.sampledAt = now;
@@ -100,8 +105,7 @@
         if (!task->step->specification().backfills) {
             continue;
         }
-        const int percent
-            = mayProbeAgain(worker, *task, speeds[next]) ? probeSpeed(worker.backfilling[next].demand) : speeds[next];
+        const int percent = speedAfterPause(worker, *task, speeds[next]);
         worker.backfilling[next].percent = percent;
         ++next;
         if (task->phase != RunPhase::Running) {
@@ -132,16 +136,6 @@
     }
 }
 
-bool JobScheduler::mayProbeAgain(const WorkerState &worker, const TaskState &task, int speedPercent) const
-{
-    if (speedPercent > 0 || !task.pausedSince) {
-        return false;
-    }
-    const auto pausedFor = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - *task.pausedSince);
-    return probeKindAfter(pausedFor) == ProbeKind::Overdue
-        && hasHeadroomForProbe(m_interference, worker.serving, worker.backfilling);
-}
-
 bool JobScheduler::requeueIfPaused(TaskState &task, int speedPercent)
 {
     if (speedPercent > 0) {
@@ -151,7 +145,9 @@
     const Instant now = m_environment.clock.now();
     task.pausedSince = task.pausedSince.value_or(now);
     const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
-    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task)};
+    const bool isStarvedProbe = task.isProbe && hasNothingAtWork(*task.step->occurrence->job);
+    const PausedTask paused {
+        pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task), isStarvedProbe};
     if (m_authority != SchedulingAuthority::Full || !m_environment.policies.pausedTasks->shouldRequeue(paused)) {
         return false;
     }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -236,6 +236,11 @@
         task.isProbe = probe.has_value();
         placed.push_back(&task);
     }
+    for (const TaskState *member : placed) {
+        if (probe) {
+            beginTrialIfNeeded(m_workers.at(member->worker));
+        }
+    }
     startPlaced(placed);
     logPlacement(step, {placed.begin(), placed.end()});
     return true;
--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -3,6 +3,8 @@
 #include "scheduling/JobScheduler.h"
 #include "scheduling/StarvedJobs.h"
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -11,6 +13,8 @@
 
 // A task has worked, so that it no longer counts as idle, when it has run for this long without a pause.
 constexpr Milliseconds ShortestWork {1'000};
+// A paused probe works again in a trial after this long at the earliest.
+constexpr Milliseconds ShortestRest {2'000};
 
 }
 
@@ -30,6 +34,45 @@
     }
 }
 
+void JobScheduler::beginTrialIfNeeded(WorkerState &worker)
+{
+    const Instant now = m_environment.clock.now();
+    if (!worker.trial.isOpen(now) && !hasHeadroomForProbe(m_interference, worker.serving, worker.backfilling)) {
+        worker.trial.begin(now);
+    }
+}
+
+bool JobScheduler::isNextOnTrial(const WorkerState &worker, const TaskState &task) const
+{
+    const bool isLongestPaused = std::all_of(worker.tasks.begin(), worker.tasks.end(),
+        [&task](const TaskState *other) { return !other->pausedSince || *other->pausedSince >= *task.pausedSince; });
+    const Instant now = m_environment.clock.now();
+    const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
+    const bool hasRested = task.isProbe ? pausedFor >= ShortestRest : probeKindAfter(pausedFor) == ProbeKind::Overdue;
+    return isLongestPaused && hasRested && hasNothingAtWork(*task.step->occurrence->job) && worker.trial.mayBegin(now)
+        && mayTryProbe(m_interference, worker, now);
+}
+
+int JobScheduler::speedAfterPause(WorkerState &worker, TaskState &task, int speedPercent)
+{
+    if (speedPercent > 0 || !task.pausedSince) {
+        return speedPercent;
+    }
+    const Instant now = m_environment.clock.now();
+    const int slow = probeSpeed(worker.processorShare(task.step->specification()));
+    const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
+    if (probeKindAfter(pausedFor) == ProbeKind::Overdue
+        && hasHeadroomForProbe(m_interference, worker.serving, worker.backfilling)) {
+        return slow;
+    }
+    if (!isNextOnTrial(worker, task)) {
+        return speedPercent;
+    }
+    worker.trial.begin(now);
+    task.isProbe = true;
+    return slow;
+}
+
 bool JobScheduler::startProbe(TaskState &task, ProbeKind kind)
 {
     StepState &step = *task.step;
@@ -37,6 +80,9 @@
     if (worker == nullptr) {
         return false;
     }
+    if (kind == ProbeKind::Starved) {
+        beginTrialIfNeeded(*worker);
+    }
     place(task, *worker, nextRun(step, task), probeSpeed(worker->processorShare(step.specification())));
     task.isProbe = true;
     startPlaced({&task});
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -46,6 +46,7 @@
     task.isProbe = false;
     task.usage = 0;
     task.overTargetSince.reset();
+    task.isNearLimitByItself = false;
     task.pausedSince.reset();
     task.slowedSince.reset();
     --step.waitingCount;
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -123,6 +123,8 @@
     std::optional<Instant> overTargetSince;
     // Whether it would be within its target without the backfilling tasks, by the interference model.
     bool overTargetByBackfill = false;
+    // See ServingSample::isNearLimitByItself.
+    bool isNearLimitByItself = false;
     // For backfilling tasks, whether the run started at a reduced speed and has not reached its full one yet.
     bool isProbe = false;
     // For backfilling tasks that are ready, since when the task has not worked. A run counts as work only when it has
--- a/source/scheduling/PausedTaskPolicy.h
+++ b/source/scheduling/PausedTaskPolicy.h
@@ -15,6 +15,8 @@
     int percent = 0;
     // How long the task has not worked, here or elsewhere.
     Milliseconds idleFor {0};
+    // Whether it started as a probe and no other task of its job works.
+    bool isStarvedProbe = false;
 };
 
 // Decides how long a paused task keeps its worker. All calls come from the control thread.
--- a/source/scheduling/RequeuePausedTasks.cpp
+++ b/source/scheduling/RequeuePausedTasks.cpp
@@ -17,7 +17,7 @@
 
 bool RequeuePausedTasks::shouldRequeue(const PausedTask &task) const
 {
-    return task.pausedFor >= MaximumPause && task.idleFor < LongestIdleTime
+    return task.pausedFor >= MaximumPause && task.idleFor < LongestIdleTime && !task.isStarvedProbe
         && (task.checkpoints || task.percent < NegligibleProgressPercent);
 }
 
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -46,6 +46,19 @@
     });
 }
 
+bool hasNothingAtWork(const JobState &job)
+{
+    return std::all_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &entry) {
+        const std::deque<StepState> &steps = entry.second.steps;
+        return std::all_of(steps.begin(), steps.end(), [](const StepState &step) {
+            return std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState &task) {
+                const bool isPaused = task.phase == RunPhase::Running && task.pausedSince;
+                return isPaused || task.phase == RunPhase::Done || task.phase == RunPhase::Waiting;
+            });
+        });
+    });
+}
+
 std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
 {
     const bool onTimeJobsWait = std::any_of(waiting.begin(), waiting.end(),
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -16,6 +16,8 @@
 // A worker whose serving tasks all have the same image can run the backfilling images that this image tolerates.
 constexpr double OtherImageCost = 1.5;
 constexpr double NewImageCost = 0.3;
+// A trial works for part of the time only, and may disturb.
+constexpr double TrialCost = 2.0;
 // Minimum distance between the load of a serving task and its limit after a backfilling task is added. The load may
 // still grow by a third of its range before the backfilling task ends.
 constexpr double PlacementMargin = 0.12;
@@ -61,7 +63,9 @@
     const ImageId image = query.step->image;
     const double demand = worker.processorShare(query.step->specification());
     if (query.probe) {
-        return probeExcessLoad(*query.interference, worker, image, demand, *query.probe);
+        const std::optional<double> excess = probeExcessLoad(*query.interference, worker, image, demand, *query.probe);
+        const bool needsTrial = !excess && query.probe == ProbeKind::Starved;
+        return needsTrial && mayTryProbe(*query.interference, worker, query.now) ? std::optional(TrialCost) : excess;
     }
     const double excess = predictedExcessLoad(*query.interference, worker.serving, worker.backfilling, image, demand);
     return excess > -PlacementMargin ? std::nullopt : std::optional(excess);
--- a/source/scheduling/WorkerState.h
+++ b/source/scheduling/WorkerState.h
@@ -6,6 +6,7 @@
 #include "scheduling/LateReportRequests.h"
 #include "scheduling/LateStarts.h"
 #include "scheduling/ObsoleteRuns.h"
+#include "scheduling/ProbeTrial.h"
 #include "scheduling/UnsettledStarts.h"
 #include "scheduling/WorkerClock.h"
 #include "scheduling/WorkerGateway.h"
@@ -99,6 +100,7 @@
     std::vector<BackfillSample> backfilling;
     BackfillUse backfillUse;
     std::optional<Instant> sampledAt;
+    ProbeTrial trial;
 
     // A worker that left this many consecutive report requests unanswered counts as unreachable.
     static constexpr int UnansweredBeforeUnreachable = 3;
--- a/source/scheduling/tests/ServingLoadTest.cpp
+++ b/source/scheduling/tests/ServingLoadTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace Wagtail
 {
 
@@ -40,4 +42,53 @@
     EXPECT_TRUE(startsBesideTail(OverTarget));
 }
 
+// A probe that works in trials only must still get its job done.
+TEST(ServingLoad, letsAJobEndWhileItStaysOverTheTarget)
+{
+    ServingWorkers workers([](Instant) { return OverTarget; });
+    workers.harness.submit("filling", {ServingWorkers::fillingStep(1)}, ServingWorkers::workFor(Second * 2, 7'000));
+    workers.harness.advance(Second * 60);
+    EXPECT_TRUE(workers.harness.durationOf("filling").has_value());
+    EXPECT_EQ(workers.harness.workers.violations(), std::vector<std::string>());
+}
+
+// Probes must not do harm beside a serving task that is close to its target by itself, and that they do disturb. The
+// platform calls it harm when the task is over its target for four seconds because of them.
+TEST(ServingLoad, isNotKeptOverTheTargetByProbes)
+{
+    constexpr Milliseconds HarmTime {4'000};
+    constexpr int JobCount = 12;
+    SchedulerHarness harness;
+    harness.addWorker("worker", ServingWorkers::WorkerMilliCores, 64'000);
+    harness.advance(Second / 2);
+    const Instant risesAt = harness.clock.now() + Second * 2;
+    Instant undisturbedAt;
+    Milliseconds longestDisturbed {0};
+    StepSpecification serving;
+    serving.demand = {13'000, 1'000, 0};
+    serving.longRunning = true;
+    serving.image = "pump";
+    serving.tailTarget = Milliseconds(ServingWorkers::TargetMilliseconds);
+    harness.submit("watch", {serving}, {Second, 0, true, [&](Instant now) {
+                                            int working = 0;
+                                            for (int i = 0; i < JobCount; ++i) {
+                                                working += harness.workers.workingCount("filling-" + std::to_string(i));
+                                            }
+                                            undisturbedAt = working == 0 ? now : undisturbedAt;
+                                            longestDisturbed = std::max(longestDisturbed,
+                                                std::chrono::duration_cast<Milliseconds>(now - undisturbedAt));
+                                            const std::int64_t risen = working > 0 ? OverTarget : CloseToTarget;
+                                            return now < risesAt ? ServingWorkers::IdleTail : risen;
+                                        }});
+    harness.advance(Second * 3);
+    for (int i = 0; i < JobCount; ++i) {
+        harness.submit("filling-" + std::to_string(i), {ServingWorkers::fillingStep(1)},
+            ServingWorkers::workFor(Second * 20, 7'000));
+    }
+    harness.advance(Second * 60);
+    EXPECT_GT(harness.workers.startCount({"filling-0", 0, 0, 0}), 0U);
+    EXPECT_LT(longestDisturbed, HarmTime / 2);
+    EXPECT_EQ(harness.workers.violations(), std::vector<std::string>());
+}
+
 }
