Scheduling: Bound the work that a task loses to pauses

A task without checkpoints beside a serving load that swings was paused and requeued with less than 15 % of its work done each time, and never ended.

--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -324,6 +324,8 @@
     [[nodiscard]] bool isNextOnTrial(const WorkerState &worker, const TaskState &task) const;
     // Begins a trial on a worker that gets the probe of a starved job and has no headroom for it.
     void beginTrialIfNeeded(WorkerState &worker);
+    // Stops a task because of a pause or a low speed, and notes the progress that it loses.
+    void stopForPause(TaskState &task);
     // Stops a task whose pause has lasted too long. Returns whether it did.
     bool requeueIfPaused(TaskState &task, int speedPercent);
     void sendThrottle(TaskState &task, int percent);
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -26,6 +26,14 @@
 // serving load.
 constexpr Milliseconds LongestPauseWithProgress {8'000};
 
+// Returns after what pause a task is moved although a restart loses its progress. The time grows with what it has lost
+// before, so that it gets longer than any swing of the serving loads, and the task ends.
+Milliseconds longestPause(const TaskState &task)
+{
+    constexpr int WholePercent = 100;
+    return LongestPauseWithProgress * (WholePercent + task.lostPercent) / WholePercent;
+}
+
 }
 
 void JobScheduler::updateInterference(WorkerState &worker)
@@ -124,18 +132,25 @@
         } else if (!task->slowedSince) {
             task->slowedSince = now;
         }
-        const bool pausedForLong = task->pausedSince && now - *task->pausedSince >= LongestPauseWithProgress;
-        const bool cheap = task->step->specification().checkpoints || task->percent < CheapRestartPercent;
+        const bool pausedForLong = task->pausedSince && now - *task->pausedSince >= longestPause(*task);
+        const bool cheap
+            = task->step->specification().checkpoints || task->percent + task->lostPercent < CheapRestartPercent;
         const bool slow = task->slowedSince && now - *task->slowedSince >= MaximumSlowedTime;
         const WorkerState *better = slow && (cheap || pausedForLong) ? choose(*task->step, *task) : nullptr;
         if (better != nullptr && better != &worker) {
             m_environment.listener.logDecision("backfill-moved", nameOf(*task).text(),
                 {{"worker", worker.listing.name}, {"percent", task->percent}, {"speed_percent", percent}});
-            beginStop(*task);
+            stopForPause(*task);
         }
     }
 }
 
+void JobScheduler::stopForPause(TaskState &task)
+{
+    task.lostPercent += task.step->specification().checkpoints ? 0 : task.percent;
+    beginStop(task);
+}
+
 bool JobScheduler::requeueIfPaused(TaskState &task, int speedPercent)
 {
     if (speedPercent > 0) {
@@ -146,14 +161,14 @@
     task.pausedSince = task.pausedSince.value_or(now);
     const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
     const bool isStarvedProbe = task.isProbe && hasNothingAtWork(*task.step->occurrence->job);
-    const PausedTask paused {
-        pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task), isStarvedProbe};
+    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task),
+        isStarvedProbe, task.lostPercent};
     if (m_authority != SchedulingAuthority::Full || !m_environment.policies.pausedTasks->shouldRequeue(paused)) {
         return false;
     }
     m_environment.listener.logDecision("paused-task-requeued", nameOf(task).text(),
         {{"worker", task.worker}, {"percent", task.percent}, {"paused_ms", pausedFor.count()}});
-    beginStop(task);
+    stopForPause(task);
     return true;
 }
 
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -132,6 +132,9 @@
     std::optional<Instant> idleSince;
     // For backfilling tasks, since when the run has been paused.
     std::optional<Instant> pausedSince;
+    // For backfilling tasks without checkpoints, the progress that was lost with runs that were stopped for a pause or
+    // a low speed, in percent of the task's work. It may exceed 100.
+    int lostPercent = 0;
     // For backfilling tasks, since when the run has been throttled to a speed at which moving it is considered.
     std::optional<Instant> slowedSince;
     // The task is not placed before this time.
--- a/source/scheduling/PausedTaskPolicy.h
+++ b/source/scheduling/PausedTaskPolicy.h
@@ -17,6 +17,8 @@
     Milliseconds idleFor {0};
     // Whether it started as a probe and no other task of its job works.
     bool isStarvedProbe = false;
+    // The progress that earlier runs have lost in the same way, in percent of the task's work.
+    int lostPercent = 0;
 };
 
 // Decides how long a paused task keeps its worker. All calls come from the control thread.
--- a/source/scheduling/tests/PausedTaskTest.cpp
+++ b/source/scheduling/tests/PausedTaskTest.cpp
@@ -1,3 +1,4 @@
+#include "scheduling/RequeuePausedTasks.h"
 #include "testing/ServingWorkers.h"
 
 #include <gtest/gtest.h>
@@ -82,4 +83,13 @@
     EXPECT_EQ(workers.harness.workers.violations(), std::vector<std::string>());
 }
 
+// Each single loss was small, but nothing bounded their sum.
+TEST(RequeuePausedTasks, countsWhatEarlierRunsHaveLost)
+{
+    const RequeuePausedTasks policy;
+    EXPECT_TRUE(policy.shouldRequeue({Milliseconds(400), false, 10, Second, false, 0}));
+    EXPECT_FALSE(policy.shouldRequeue({Milliseconds(400), false, 10, Second, false, 10}));
+    EXPECT_TRUE(policy.shouldRequeue({Milliseconds(400), true, 10, Second, false, 10}));
+}
+
 }
