Scheduling: Start a task of each job within three seconds where there is room

A job on time with nothing running waited 8 s for its probe, a late one too beside it, where callers expect 3 s. The wait is 2 s now, which leaves time for the start, wherever under half of a pool's processors is in use as callers count them (without backfilling tasks). Where capacity is short, late jobs wait for those on time as before.

--- a/source/scheduling/BackfillProbe.cpp
+++ b/source/scheduling/BackfillProbe.cpp
@@ -15,9 +15,10 @@
 // an overdue task some seconds until callers expect it to run.
 constexpr Milliseconds CautiousProbeDelay {3'000};
 constexpr Milliseconds OverdueProbeDelay {8'000};
-// For jobs that can't meet their objective any more, while none waits that can. Callers expect an accepted job to have
-// something running within three seconds.
-constexpr Milliseconds LateJobProbeDelay {2'000};
+// Where under half of a pool's capacity is in use, callers expect an accepted job to have something running within
+// three seconds. This leaves time for the start. The same holds for jobs that can't meet their objective any more,
+// while none waits that can.
+constexpr Milliseconds BoundedProbeDelay {2'000};
 // Distance from the load limit that probes leave. Closer to the limit they would be throttled at the next report.
 constexpr double ProbeMargin = 0.05;
 // The use of a probe, as a share of its worker. It is twice the least change of use that the interference model learns
@@ -72,10 +73,10 @@
     return idleFor < OverdueProbeDelay ? ProbeKind::Cautious : ProbeKind::Overdue;
 }
 
-Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait)
+Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait, bool isCapacityShort)
 {
     const bool isLate = tier == JobTier::Late || tier == JobTier::Expired;
-    return isLate && !onTimeJobsWait ? LateJobProbeDelay : OverdueProbeDelay;
+    return !isCapacityShort || (isLate && !onTimeJobsWait) ? BoundedProbeDelay : OverdueProbeDelay;
 }
 
 int probeSpeed(double demand)
@@ -153,4 +154,28 @@
     return withRoom;
 }
 
+std::set<std::string> poolsShortOfCapacity(const std::map<std::string, WorkerState> &workers, Instant now)
+{
+    struct Processors
+    {
+        std::int64_t all = 0;
+        std::int64_t used = 0;
+    };
+    std::map<std::string, Processors> pools;
+    for (const auto &[name, worker] : workers) {
+        if (acceptsTasks(worker, now)) {
+            Processors &processors = pools[worker.listing.pool];
+            processors.all += worker.listing.capacity.milliCores;
+            processors.used += worker.used.milliCores;
+        }
+    }
+    std::set<std::string> shortPools;
+    for (const auto &[pool, processors] : pools) {
+        if (processors.used * 2 >= processors.all) {
+            shortPools.insert(pool);
+        }
+    }
+    return shortPools;
+}
+
 }
--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -28,9 +28,9 @@
 // Load pattern: a few backfilling tasks beside serving tasks with a steady load on most workers.
 [[nodiscard]] std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor);
 
-// Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool is
-// in use.
-[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait);
+// Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool's
+// processors is used. Where capacity is short, jobs that are late wait longer for those on time.
+[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait, bool isCapacityShort);
 
 // Returns the speed at which a task that asks for the given share of a worker's processors starts as a probe. Its use
 // is large enough to learn from.
@@ -58,6 +58,11 @@
 [[nodiscard]] std::optional<double> probeExcessLoad(
     const BackfillInterferenceModel &model, const WorkerState &worker, ImageId image, double demand, ProbeKind kind);
 
+// Returns the pools at least half of whose processors are in use on the workers that take tasks, as callers count them:
+// by what tasks ask for, without backfilling tasks.
+[[nodiscard]] std::set<std::string> poolsShortOfCapacity(
+    const std::map<std::string, WorkerState> &workers, Instant now);
+
 // Returns the pools at least half of whose processors are unused on the workers that take tasks. In other pools, tasks
 // wait for a lack of room, which probes would not change.
 [[nodiscard]] std::set<std::string> poolsWithRoomForProbes(
--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -114,8 +114,9 @@
 
 void JobScheduler::placeStarvedJobs(const std::vector<StepState *> &waiting, const RecoveryHolds &holds)
 {
+    const Instant now = m_environment.clock.now();
     FailedPlacements failed;
-    for (TaskState *task : starvedTasks(waiting, holds, m_environment.clock.now())) {
+    for (TaskState *task : starvedTasks(waiting, holds, poolsShortOfCapacity(m_workers, now), now)) {
         const StepState &step = *task->step;
         const bool isServed = !hasNothingRunning(*step.occurrence->job);
         const bool isCovered = !step.specification().gang && failed.covers(step);
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -59,7 +59,8 @@
     });
 }
 
-std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
+std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds,
+    const std::set<std::string> &poolsShortOfCapacity, Instant now)
 {
     const bool onTimeJobsWait = std::any_of(waiting.begin(), waiting.end(),
         [now](const StepState *step) { return tierOf(*step->occurrence->job, now) == JobTier::OnTime; });
@@ -72,7 +73,9 @@
             continue;
         }
         TaskState *task = longestIdle(*step, holds, now);
-        if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now), onTimeJobsWait)) {
+        const bool isCapacityShort = poolsShortOfCapacity.contains(job->policy.pool);
+        const Milliseconds delay = starvedProbeDelay(tierOf(*job, now), onTimeJobsWait, isCapacityShort);
+        if (task != nullptr && now - *task->idleSince >= delay) {
             starved.push_back(task);
         }
     }
--- a/source/scheduling/StarvedJobs.h
+++ b/source/scheduling/StarvedJobs.h
@@ -3,6 +3,8 @@
 #include "scheduling/JobState.h"
 #include "scheduling/RecoveryHolds.h"
 
+#include <set>
+#include <string>
 #include <vector>
 
 namespace Wagtail
@@ -18,7 +20,7 @@
 // been idle for too long, the longest idle first. The job needs only one of them to run. The steps are those that found
 // no worker in this round of placement. Load pattern: a backlog of jobs, whose largest tasks find no headroom beside
 // those of the others.
-[[nodiscard]] std::vector<TaskState *> starvedTasks(
-    const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now);
+[[nodiscard]] std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds,
+    const std::set<std::string> &poolsShortOfCapacity, Instant now);
 
 }
--- a/source/scheduling/tests/StarvedJobsTest.cpp
+++ b/source/scheduling/tests/StarvedJobsTest.cpp
@@ -13,6 +13,8 @@
 
 constexpr Milliseconds Second {1'000};
 constexpr Instant Now {Second * 1'000};
+// The pool of the jobs, whose capacity is short unless a test says otherwise.
+const std::string Pool = "pool";
 
 std::unique_ptr<JobState> jobAccepted(Milliseconds ago, Milliseconds idleFor)
 {
@@ -23,6 +25,7 @@
     step.estimate = Second * 3;
     step.backfills = true;
     job->specification.steps = {step};
+    job->policy.pool = Pool;
     job->policy.stretch = 2.0;
     job->policy.latencyTarget = Second;
     job->acceptedAt = Now - ago;
@@ -39,7 +42,7 @@
 
 std::size_t starvedCount(JobState &job)
 {
-    return starvedTasks({&stepOf(job)}, RecoveryHolds(), Now).size();
+    return starvedTasks({&stepOf(job)}, RecoveryHolds(), {Pool}, Now).size();
 }
 
 }
@@ -49,7 +52,8 @@
 {
     const auto recent = jobAccepted(Second * 20, Second * 9);
     const auto old = jobAccepted(Second * 20, Second * 12);
-    const std::vector<TaskState *> starved = starvedTasks({&stepOf(*recent), &stepOf(*old)}, RecoveryHolds(), Now);
+    const std::vector<TaskState *> starved
+        = starvedTasks({&stepOf(*recent), &stepOf(*old)}, RecoveryHolds(), {Pool}, Now);
     ASSERT_EQ(starved.size(), 2U);
     EXPECT_EQ(starved[0]->step, &stepOf(*old));
     EXPECT_EQ(starved[1]->step, &stepOf(*recent));
@@ -80,11 +84,22 @@
     const auto late = jobAccepted(Second * 60, Second * 3);
     const auto later = jobAccepted(Second * 60, Second * 9);
     const std::vector<TaskState *> starved
-        = starvedTasks({&stepOf(*onTime), &stepOf(*late), &stepOf(*later)}, RecoveryHolds(), Now);
+        = starvedTasks({&stepOf(*onTime), &stepOf(*late), &stepOf(*later)}, RecoveryHolds(), {Pool}, Now);
     ASSERT_EQ(starved.size(), 1U);
     EXPECT_EQ(starved[0]->step, &stepOf(*later));
 }
 
+// Callers expect something of each accepted job to run within three seconds where under half of the capacity is in use,
+// and a job on time waited eight.
+TEST(StarvedJobs, waitsForNobodyWhereCapacityIsNotShort)
+{
+    const auto onTime = jobAccepted(Second * 3, Milliseconds(2'500));
+    const auto late = jobAccepted(Second * 60, Milliseconds(2'500));
+    const auto recent = jobAccepted(Second, Second);
+    EXPECT_EQ(
+        starvedTasks({&stepOf(*onTime), &stepOf(*late), &stepOf(*recent)}, RecoveryHolds(), {"other"}, Now).size(), 2U);
+}
+
 // A task that was just refused or requeued must not be sent again before its delay is over.
 TEST(StarvedJobs, passesOverTasksThatMustNotStartYet)
 {
