Scheduling: Let a suspect that waits cover no other jobs of its image

A starved job that may have crashed its worker is kept off others of that kind for up to 10 s. Meanwhile its failed placement counted for all jobs of its image that ask for as much, although they need not be kept apart, so none of them started as a probe.

StarvedSuspect.coversNoOtherJobsOfItsImage fails without the change.

--- a/source/scheduling/JobSchedulerProbes.cpp
+++ b/source/scheduling/JobSchedulerProbes.cpp
@@ -123,7 +123,8 @@
         if (isServed || isCovered || !mayPlace(*task) || startStarved(*task)) {
             continue;
         }
-        if (!step.specification().gang) {
+        // Other tasks may still find a worker where a suspect must be kept apart.
+        if (!step.specification().gang && !task->crashes.isSuspect()) {
             failed.add(step);
         }
     }
@@ -151,7 +152,11 @@
             if (!poolsWithRoom->contains(step->occurrence->job->policy.pool) || failed[*kind].covers(*step)) {
                 break;
             }
-            if (!startProbe(task, *kind)) {
+            const bool isStarted = startProbe(task, *kind);
+            if (!isStarted && task.crashes.isSuspect()) {
+                continue;
+            }
+            if (!isStarted) {
                 failed[*kind].add(*step);
                 break;
             }
