--- a/source/scheduling/BackfillProbe.h
+++ b/source/scheduling/BackfillProbe.h
@@ -15,7 +15,8 @@
     Cautious,
     // The load of each serving task is some distance below its limit without the probe, whatever the prediction says.
     Overdue,
-    // The same for a job that has nothing running. Its worker may run other probes.
+    // The same for a job that has nothing running. Its worker may run other probes. Where serving tasks are close to
+    // their limits by themselves, it starts nevertheless and works in trials. See ProbeTrial.
     Starved,
 };
 
@@ -27,9 +28,9 @@
 // Load pattern: a few backfilling tasks beside serving tasks with a steady load on most workers.
 [[nodiscard]] std::optional<ProbeKind> probeKindAfter(Milliseconds idleFor);
 
-// Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool is
-// in use.
-[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait);
+// Returns how long a job may have nothing running until one of its tasks starts as a probe, however much of the pool's
+// processors is used. Where capacity is short, jobs that are late wait longer for those on time.
+[[nodiscard]] Milliseconds starvedProbeDelay(JobTier tier, bool onTimeJobsWait, bool isCapacityShort);
 
 // Returns the speed at which a task that asks for the given share of a worker's processors starts as a probe. Its use
 // is large enough to learn from.
@@ -42,11 +43,26 @@
 [[nodiscard]] bool hasHeadroomForProbe(const BackfillInterferenceModel &model,
     const std::vector<ServingSample> &serving, const std::vector<BackfillSample> &backfilling);
 
+// Returns whether a serving task is close to its limit, or over it, without the backfilling tasks beside it, given
+// whether it was so at the last report. It is known while none of them works, and else where the growth of load that
+// the model expects of them does not explain it.
+[[nodiscard]] bool isNearLimitByItself(
+    const BackfillInterferenceModel &model, const ServingSample &sample, const BackfillUse &use, bool before);
+
+// Returns whether a probe of a starved job may work, for the length of a trial, beside the serving tasks of a worker
+// that leave it no headroom.
+[[nodiscard]] bool mayTryProbe(const BackfillInterferenceModel &model, const WorkerState &worker, Instant now);
+
 // Returns predictedExcessLoad() for a probe of the given image and demand at its reduced speed, or nothing if the
 // worker may not take the probe.
 [[nodiscard]] std::optional<double> probeExcessLoad(
     const BackfillInterferenceModel &model, const WorkerState &worker, ImageId image, double demand, ProbeKind kind);
 
+// Returns the pools at least half of whose processors are in use on the workers that take tasks, as callers count them:
+// by what tasks ask for, without backfilling tasks.
+[[nodiscard]] std::set<std::string> poolsShortOfCapacity(
+    const std::map<std::string, WorkerState> &workers, Instant now);
+
 // Returns the pools at least half of whose processors are unused on the workers that take tasks. In other pools, tasks
 // wait for a lack of room, which probes would not change.
 [[nodiscard]] std::set<std::string> poolsWithRoomForProbes(
--- a/source/scheduling/JobSchedulerInterference.cpp
+++ b/source/scheduling/JobSchedulerInterference.cpp
@@ -1,6 +1,7 @@
 // JobScheduler: learns how much backfilling tasks interfere with serving tasks, and throttles them.
 #include "scheduling/BackfillProbe.h"
 #include "scheduling/JobScheduler.h"
+#include "scheduling/StarvedJobs.h"
 
 #include <algorithm>
 
@@ -25,6 +26,14 @@
 // serving load.
 constexpr Milliseconds LongestPauseWithProgress {8'000};
 
+// Returns after what pause a task is moved although a restart loses its progress. The time grows with what it has lost
+// before, so that it gets longer than any swing of the serving loads, and the task ends.
+Milliseconds longestPause(const TaskState &task)
+{
+    constexpr int WholePercent = 100;
+    return LongestPauseWithProgress * (WholePercent + task.lostPercent) / WholePercent;
+}
+
 }
 
 void JobScheduler::updateInterference(WorkerState &worker)
@@ -40,7 +49,8 @@
             use[task->step->image] += share;
             worker.backfilling.push_back(
                 {task->step->image, worker.processorShare(step), share, std::max(0, task->speedPercent),
-                    task->phase == RunPhase::Running && now - task->speedSetAt >= SettlingTime});
+                    task->phase == RunPhase::Running && now - task->speedSetAt >= SettlingTime,
+                    task->isProbe && worker.trial.isOpen(now)});
         }
     }
     BackfillUse change = use;
@@ -72,8 +82,11 @@
             task->overTargetByBackfill = load - m_interference.loadGrowth(image, use) <= limit;
         }
         const auto overFor = task->overTargetSince ? now - *task->overTargetSince : Instant::duration::zero();
-        worker.serving.push_back({image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count(),
-            task->overTargetSince && task->overTargetByBackfill});
+        ServingSample sample {image, load, limit, std::chrono::duration_cast<Milliseconds>(overFor).count(),
+            task->overTargetSince && task->overTargetByBackfill};
+        task->isNearLimitByItself = isNearLimitByItself(m_interference, sample, use, task->isNearLimitByItself);
+        sample.isNearLimitByItself = task->isNearLimitByItself;
+        worker.serving.push_back(sample);
     }
     worker.backfillUse = std::move(use);
     worker.sampledAt = now;
@@ -100,8 +113,7 @@
         if (!task->step->specification().backfills) {
             continue;
         }
-        const int percent
-            = mayProbeAgain(worker, *task, speeds[next]) ? probeSpeed(worker.backfilling[next].demand) : speeds[next];
+        const int percent = speedAfterPause(worker, *task, speeds[next]);
         worker.backfilling[next].percent = percent;
         ++next;
         if (task->phase != RunPhase::Running) {
@@ -120,26 +132,23 @@
         } else if (!task->slowedSince) {
             task->slowedSince = now;
         }
-        const bool pausedForLong = task->pausedSince && now - *task->pausedSince >= LongestPauseWithProgress;
-        const bool cheap = task->step->specification().checkpoints || task->percent < CheapRestartPercent;
+        const bool pausedForLong = task->pausedSince && now - *task->pausedSince >= longestPause(*task);
+        const bool cheap
+            = task->step->specification().checkpoints || task->percent + task->lostPercent < CheapRestartPercent;
         const bool slow = task->slowedSince && now - *task->slowedSince >= MaximumSlowedTime;
         const WorkerState *better = slow && (cheap || pausedForLong) ? choose(*task->step, *task) : nullptr;
         if (better != nullptr && better != &worker) {
             m_environment.listener.logDecision("backfill-moved", nameOf(*task).text(),
                 {{"worker", worker.listing.name}, {"percent", task->percent}, {"speed_percent", percent}});
-            beginStop(*task);
+            stopForPause(*task);
         }
     }
 }
 
-bool JobScheduler::mayProbeAgain(const WorkerState &worker, const TaskState &task, int speedPercent) const
+void JobScheduler::stopForPause(TaskState &task)
 {
-    if (speedPercent > 0 || !task.pausedSince) {
-        return false;
-    }
-    const auto pausedFor = std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - *task.pausedSince);
-    return probeKindAfter(pausedFor) == ProbeKind::Overdue
-        && hasHeadroomForProbe(m_interference, worker.serving, worker.backfilling);
+    task.lostPercent += task.step->specification().checkpoints ? 0 : task.percent;
+    beginStop(task);
 }
 
 bool JobScheduler::requeueIfPaused(TaskState &task, int speedPercent)
@@ -151,13 +160,15 @@
     const Instant now = m_environment.clock.now();
     task.pausedSince = task.pausedSince.value_or(now);
     const auto pausedFor = std::chrono::duration_cast<Milliseconds>(now - *task.pausedSince);
-    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task)};
+    const bool isStarvedProbe = task.isProbe && hasNothingAtWork(*task.step->occurrence->job);
+    const PausedTask paused {pausedFor, task.step->specification().checkpoints, task.percent, idleTime(task),
+        isStarvedProbe, task.lostPercent};
     if (m_authority != SchedulingAuthority::Full || !m_environment.policies.pausedTasks->shouldRequeue(paused)) {
         return false;
     }
     m_environment.listener.logDecision("paused-task-requeued", nameOf(task).text(),
         {{"worker", task.worker}, {"percent", task.percent}, {"paused_ms", pausedFor.count()}});
-    beginStop(task);
+    stopForPause(task);
     return true;
 }
 
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -123,6 +123,8 @@
     std::optional<Instant> overTargetSince;
     // Whether it would be within its target without the backfilling tasks, by the interference model.
     bool overTargetByBackfill = false;
+    // See ServingSample::isNearLimitByItself.
+    bool isNearLimitByItself = false;
     // For backfilling tasks, whether the run started at a reduced speed and has not reached its full one yet.
     bool isProbe = false;
     // For backfilling tasks that are ready, since when the task has not worked. A run counts as work only when it has
@@ -130,6 +132,9 @@
     std::optional<Instant> idleSince;
     // For backfilling tasks, since when the run has been paused.
     std::optional<Instant> pausedSince;
+    // For backfilling tasks without checkpoints, the progress that was lost with runs that were stopped for a pause or
+    // a low speed, in percent of the task's work. It may exceed 100.
+    int lostPercent = 0;
     // For backfilling tasks, since when the run has been throttled to a speed at which moving it is considered.
     std::optional<Instant> slowedSince;
     // The task is not placed before this time.
--- a/source/scheduling/PausedTaskPolicy.h
+++ b/source/scheduling/PausedTaskPolicy.h
@@ -15,6 +15,10 @@
     int percent = 0;
     // How long the task has not worked, here or elsewhere.
     Milliseconds idleFor {0};
+    // Whether it started as a probe and no other task of its job works.
+    bool isStarvedProbe = false;
+    // The progress that earlier runs have lost in the same way, in percent of the task's work.
+    int lostPercent = 0;
 };
 
 // Decides how long a paused task keeps its worker. All calls come from the control thread.
--- a/source/scheduling/StarvedJobs.cpp
+++ b/source/scheduling/StarvedJobs.cpp
@@ -46,7 +46,21 @@
     });
 }
 
-std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds, Instant now)
+bool hasNothingAtWork(const JobState &job)
+{
+    return std::all_of(job.occurrences.begin(), job.occurrences.end(), [](const auto &entry) {
+        const std::deque<StepState> &steps = entry.second.steps;
+        return std::all_of(steps.begin(), steps.end(), [](const StepState &step) {
+            return std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState &task) {
+                const bool isPaused = task.phase == RunPhase::Running && task.pausedSince;
+                return isPaused || task.phase == RunPhase::Done || task.phase == RunPhase::Waiting;
+            });
+        });
+    });
+}
+
+std::vector<TaskState *> starvedTasks(const std::vector<StepState *> &waiting, const RecoveryHolds &holds,
+    const std::set<std::string> &poolsShortOfCapacity, Instant now)
 {
     const bool onTimeJobsWait = std::any_of(waiting.begin(), waiting.end(),
         [now](const StepState *step) { return tierOf(*step->occurrence->job, now) == JobTier::OnTime; });
@@ -59,7 +73,9 @@
             continue;
         }
         TaskState *task = longestIdle(*step, holds, now);
-        if (task != nullptr && now - *task->idleSince >= starvedProbeDelay(tierOf(*job, now), onTimeJobsWait)) {
+        const bool isCapacityShort = poolsShortOfCapacity.contains(job->policy.pool);
+        const Milliseconds delay = starvedProbeDelay(tierOf(*job, now), onTimeJobsWait, isCapacityShort);
+        if (task != nullptr && now - *task->idleSince >= delay) {
             starved.push_back(task);
         }
     }
