Http: Leave sockets that are ready to the event loop when a call's time is over

Cause: reading all overdue answers within the handler of one timer made turns of a late loop longer.

Calls whose sockets are ready now wait until the loop has handled these in its own order, which also spares handling sockets twice. A call waits for one turn if the loop is in time. The limit for old answers is 1 s after the deadline instead of 2 s, like that for sending, as some readers of answers date them by when they were read.

--- a/source/http/CallDeadline.cpp
+++ b/source/http/CallDeadline.cpp
@@ -22,6 +22,7 @@
     }
     if (m_longAnswer) {
         m_stalledAt = now + Milliseconds(m_longAnswer->stallMilliseconds);
+        m_foundOverAt.reset();
     } else if (isLoopLate(now)) {
         beginAnew(now);
     }
@@ -32,16 +33,23 @@
     if (now < time()) {
         return true;
     }
-    if (!isLoopLate(now) || now - time() > LongestSendDelay) {
+    if (!isLoopLate(now) || now - time() > LongestLoopDelay) {
         return false;
     }
     beginAnew(now);
     return true;
 }
 
+bool CallDeadline::admitWaiting(Instant now)
+{
+    const bool isFirst = !m_foundOverAt;
+    m_foundOverAt = m_foundOverAt.value_or(now);
+    return (isFirst || isLoopLate(now)) && admitsAnswer(now);
+}
+
 bool CallDeadline::admitsAnswer(Instant now) const
 {
-    return now - time() <= LongestReadDelay;
+    return now - time() <= LongestLoopDelay;
 }
 
 Instant CallDeadline::time() const
@@ -51,12 +59,13 @@
 
 bool CallDeadline::isLoopLate(Instant now) const
 {
-    return !m_hasBegunAnew && now - time() >= ShortestLoopDelay;
+    return !m_hasBegunAnew && m_foundOverAt.value_or(now) - time() >= ShortestLoopDelay;
 }
 
 void CallDeadline::beginAnew(Instant now)
 {
     m_hasBegunAnew = true;
+    m_foundOverAt.reset();
     m_stalledAt = now + m_timeout;
     m_endsAt = m_longAnswer ? m_endsAt : m_stalledAt;
 }
--- a/source/http/CallDeadline.h
+++ b/source/http/CallDeadline.h
@@ -13,10 +13,9 @@
 public:
     // Lateness from which on the event loop counts as late. Timers on a busy machine are late by less.
     static constexpr Milliseconds ShortestLoopDelay {50};
-    // A call is not sent later than this after its time was over, since the receiver may carry it out seconds later.
-    static constexpr Milliseconds LongestSendDelay {1'000};
-    // An answer that is read later than this after the deadline may say what is long no longer true.
-    static constexpr Milliseconds LongestReadDelay {2'000};
+    // No call is sent, and no answer is used, later than this after the deadline. The receiver may carry the call out
+    // seconds later, and the answer may say what is no longer true.
+    static constexpr Milliseconds LongestLoopDelay {1'000};
 
     // There is no deadline until begin() is called.
     explicit CallDeadline(const HttpCall &call);
@@ -29,6 +28,10 @@
     // Returns whether the call may be put on the wire, and notes it if it may.
     [[nodiscard]] bool admitSending(Instant now);
 
+    // Returns whether a call whose time is over, but whose socket is ready, waits until the event loop has handled
+    // that. Once only if the loop is in time.
+    [[nodiscard]] bool admitWaiting(Instant now);
+
     // Returns whether an answer that is read now may still be used.
     [[nodiscard]] bool admitsAnswer(Instant now) const;
 
@@ -43,6 +46,8 @@
     // When the answer is late or has stalled, and when the call is given up in any case.
     Instant m_stalledAt = Instant::max();
     Instant m_endsAt = Instant::max();
+    // When it was first found that the time was over.
+    std::optional<Instant> m_foundOverAt;
     bool m_hasBegunAnew = false;
 };
 
--- a/source/http/CurlHttpClient.cpp
+++ b/source/http/CurlHttpClient.cpp
@@ -62,13 +62,13 @@
     // The last socket that libcurl has opened or taken for the transfer.
     std::weak_ptr<SocketWatch> socket;
     CallDeadline deadline;
-    // The deadline that is in the queue, which progress does not move.
+    // The time that is in the queue, which progress does not move.
     std::optional<Instant> queuedDeadline;
     bool isFinished = false;
 };
 
-// How often sockets are read before a call is given up. libcurl reads one buffer each time.
-constexpr int LongestCatchUp = 16;
+// How long a call whose time is over waits for the event loop to handle its socket, before the socket is polled again.
+constexpr std::chrono::milliseconds TimeToHandleSockets {20};
 
 // Several times the largest page or list of changes that a store sends.
 constexpr std::size_t MaximumAnswerBytes = 64U << 20U;
@@ -402,13 +402,15 @@
         arm();
     }
 
-    void watch(const std::shared_ptr<Transfer> &transfer)
+    // Looks at the transfer again at the given time if it has not ended by then.
+    void watch(const std::shared_ptr<Transfer> &transfer, Instant time)
     {
-        transfer->queuedDeadline = transfer->deadline.time();
-        m_deadlines.add(transfer->handle, *transfer->queuedDeadline);
+        transfer->queuedDeadline = time;
+        m_deadlines.add(transfer->handle, time);
     }
 
-    // Gives up the calls whose time is over, unless their answers have only not been read yet.
+    // Gives up the calls whose time is over. The event loop may only be late: calls whose sockets are ready wait until
+    // it has handled these.
     void onDue(const std::vector<DeadlineQueue::Key> &keys)
     {
         // Handlers may destroy the client.
@@ -419,58 +421,42 @@
             const std::shared_ptr<Transfer> &transfer = m_transfers.at(key);
             transfer->queuedDeadline.reset();
             if (now < transfer->deadline.time()) {
-                watch(transfer);
+                watch(transfer, transfer->deadline.time());
             } else {
                 overdue.push_back(transfer);
             }
         }
-        int turns = 0;
-        while (turns < LongestCatchUp && handleReadySockets(overdue)) {
-            ++turns;
-        }
-        for (const std::shared_ptr<Transfer> &transfer : overdue) {
-            if (transfer->isFinished) {
-                continue;
-            }
-            if (std::chrono::steady_clock::now() < transfer->deadline.time()) {
-                watch(transfer);
+        const std::vector<bool> ready = areSocketsReady(overdue);
+        for (std::size_t i = 0; i < overdue.size(); ++i) {
+            const std::shared_ptr<Transfer> &transfer = overdue[i];
+            if (ready[i] && transfer->deadline.admitWaiting(now)) {
+                watch(transfer, now + TimeToHandleSockets);
             } else {
                 finish(transfer->handle, CURLE_OPERATION_TIMEDOUT);
             }
         }
     }
 
-    // Lets libcurl handle the sockets of the transfers that are ready, and returns whether there were any.
-    bool handleReadySockets(const Transfers &overdue)
+    // Returns for each transfer whether what it waits for has happened at its socket.
+    static std::vector<bool> areSocketsReady(const Transfers &transfers)
     {
         std::vector<pollfd> polled;
-        std::vector<std::shared_ptr<SocketWatch>> watches;
-        for (const std::shared_ptr<Transfer> &transfer : overdue) {
+        polled.reserve(transfers.size());
+        for (const std::shared_ptr<Transfer> &transfer : transfers) {
             const std::shared_ptr<SocketWatch> watch = transfer->socket.lock();
-            if (!transfer->isFinished && watch && watch->descriptor.is_open()) {
-                const bool reads = (watch->wanted & CURL_POLL_IN) != 0;
-                const bool writes = (watch->wanted & CURL_POLL_OUT) != 0;
-                const int events = (reads ? POLLIN : 0) | (writes ? POLLOUT : 0);
-                polled.push_back({watch->descriptor.native_handle(), static_cast<short>(events), 0});
-                watches.push_back(watch);
-            }
+            const bool isOpen = watch && watch->descriptor.is_open();
+            const int wanted = isOpen ? watch->wanted : CURL_POLL_NONE;
+            const int events
+                = ((wanted & CURL_POLL_IN) != 0 ? POLLIN : 0) | ((wanted & CURL_POLL_OUT) != 0 ? POLLOUT : 0);
+            // Entries with a negative descriptor are passed over.
+            polled.push_back({events != 0 ? watch->descriptor.native_handle() : -1, static_cast<short>(events), 0});
         }
-        if (polled.empty() || ::poll(polled.data(), polled.size(), 0) <= 0) {
-            return false;
-        }
-        bool handledAny = false;
-        for (std::size_t i = 0; i < polled.size(); ++i) {
-            const int ready = polled[i].revents;
-            const int ended = ready & (POLLERR | POLLHUP);
-            const int action = ((ready & POLLIN) != 0 || ended != 0 ? CURL_CSELECT_IN : 0)
-                | ((ready & POLLOUT) != 0 || ended != 0 ? CURL_CSELECT_OUT : 0);
-            // What was handled before may have closed the socket.
-            if (action != 0 && watches[i]->descriptor.is_open()) {
-                handledAny = true;
-                act(polled[i].fd, action);
-            }
+        std::vector<bool> ready(transfers.size(), false);
+        if (::poll(polled.data(), polled.size(), 0) > 0) {
+            std::transform(
+                polled.begin(), polled.end(), ready.begin(), [](const pollfd &entry) { return entry.revents != 0; });
         }
-        return handledAny;
+        return ready;
     }
 
     void act(curl_socket_t socket, int action)
@@ -484,7 +470,7 @@
             const Instant now = std::chrono::steady_clock::now();
             for (const std::shared_ptr<Transfer> &transfer : begun) {
                 transfer->deadline.begin(now);
-                watch(transfer);
+                watch(transfer, transfer->deadline.time());
             }
         }
         collectFinished();
--- a/source/http/tests/LateLoopTest.cpp
+++ b/source/http/tests/LateLoopTest.cpp
@@ -234,7 +234,7 @@
 {
     send(servers.add({"x", 1, 1, PartInterval}));
     runLoopFor(PartInterval / 2);
-    std::this_thread::sleep_for(Timeout + milliseconds(2'200));
+    std::this_thread::sleep_for(Timeout + milliseconds(1'200));
     EXPECT_LT(runUntilAnswered(), Tolerance);
     EXPECT_EQ(answers.front().delivery, Delivery::Lost);
 }
