Scheduling: Count late calls from when they were given up

Cause: a start without an answer was expected to be carried out within 6 s after its owner had handed it over. An owner whose event loop is late puts it on the wire later: always by the delay of the loop, and up to about 2.4 s later since late loops send calls after their time. Carried out 5.2 s after it had left, it started a task a second time on a worker that had restarted meanwhile. Report requests that renew leases or acknowledge ends have the same gap.

The time counts from when the call was given up now, since it can't leave later than that. A worker that restarts waits longer by the timeout of the call, 0.4 to 2.5 s, before what late calls may do is ruled out.

LateStart.ofAnOwnerThatWasLateToSendItStartsNoSecondRun failed before ("job.0.0.0 runs on worker-1 and worker-0") and passes. All tests of LateStart, LateRenewal, LateAcknowledgement and LateOrder pass.

--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -117,7 +117,7 @@
         incarnation = observeAnswer(*worker, answer, sentAt);
         worker->unsettledStarts.answered(incarnation, m_environment.clock.now(), longestLeaseExpiry());
         if (answer.outcome == OrderOutcome::Unknown) {
-            worker->lateStarts.unanswered(run, sentAt);
+            worker->lateStarts.unanswered(run, m_environment.clock.now());
         }
     }
     TaskState *task = findTask(run.task);
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -212,7 +212,7 @@
     worker->lastAnswer = m_environment.clock.now();
     if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
         if (*outcome == OrderOutcome::Unknown) {
-            worker->lateRequests.unanswered(sentAt, {worker->sentAcknowledgement > 0, worker->sentRenewal});
+            worker->lateRequests.unanswered(m_environment.clock.now(), {worker->sentAcknowledgement > 0, worker->sentRenewal});
         }
         onReportFailed(*worker, address, *outcome);
         return;
--- a/source/scheduling/LateCall.h
+++ b/source/scheduling/LateCall.h
@@ -5,7 +5,7 @@
 namespace Wagtail
 {
 
-// How long after it was sent a worker may still carry out a call that got no answer.
+// How long after it left a worker may still carry out a call that got no answer.
 constexpr Milliseconds LongestLateCall {6'000};
 
 }
--- a/source/scheduling/LateReportRequests.cpp
+++ b/source/scheduling/LateReportRequests.cpp
@@ -7,9 +7,9 @@
 namespace Wagtail
 {
 
-void LateReportRequests::unanswered(Instant sentAt, Effects effects)
+void LateReportRequests::unanswered(Instant givenUpAt, Effects effects)
 {
-    const Instant until = sentAt + LongestLateCall;
+    const Instant until = givenUpAt + LongestLateCall;
     if (effects.acknowledgesEnds) {
         m_acknowledgementsEndAt = std::max(m_acknowledgementsEndAt, until);
     }
--- a/source/scheduling/LateReportRequests.h
+++ b/source/scheduling/LateReportRequests.h
@@ -17,8 +17,9 @@
         bool renewsLeases = false;
     };
 
-    // Notes a request that was sent at the given time and got no answer.
-    void unanswered(Instant sentAt, Effects effects);
+    // Notes a request that got no answer and was given up at the given time. A late event loop may have put it on the
+    // wire only then.
+    void unanswered(Instant givenUpAt, Effects effects);
 
     // Returns until when ends may be acknowledged late. The ends of the next incarnation have the same numbers.
     [[nodiscard]] Instant acknowledgementsEndAt() const;
--- a/source/scheduling/LateStarts.cpp
+++ b/source/scheduling/LateStarts.cpp
@@ -7,11 +7,11 @@
 namespace Wagtail
 {
 
-void LateStarts::unanswered(const RunName &run, Instant sentAt)
+void LateStarts::unanswered(const RunName &run, Instant givenUpAt)
 {
-    std::erase_if(m_startUntil, [sentAt](const auto &entry) { return entry.second <= sentAt; });
+    std::erase_if(m_startUntil, [givenUpAt](const auto &entry) { return entry.second <= givenUpAt; });
     Instant &until = m_startUntil[run];
-    until = std::max(until, sentAt + LongestLateCall);
+    until = std::max(until, givenUpAt + LongestLateCall);
     m_endAt = std::max(m_endAt, until);
 }
 
--- a/source/scheduling/LateStarts.h
+++ b/source/scheduling/LateStarts.h
@@ -12,8 +12,9 @@
 class LateStarts
 {
 public:
-    // Notes an order to start a run that was sent at the given time and got no answer.
-    void unanswered(const RunName &run, Instant sentAt);
+    // Notes an order to start a run that got no answer and was given up at the given time. A late event loop may have
+    // put it on the wire only then.
+    void unanswered(const RunName &run, Instant givenUpAt);
 
     // Returns the runs that the worker may start after the given time, and until when.
     [[nodiscard]] std::map<RunName, Instant> after(Instant now) const;
--- a/source/tenure/tests/LateStartTest.cpp
+++ b/source/tenure/tests/LateStartTest.cpp
@@ -28,7 +28,7 @@
             }
             m_worker = worker;
             m_sentAt = m_cluster.clock.now();
-            return UnansweredCall {m_lateness};
+            return UnansweredCall {m_lateness, m_givenUpAfter};
         };
     }
 
@@ -77,6 +77,8 @@
     TestCluster m_cluster;
     // When the worker carries the start out.
     Milliseconds m_lateness {3'000};
+    // When the owner gives it up.
+    Milliseconds m_givenUpAfter {400};
     // The worker of the late start.
     std::string m_worker;
     Instant m_sentAt;
@@ -126,4 +128,19 @@
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
 }
 
+// An owner whose event loop is late puts a start on the wire late, so the time for which the worker may carry it out
+// ends later as well.
+TEST_F(LateStart, ofAnOwnerThatWasLateToSendItStartsNoSecondRun)
+{
+    m_givenUpAfter = Milliseconds(1'800);
+    m_lateness = Milliseconds(7'000);
+    submit(Second * 20);
+    m_cluster.advance(m_givenUpAfter);
+    ASSERT_NO_FATAL_FAILURE(refuseRepetition());
+    m_cluster.advance(std::chrono::duration_cast<Milliseconds>(m_sentAt + Milliseconds(6'200) - m_cluster.clock.now()));
+    restartWorker();
+    m_cluster.advance(Second * 10);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 }
--- a/source/testing/FakeWorkers.h
+++ b/source/testing/FakeWorkers.h
@@ -696,6 +696,8 @@
     {
         // Time until the worker carries the call out. It never does if this is missing.
         std::optional<Milliseconds> delay;
+        // When the instance gives the call up.
+        Milliseconds givenUpAfter = Timeout;
     };
 
     // Decides which calls to a worker get no answer.
@@ -801,7 +803,7 @@
         }
         if (late) {
             carryLate(target, *late, [work] { (void)work(); });
-            m_scheduler.after(Timeout, [handler = std::move(handler)] { handler({}); });
+            m_scheduler.after(late->givenUpAfter, [handler = std::move(handler)] { handler({}); });
             return;
         }
         const bool lost = loseAnswers > 0;
