Tenure: Date answers of the store by the end of their calls

Cause: an answer of the store was dated by when it was read. An instance whose event loop was late told others of a store that had answered just now, although it may have gone away meanwhile, and an outage was confirmed later. Since answers are used up to 1 s after their deadline, that would have grown.

An answer now counts as given at the end of its call's time at the latest.

StoreRelayTest.takesNoAnswerThatItReadsLateForARecentOne failed before and passes.

--- a/source/tenure/StoreRelay.cpp
+++ b/source/tenure/StoreRelay.cpp
@@ -38,6 +38,12 @@
     return std::strtol(request.header(header).value_or("0").c_str(), nullptr, 10);
 }
 
+// Returns how long the call takes if its answer is read at once.
+Milliseconds longestDuration(const HttpCall &call)
+{
+    return Milliseconds(call.longAnswer ? call.longAnswer->totalMilliseconds : call.timeoutMilliseconds);
+}
+
 bool reachedStore(const HttpAnswer &answer)
 {
     return answer.delivery == Delivery::Answered && answer.status != HttpStatus::TooManyRequests
@@ -99,21 +105,23 @@
 
 void StoreRelay::sendDirectly(HttpCall call, Handler handler)
 {
+    const Instant endsAt = m_environment.clock.now() + longestDuration(call);
     m_environment.client.send(
-        std::move(call), [this, alive = m_alive, handler = std::move(handler)](HttpAnswer answer) {
+        std::move(call), [this, alive = m_alive, endsAt, handler = std::move(handler)](HttpAnswer answer) {
             if (!*alive) {
                 return;
             }
-            recordDirectAttempt(reachedStore(answer));
+            // An instance that is short of processor time may read the answer later.
+            recordDirectAttempt(reachedStore(answer), std::min(m_environment.clock.now(), endsAt));
             handler(std::move(answer));
         });
 }
 
-void StoreRelay::recordDirectAttempt(bool answered)
+void StoreRelay::recordDirectAttempt(bool answered, Instant answeredBy)
 {
     m_consecutiveFailures = answered ? 0 : m_consecutiveFailures + 1;
     if (answered) {
-        m_lastDirectAnswer = m_environment.clock.now();
+        m_lastDirectAnswer = std::max(m_lastDirectAnswer.value_or(answeredBy), answeredBy);
         noteStoreAnswer(*m_lastDirectAnswer);
         m_outageConfirmedAt.reset();
     }
--- a/source/tenure/StoreRelay.h
+++ b/source/tenure/StoreRelay.h
@@ -73,7 +73,8 @@
     // Gives the relayed call up if the instance that relays it does not answer a query. Asks after the delay, and then
     // again and again until the call is answered.
     void checkRelay(const RelayedCall &relayed, Milliseconds delay);
-    void recordDirectAttempt(bool answered);
+    // Applies the outcome of a direct call, whose answer came at the given time at the latest.
+    void recordDirectAttempt(bool answered, Instant answeredBy);
     void noteStoreAnswer(Instant at);
     [[nodiscard]] StoreHealthReport report() const;
     // Applies what another instance has answered to the query sent at the given time.
--- a/source/tenure/tests/StoreRelayTest.cpp
+++ b/source/tenure/tests/StoreRelayTest.cpp
@@ -29,6 +29,10 @@
             waiting.push_back(std::move(handler));
             return;
         }
+        if (direct && keepsStoreWaiting) {
+            waitingForStore.push_back(std::move(handler));
+            return;
+        }
         handler(direct ? toStore : toPeer);
     }
 
@@ -40,8 +44,18 @@
         }
     }
 
+    // Delivers the answers of the store that were kept.
+    void answerWaitingForStore()
+    {
+        for (const Handler &handler : std::exchange(waitingForStore, {})) {
+            handler(toStore);
+        }
+    }
+
     bool keepsPeersWaiting = false;
+    bool keepsStoreWaiting = false;
     std::vector<Handler> waiting;
+    std::vector<Handler> waitingForStore;
     std::vector<HttpCall> calls;
     HttpAnswer toStore;
     HttpAnswer toPeer;
@@ -315,6 +329,18 @@
     EXPECT_EQ(m_relayedAnswer->delivery, Delivery::Lost);
 }
 
+// An instance that is short of processor time reads an answer of the store long after the store has gone away. Others
+// must not wait for it to come back because of that.
+TEST_F(StoreRelayTest, takesNoAnswerThatItReadsLateForARecentOne)
+{
+    m_client.toStore = answered(200);
+    m_client.keepsStoreWaiting = true;
+    m_relay.send({"POST", "http://store/write", {}, {}, 100}, [](const HttpAnswer &) {});
+    m_clock.advance(Second * 2);
+    m_client.answerWaitingForStore();
+    EXPECT_FALSE(m_relay.isDirectlyReachable());
+}
+
 TEST_F(StoreRelayTest, relaysALongAnswerWithItsLimits)
 {
     sendRelayedRead();
