Tenure: Sync recorded changes in rounds beside a slow store

Starts of suspects are held until the store has them, and ends of runs are taken note of only then. Jobs were written in the order of their ids each time, so that others could wait without an end. Changes are now written in rounds: what had changed when a round began is written first, and the round is synced once that is committed. JobJournalTest.syncsBesideABacklogThatDoesNotEnd failed before (no sync in 4 s, a job not written).

That their starts were held all the while is not in the logs.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -65,7 +65,7 @@
 
 void JobJournal::progressChanged(const std::string &job, Urgency urgency)
 {
-    m_changed.insert(job);
+    m_changed.add(job);
     schedule(urgency);
 }
 
@@ -126,7 +126,8 @@
 
 bool JobJournal::hasChanges() const
 {
-    return !m_accepts.empty() || !m_delegations.empty() || !m_changed.empty() || !m_puts.empty() || !m_erasures.empty();
+    return !m_accepts.empty() || !m_delegations.empty() || !m_changed.isEmpty() || !m_puts.empty()
+        || !m_erasures.empty();
 }
 
 bool JobJournal::isIdle() const
@@ -185,6 +186,10 @@
 
 void JobJournal::fill(Batch &batch)
 {
+    if (m_changed.beginRound()) {
+        m_syncRequested = false;
+        m_client.onSyncStarting();
+    }
     StoreTransaction &transaction = batch.transaction;
     transaction.conditions = {{JobKeys::owner(m_position.partition), m_position.ownerRevision},
         {JobKeys::head(m_position.partition), m_position.headRevision}};
@@ -205,20 +210,14 @@
     for (const PendingDelegation &delegation : m_delegations) {
         jobsWithPendingDelegation.insert(delegation.job);
     }
-    for (auto next = m_changed.begin(); next != m_changed.end() && entries < MaxTransactionEntries;) {
-        if (jobsWithPendingDelegation.contains(*next)) {
-            ++next;
-            continue;
+    while (entries < MaxTransactionEntries) {
+        const std::optional<std::string> job = m_changed.take(jobsWithPendingDelegation);
+        if (!job) {
+            break;
         }
-        const std::string job = *next;
-        next = m_changed.erase(next);
-        writeProgress(batch, job, entries);
-    }
-    batch.includesAllChanges = m_changed.empty();
-    if (batch.includesAllChanges) {
-        m_syncRequested = false;
-        m_client.onSyncStarting();
+        writeProgress(batch, *job, entries);
     }
+    batch.completesRound = m_changed.isRoundTaken();
     while (!m_accepts.empty() && entries + EntriesPerAccept <= MaxTransactionEntries) {
         PendingAccept accept = std::move(m_accepts.front());
         m_accepts.pop_front();
@@ -343,7 +342,8 @@
     for (const PendingAccept &accept : batch.accepts) {
         accept.handler({AcceptOutcome::Accepted, m_position.partition});
     }
-    if (batch.includesAllChanges) {
+    if (batch.completesRound) {
+        m_changed.endRound();
         m_client.onSynced();
     }
     for (const auto &handler : batch.flushHandlers) {
@@ -387,7 +387,7 @@
         }
     }
     for (const auto &[job, phase] : batch.phases) {
-        m_changed.insert(job);
+        m_changed.add(job);
     }
     // Keeps values that were put in the meantime, because they are newer.
     m_puts.merge(batch.puts);
@@ -403,9 +403,12 @@
             m_erasures.erase(key);
         }
         m_erasuresAfterProgress[job].merge(keys);
-        m_changed.insert(job);
+        m_changed.add(job);
+    }
+    if (m_changed.hasRound()) {
+        m_changed.abandonRound();
+        m_syncRequested = true;
     }
-    m_syncRequested = m_syncRequested || batch.includesAllChanges;
     std::move(batch.flushHandlers.begin(), batch.flushHandlers.end(), std::back_inserter(m_flushHandlers));
     schedule(Urgency::High);
 }
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -3,6 +3,7 @@
 #include "base/Scheduler.h"
 #include "scheduling/JobState.h"
 #include "store/Store.h"
+#include "tenure/ChangedJobs.h"
 #include "tenure/JobRecord.h"
 
 #include <deque>
@@ -51,9 +52,9 @@
     // Returns the phase and the serialized progress of a job, or nothing if the job has been removed.
     [[nodiscard]] virtual std::optional<std::pair<JobPhase, std::string>> progressOf(const std::string &job) = 0;
 
-    // Called before the journal sends a transaction after which the store has all changes up to now.
+    // Called before the journal sends the transactions after which the store has all changes up to now.
     virtual void onSyncStarting() = 0;
-    // Called when the transaction of the last onSyncStarting() has been committed.
+    // Called when the transactions of the last onSyncStarting() have been committed.
     virtual void onSynced() = 0;
     // Called when the store has the given phase of the job.
     virtual void onPhaseRecorded(const std::string &job, JobPhase phase) = 0;
@@ -157,7 +158,8 @@
         std::vector<std::pair<std::string, JobPhase>> phases;
         // The keys whose erasure this batch allows, by job.
         std::map<std::string, std::set<std::string>> erasuresAfterProgress;
-        bool includesAllChanges = false;
+        // Whether the store has all changes from before the round once the batch is committed.
+        bool completesRound = false;
         // Called once the batch has been committed; it includes all changes made before flush() was called.
         std::vector<std::function<void()>> flushHandlers;
         // Whether an earlier attempt got no answer and may have taken effect.
@@ -185,7 +187,7 @@
     JournalPosition m_position;
     std::deque<PendingAccept> m_accepts;
     std::deque<PendingDelegation> m_delegations;
-    std::set<std::string> m_changed;
+    ChangedJobs m_changed;
     std::map<std::string, std::string> m_puts;
     std::set<std::string> m_erasures;
     // Keys that must not be erased before the progress of the job is written, by job.
--- a/source/tenure/tests/JobJournalTest.cpp
+++ b/source/tenure/tests/JobJournalTest.cpp
@@ -199,4 +199,28 @@
     EXPECT_TRUE(m_state.read(JobKeys::progress("fleet") + "job-29"));
 }
 
+// Held starts and ends of runs wait for a sync. Beside a slow store and a burst, more changes came than were written,
+// so that no transaction contained all of them.
+TEST_F(JobJournalTest, syncsBesideABacklogThatDoesNotEnd)
+{
+    m_store.delay = Milliseconds(100);
+    constexpr int Jobs = 120;
+    constexpr int ChangesAtOnce = 30;
+    const auto changeJobs = [this](Milliseconds duration) {
+        int next = 0;
+        for (Milliseconds passed {0}; passed < duration; passed += Milliseconds(50)) {
+            for (int i = 0; i < ChangesAtOnce; ++i) {
+                m_journal->progressChanged("job-" + std::to_string(next++ % Jobs), JobJournal::Urgency::Low);
+            }
+            m_scheduler.advance(Milliseconds(50), Milliseconds(1));
+        }
+    };
+    changeJobs(Milliseconds(2'000));
+    const int syncs = m_client.syncs;
+    m_journal->progressChanged("zz", JobJournal::Urgency::High);
+    changeJobs(Milliseconds(4'000));
+    EXPECT_TRUE(m_client.recorded.contains("zz")) << "others were written again and again";
+    EXPECT_GE(m_client.syncs, syncs + 2);
+}
+
 }
