--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -212,7 +212,8 @@
     worker->lastAnswer = m_environment.clock.now();
     if (const auto *outcome = std::get_if<OrderOutcome>(&result)) {
         if (*outcome == OrderOutcome::Unknown) {
-            worker->lateRequests.unanswered(m_environment.clock.now(), {worker->sentAcknowledgement > 0, worker->sentRenewal});
+            worker->lateRequests.unanswered(
+                m_environment.clock.now(), {worker->sentAcknowledgement > 0, worker->sentRenewal});
         }
         onReportFailed(*worker, address, *outcome);
         return;
