--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -188,6 +188,7 @@
     const std::vector<InstanceEntry> instances = m_instances.candidates(m_environment.clock.now());
     const InstanceSpeeds speeds(instances);
     std::vector<OwnerCandidate> candidates;
+    candidates.reserve(instances.size());
     for (const InstanceEntry &instance : instances) {
         candidates.push_back({instance.name, m_environment.plan.dataCentresInRegion(partition, instance.region),
             inside.contains(instance.dataCentre), speeds.effectiveMilliCores(instance), owned[instance.name],
--- a/source/tenure/tests/SlowOwnerTest.cpp
+++ b/source/tenure/tests/SlowOwnerTest.cpp
@@ -138,8 +138,13 @@
 {
     m_cluster.advance(Second * 5);
     TestInstance *former = m_cluster.owner();
-    for (int i = 0; i < 12; ++i) {
-        const std::string id = "job-" + std::to_string(i);
+    constexpr int Jobs = 12;
+    std::vector<std::string> ids;
+    ids.reserve(Jobs);
+    for (int i = 0; i < Jobs; ++i) {
+        ids.push_back("job-" + std::to_string(i));
+    }
+    for (const std::string &id : ids) {
         m_cluster.workers.setBehaviour(id, {Milliseconds(800), 0, false});
         m_cluster.owner()->router.submit(
             TestCluster::job(id, 2, 2), m_cluster.clock.now() + Second * 3, [](RouteOutcome) {});
@@ -148,11 +153,9 @@
     slowDown(*former);
     m_cluster.advance(Second * 20);
     EXPECT_NE(m_cluster.owner(), former);
-    std::vector<std::string> ids;
-    for (int i = 0; i < 12; ++i) {
-        ids.push_back("job-" + std::to_string(i));
-    }
-    for (const auto &[id, phase] : m_cluster.phasesOf(ids)) {
+    const std::map<std::string, JobPhase> phases = m_cluster.phasesOf(ids);
+    EXPECT_EQ(phases.size(), ids.size());
+    for (const auto &[id, phase] : phases) {
         EXPECT_EQ(phase, JobPhase::Done) << id;
     }
     EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
