--- a/source/tenure/PartitionOwnership.h
+++ b/source/tenure/PartitionOwnership.h
@@ -113,11 +113,13 @@
     void dropLeader(const std::string &partition);
     // Begins to hand over a partition if this instance is too late for it.
     void reviewHandOver();
+    // Begins the hand-over if the successor agrees.
     void askSuccessor(const HandOverDecision &decision);
     void beginHandOver(const HandOverDecision &decision);
+    // Returns whether the term with the token has not ended.
+    [[nodiscard]] bool isTermCurrent(const std::string &partition, StoreRevision token) const;
     // Releases the partition for a successor. An unanswered call is repeated until its effect is known, because
     // nobody could take the partition as long as the key remains.
-    [[nodiscard]] bool isTermCurrent(const std::string &partition, StoreRevision token) const;
     void eraseOwner(const std::string &partition, StoreRevision token);
     void observeInstances();
     // Logs when the instance's store lease ends or is back, and how old its last confirmation is.
