--- a/review/8/case.py
+++ b/review/8/case.py
@@ -32,7 +32,7 @@
         del method, target, headers
         asked = json.loads(body)
         await asyncio.sleep((ADVICE["DecisionMs"] + ADVICE["PerWorkerMs"] * len(asked["Workers"])) / 1000)
-        good = [[worker, "ticket-" + worker] for worker in asked["Workers"] if worker.startswith(ALLOWED)]
+        good = [[worker, "ticket-" + worker] for worker in asked["Workers"] if worker.endswith(ALLOWED)]
         rig.record.add("advisor", "answers", asked=asked, good=good)
         return 200, {"Good": good, "ValidityMs": ADVICE["ValidityMs"]}
     rig.advisor = rigs.HttpServer(advise)
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -279,7 +279,7 @@
         self.life += 1
         self.up = True
         if new_id or self.life == 1:
-            self.id = f"{self.name}-{self.life}"
+            self.id = f"i-{self.life}-{self.name}"
         self.born_ms = int(time.time() * 1000)
         self.born = time.monotonic()
         self.token, self.lease_until, self.next_end = 0, 0, 1
@@ -303,6 +303,21 @@
         self.running = {}
         self.rig.record.add(self.id, "crashes")
 
+    async def go_dark(self, seconds):
+        """Takes the worker's power for a while: it falls silent, and what runs on it ends. Then its next life starts."""
+        async def silent(worker, target, order):
+            self.rig.record.add(worker.id, "is dark and does not get", target=target, order=order)
+            return False
+        self.up, self.on_order = False, silent
+        for run in list(self.running.values()):
+            self.rig.run_over(run, "lost with its worker")
+        self.running = {}
+        self.rig.record.add(self.id, "goes dark")
+        await asyncio.sleep(seconds)
+        self.server.close()
+        self.on_order = None
+        await self.start()
+
     def register(self):
         entry = {"Service": self.service, "Address": self.address(), "Zone": self.zone, "Version": "1", "Slots": 8,
                  "State": self.state, "ColdRemainingMs": 0, "Seq": 1, "born": self.born_ms,
