--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -755,6 +755,8 @@
     coroutine that returns the breaches as a list of texts."""
     async def play():
         rig = None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             rig = case.create()
             await rig.start()
@@ -766,7 +768,7 @@
                 print("broken:", breach)
             print("broken" if breaches else "held", "with" if TROUBLE else "without", "the disruption")
             return 1 if breaches else 0
-        except Exception as failure:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as failure:  # pylint: disable=broad-except
             print("the case could not run:", repr(failure))
             return 2
         finally:
