Scheduling: Log the pool that a waiting step needs

The lines of waiting steps counted the workers that are unsuitable, but not for which pool. Adds the pool, and whether placement needs advice.

--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -146,6 +146,8 @@
     inputs["term_age_ms"] = termAge.count();
     inputs["delegated_here"] = step.occurrence->job->ownedElsewhere;
     inputs["step"] = step.number;
+    inputs["pool"] = step.occurrence->job->policy.pool;
+    inputs["advised"] = step.occurrence->job->policy.advised;
     inputs["reserved"] = m_reservedWorkers.size();
     if (step.specification().backfills) {
         inputs["backfill"] = describe(surveyBackfill(m_workers, step, m_interference, now));
