Scheduling: Apply the newest queue policy to jobs that come later

Cause: the policies in force were applied to the jobs that were loaded at that moment and then forgotten. A new owner gets them before it has read any job, so every restored job kept the policy of its acceptance. So did jobs from the inbox, from instances with an older manifest and from other partitions. Trace: the owner had version 2 in force 5 s before its term began, and its waiting step needed the pool "old" 20 s after the worker had left.

QueuePolicies keeps the newest policy of each queue, by the version of its configuration, and every job that comes to a scheduler gets it. Policies that differ from the job records are recorded, for queues that a later manifest drops.

Tests: with the look-up and the record taken out, ChangedPolicy.holdsForJobsThatANewOwnerRestores, outlivesTheQueue and holdsForJobsFromTheInbox fail; with them all five pass.

--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -115,7 +115,8 @@
     auto &job = m_jobs[id];
     job = std::make_unique<JobState>();
     job->specification = std::move(specification);
-    job->policy = std::move(policy);
+    job->policy = policyFor(job->specification.queue, policy);
+    job->recordedPolicy = std::move(policy);
     job->acceptedWall = acceptedWall;
     const std::int64_t age = std::max<std::int64_t>(0, m_environment.clock.wallMilliseconds() - acceptedWall);
     job->acceptedAt = m_environment.clock.now() - Milliseconds(age);
@@ -301,15 +302,35 @@
 
 void JobScheduler::updatePolicies(const std::map<std::string, QueuePolicy> &policies)
 {
+    m_policies.update(policies);
     for (JobState *job : m_unfinishedJobs) {
-        const auto found = policies.find(job->specification.queue);
-        if (found != policies.end()) {
-            job->policy = found->second;
+        QueuePolicy newest = policyFor(job->specification.queue, job->policy);
+        if (newest.pool != job->policy.pool) {
+            m_environment.listener.logDecision("job-pool-changed", job->specification.id,
+                {{"queue", job->specification.queue}, {"former_pool", job->policy.pool}, {"pool", newest.pool},
+                    {"version", newest.version}});
         }
+        job->policy = std::move(newest);
     }
     dispatchSoon();
 }
 
+const QueuePolicy &JobScheduler::policyFor(const std::string &queue, const QueuePolicy &given) const
+{
+    return m_policies.newest(queue, given);
+}
+
+std::map<std::string, QueuePolicy> JobScheduler::unrecordedPolicies() const
+{
+    std::map<std::string, QueuePolicy> policies;
+    for (const JobState *job : m_unfinishedJobs) {
+        if (!job->policy.hasSameRules(job->recordedPolicy)) {
+            policies[job->specification.queue] = job->policy;
+        }
+    }
+    return policies;
+}
+
 void JobScheduler::setAuthority(SchedulingAuthority authority)
 {
     if (m_authority == authority) {
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/PlacementAdvisor.h"
 #include "scheduling/PlacementPacing.h"
 #include "scheduling/PoolHeadroom.h"
+#include "scheduling/QueuePolicies.h"
 #include "scheduling/QueueWorkEstimator.h"
 #include "scheduling/ReservedWorkers.h"
 #include "scheduling/RestartFate.h"
@@ -195,9 +196,17 @@
     void updateWorker(const WorkerListing &listing);
     void removeWorker(const std::string &name);
 
-    // Applies the policies in force, by queue. Jobs of queues that are not named keep their policy.
+    // Applies the policies of a configuration, by queue, to the present jobs and to those that come later, unless what
+    // is known of a queue is newer. Jobs of queues that are not named keep their policy.
     void updatePolicies(const std::map<std::string, QueuePolicy> &policies);
 
+    // Returns the policy by which a job of the queue is scheduled here if it brings along the given one.
+    [[nodiscard]] const QueuePolicy &policyFor(const std::string &queue, const QueuePolicy &given) const;
+
+    // Returns, by queue, the policies of unfinished jobs that are not the ones recorded with the jobs. A later owner
+    // may learn of them from nobody else, because the configuration in force may not name the queue any more.
+    [[nodiscard]] std::map<std::string, QueuePolicy> unrecordedPolicies() const;
+
     void setAuthority(SchedulingAuthority authority);
 
     // Makes the decisions that depend on time. It must be called every TickPeriod.
@@ -496,6 +505,7 @@
     std::map<std::string, BatchDemandEstimator> m_batchDemand;
     BackfillInterferenceModel m_interference;
     QueueWorkEstimator m_queueWork;
+    QueuePolicies m_policies;
     // Expires together with the scheduler, so that handlers of late answers do nothing.
     std::shared_ptr<JobScheduler *> m_self;
 };
--- a/source/scheduling/JobSchedulerReservations.cpp
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -33,7 +33,7 @@
     // The job as it would be here, with only these tasks waiting.
     JobState arriving;
     arriving.specification = specification;
-    arriving.policy = policy;
+    arriving.policy = policyFor(specification.queue, policy);
     arriving.ownedElsewhere = true;
     assignImageIds(createOccurrence(arriving, 0));
     markAllDelegated(arriving);
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -197,7 +197,9 @@
 struct JobState
 {
     JobSpecification specification;
+    // The policy in force, and the one that the store has recorded with the job.
     QueuePolicy policy;
+    QueuePolicy recordedPolicy;
     // Wall time of the acceptance in milliseconds.
     std::int64_t acceptedWall = 0;
     Instant acceptedAt;
--- a/source/scheduling/QueuePolicy.cpp
+++ b/source/scheduling/QueuePolicy.cpp
@@ -5,11 +5,18 @@
 namespace Wagtail
 {
 
+bool QueuePolicy::hasSameRules(const QueuePolicy &other) const
+{
+    QueuePolicy sameVersion = other;
+    sameVersion.version = version;
+    return *this == sameVersion;
+}
+
 Json describe(const QueuePolicy &policy)
 {
     return {{"queue", policy.queue}, {"pool", policy.pool}, {"priority", policy.priority},
         {"attempts", policy.maximumAttempts}, {"stretch", policy.stretch},
-        {"latency_target_ms", policy.latencyTarget.count()}, {"advised", policy.advised}};
+        {"latency_target_ms", policy.latencyTarget.count()}, {"advised", policy.advised}, {"version", policy.version}};
 }
 
 QueuePolicy parseQueuePolicy(const Json &document)
@@ -24,6 +31,7 @@
         = std::clamp(Milliseconds(memberOr(document, "latency_target_ms", policy.latencyTarget.count())),
             Milliseconds(0), MaximumLatencyTarget);
     policy.advised = memberOr(document, "advised", policy.advised);
+    policy.version = std::max(std::int64_t {0}, memberOr(document, "version", policy.version));
     return policy;
 }
 
--- a/source/scheduling/QueuePolicy.h
+++ b/source/scheduling/QueuePolicy.h
@@ -27,6 +27,11 @@
     Milliseconds latencyTarget {0};
     // Tasks may only be placed on workers that the placement advisor has permitted.
     bool advised = false;
+    // The version of the configuration that it was read from, or 0 if it is not known.
+    std::int64_t version = 0;
+
+    // Returns whether the policies are the same but for their versions.
+    [[nodiscard]] bool hasSameRules(const QueuePolicy &other) const;
 
     bool operator==(const QueuePolicy &) const = default;
 };
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -48,6 +48,12 @@
     return "wagtail/partitions/" + partition + "/pressure";
 }
 
+// Returns the key that holds the policies by which unfinished jobs are scheduled, if their records show others.
+[[nodiscard]] inline std::string policies(const std::string &partition)
+{
+    return "wagtail/partitions/" + partition + "/policies";
+}
+
 [[nodiscard]] inline std::string jobs(const std::string &partition)
 {
     return "wagtail/partitions/" + partition + "/jobs/";
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -129,6 +129,8 @@
 void PartitionLeader::submit(JobRecord record, Placement placement, SubmitHandler handler, StoreRevision refusal)
 {
     const std::string id = record.specification.id;
+    // The instance that got the submission may not know the newest configuration yet.
+    record.policy = m_jobScheduler.policyFor(record.specification.queue, record.policy);
     const JobState *known = m_jobScheduler.find(id);
     if (known != nullptr && !known->ownedElsewhere) {
         handler({AcceptOutcome::Exists, m_position.partition});
@@ -291,6 +293,7 @@
     m_returner.tick();
     const Instant now = m_environment.clock.now();
     recordLeaseHolders();
+    writePolicies();
     delegateStoppedTasks();
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
@@ -369,6 +372,17 @@
     m_journal.put(JobKeys::interferenceModel(m_position.partition), std::move(text));
 }
 
+void PartitionLeader::writePolicies()
+{
+    const std::map<std::string, QueuePolicy> policies = m_jobScheduler.unrecordedPolicies();
+    std::string text = policies.empty() ? std::string() : writeJson(describe(policies));
+    if (text == m_recordedPolicies) {
+        return;
+    }
+    m_recordedPolicies = text;
+    m_journal.put(JobKeys::policies(m_position.partition), std::move(text));
+}
+
 bool PartitionLeader::isStoreUnavailable() const
 {
     return m_journal.isStoreUnavailable();
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -193,6 +193,8 @@
     void recordLeaseHolders();
     void writeLeaseHolders();
     void writeInterferenceModel();
+    // Records the policies that a later owner could not learn otherwise, if they have changed.
+    void writePolicies();
 
     // Returns the result if the job must not be accepted by this partition, and otherwise nothing.
     [[nodiscard]] std::optional<AcceptResult> checkAdmission(const JobRecord &record, Placement placement);
@@ -200,6 +202,7 @@
     // Refuses all copies of a submission, unless another partition has accepted one of them.
     void refuse(const std::string &id);
     void restoreInterferenceModel(const std::string &text);
+    void restorePolicies(const std::string &text);
 
     Environment m_environment;
     Limits m_limits;
@@ -239,6 +242,7 @@
     Instant m_lastInterferenceModelWrite;
     Instant m_lastHeadroomLog;
     std::string m_recordedInterferenceModel;
+    std::string m_recordedPolicies;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -47,6 +47,8 @@
             record = parseLeaseHolderRecord(entry.value);
         } else if (entry.key == JobKeys::interferenceModel(m_position.partition)) {
             restoreInterferenceModel(entry.value);
+        } else if (entry.key == JobKeys::policies(m_position.partition)) {
+            restorePolicies(entry.value);
         }
     }
     const bool isFirstTerm = m_position.term == 0;
@@ -107,6 +109,20 @@
     }
 }
 
+void PartitionLeader::restorePolicies(const std::string &text)
+{
+    m_recordedPolicies = text;
+    if (text.empty()) {
+        return;
+    }
+    const Result<Json> document = parseJson(text, "the queue policies");
+    if (const Error *error = errorOf(document)) {
+        m_environment.log("queue-policies-unreadable", m_position.partition, {{"error", error->detail}});
+        return;
+    }
+    m_jobScheduler.updatePolicies(parseQueuePolicies(std::get<Json>(document)));
+}
+
 void PartitionLeader::restoreInterferenceModel(const std::string &text)
 {
     const Result<Json> document = parseJson(text, "the interference model");
