--- a/source/scheduling/JobScheduler.cpp
+++ b/source/scheduling/JobScheduler.cpp
@@ -162,6 +162,9 @@
 
 void JobScheduler::createDueOccurrences(JobState &job)
 {
+    if (job.isDeparting) {
+        return;
+    }
     const std::int64_t count = std::max<std::int64_t>(1, job.specification.repeatCount);
     const std::int64_t now = m_environment.clock.wallMilliseconds();
     // Occurrences that are due wait while too many tasks of earlier ones are unfinished.
@@ -352,6 +355,7 @@
 void JobScheduler::tick()
 {
     m_authorityReviewedAt = m_environment.clock.now();
+    m_expectedJobs.forgetOld(m_authorityReviewedAt);
     const std::vector<JobState *> unfinished = m_unfinishedJobs;
     for (JobState *job : unfinished) {
         createDueOccurrences(*job);
--- a/source/scheduling/JobScheduler.h
+++ b/source/scheduling/JobScheduler.h
@@ -4,6 +4,7 @@
 #include "scheduling/BackfillProbe.h"
 #include "scheduling/BatchDemandEstimator.h"
 #include "scheduling/CrashEvidence.h"
+#include "scheduling/ExpectedJobs.h"
 #include "scheduling/FailedPlacements.h"
 #include "scheduling/LeaseHandover.h"
 #include "scheduling/PlacementAdvisor.h"
@@ -149,10 +150,27 @@
     // Delegates the named tasks of one step, as far as they wait, to another partition.
     void delegate(const std::string &id, const std::set<TaskName> &tasks, const std::string &partition);
 
-    // Holds places for tasks of another partition, for as long as they may take to arrive. Those that still run get
-    // only places that are free. Returns the tasks that have one.
+    // Holds places for tasks of another partition, for as long as they may take to arrive. The given ones get only
+    // places that are free now. Returns the tasks that have one.
     std::set<TaskName> holdPlacesFor(const JobSpecification &specification, const QueuePolicy &policy,
-        const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &running);
+        const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &onlyFree);
+
+    // Sets whether tasks of steps that depend on others may be delegated.
+    void setDependents(DependentSteps dependents);
+
+    // Returns, of each job that should go on in another partition as a whole, the waiting tasks of one step. Nothing of
+    // such a job runs, and it has found no worker here for as long as waiting for one pays.
+    [[nodiscard]] std::vector<std::vector<const TaskState *>> jobsToRelocate() const;
+
+    // Begins to hand a job over to another partition, whose progress is then final here. Returns false if it has to
+    // stay.
+    [[nodiscard]] bool beginDeparture(const std::string &id);
+
+    // Removes a job that another partition has now.
+    void endDeparture(const std::string &id);
+
+    // Takes over a job that another partition has handed over, with its progress.
+    void receive(JobSpecification specification, QueuePolicy policy, std::int64_t acceptedWall, const Json &progress);
 
     // Returns the waiting tasks of a step that may leave the partition.
     [[nodiscard]] std::vector<TaskState *> tasksWithoutPlace(const UnplacedStep &unplaced);
@@ -428,6 +446,8 @@
     [[nodiscard]] static std::string ticketFor(const StepState &step, const std::string &worker);
     [[nodiscard]] std::vector<std::string> workersToQuery(const StepState &step) const;
     void queryAdvisor(StepState &step);
+    // Returns the step of a job in this partition, and that of a job that is expected here.
+    [[nodiscard]] std::vector<StepState *> stepsNamed(const StepName &name);
     void onAdvice(const StepName &name, const std::map<std::string, std::int64_t> &asked, Instant askedAt,
         const std::variant<PlacementAdvice, AdviceFailure> &result);
 
@@ -447,8 +467,13 @@
     // Notes that a task that must be kept away from others has found no worker.
     void noteIsolationWait(TaskState &task) const;
     [[nodiscard]] IsolationStrictness isolationStrictness(const TaskState &task) const;
-    [[nodiscard]] WorkerState *choose(
-        const StepState &step, const TaskState &task, std::optional<ProbeKind> probe = std::nullopt);
+    // Whether a task is placed now, so that it needs a valid ticket of the advisor, or only gets a place held.
+    enum class PlaceUse {
+        Start,
+        Hold,
+    };
+    [[nodiscard]] WorkerState *choose(const StepState &step, const TaskState &task,
+        std::optional<ProbeKind> probe = std::nullopt, PlaceUse use = PlaceUse::Start);
     // Starts the task as a probe. Returns false if no worker may take it.
     bool startProbe(TaskState &task, ProbeKind kind);
     void logProbe(const TaskState &task, ProbeKind kind);
@@ -491,6 +516,8 @@
     // Whether a query to the advisor is open. The advisor handles one at a time.
     bool m_advicePending = false;
     Instant m_nextAdviceAt;
+    DependentSteps m_dependents = DependentSteps::Stay;
+    ExpectedJobs m_expectedJobs;
     ReservedWorkers m_reservedWorkers;
     FailedPlacements m_failedPlacements;
     Instant m_startedAt;
--- a/source/scheduling/JobSchedulerAdvice.cpp
+++ b/source/scheduling/JobSchedulerAdvice.cpp
@@ -92,6 +92,18 @@
         });
 }
 
+std::vector<StepState *> JobScheduler::stepsNamed(const StepName &name)
+{
+    const TaskName first {name.job, name.occurrence, name.step, 0};
+    std::vector<StepState *> steps;
+    for (TaskState *task : {findTask(first), m_expectedJobs.find(first)}) {
+        if (task != nullptr) {
+            steps.push_back(task->step);
+        }
+    }
+    return steps;
+}
+
 void JobScheduler::onAdvice(const StepName &name, const std::map<std::string, std::int64_t> &asked, Instant askedAt,
     const std::variant<PlacementAdvice, AdviceFailure> &result)
 {
@@ -103,22 +115,20 @@
         m_environment.listener.logDecision("advice-unavailable", name.job, {{"step", name.step}, {"busy", busy}});
         return;
     }
-    const TaskState *task = findTask({name.job, name.occurrence, name.step, 0});
-    if (task != nullptr) {
-        StepState &step = *task->step;
+    for (StepState *step : stepsNamed(name)) {
         for (const auto &[worker, incarnation] : asked) {
-            step.permissions[worker] = {incarnation, {}, {}};
+            step->permissions[worker] = {incarnation, {}, {}};
         }
         for (const PlacementTicket &ticket : advice->suitable) {
             const auto incarnation = asked.find(ticket.worker);
             if (incarnation != asked.end()) {
-                step.permissions[ticket.worker]
+                step->permissions[ticket.worker]
                     = {incarnation->second, ticket.ticket, askedAt + advice->validity - TicketMargin};
             }
         }
-        m_environment.listener.logDecision("advice-received", name.job,
-            {{"step", name.step}, {"asked", asked.size()}, {"suitable", advice->suitable.size()}});
     }
+    m_environment.listener.logDecision("advice-received", name.job,
+        {{"step", name.step}, {"asked", asked.size()}, {"suitable", advice->suitable.size()}});
     dispatchSoon();
 }
 
--- a/source/scheduling/JobSchedulerCrashes.cpp
+++ b/source/scheduling/JobSchedulerCrashes.cpp
@@ -43,7 +43,8 @@
 
 bool JobScheduler::mayPlace(const TaskState &task) const
 {
-    if (task.phase != RunPhase::Waiting || task.notBefore > m_environment.clock.now()) {
+    const bool isDeparting = task.step->occurrence->job->isDeparting;
+    if (task.phase != RunPhase::Waiting || isDeparting || task.notBefore > m_environment.clock.now()) {
         return false;
     }
     return task.crashes.isEmpty() || judge(task.crashes) == CrashVerdict::Retry;
--- a/source/scheduling/JobSchedulerDelegation.cpp
+++ b/source/scheduling/JobSchedulerDelegation.cpp
@@ -36,6 +36,7 @@
         if (!job.ownedElsewhere || job.isFinished()) {
             return;
         }
+        m_expectedJobs.passPermissions(job);
         for (TaskState *task : acceptDelegated(job, tasks, DelegationSource::Message)) {
             if (judge(task->crashes) == CrashVerdict::GiveUp) {
                 giveUp(*task);
@@ -48,6 +49,7 @@
     JobState &job = insert(std::move(specification), std::move(policy), acceptedWall);
     job.ownedElsewhere = true;
     openDelegated(job, Json::object(), tasks, DelegationSource::Message);
+    m_expectedJobs.passPermissions(job);
     m_environment.listener.progressChanged(id);
 }
 
@@ -78,11 +80,8 @@
     if (!isWorkerListComplete(now)) {
         return steps;
     }
-    const UnplacedTaskSearch search(m_workers, recoveryHolds(), now);
+    const UnplacedTaskSearch search(m_workers, recoveryHolds(), now, m_dependents);
     for (const JobState *job : m_unfinishedJobs) {
-        if (job->specification.repeatCount > 0) {
-            continue;
-        }
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
                 if (std::optional<UnplacedStep> unplaced = search.search(step)) {
--- a/source/scheduling/JobSchedulerEvacuation.cpp
+++ b/source/scheduling/JobSchedulerEvacuation.cpp
@@ -62,7 +62,13 @@
 void JobScheduler::receiveArrival(WorkerState &worker, const TaskName &name, TaskState *task)
 {
     const bool hasArrived = task != nullptr && task->phase == RunPhase::Waiting && task->nextWorker.empty();
-    if (hasArrived && worker.heldPlaces.isForArrival(name)) {
+    if (!hasArrived || !worker.heldPlaces.isForArrival(name)) {
+        return;
+    }
+    if (task->step->specification().gang) {
+        // The members are placed together, like those of any other gang.
+        worker.heldPlaces.release(name);
+    } else {
         worker.heldPlaces.markArrived(name);
         worker.heldPlaces.hold(*task, m_environment.clock.now() + LongestHold);
         task->nextWorker = worker.listing.name;
@@ -136,7 +142,7 @@
     if (failedHolds.covers(step)) {
         return false;
     }
-    WorkerState *worker = m_failedPlacements.covers(step) ? nullptr : choose(step, task);
+    WorkerState *worker = m_failedPlacements.covers(step) ? nullptr : choose(step, task, std::nullopt, PlaceUse::Hold);
     if (worker == nullptr && step.specification().longRunning) {
         worker = chooseBusy(step, task);
     }
@@ -162,7 +168,7 @@
     for (auto &[name, worker] : m_workers) {
         // Reserved workers are for tasks that do not run at all.
         if (!couldTakeLater(worker, step, now) || m_reservedWorkers.contains(name) || !m_leaseHandover.mayGrant(name)
-            || !isPermitted(step, worker) || !isolationCost(task, worker, isolation)) {
+            || !isAdvised(worker, step) || !isolationCost(task, worker, isolation)) {
             continue;
         }
         if (best == nullptr || worker.freeResources().milliCores > best->freeResources().milliCores) {
--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -55,6 +55,10 @@
         }
         PoolHeadroom &headroom = headrooms[worker.listing.pool];
         headroom.largestWorker = headroom.largestWorker.maximum(worker.listing.capacity);
+        headroom.addWorker(worker.listing.capacity);
+        if (acceptsTasks(worker, now)) {
+            headroom.largestFree = headroom.largestFree.maximum(worker.freeResources());
+        }
         headroom.labels.insert(worker.listing.labels.begin(), worker.listing.labels.end());
         headroom.racks.insert(worker.listing.rack);
     }
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -64,6 +64,9 @@
     placeHeldTasks(holds);
     std::vector<std::pair<JobRank, JobState *>> queue;
     for (JobState *job : m_unfinishedJobs) {
+        if (job->isDeparting) {
+            continue;
+        }
         bool waits = false;
         for (const auto &[number, occurrence] : job->occurrences) {
             for (const StepState &step : occurrence.steps) {
@@ -286,7 +289,8 @@
     return hasWaited ? IsolationStrictness::Preferred : IsolationStrictness::Required;
 }
 
-WorkerState *JobScheduler::choose(const StepState &step, const TaskState &task, std::optional<ProbeKind> probe)
+WorkerState *JobScheduler::choose(
+    const StepState &step, const TaskState &task, std::optional<ProbeKind> probe, PlaceUse use)
 {
     PlacementQuery query;
     query.step = &step;
@@ -309,7 +313,8 @@
         }
         // Most workers are full under load, so the look-ups by name come last.
         const bool reserved = !step.specification().longRunning && m_reservedWorkers.contains(name);
-        if (!reserved && m_leaseHandover.mayGrant(name) && isPermitted(step, worker)) {
+        const bool isAllowed = use == PlaceUse::Hold ? isAdvised(worker, step) : isPermitted(step, worker);
+        if (!reserved && isAllowed && m_leaseHandover.mayGrant(name)) {
             lowestCost = *cost + *isolation;
             best = &worker;
         }
--- a/source/scheduling/JobSchedulerReservations.cpp
+++ b/source/scheduling/JobSchedulerReservations.cpp
@@ -7,21 +7,8 @@
 namespace Wagtail
 {
 
-namespace
-{
-
-bool isMovable(const StepState &step)
-{
-    const StepSpecification &specification = step.specification();
-    const JobState &job = *step.occurrence->job;
-    return specification.longRunning && !specification.gang && specification.after.empty() && !job.isFinished()
-        && job.specification.repeatCount == 0;
-}
-
-}
-
 std::set<TaskName> JobScheduler::holdPlacesFor(const JobSpecification &specification, const QueuePolicy &policy,
-    const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &running)
+    const std::vector<DelegatedTask> &tasks, const std::set<TaskName> &onlyFree)
 {
     std::set<TaskName> held;
     const auto known = m_jobs.find(specification.id);
@@ -30,13 +17,13 @@
     if (m_authority != SchedulingAuthority::Full || !isAuthorityCurrent() || !mayArrive) {
         return held;
     }
-    // The job as it would be here, with only these tasks waiting.
-    JobState arriving;
-    arriving.specification = specification;
-    arriving.policy = policyFor(specification.queue, policy);
-    arriving.ownedElsewhere = true;
-    assignImageIds(createOccurrence(arriving, 0));
-    markAllDelegated(arriving);
+    JobState &arriving = m_expectedJobs.expect(specification, policyFor(specification.queue, policy), tasks);
+    for (auto &[number, occurrence] : arriving.occurrences) {
+        assignImageIds(occurrence);
+    }
+    if (known != m_jobs.end()) {
+        m_expectedJobs.learnPermissions(*known->second);
+    }
     std::set<int> refusedSteps;
     for (TaskState *task : acceptDelegated(arriving, tasks, DelegationSource::Message)) {
         // Tasks of the step that run here already count for its limit per worker.
@@ -45,11 +32,14 @@
         if (isHere || refusedSteps.contains(task->step->number)) {
             continue;
         }
-        const ArrivalPlace kind = running.contains(nameOf(*task)) ? ArrivalPlace::Free : ArrivalPlace::FreeOrBusy;
+        const ArrivalPlace kind = onlyFree.contains(nameOf(*task)) ? ArrivalPlace::Free : ArrivalPlace::FreeOrBusy;
         if (holdArrivalPlace(*task, present == nullptr ? *task->step : *present->step, kind)) {
             held.insert(nameOf(*task));
         } else {
             refusedSteps.insert(task->step->number);
+            if (arriving.policy.advised) {
+                queryAdvisor(*task->step);
+            }
         }
     }
     m_environment.listener.logDecision(
@@ -67,7 +57,7 @@
             return true;
         }
     }
-    WorkerState *open = choose(step, task);
+    WorkerState *open = choose(step, task, std::nullopt, PlaceUse::Hold);
     const bool mayBeBusy = open == nullptr && kind == ArrivalPlace::FreeOrBusy;
     WorkerState *worker = mayBeBusy ? chooseBusy(step, task) : open;
     if (worker == nullptr) {
@@ -118,8 +108,8 @@
             *worker.drainingSince, worker.sawDrainBegin, m_limits.drain, m_environment.clock.now());
         for (TaskState *task : worker.tasks) {
             const bool hasPlace = !task->nextWorker.empty() || !task->nextPartition.empty();
-            if (isMovable(*task->step) && !hasPlace && mayCrashesLeave(*task) && isToBeEvacuated(*task, progress)
-                && mayBeEvacuatedNow(*task, progress)) {
+            if (hasMovableTasks(*task->step, m_dependents) && !hasPlace && mayCrashesLeave(*task)
+                && isToBeEvacuated(*task, progress) && mayBeEvacuatedNow(*task, progress)) {
                 tasks.push_back(task);
             }
         }
@@ -148,7 +138,7 @@
     const RecoveryHolds holds = recoveryHolds();
     for (const TaskName &name : names) {
         TaskState *task = findTask(name);
-        if (task == nullptr || !isMovable(*task->step)) {
+        if (task == nullptr || !hasMovableTasks(*task->step, m_dependents)) {
             continue;
         }
         if (isDelegable(*task, holds)) {
--- a/source/scheduling/JobState.cpp
+++ b/source/scheduling/JobState.cpp
@@ -157,7 +157,7 @@
 bool OccurrenceState::isEligible(const StepState &step) const
 {
     const std::vector<int> &after = step.specification().after;
-    return std::all_of(after.begin(), after.end(), [this](int earlier) {
+    return job->ownedElsewhere || std::all_of(after.begin(), after.end(), [this](int earlier) {
         const StepState &other = steps[static_cast<std::size_t>(earlier)];
         return other.doneCount == static_cast<int>(other.tasks.size());
     });
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -189,7 +189,8 @@
     std::deque<StepState> steps;
     int stepsDone = 0;
 
-    // Returns whether all steps that the given one depends on are done.
+    // Returns whether all steps that the given one depends on are done. Another partition delegates only tasks of such
+    // steps.
     [[nodiscard]] bool isEligible(const StepState &step) const;
 };
 
@@ -214,6 +215,8 @@
     bool fromEarlierTerm = false;
     // Whether another partition owns the job and delegated some of its tasks to this one.
     bool ownedElsewhere = false;
+    // Whether the job is being handed over to another partition as a whole. Nothing of it is started meanwhile.
+    bool isDeparting = false;
     std::map<std::int64_t, OccurrenceState> occurrences;
     // Number of the next occurrence to create, and how many have finished.
     std::int64_t nextOccurrence = 0;
--- a/source/scheduling/PlacementSurvey.cpp
+++ b/source/scheduling/PlacementSurvey.cpp
@@ -12,7 +12,7 @@
     PlacementSurvey survey;
     for (const auto &[name, worker] : workers) {
         const Resources demand = WorkerState::countedDemand(specification);
-        if (!meetsRequirements(worker, specification, pool)) {
+        if (!meetsRequirements(worker, specification, pool) || isRefusedByAdvice(worker, step)) {
             ++survey.unsuitable;
         } else if (!acceptsTasks(worker, now) || !willLearnOfEnd(worker, specification, now)) {
             ++survey.unusable;
--- a/source/scheduling/PlacementSurvey.h
+++ b/source/scheduling/PlacementSurvey.h
@@ -11,7 +11,7 @@
 // Counts why workers do not take a waiting task. Each worker counts under the first reason that applies.
 struct PlacementSurvey
 {
-    // In another pool, too small even when empty, or without the required label.
+    // In another pool, too small even when empty, without the required label, or refused by the placement advisor.
     int unsuitable = 0;
     // Not answering, draining, quarantined, or running orphaned runs.
     int unusable = 0;
--- a/source/scheduling/ReservedWorkers.cpp
+++ b/source/scheduling/ReservedWorkers.cpp
@@ -9,27 +9,22 @@
 namespace Wagtail
 {
 
-namespace
-{
-
-// Returns how many tasks of the step fit on the worker once batch tasks have left, up to the given number.
 std::size_t placesFor(const WorkerState &worker, const StepState &step, std::size_t most)
 {
     const StepSpecification &specification = step.specification();
     const auto limit = static_cast<std::size_t>(specification.perWorkerLimit);
     const std::size_t allowed = limit == 0 ? most : std::min(most, limit);
     const Resources free = worker.freeBesideLongRunning();
-    Resources needed = specification.demand;
+    const Resources demand = WorkerState::countedDemand(specification);
+    Resources needed = demand;
     std::size_t places = 0;
     while (places < allowed && needed.fitsInto(free)) {
-        needed = needed + specification.demand;
+        needed = needed + demand;
         ++places;
     }
     return places;
 }
 
-}
-
 void ReservedWorkers::clear()
 {
     m_names.clear();
--- a/source/scheduling/ReservedWorkers.h
+++ b/source/scheduling/ReservedWorkers.h
@@ -9,6 +9,9 @@
 namespace Wagtail
 {
 
+// Returns how many tasks of the step fit on the worker once batch tasks have left, up to the given number.
+[[nodiscard]] std::size_t placesFor(const WorkerState &worker, const StepState &step, std::size_t most);
+
 // Workers that take no batch tasks until waiting long-running tasks fit there. Each round of placement chooses them
 // anew.
 class ReservedWorkers
--- a/source/scheduling/TaskDelegation.cpp
+++ b/source/scheduling/TaskDelegation.cpp
@@ -12,15 +12,6 @@
 namespace
 {
 
-CrashHistory countedCrashes(const CrashHistory &history)
-{
-    CrashHistory counted;
-    for (const auto &[run, crash] : history.crashes()) {
-        counted.addCrash(run, crash);
-    }
-    return counted;
-}
-
 // Adds the crashes that count and that the task doesn't have yet. Returns whether there are any.
 bool addCrashes(TaskState &task, const CrashHistory &history)
 {
@@ -79,6 +70,15 @@
 
 }
 
+CrashHistory countedCrashes(const CrashHistory &history)
+{
+    CrashHistory counted;
+    for (const auto &[run, crash] : history.crashes()) {
+        counted.addCrash(run, crash);
+    }
+    return counted;
+}
+
 DelegatedTask delegationOf(const TaskState &task)
 {
     return {nameOf(task), task.run, countedCrashes(task.crashes)};
--- a/source/scheduling/TaskDelegation.h
+++ b/source/scheduling/TaskDelegation.h
@@ -30,6 +30,9 @@
     bool operator==(const DelegatedTask &) const = default;
 };
 
+// Returns the crashes of a history that count, without the open runs.
+[[nodiscard]] CrashHistory countedCrashes(const CrashHistory &history);
+
 // Returns what another partition has to know of a task that it may run next.
 [[nodiscard]] DelegatedTask delegationOf(const TaskState &task);
 
--- a/source/scheduling/UnplacedTaskSearch.cpp
+++ b/source/scheduling/UnplacedTaskSearch.cpp
@@ -23,16 +23,20 @@
 // A crash that is proven soon is then known wherever the task is started next.
 constexpr Milliseconds DelayOfSuspects {1'500};
 
-bool isMovable(const StepSpecification &step)
-{
-    return step.longRunning && !step.gang && step.after.empty();
 }
 
+bool hasMovableTasks(const StepState &step, DependentSteps dependents)
+{
+    const StepSpecification &specification = step.specification();
+    const JobState &job = *step.occurrence->job;
+    const bool mayLeave = specification.after.empty() || dependents == DependentSteps::MayLeave;
+    return specification.longRunning && !specification.gang && mayLeave && !job.isFinished()
+        && job.specification.repeatCount == 0;
 }
 
 UnplacedTaskSearch::UnplacedTaskSearch(
-    const std::map<std::string, WorkerState> &workers, RecoveryHolds holds, Instant now)
-    : m_workers(workers), m_holds(std::move(holds)), m_now(now)
+    const std::map<std::string, WorkerState> &workers, RecoveryHolds holds, Instant now, DependentSteps dependents)
+    : m_workers(workers), m_holds(std::move(holds)), m_now(now), m_dependents(dependents)
 {
     m_knowsWorkers = std::none_of(m_workers.begin(), m_workers.end(), [](const auto &entry) {
         const WorkerState &worker = entry.second;
@@ -42,7 +46,7 @@
 
 std::optional<UnplacedStep> UnplacedTaskSearch::search(const StepState &step) const
 {
-    if (!isMovable(step.specification()) || step.waitingCount == 0 || !step.unplacedSince) {
+    if (!hasMovableTasks(step, m_dependents) || step.waitingCount == 0 || !step.unplacedSince) {
         return std::nullopt;
     }
     const auto ready = static_cast<int>(std::count_if(
--- a/source/scheduling/WorkerChoice.cpp
+++ b/source/scheduling/WorkerChoice.cpp
@@ -35,6 +35,14 @@
     return !worker.unsettledStarts.isEmpty() && worker.recordedEnd > worker.acknowledgedEnd + MostHeldEnds;
 }
 
+// Returns the advisor's answer about the present incarnation of the worker, or null if it was not asked.
+const PlacementPermission *adviceOn(const WorkerState &worker, const StepState &step)
+{
+    const auto advice = step.permissions.find(worker.listing.name);
+    const bool isKnown = advice != step.permissions.end() && advice->second.incarnation == worker.incarnation;
+    return isKnown ? &advice->second : nullptr;
+}
+
 // Returns the cost of placing a serving task on a worker with serving tasks of other images.
 double imageMixCost(const WorkerState &worker, ImageId image)
 {
@@ -79,6 +87,18 @@
         && (step.requiredLabel.empty() || worker.listing.labels.contains(step.requiredLabel));
 }
 
+bool isAdvised(const WorkerState &worker, const StepState &step)
+{
+    const PlacementPermission *advice = adviceOn(worker, step);
+    return !step.occurrence->job->policy.advised || (advice != nullptr && !advice->ticket.empty());
+}
+
+bool isRefusedByAdvice(const WorkerState &worker, const StepState &step)
+{
+    const PlacementPermission *advice = adviceOn(worker, step);
+    return step.occurrence->job->policy.advised && advice != nullptr && advice->ticket.empty();
+}
+
 bool acceptsTasks(const WorkerState &worker, Instant now)
 {
     // A worker that was silent may be missing from the list that a successor reads until its restart is listed.
--- a/source/scheduling/WorkerChoice.h
+++ b/source/scheduling/WorkerChoice.h
@@ -45,6 +45,14 @@
 [[nodiscard]] std::optional<double> placementCost(const WorkerState &worker, const PlacementQuery &query);
 
 // Returns whether a worker belongs to the pool and could run a task of the step if it were empty.
+// Returns whether the step needs no advice, or the placement advisor has permitted the worker for it. The ticket may
+// have expired, so that it has to be asked for again.
+[[nodiscard]] bool isAdvised(const WorkerState &worker, const StepState &step);
+
+// Returns whether the placement advisor has refused the worker for the step. That does not change during this
+// incarnation of the worker.
+[[nodiscard]] bool isRefusedByAdvice(const WorkerState &worker, const StepState &step);
+
 [[nodiscard]] bool meetsRequirements(const WorkerState &worker, const StepSpecification &step, const std::string &pool);
 
 }
--- a/source/tenure/InstanceEntry.h
+++ b/source/tenure/InstanceEntry.h
@@ -26,7 +26,10 @@
 
     // The first version with tasks that are given back. Processes of before have none.
     static constexpr std::int64_t ReturnVersion = 1;
-    static constexpr std::int64_t CurrentMessageVersion = ReturnVersion;
+    // The first version with jobs that are handed over as a whole, and with delegated tasks of steps that depend on
+    // others.
+    static constexpr std::int64_t MoveVersion = 2;
+    static constexpr std::int64_t CurrentMessageVersion = MoveVersion;
 
     // What the process takes for a fixed computation, in microseconds. Zero if it is an earlier version that does not
     // measure it. See ProcessorProbe.
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -89,6 +89,13 @@
         [&job](const PendingDelegation &delegation) { return delegation.job == job; });
 }
 
+void JobJournal::move(const std::string &job, std::vector<StoreWrite> writes, std::vector<std::string> erasures,
+    std::function<void()> handler)
+{
+    m_moves.push_back({job, std::move(writes), std::move(erasures), std::move(handler)});
+    schedule(Urgency::High);
+}
+
 void JobJournal::eraseAfterProgress(const std::string &key, const std::string &job)
 {
     m_erasuresAfterProgress[job].insert(key);
@@ -126,7 +133,7 @@
 
 bool JobJournal::hasChanges() const
 {
-    return !m_accepts.empty() || !m_delegations.empty() || !m_changed.isEmpty() || !m_puts.empty()
+    return !m_accepts.empty() || !m_delegations.empty() || !m_moves.empty() || !m_changed.isEmpty() || !m_puts.empty()
         || !m_erasures.empty();
 }
 
@@ -205,11 +212,16 @@
         ++entries;
     }
     fillDelegations(batch, entries);
+    fillMoves(batch, entries);
     // A job's progress shows its delegations, so it must not be written before the transaction that delegates them.
     std::set<std::string> jobsWithPendingDelegation;
     for (const PendingDelegation &delegation : m_delegations) {
         jobsWithPendingDelegation.insert(delegation.job);
     }
+    // The progress of a job that is handed over is part of its move.
+    for (const PendingMove &pending : m_moves) {
+        jobsWithPendingDelegation.insert(pending.job);
+    }
     while (entries < MaxTransactionEntries) {
         const std::optional<std::string> job = m_changed.take(jobsWithPendingDelegation);
         if (!job) {
@@ -293,6 +305,27 @@
     }
 }
 
+void JobJournal::fillMoves(Batch &batch, std::size_t &entries)
+{
+    while (!m_moves.empty()) {
+        const std::size_t size = m_moves.front().writes.size() + m_moves.front().erasures.size();
+        if (entries + size > MaxTransactionEntries) {
+            return;
+        }
+        PendingMove next = std::move(m_moves.front());
+        m_moves.pop_front();
+        batch.transaction.writes.insert(batch.transaction.writes.end(), next.writes.begin(), next.writes.end());
+        batch.transaction.erasures.insert(batch.transaction.erasures.end(), next.erasures.begin(), next.erasures.end());
+        entries += size;
+        m_changed.erase(next.job);
+        if (auto erasures = m_erasuresAfterProgress.extract(next.job)) {
+            m_erasures.insert(erasures.mapped().begin(), erasures.mapped().end());
+            batch.erasuresAfterProgress.insert(std::move(erasures));
+        }
+        batch.moves.push_back(std::move(next));
+    }
+}
+
 void JobJournal::send()
 {
     m_store.commit(m_batch->transaction, [this, alive = m_alive](const Result<StoreTransactionResult> &result) {
@@ -339,6 +372,9 @@
     for (const auto &[key, value] : batch.puts) {
         m_client.onPutRecorded(key, value);
     }
+    for (const PendingMove &moved : batch.moves) {
+        moved.handler();
+    }
     for (const PendingAccept &accept : batch.accepts) {
         accept.handler({AcceptOutcome::Accepted, m_position.partition});
     }
@@ -398,6 +434,14 @@
     m_delegations.insert(m_delegations.begin(), std::make_move_iterator(batch.delegations.begin()),
         std::make_move_iterator(batch.delegations.end()));
     m_erasures.insert(batch.transaction.erasures.begin(), batch.transaction.erasures.end());
+    for (const PendingMove &pending : batch.moves) {
+        for (const std::string &key : pending.erasures) {
+            m_erasures.erase(key);
+        }
+        m_changed.add(pending.job);
+    }
+    m_moves.insert(
+        m_moves.begin(), std::make_move_iterator(batch.moves.begin()), std::make_move_iterator(batch.moves.end()));
     for (auto &[job, keys] : batch.erasuresAfterProgress) {
         for (const std::string &key : keys) {
             m_erasures.erase(key);
--- a/source/tenure/JobJournal.h
+++ b/source/tenure/JobJournal.h
@@ -113,6 +113,11 @@
     // Returns whether a delegation of the job waits to be sent to the store.
     [[nodiscard]] bool hasUnsentDelegation(const std::string &job) const;
 
+    // Schedules a transaction that hands a job over to another partition, with the job's keys there and without those
+    // here. Calls the handler once it has been committed. The progress of the job must not change any more.
+    void move(const std::string &job, std::vector<StoreWrite> writes, std::vector<std::string> erasures,
+        std::function<void()> handler);
+
     // Schedules the job's progress to be written, and a key to be erased in the same transaction or a later one. The
     // key holds the message that has led to the progress.
     void eraseAfterProgress(const std::string &key, const std::string &job);
@@ -148,12 +153,21 @@
         [[nodiscard]] bool replaces(const PendingDelegation &earlier) const;
     };
 
+    struct PendingMove
+    {
+        std::string job;
+        std::vector<StoreWrite> writes;
+        std::vector<std::string> erasures;
+        std::function<void()> handler;
+    };
+
     // A transaction in flight and what to do once it has been committed.
     struct Batch
     {
         StoreTransaction transaction;
         std::vector<PendingAccept> accepts;
         std::vector<PendingDelegation> delegations;
+        std::vector<PendingMove> moves;
         std::map<std::string, std::string> puts;
         std::vector<std::pair<std::string, JobPhase>> phases;
         // The keys whose erasure this batch allows, by job.
@@ -172,6 +186,7 @@
     void fill(Batch &batch);
     void dropCancelledDelegations();
     void fillDelegations(Batch &batch, std::size_t &entries);
+    void fillMoves(Batch &batch, std::size_t &entries);
     void writeProgress(Batch &batch, const std::string &job, std::size_t &entries);
     void send();
     void onResult(const Result<StoreTransactionResult> &result);
@@ -187,6 +202,7 @@
     JournalPosition m_position;
     std::deque<PendingAccept> m_accepts;
     std::deque<PendingDelegation> m_delegations;
+    std::deque<PendingMove> m_moves;
     ChangedJobs m_changed;
     std::map<std::string, std::string> m_puts;
     std::set<std::string> m_erasures;
--- a/source/tenure/JobKeys.h
+++ b/source/tenure/JobKeys.h
@@ -93,6 +93,14 @@
     return inbox(partition) + "1-return-" + job + "/" + sender + "/" + message;
 }
 
+// Returns the key of the message that hands a job over to a partition. The message identifies it among those of the
+// sender.
+[[nodiscard]] inline std::string inboxMove(
+    const std::string &partition, const std::string &job, const std::string &sender, const std::string &message)
+{
+    return inbox(partition) + "1-move-" + job + "/" + sender + "/" + message;
+}
+
 [[nodiscard]] inline std::string inboxCancellation(const std::string &partition, const std::string &job)
 {
     return inbox(partition) + "2-cancel-" + job;
--- a/source/tenure/JobRecord.cpp
+++ b/source/tenure/JobRecord.cpp
@@ -80,8 +80,9 @@
     return record;
 }
 
-constexpr NameTable<InboxRequest, 5> RequestNames {{{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"},
-    {InboxRequest::Delegate, "delegate"}, {InboxRequest::GiveUp, "give-up"}, {InboxRequest::Return, "return"}}}};
+constexpr NameTable<InboxRequest, 6> RequestNames {
+    {{{InboxRequest::Submit, "submit"}, {InboxRequest::Cancel, "cancel"}, {InboxRequest::Delegate, "delegate"},
+        {InboxRequest::GiveUp, "give-up"}, {InboxRequest::Return, "return"}, {InboxRequest::Move, "move"}}}};
 
 // Returns the member of an inbox entry that holds its tasks.
 const char *tasksMember(InboxRequest request)
@@ -151,6 +152,10 @@
         entry.isEarly = memberOr(document, "early", false);
         return entry;
     }
+    if (entry.request == InboxRequest::Move) {
+        entry.partition = memberOr(document, "from", std::string());
+        return entry;
+    }
     if (entry.request == InboxRequest::GiveUp || entry.request == InboxRequest::Return) {
         entry.tasks = parseDelegatedTasks(memberOr(document, tasksMember(entry.request), Json::array()));
         entry.partition = memberOr(document, "from", std::string());
--- a/source/tenure/JobRecord.h
+++ b/source/tenure/JobRecord.h
@@ -38,6 +38,8 @@
     GiveUp,
     // Takes back tasks for which the partition to which they were delegated has found no worker.
     Return,
+    // Takes over a job of which nothing runs, whose keys the transaction with the request has moved here.
+    Move,
 };
 
 [[nodiscard]] std::string_view nameOf(InboxRequest request);
@@ -51,7 +53,7 @@
     std::optional<JobRecord> record;
     // The tasks that were given up or given back.
     std::vector<DelegatedTask> tasks = {};
-    // The partition that gives tasks back. Set in returns only.
+    // The partition that gives tasks back or hands a job over. Set in returns and moves only.
     std::string partition = {};
     // Whether no partition had accepted the job when the entry was written, so that one may do so later. Set in
     // cancellations only.
--- a/source/tenure/JobRouter.cpp
+++ b/source/tenure/JobRouter.cpp
@@ -632,7 +632,8 @@
 
 void JobRouter::cacheHome(const std::string &job, const std::string &partition)
 {
-    if (partition.empty() || !m_homes.emplace(job, partition).second) {
+    // A job that is known may have been handed over to another partition since.
+    if (partition.empty() || !m_homes.insert_or_assign(job, partition).second) {
         return;
     }
     m_homeOrder.push_back(job);
--- a/source/tenure/PartitionChoice.cpp
+++ b/source/tenure/PartitionChoice.cpp
@@ -1,6 +1,7 @@
 #include "tenure/PartitionChoice.h"
 
 #include "scheduling/JobRank.h"
+#include "scheduling/WorkerState.h"
 
 #include <algorithm>
 
@@ -21,12 +22,6 @@
 // The sum of the gaps on several workers is more than the tasks that fit into them can use.
 constexpr double UsableShareOfGaps = 0.5;
 
-bool couldHold(const PoolHeadroom &headroom, const StepSpecification &step)
-{
-    return step.demand.fitsInto(headroom.largestWorker)
-        && (step.requiredLabel.empty() || headroom.labels.contains(step.requiredLabel));
-}
-
 bool couldRun(const PoolHeadroom &headroom, const JobSpecification &job)
 {
     return std::all_of(job.steps.begin(), job.steps.end(),
@@ -114,6 +109,15 @@
 
 }
 
+bool couldHold(const PoolHeadroom &headroom, const StepSpecification &step)
+{
+    const Resources demand = WorkerState::countedDemand(step);
+    const bool fitsTogether
+        = !step.gang || headroom.placesFor(demand, step.perWorkerLimit).value_or(step.count) >= step.count;
+    return fitsTogether && step.demand.fitsInto(headroom.largestWorker)
+        && (step.requiredLabel.empty() || headroom.labels.contains(step.requiredLabel));
+}
+
 std::vector<DelegationChoice> chooseDelegates(const DelegationQuery &query, const PartitionHeadrooms &headrooms)
 {
     std::vector<Candidate> candidates = candidatesFor(query, headrooms);
--- a/source/tenure/PartitionChoice.h
+++ b/source/tenure/PartitionChoice.h
@@ -27,6 +27,9 @@
     bool operator==(const PartitionChoice &) const = default;
 };
 
+// Returns whether the workers of a pool could run all tasks of a step, or all at the same time if it is a gang.
+[[nodiscard]] bool couldHold(const PoolHeadroom &headroom, const StepSpecification &step);
+
 // Chooses the partition for a new job among the home partition and the other known ones. Long-running jobs that arrive
 // unevenly would otherwise fill the workers of one partition, so that batch work waits there while another partition
 // has headroom.
--- a/source/tenure/PartitionLeader.cpp
+++ b/source/tenure/PartitionLeader.cpp
@@ -40,6 +40,7 @@
     , m_headrooms(m_environment.clock)
     , m_storeContact(
           m_environment.clock, m_environment.store, JobKeys::owner(m_position.partition), [this] { onStoreAnswered(); })
+    , m_arrivals(m_environment.store, m_environment.scheduler, m_position.partition)
     , m_returner(m_environment.store, m_jobScheduler, m_journal, m_position)
     , m_earlyCancellations(m_environment.clock)
 {
@@ -49,12 +50,21 @@
                                       return onPlacesHeld(partition, tasks);
                                   }},
             m_position.partition);
+        m_relocationSearch.emplace(
+            JobRelocationSearch::Environment {m_environment.clock, *m_environment.places, m_headrooms,
+                [this](const std::string &partition, const std::string &id) {
+                    return handOver(partition, id);
+                }},
+            m_position.partition);
     }
 }
 
 PartitionLeader::~PartitionLeader()
 {
     *m_alive = false;
+    for (const auto &[id, handler] : m_cancellationsDuringDeparture) {
+        handler(CancelOutcome::Unknown);
+    }
 }
 
 void PartitionLeader::setLastOwnerEnded()
@@ -74,19 +84,23 @@
 
 std::optional<AcceptResult> PartitionLeader::checkAdmission(const JobRecord &record, Placement placement)
 {
-    if (m_listedWorkers.empty()) {
-        return std::nullopt;
-    }
     PartitionHeadrooms headrooms;
     if (placement == Placement::AnyPartition) {
         headrooms = m_headrooms.headrooms();
     }
-    headrooms[m_position.partition] = m_jobScheduler.headrooms();
-    for (const auto &[pool, demand] : m_pendingLongRunningMilliCores) {
-        headrooms[m_position.partition][pool].reserveForLongRunning(demand);
+    const bool knowsWorkers = !m_listedWorkers.empty();
+    if (knowsWorkers) {
+        headrooms[m_position.partition] = m_jobScheduler.headrooms();
+        for (const auto &[pool, demand] : m_pendingLongRunningMilliCores) {
+            headrooms[m_position.partition][pool].reserveForLongRunning(demand);
+        }
     }
     const PartitionChoice choice = choosePartition(record, m_position.partition, headrooms);
     const std::string &id = record.specification.id;
+    if (choice.kind != PartitionChoice::Kind::Accept && !knowsWorkers) {
+        // Workers may be listed here later.
+        return std::nullopt;
+    }
     if (choice.kind != PartitionChoice::Kind::Accept) {
         const char *reason = choice.kind == PartitionChoice::Kind::NeverFits ? "does not fit any worker" : "crowded";
         m_environment.log("job-refused", id,
@@ -181,6 +195,14 @@
 void PartitionLeader::cancel(const std::string &id, std::function<void(CancelOutcome)> handler)
 {
     const JobState *job = m_jobScheduler.find(id);
+    if (job != nullptr && job->isDeparting) {
+        if (m_journal.isStoreUnavailable()) {
+            handler(CancelOutcome::Unknown);
+        } else {
+            m_cancellationsDuringDeparture.emplace(id, std::move(handler));
+        }
+        return;
+    }
     if (job != nullptr && !job->ownedElsewhere) {
         cancelLocally(*job, [handler = std::move(handler)](bool) { handler(CancelOutcome::Recorded); });
         return;
@@ -275,6 +297,12 @@
     m_mayGiveBack = mayGiveBack;
 }
 
+void PartitionLeader::setMayRelocateJobs(bool mayRelocateJobs)
+{
+    m_mayRelocateJobs = mayRelocateJobs;
+    m_jobScheduler.setDependents(mayRelocateJobs ? DependentSteps::MayLeave : DependentSteps::Stay);
+}
+
 void PartitionLeader::setLeaseConfirmedAt(Instant confirmedAt)
 {
     m_predecessorTenure.observe(confirmedAt, m_environment.clock.now());
@@ -298,6 +326,7 @@
     if (now - m_lastDelegation >= DelegationPeriod) {
         m_lastDelegation = now;
         delegateUnplacedTasks();
+        relocateJobs();
     }
     if (now - m_lastHeadroomLog >= HeadroomLogPeriod) {
         m_lastHeadroomLog = now;
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -6,7 +6,9 @@
 #include "tenure/EarlyCancellations.h"
 #include "tenure/GivenUpTaskReporter.h"
 #include "tenure/HeadroomLedger.h"
+#include "tenure/JobArrivals.h"
 #include "tenure/JobJournal.h"
+#include "tenure/JobRelocationSearch.h"
 #include "tenure/PartitionChoice.h"
 #include "tenure/PendingSubmissions.h"
 #include "tenure/PlaceSearch.h"
@@ -105,6 +107,9 @@
     // Sets whether all instances can read tasks that are given back.
     void setMayGiveBack(bool mayGiveBack);
 
+    // Sets whether all instances can read jobs that are handed over as a whole.
+    void setMayRelocateJobs(bool mayRelocateJobs);
+
     // Sets when the store last confirmed this instance's lease. Must be called before each tick.
     void setLeaseConfirmedAt(Instant confirmedAt);
     void tick();
@@ -138,7 +143,12 @@
     void restore(const StoreListing &listing);
     void onInboxChanged(const std::string &key);
     void applyInboxEntry(const std::string &key, const InboxEntry &entry);
-    void restoreJob(const StoreEntry &entry, const std::string *progress);
+    // Who had the job before this term.
+    enum class JobOrigin {
+        EarlierTerm,
+        OtherPartition,
+    };
+    void restoreJob(const StoreEntry &entry, const std::string *progress, JobOrigin origin = JobOrigin::EarlierTerm);
 
     // Applies a cancellation from the inbox. Keeps it there while the job's acceptance has no known outcome, and an
     // early one for its lifetime.
@@ -160,12 +170,23 @@
     // Passes long-running tasks that find no worker on to partitions with headroom.
     void delegateUnplacedTasks();
     void delegate(const UnplacedStep &unplaced);
+    // Returns whether other partitions can hold places for tasks of the job before they arrive.
+    [[nodiscard]] bool maySeekPlaces(const JobState &job) const;
     // Looks for places in other partitions for tasks that wait in vain, and for those on draining workers.
     void seekPlaces(const std::vector<UnplacedStep> &unplaced);
     // Returns the record of a job that names the tasks, without its payload.
-    [[nodiscard]] static JobRecord placeDemand(const std::vector<TaskState *> &tasks);
+    [[nodiscard]] static JobRecord placeDemand(const std::vector<const TaskState *> &tasks);
     // Passes tasks on to a partition that holds places for them. Returns those that leave for it.
     std::set<TaskName> onPlacesHeld(const std::string &partition, const std::set<TaskName> &tasks);
+    // Looks for places in other partitions for jobs that are to leave as a whole.
+    void relocateJobs();
+    // Hands a job over to a partition that holds places for it. Returns false if it stays.
+    [[nodiscard]] bool handOver(const std::string &partition, const std::string &id);
+    void onHandedOver(const std::string &id);
+    // Takes over a job that another partition has handed over.
+    void receiveJob(const std::string &key, const InboxEntry &entry);
+    // Sends a cancellation of a job that this partition does not know to the one that has it, if there is one.
+    void passOnCancellation(const std::string &key, const std::string &id);
     // Passes on tasks whose runs were stopped for places in other partitions, if the store has just answered.
     void delegateStoppedTasks();
     // Passes the named tasks of one step on to a partition that holds places for them, by way of the home partition of
@@ -228,15 +249,20 @@
     // The numbers of the records of the lease holders that were put into the journal and are not stored yet, by text.
     std::map<std::string, std::uint64_t> m_leaseRecords;
     HeadroomLedger m_headrooms;
-    // Empty if the environment has no PlaceRequester.
+    // Both are empty if the environment has no PlaceRequester.
     std::optional<PlaceSearch> m_placeSearch;
+    std::optional<JobRelocationSearch> m_relocationSearch;
     StoreContact m_storeContact;
+    JobArrivals m_arrivals;
+    // The cancellations of jobs that are being handed over, by job.
+    std::multimap<std::string, std::function<void(CancelOutcome)>> m_cancellationsDuringDeparture;
     DelegatedTaskReturner m_returner;
     EarlyCancellations m_earlyCancellations;
     // Identifies the next message to another partition among those of this term.
     std::uint64_t m_nextMessage = 0;
     bool m_seeksRoom = false;
     bool m_mayGiveBack = false;
+    bool m_mayRelocateJobs = false;
     Instant m_lastCleanup;
     Instant m_lastDelegation;
     Instant m_lastInterferenceModelWrite;
--- a/source/tenure/PartitionLeaderInbox.cpp
+++ b/source/tenure/PartitionLeaderInbox.cpp
@@ -40,11 +40,9 @@
         if (m_journal.hasUnsentDelegation(unplaced.job)) {
             continue;
         }
-        // A worker takes tasks of a queue that needs advice only if the advisor has named it since they arrived.
-        const bool isAdvised = m_jobScheduler.find(unplaced.job)->policy.advised;
         if (unplaced.ownedElsewhere) {
             giveBack(unplaced);
-        } else if (m_placeSearch && !isAdvised) {
+        } else if (m_placeSearch && maySeekPlaces(*m_jobScheduler.find(unplaced.job))) {
             seeking.push_back(unplaced);
         } else {
             delegate(unplaced);
@@ -55,7 +53,7 @@
     }
 }
 
-JobRecord PartitionLeader::placeDemand(const std::vector<TaskState *> &tasks)
+JobRecord PartitionLeader::placeDemand(const std::vector<const TaskState *> &tasks)
 {
     const JobState &job = *tasks.front()->step->occurrence->job;
     JobRecord record {job.specification, job.policy, job.acceptedWall, {}};
@@ -72,23 +70,29 @@
     return record;
 }
 
+bool PartitionLeader::maySeekPlaces(const JobState &job) const
+{
+    // Owners of earlier versions ask the advisor only about tasks that have arrived.
+    return !job.policy.advised || m_mayRelocateJobs;
+}
+
 void PartitionLeader::seekPlaces(const std::vector<UnplacedStep> &unplaced)
 {
     std::vector<JobRecord> demands;
     for (const UnplacedStep &step : unplaced) {
         const std::vector<TaskState *> tasks = m_jobScheduler.tasksWithoutPlace(step);
         if (!tasks.empty()) {
-            demands.push_back(placeDemand(tasks));
+            demands.push_back(placeDemand({tasks.begin(), tasks.end()}));
         }
     }
-    std::map<std::string, std::vector<TaskState *>> leaving;
+    std::map<std::string, std::vector<const TaskState *>> leaving;
     std::set<TaskName> running;
-    for (TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
+    for (const TaskState *task : m_jobScheduler.leavingTasksWithoutPlace()) {
         const JobState &job = *task->step->occurrence->job;
         const std::string &id = job.specification.id;
         // A task of another partition's job leaves by way of that partition.
         const bool mayLeave = !job.ownedElsewhere || (m_mayGiveBack && m_returner.homeOf(id).has_value());
-        if (mayLeave && !job.policy.advised && !m_journal.hasUnsentDelegation(id)) {
+        if (mayLeave && maySeekPlaces(job) && !m_journal.hasUnsentDelegation(id)) {
             leaving[id].push_back(task);
             running.insert(nameOf(*task));
         }
@@ -185,7 +189,7 @@
     PlaceAnswer answer;
     m_jobScheduler.releasePlacesFor(request.released);
     for (const JobRecord &job : request.jobs) {
-        answer.held.merge(m_jobScheduler.holdPlacesFor(job.specification, job.policy, job.delegated, request.running));
+        answer.held.merge(m_jobScheduler.holdPlacesFor(job.specification, job.policy, job.delegated, request.onlyFree));
     }
     answer.headrooms = m_jobScheduler.headrooms();
     return answer;
@@ -350,6 +354,10 @@
         takeBack(key, entry);
         return;
     }
+    if (entry.request == InboxRequest::Move) {
+        receiveJob(key, entry);
+        return;
+    }
     const JobState *job = m_jobScheduler.find(entry.job);
     if (job == nullptr) {
         m_journal.erase(key);
@@ -362,6 +370,10 @@
 {
     const std::string &id = entry.job;
     const JobState *job = m_jobScheduler.find(id);
+    if ((job != nullptr && job->isDeparting) || m_arrivals.contains(id)) {
+        m_environment.log("cancellation-kept", id, {{"reason", "the job is changing its partition"}});
+        return;
+    }
     if (job != nullptr) {
         m_earlyCancellations.remove(id);
         cancelLocally(*job, [this, key](bool) { m_journal.erase(key); });
@@ -376,8 +388,7 @@
         m_environment.log("cancellation-kept", id, {{"reason", "the outcome of the acceptance is unknown"}});
         return;
     }
-    m_environment.log("cancellation-dropped", id, {{"reason", "the partition does not know the job"}});
-    m_journal.erase(key);
+    passOnCancellation(key, id);
 }
 
 void PartitionLeader::applyKeptCancellation(const std::string &id)
--- a/source/tenure/PartitionLeaderLoading.cpp
+++ b/source/tenure/PartitionLeaderLoading.cpp
@@ -76,7 +76,7 @@
     m_inboxFeed.start();
 }
 
-void PartitionLeader::restoreJob(const StoreEntry &entry, const std::string *progress)
+void PartitionLeader::restoreJob(const StoreEntry &entry, const std::string *progress, JobOrigin origin)
 {
     Result<JobRecord> parsed = parseJobRecord(entry.value);
     if (const Error *error = errorOf(parsed)) {
@@ -101,6 +101,11 @@
         m_returner.reportCrashes(id);
         return;
     }
+    if (origin == JobOrigin::OtherPartition) {
+        m_jobScheduler.receive(
+            std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
+        return;
+    }
     m_jobScheduler.restore(std::move(record.specification), std::move(record.policy), record.acceptedWall, document);
     const JobState *job = m_jobScheduler.find(id);
     if (job != nullptr && job->isFinished()) {
--- a/source/tenure/PartitionOwnership.cpp
+++ b/source/tenure/PartitionOwnership.cpp
@@ -323,12 +323,17 @@
     const SchedulingAuthority authority = !m_outageTenure.mayGoOn() ? SchedulingAuthority::Observe
         : m_releasing                                               ? SchedulingAuthority::KeepRunning
                                                                     : SchedulingAuthority::Full;
-    const bool allReadReturns = !m_listedInstances.empty()
-        && std::all_of(m_listedInstances.begin(), m_listedInstances.end(),
-            [](const InstanceEntry &instance) { return instance.messageVersion >= InstanceEntry::ReturnVersion; });
+    const auto allRead = [this](std::int64_t version) {
+        return !m_listedInstances.empty()
+            && std::all_of(m_listedInstances.begin(), m_listedInstances.end(),
+                [version](const InstanceEntry &instance) { return instance.messageVersion >= version; });
+    };
+    const bool allReadReturns = allRead(InstanceEntry::ReturnVersion);
+    const bool allReadMoves = allRead(InstanceEntry::MoveVersion);
     for (auto &[partition, state] : m_partitions) {
         if (state.leader) {
             state.leader->setMayGiveBack(allReadReturns);
+            state.leader->setMayRelocateJobs(allReadMoves);
             state.leader->setLeaseConfirmedAt(m_environment.lease.confirmedAt());
             const bool isHandedOver = state.releasing && authority == SchedulingAuthority::Full;
             state.leader->setAuthority(isHandedOver ? SchedulingAuthority::KeepRunning : authority);
--- a/source/tenure/PlaceRequest.cpp
+++ b/source/tenure/PlaceRequest.cpp
@@ -43,7 +43,7 @@
         jobs.push_back(serialize(job));
     }
     return writeJson(
-        {{"jobs", std::move(jobs)}, {"released", describe(request.released)}, {"running", describe(request.running)}});
+        {{"jobs", std::move(jobs)}, {"released", describe(request.released)}, {"running", describe(request.onlyFree)}});
 }
 
 Result<PlaceRequest> parsePlaceRequest(const std::string &text)
--- a/source/tenure/PlaceRequest.h
+++ b/source/tenure/PlaceRequest.h
@@ -16,8 +16,8 @@
     std::vector<JobRecord> jobs;
     // Tasks that will not arrive, because they have found a place elsewhere.
     std::set<TaskName> released = {};
-    // Those of the tasks that still run. They are stopped only for a place that is free.
-    std::set<TaskName> running = {};
+    // Those of the tasks that need a place that is free now, because they still run or their jobs leave for it.
+    std::set<TaskName> onlyFree = {};
 
     // The most jobs in one request, and the most tasks of all of them.
     static constexpr std::size_t MostJobs = 32;
--- a/source/tenure/PlaceSearch.cpp
+++ b/source/tenure/PlaceSearch.cpp
@@ -60,7 +60,7 @@
             }
             asked.back().delegated.push_back(task);
             if (running.contains(task.task)) {
-                requests[*partition].running.insert(task.task);
+                requests[*partition].onlyFree.insert(task.task);
             }
             ++taskCounts[*partition];
         }
--- a/source/tenure/tests/PartitionChoiceTest.cpp
+++ b/source/tenure/tests/PartitionChoiceTest.cpp
@@ -150,4 +150,35 @@
     EXPECT_TRUE(parsePoolHeadrooms(Json("none")).empty());
 }
 
+// A gang was accepted by a partition with fewer workers than members, and waited there for good.
+TEST(PartitionChoice, findsThePartitionWhereAWholeGangFits)
+{
+    JobRecord record = job(false);
+    record.specification.steps[0].gang = true;
+    record.specification.steps[0].demand.milliCores = 3'000;
+    PartitionHeadrooms headrooms {
+        {"home", {{"pool", headroomWith(4'000)}}}, {"other", {{"pool", headroomWith(4'000)}}}};
+    headrooms["home"]["pool"].addWorker({4'000, 8'000, 0});
+    headrooms["other"]["pool"].addWorker({4'000, 8'000, 0});
+    headrooms["other"]["pool"].addWorker({4'000, 8'000, 0});
+    EXPECT_EQ(choosePartition(record, "home", headrooms), (PartitionChoice {Accept, "other"}));
+    record.specification.steps[0].count = 3;
+    EXPECT_EQ(choosePartition(record, "home", headrooms).kind, PartitionChoice::Kind::NeverFits);
+}
+
+// Workers of very many sizes are counted in a few classes, none of them as smaller than it is.
+TEST(PoolHeadroom, neverCountsTooFewPlaces)
+{
+    PoolHeadroom headroom;
+    constexpr int Workers = 200;
+    for (int i = 0; i < Workers; ++i) {
+        headroom.addWorker({60'000 + i * 37, 250'000, i % 2});
+    }
+    EXPECT_LE(headroom.capacities.size(), PoolHeadroom::MostCapacities);
+    EXPECT_GE(headroom.placesFor({60'000, 1'000, 0}, 0), Workers);
+    EXPECT_GE(headroom.placesFor({1'000, 1'000, 0}, 3), Workers * 3);
+    const PoolHeadrooms read = parsePoolHeadrooms(describe(PoolHeadrooms {{"pool", headroom}}));
+    EXPECT_EQ(read.at("pool").capacities, headroom.capacities);
+}
+
 }
