Scheduling: Reserve workers only where the advice permits the step

Cause: waiting long-running steps reserve workers in each round, by size, label and limit per worker. What the placement advisor says was not asked, so the step kept workers free that it could never get. Trace: batch steps saw six open workers, all six reserved, 20 s after their acceptance.

A step that needs advice reserves only workers that the advisor has permitted, until a second after its last ticket. The advisor is also asked about workers that batch tasks may leave. Tasks that may not be placed soon reserve nothing, and headroom is reduced only by what waiting tasks may take.

--- a/source/scheduling/JobSchedulerAdvice.cpp
+++ b/source/scheduling/JobSchedulerAdvice.cpp
@@ -49,7 +49,10 @@
         const auto known = step.permissions.find(name);
         const bool answered = known != step.permissions.end() && known->second.incarnation == worker.incarnation;
         const bool unsuitable = answered && known->second.ticket.empty();
-        const bool fits = WorkerState::countedDemand(specification).fitsInto(worker.freeResources());
+        // Workers are reserved only where the advisor permits it, so it is asked about those that batch tasks may
+        // leave.
+        const bool mayBeReserved = specification.longRunning && couldTakeLater(worker, step, now);
+        const bool fits = mayBeReserved || WorkerState::countedDemand(specification).fitsInto(worker.freeResources());
         const bool possible
             = acceptsTasks(worker, now) && meetsRequirements(worker, specification, step.occurrence->job->policy.pool);
         if (possible && fits && !unsuitable && !isPermitted(step, worker)) {
--- a/source/scheduling/JobSchedulerHeadroom.cpp
+++ b/source/scheduling/JobSchedulerHeadroom.cpp
@@ -7,6 +7,27 @@
 namespace Wagtail
 {
 
+namespace
+{
+
+// Returns how many of the given number of tasks of a step may get a worker here, as far as advice is concerned.
+int limitByAdvice(int count, const std::map<std::string, WorkerState> &workers, const StepState &step, Instant now)
+{
+    if (!step.occurrence->job->policy.advised) {
+        return count;
+    }
+    const auto most = static_cast<std::size_t>(count);
+    std::size_t places = 0;
+    for (const auto &[name, worker] : workers) {
+        if (isAdvised(worker, step) && couldTakeLater(worker, step, now)) {
+            places += placesFor(worker, step, most);
+        }
+    }
+    return static_cast<int>(std::min(places, most));
+}
+
+}
+
 BatchDemandEstimator JobScheduler::batchDemand(const std::string &pool) const
 {
     const auto found = m_batchDemand.find(pool);
@@ -89,7 +110,9 @@
             for (const StepState &step : occurrence.steps) {
                 if (step.specification().longRunning && occurrence.isEligible(step)) {
                     const Resources demand = WorkerState::countedDemand(step.specification());
-                    const std::int64_t waiting = countWithoutPlace(step) * demand.milliCores;
+                    // Places that they may not take are left to others.
+                    const int count = limitByAdvice(countWithoutPlace(step), m_workers, step, now);
+                    const std::int64_t waiting = count * demand.milliCores;
                     PoolHeadroom &headroom = headrooms[job->policy.pool];
                     headroom.freeForBatch -= waiting;
                     // Tasks that fit into no gap leave the gaps to smaller tasks of other partitions.
--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -23,6 +23,18 @@
 constexpr Milliseconds LongestIsolationWait {1'500};
 // The same for tasks that are not long-running. It covers the time until a worker that has crashed is back.
 constexpr Milliseconds LongestBatchIsolationWait {10'000};
+// Workers are reserved only for tasks that may be placed within this time.
+constexpr Milliseconds LongestReservedDelay {500};
+
+// Returns how many tasks of a step could take a worker soon.
+std::size_t countPlaceable(const StepState &step, const RecoveryHolds &holds, Instant now)
+{
+    return static_cast<std::size_t>(
+        std::count_if(step.tasks.begin(), step.tasks.end(), [&holds, now](const TaskState &task) {
+            return task.phase == RunPhase::Waiting && task.nextWorker.empty() && !holds.isHeldBack(task)
+                && task.notBefore - now <= LongestReservedDelay;
+        }));
+}
 
 }
 
@@ -101,7 +113,7 @@
                     queryAdvisor(step);
                 }
                 if (step.specification().longRunning) {
-                    m_reservedWorkers.reserveFor(m_workers, step, static_cast<std::size_t>(unplaced), now);
+                    m_reservedWorkers.reserveFor(m_workers, step, countPlaceable(step, holds, now), now);
                 }
             }
         }
--- a/source/scheduling/ReservedWorkers.cpp
+++ b/source/scheduling/ReservedWorkers.cpp
@@ -9,6 +9,22 @@
 namespace Wagtail
 {
 
+namespace
+{
+
+// A ticket that has expired is soon replaced while the advisor answers.
+constexpr Milliseconds LongestRenewal {1'000};
+
+// Returns whether the placement advisor permits the step on the worker, as far as it has answered lately.
+bool isPermittedSoon(const WorkerState &worker, const StepState &step, Instant now)
+{
+    const auto advice = step.permissions.find(worker.listing.name);
+    const bool needsAdvice = step.occurrence->job->policy.advised;
+    return !needsAdvice || (isAdvised(worker, step) && now - advice->second.validUntil < LongestRenewal);
+}
+
+}
+
 std::size_t placesFor(const WorkerState &worker, const StepState &step, std::size_t most)
 {
     const StepSpecification &specification = step.specification();
@@ -36,7 +52,7 @@
     std::vector<std::pair<std::int64_t, std::string>> candidates;
     std::size_t places = 0;
     for (const auto &[name, worker] : workers) {
-        if (!contains(name) && couldTakeLater(worker, step, now)
+        if (!contains(name) && couldTakeLater(worker, step, now) && isPermittedSoon(worker, step, now)
             && step.specification().demand.fitsInto(worker.freeBesideLongRunning())) {
             candidates.emplace_back(-worker.freeResources().milliCores, name);
             places += placesFor(worker, step, count);
--- a/source/scheduling/ReservedWorkers.h
+++ b/source/scheduling/ReservedWorkers.h
@@ -19,8 +19,9 @@
 public:
     void clear();
 
-    // Reserves workers for up to the given number of tasks of a step. For a gang that could not start even if all batch
-    // tasks ended it reserves none, because nothing would end the reservation.
+    // Reserves workers for up to the given number of tasks of a step. If it needs advice, these are workers that the
+    // advisor has permitted, because nothing would end the reservation of others. For a gang that could not start even
+    // if all batch tasks ended it reserves none, because nothing would end the reservation.
     void reserveFor(
         const std::map<std::string, WorkerState> &workers, const StepState &step, std::size_t count, Instant now);
 
