Scheduling: Start all members of a gang with one checkpoint

Cause: each task kept its own checkpoint. That of the crashed member was from its last report, those of the others came with their ends, and nothing chose one for the gang. Members now get the newest checkpoint of any of them when the gang is placed.

--- a/source/scheduling/JobSchedulerPlacement.cpp
+++ b/source/scheduling/JobSchedulerPlacement.cpp
@@ -1,5 +1,6 @@
 // JobScheduler: placement of waiting tasks on workers.
 #include "scheduling/BackfillSurvey.h"
+#include "scheduling/GangCheckpoint.h"
 #include "scheduling/JobRank.h"
 #include "scheduling/JobScheduler.h"
 #include "scheduling/PlacementSurvey.h"
@@ -258,6 +259,7 @@
             beginTrialIfNeeded(m_workers.at(member->worker));
         }
     }
+    shareNewestCheckpoint(step);
     startPlaced(placed);
     logPlacement(step, {placed.begin(), placed.end()});
     return true;
--- a/source/scheduling/JobSchedulerRuns.cpp
+++ b/source/scheduling/JobSchedulerRuns.cpp
@@ -334,6 +334,7 @@
     markJobStarted(job);
     if (current && !ended.checkpoint.empty() && ended.end != RunEnd::Done) {
         task->checkpoint = ended.checkpoint;
+        task->checkpointAt = m_environment.clock.now();
         m_environment.listener.progressChanged(job.specification.id);
     }
     if (ended.end == RunEnd::Failed) {
--- a/source/scheduling/JobSchedulerWorkers.cpp
+++ b/source/scheduling/JobSchedulerWorkers.cpp
@@ -374,6 +374,8 @@
     }
     task.usage = running.usage;
     if (!running.checkpoint.empty()) {
+        // A later report may repeat a checkpoint that is older than what another member of a gang has.
+        task.checkpointAt = task.checkpoint == running.checkpoint ? task.checkpointAt : m_environment.clock.now();
         task.checkpoint = running.checkpoint;
     }
 }
--- a/source/scheduling/JobState.h
+++ b/source/scheduling/JobState.h
@@ -97,6 +97,8 @@
     // Since when the task has found no worker, if it must be kept away from other tasks.
     std::optional<Instant> isolatedSince;
     std::string checkpoint;
+    // When this leader term was told of the checkpoint.
+    Instant checkpointAt;
     // Workers on which the task failed or stalled.
     std::set<std::string> avoidedWorkers;
     // Whether an order of the current run went unanswered, so that the worker may still carry it out.
--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -214,16 +214,16 @@
     fillDelegations(batch, entries);
     fillMoves(batch, entries);
     // A job's progress shows its delegations, so it must not be written before the transaction that delegates them.
-    std::set<std::string> jobsWithPendingDelegation;
+    // That of a job that is handed over is part of its move.
+    std::set<std::string> jobsWrittenOtherwise;
     for (const PendingDelegation &delegation : m_delegations) {
-        jobsWithPendingDelegation.insert(delegation.job);
+        jobsWrittenOtherwise.insert(delegation.job);
     }
-    // The progress of a job that is handed over is part of its move.
     for (const PendingMove &pending : m_moves) {
-        jobsWithPendingDelegation.insert(pending.job);
+        jobsWrittenOtherwise.insert(pending.job);
     }
     while (entries < MaxTransactionEntries) {
-        const std::optional<std::string> job = m_changed.take(jobsWithPendingDelegation);
+        const std::optional<std::string> job = m_changed.take(jobsWrittenOtherwise);
         if (!job) {
             break;
         }
--- a/source/tenure/PartitionLeader.h
+++ b/source/tenure/PartitionLeader.h
@@ -101,7 +101,7 @@
     // Holds places for tasks that another partition may send.
     [[nodiscard]] PlaceAnswer holdPlaces(const PlaceRequest &request);
 
-    // Returns whether long-running tasks wait for room in other partitions, so that fresh reports of it are needed.
+    // Returns whether tasks or whole jobs wait for room in other partitions, so that fresh reports of it are needed.
     [[nodiscard]] bool seeksRoom() const;
 
     // Sets whether all instances can read tasks that are given back.
--- a/source/tenure/tests/ChangedPolicyTest.cpp
+++ b/source/tenure/tests/ChangedPolicyTest.cpp
@@ -145,8 +145,8 @@
     m_cluster.workers.setBehaviour("job", {Second, 0, true});
     record.specification.steps[0].longRunning = true;
     StoreTransaction transaction;
-    transaction.writes = {{JobKeys::inboxSubmission("fleet", "job"),
-                              serialize(InboxEntry {InboxRequest::Submit, "job", record}), {}, 0},
+    transaction.writes = {
+        {JobKeys::inboxSubmission("fleet", "job"), serialize(InboxEntry {InboxRequest::Submit, "job", record}), {}, 0},
         {JobKeys::jobs("fleet") + "job", serialize(record), {}, 0}, {JobKeys::home("job"), "fleet", {}, 0}};
     ASSERT_EQ(errorOf(m_cluster.state.commit(transaction)), nullptr);
     m_cluster.advance(Second * 2);
