Tenure: Erase the submission of a job that is handed over

It was handed over while its submission was still in the inbox of its former partition, because erasures wait for room in the owner's transactions. The owner lost power, and the next one accepted the job from the inbox once more.

The transaction that hands a job over erases the submission as well.

--- a/source/tenure/JobJournal.cpp
+++ b/source/tenure/JobJournal.cpp
@@ -317,6 +317,10 @@
         batch.transaction.writes.insert(batch.transaction.writes.end(), next.writes.begin(), next.writes.end());
         batch.transaction.erasures.insert(batch.transaction.erasures.end(), next.erasures.begin(), next.erasures.end());
         entries += size;
+        // A transaction must not erase a key twice.
+        for (const std::string &key : next.erasures) {
+            m_erasures.erase(key);
+        }
         m_changed.erase(next.job);
         if (auto erasures = m_erasuresAfterProgress.extract(next.job)) {
             m_erasures.insert(erasures.mapped().begin(), erasures.mapped().end());
--- a/source/tenure/PartitionLeaderRelocation.cpp
+++ b/source/tenure/PartitionLeaderRelocation.cpp
@@ -52,7 +52,8 @@
             {JobKeys::progress(partition) + id, writeJson(describeProgress(job)), std::nullopt, 0},
             {JobKeys::inboxMove(partition, id, m_position.partition, nextMessage()), serialize(entry), std::nullopt,
                 0}},
-        {JobKeys::jobs(m_position.partition) + id, JobKeys::progress(m_position.partition) + id},
+        {JobKeys::jobs(m_position.partition) + id, JobKeys::progress(m_position.partition) + id,
+            JobKeys::inboxSubmission(m_position.partition, id)},
         [this, id] { onHandedOver(id); });
     return true;
 }
--- a/source/tenure/tests/JobRelocationTest.cpp
+++ b/source/tenure/tests/JobRelocationTest.cpp
@@ -267,6 +267,34 @@
     }
 }
 
+// A submission through the store was still in the inbox of the former partition when its owner ended. The next owner
+// accepted the job once more.
+TEST_F(JobRelocation, leavesNoSubmissionBehind)
+{
+    submit("a", "long", {step(8, 1'000)}, Second * 60);
+    submit("a", "job", {step(2, 1'000)}, Second * 30);
+    m_cluster.advance(Milliseconds(1'500));
+    // Messages of jobs that have left again are erased before the submission, because their keys sort before its key.
+    constexpr int Messages = 3'000;
+    for (int i = 0; i < Messages; ++i) {
+        const std::string id = "gone-" + std::to_string(i);
+        const InboxEntry message {InboxRequest::Move, id, std::nullopt, {}, "b"};
+        (void)m_cluster.state.write({JobKeys::inboxMove("a", id, "b", "0.0"), serialize(message), std::nullopt, 0});
+    }
+    const InboxEntry submission {InboxRequest::Submit, "job", TestCluster::job("job", 1, 2)};
+    (void)m_cluster.state.write({JobKeys::inboxSubmission("a", "job"), serialize(submission), std::nullopt, 0});
+    for (int i = 0; i < 100 && homeOf("job") == "a"; ++i) {
+        m_cluster.advance(Milliseconds(20));
+    }
+    ASSERT_EQ(homeOf("job"), "b");
+    const int number = m_cluster.ownerOf("a")->self.name.back() - '0';
+    m_cluster.kill(number);
+    m_cluster.start(number);
+    m_cluster.advance(Second * 15);
+    EXPECT_EQ(leader("a").jobScheduler().find("job"), nullptr);
+    EXPECT_EQ(m_cluster.workers.violations(), std::vector<std::string>());
+}
+
 // The store is away while the job is handed over, and the outcome of the transaction is unknown.
 TEST_F(JobRelocation, happensOnceAlthoughTheStoreDoesNotAnswer)
 {
